--- /dev/null
+++ b/control/loadview.cpp
@@ -0,0 +1,188 @@
+// Load of every endpoint, kept incrementally so that a decision need not look at all of them.
+#include "control/loadview.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace galenafold
+{
+
+constexpr int assumedEngineSlots = 4;    // until the first report
+constexpr int assumedServiceSlots = 256; // plain services report nothing
+constexpr std::size_t maxOwnHistory = 256;
+
+std::uint64_t hashName(const std::string &text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+double rendezvousScore(std::uint64_t chatHash, std::uint64_t endpointHash, double weight)
+{
+    const std::uint64_t pair[2] = {chatHash, endpointHash};
+    const std::uint64_t mixed = XXH3_64bits(pair, sizeof pair);
+    const double uniform = (static_cast<double>(mixed >> 11) + 0.5) * 0x1.0p-53;
+    return -weight / std::log(uniform);
+}
+
+int EndpointLoad::slots() const
+{
+    if (hasReport && report.slots > 0) {
+        return report.slots;
+    }
+    return vm.kind == VmKind::Service ? assumedServiceSlots : assumedEngineSlots;
+}
+
+double Pool::meanWith(double extra) const
+{
+    return members.empty() ? 0 : (ownSum + othersSum + extra) / static_cast<double>(members.size());
+}
+
+double Pool::ownMeanWith(double extra) const
+{
+    return members.empty() ? 0 : (ownSum + extra) / static_cast<double>(members.size());
+}
+
+LoadView::LoadView(const PlacementSettings &settings)
+    : m_settings(settings)
+{
+}
+
+bool LoadView::find(const VmId &id, EndpointSlot &slot) const
+{
+    const auto found = m_latest.find(id);
+    if (found == m_latest.end()) {
+        return false;
+    }
+    slot = found->second;
+    return true;
+}
+
+void LoadView::setRoutable(const std::vector<VmRecord> &records)
+{
+    for (EndpointLoad &endpoint : m_endpoints) {
+        endpoint.isRoutable = false;
+    }
+    for (const VmRecord &record : records) {
+        EndpointSlot slot{};
+        const bool isKnown = find(record.id, slot) && at(slot).vm.incarnation == record.incarnation;
+        if (!isKnown) {
+            slot = static_cast<EndpointSlot>(m_endpoints.size());
+            m_endpoints.emplace_back();
+            at(slot).hash = hashName(record.id.text);
+            m_latest[record.id] = slot;
+        }
+        at(slot).vm = record;
+        at(slot).isRoutable = true;
+    }
+    rebuildPools();
+}
+
+void LoadView::rebuildPools()
+{
+    m_pools.clear();
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        const EndpointLoad &endpoint = m_endpoints[i];
+        if (!endpoint.isRoutable) {
+            continue;
+        }
+        for (const PoolId &pool : endpoint.vm.pools) {
+            m_pools[pool].members.push_back(static_cast<EndpointSlot>(i));
+        }
+        addToPools(endpoint, endpoint.own.total, endpoint.others.total);
+    }
+}
+
+void LoadView::addToPools(const EndpointLoad &endpoint, double own, double others)
+{
+    if (!endpoint.isRoutable) {
+        return;
+    }
+    for (const PoolId &id : endpoint.vm.pools) {
+        Pool &pool = m_pools[id];
+        pool.ownSum += own;
+        pool.othersSum += others;
+    }
+}
+
+const Pool *LoadView::pool(const PoolId &id) const
+{
+    const auto found = m_pools.find(id);
+    return found == m_pools.end() ? nullptr : &found->second;
+}
+
+void LoadView::changeOwn(Instant now, EndpointSlot slot, Lane lane, double change)
+{
+    EndpointLoad &endpoint = at(slot);
+    endpoint.own.total += change;
+    endpoint.own.longLane += lane == Lane::Long ? change : 0;
+    endpoint.ownHistory.emplace_back(now, endpoint.own);
+    if (endpoint.ownHistory.size() > maxOwnHistory) {
+        endpoint.ownHistory.pop_front();
+    }
+    addToPools(endpoint, change, 0);
+}
+
+void LoadView::onSent(Instant now, EndpointSlot slot, Lane lane)
+{
+    changeOwn(now, slot, lane, 1);
+}
+
+void LoadView::onEnded(Instant now, EndpointSlot slot, Lane lane)
+{
+    changeOwn(now, slot, lane, -1);
+}
+
+/// @return own calls in progress at a past moment
+static InFlight ownAt(const EndpointLoad &endpoint, Instant moment)
+{
+    InFlight result;
+    for (const auto &[when, own] : endpoint.ownHistory) {
+        if (when > moment) {
+            break;
+        }
+        result = own;
+    }
+    return result;
+}
+
+bool LoadView::onReport(Instant now, const LoadReport &report)
+{
+    EndpointSlot slot{};
+    if (!find(report.endpoint, slot) || at(slot).vm.incarnation != report.incarnation) {
+        return false;
+    }
+    EndpointLoad &endpoint = at(slot);
+    const bool isStale = report.measured + m_settings.reportLifetime < now;
+    if (isStale || (endpoint.hasReport && report.measured <= endpoint.report.measured)) {
+        return false;
+    }
+    endpoint.report = report;
+    endpoint.hasReport = true;
+    if (!m_peersComplete) {
+        const InFlight own = ownAt(endpoint, report.measured);
+        setOthers(slot,
+                  {std::max(0.0, report.inFlight - own.total), std::max(0.0, report.longInFlight - own.longLane)});
+    }
+    return true;
+}
+
+void LoadView::setOthers(EndpointSlot slot, const InFlight &others)
+{
+    EndpointLoad &endpoint = at(slot);
+    addToPools(endpoint, 0, others.total - endpoint.others.total);
+    endpoint.others = others;
+}
+
+void LoadView::expire(Instant now)
+{
+    for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+        EndpointLoad &endpoint = m_endpoints[i];
+        const bool isStale = endpoint.hasReport && endpoint.report.measured + m_settings.reportLifetime < now;
+        if (isStale && !m_peersComplete) {
+            setOthers(static_cast<EndpointSlot>(i), {});
+        }
+    }
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/control/router.cpp
@@ -0,0 +1,514 @@
+// The row of filters, driven by events.
+#include "control/router.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenafold
+{
+
+constexpr auto sharesEvery = std::chrono::milliseconds(100);
+constexpr auto slowChecksEvery = std::chrono::milliseconds(250);
+constexpr double hedgeBurst = 3;
+constexpr int naiveRetries = 3; // of the naive policy: a fixed count for each call
+constexpr std::size_t mostDemandTold = 32;
+constexpr std::size_t mostLoadsTold = 48;
+constexpr std::size_t mostReportsTold = 16;
+constexpr std::size_t mostMarksTold = 8;
+constexpr double startMargin = 1.2; // over the expected service time, kept before a deadline
+
+Router::Router(const Settings &settings)
+    : m_settings(settings)
+    , m_view(settings.placement)
+    , m_placer(settings.placement, settings.queue, settings.seed)
+    , m_queue(settings.queue)
+    , m_limiter(settings.limits)
+    , m_shares(settings.limits)
+    , m_slowness(settings.slowness)
+    , m_peerLoads(settings.limits.silentAfter)
+    , m_retryBudget(settings.retry.budget, settings.retry.burst)
+    , m_hedgeBudget(settings.slowness.hedgeBudget, hedgeBurst)
+{
+    onMembershipChanged();
+}
+
+std::string Router::classKey(const Call &call)
+{
+    return call.customer.text + '/' + call.taskClass;
+}
+
+// Calls
+
+Reason Router::admit(Instant now, const Contract &contract)
+{
+    ++m_counts.arrivals;
+    m_shares.onArrival(now, contract.customer);
+    const Reason reason = m_limiter.admit(now, contract, m_shares);
+    if (reason != Reason::None) {
+        ++m_counts.refusals[reason];
+    }
+    return reason;
+}
+
+void Router::unadmit(const CustomerId &customer)
+{
+    m_limiter.release(customer);
+}
+
+QueuedCall Router::queuedCall(const Active &active) const
+{
+    const Call &call = active.call;
+    const double prefill = call.prompt / m_settings.placement.prefillTokensPerSecond;
+    const double decode = call.output / m_settings.placement.decodeTokensPerSecond;
+    const std::chrono::duration<double> service((prefill + decode) * startMargin);
+    QueuedCall queued;
+    queued.key = call.key;
+    queued.customer = call.customer;
+    queued.weight = active.weight;
+    queued.cost = std::max(1.0, call.output);
+    queued.startBy = call.deadline - std::chrono::duration_cast<Span>(service);
+    return queued;
+}
+
+void Router::submit(Instant now, const Call &call, double weight, Actions &actions)
+{
+    Active &active = m_calls[call.key];
+    active.call = call;
+    active.call.output = m_lengths.expected(call.customer, call.taskClass, call.output);
+    active.weight = weight;
+    const Reason reason = m_queue.push(now, call.lane, queuedCall(active));
+    if (reason != Reason::None) {
+        refuse(now, active, reason, actions);
+        return;
+    }
+    active.isQueued = true;
+    drainQueue(now, actions);
+}
+
+void Router::drainQueue(Instant now, Actions &actions)
+{
+    std::vector<CallKey> unplaceable;
+    m_queue.drain(now, [&](const QueuedCall &queued) {
+        Active &active = m_calls.at(queued.key);
+        if (tryStart(now, active, actions)) {
+            active.isQueued = false;
+            return true;
+        }
+        const Pool *pool = m_view.pool(active.call.pool);
+        if (!pool || pool->members.empty()) {
+            unplaceable.push_back(queued.key);
+        }
+        return false;
+    });
+    for (const CallKey key : unplaceable) {
+        const auto active = m_calls.find(key);
+        if (active != m_calls.end() && m_queue.remove(key)) {
+            refuse(now, active->second, Reason::NoEndpoint, actions);
+        }
+    }
+}
+
+bool Router::tryProbe(Instant now, const Active &active, Placement &placement)
+{
+    const Call &call = active.call;
+    const Pool *pool = m_view.pool(call.pool);
+    const bool mayProbe = pool && call.lane == Lane::Short && call.isIdempotent && active.attemptsMade == 0;
+    EndpointSlot endpoint{};
+    if (!mayProbe || !m_slowness.takeProbe(now, *pool, m_view, endpoint)) {
+        return false;
+    }
+    ++m_counts.probes;
+    placement.verdict = Verdict::Go;
+    placement.endpoint = endpoint;
+    placement.by = PlacedBy::Probe;
+    return true;
+}
+
+bool Router::tryStart(Instant now, Active &active, Actions &actions)
+{
+    Placement placement;
+    if (!tryProbe(now, active, placement)) {
+        placement = m_placer.choose(now, active.call, m_view, active.excluded);
+    }
+    if (placement.verdict != Verdict::Go) {
+        return false;
+    }
+    startAt(now, active, placement, false, actions);
+    return true;
+}
+
+void Router::startAt(Instant now, Active &active, const Placement &placement, bool isHedge, Actions &actions)
+{
+    Attempt attempt;
+    attempt.number = ++active.attemptsMade;
+    attempt.endpoint = placement.endpoint;
+    attempt.sent = now;
+    attempt.nextWaitCheck = now + slowChecksEvery;
+    active.live.push_back(attempt);
+    if (attempt.number == 1) {
+        ++m_counts.firstAttempts;
+        m_retryBudget.onFirstAttempt();
+        m_hedgeBudget.onFirstAttempt();
+    }
+    ++m_counts.placements[placement.by];
+    m_view.onSent(now, placement.endpoint, active.call.lane);
+    StartAttempt start;
+    start.call = active.call.key;
+    start.attempt = attempt.number;
+    start.endpoint = m_view.at(placement.endpoint).vm;
+    start.resumeFrom = active.relayed;
+    start.isHedge = isHedge;
+    start.placement = placement;
+    actions.starts.push_back(start);
+}
+
+void Router::onFirstByte(Instant now, CallKey key, int attempt, Actions &actions)
+{
+    const auto found = m_calls.find(key);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Active &active = found->second;
+    for (Attempt &live : active.live) {
+        if (live.number != attempt) {
+            actions.cancels.push_back({key, live.number});
+            continue;
+        }
+        live.hasFirstByte = true;
+        m_slowness.onFirstByte(now, live.endpoint, classKey(active.call), now - live.sent);
+        m_placer.onServed(active.call.chat, live.endpoint);
+    }
+}
+
+void Router::endCall(Instant now, CallKey key)
+{
+    const auto found = m_calls.find(key);
+    for (const Attempt &attempt : found->second.live) {
+        m_view.onEnded(now, attempt.endpoint, found->second.call.lane); // a cancelled loser reports to nobody
+    }
+    m_limiter.release(found->second.call.customer);
+    m_calls.erase(found);
+}
+
+void Router::refuse(Instant now, Active &active, Reason reason, Actions &actions)
+{
+    const Run run = active.mayHaveRun ? Run::Unknown : Run::No;
+    ++m_counts.refusals[reason];
+    actions.refusals.push_back({active.call.key, reason, run});
+    endCall(now, active.call.key);
+}
+
+bool Router::allowRetry(const Active &active)
+{
+    if (m_settings.retry.policy == Policy::Naive) {
+        return active.attemptsMade < naiveRetries;
+    }
+    return active.attemptsMade < m_settings.retry.attempts && m_retryBudget.take();
+}
+
+Reason Router::reasonAfter(const Active &active, const AttemptReport &report, bool wasDenied) const
+{
+    if (wasDenied && active.attemptsMade < m_settings.retry.attempts) {
+        return Reason::RetryBudget;
+    }
+    return report.saysNotRun ? Reason::EndpointRefused : Reason::EndpointFailed;
+}
+
+void Router::onAttemptEnded(Instant now, const AttemptReport &report, Actions &actions)
+{
+    const auto found = m_calls.find(report.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Active &active = found->second;
+    const auto isIt = [&report](const Attempt &attempt) { return attempt.number == report.attempt; };
+    const auto live = std::find_if(active.live.begin(), active.live.end(), isIt);
+    if (live == active.live.end()) {
+        return;
+    }
+    const EndpointSlot endpoint = live->endpoint;
+    const VmRecord vm = m_view.at(endpoint).vm;
+    const bool hadFirstByte = live->hasFirstByte;
+    const Instant sent = live->sent;
+    active.live.erase(live);
+    m_view.onEnded(now, endpoint, active.call.lane);
+    if (report.saysLeaving) {
+        onLeaving(now, {vm.id, vm.incarnation});
+    }
+    active.mayHaveRun = active.mayHaveRun || runOf(report) != Run::No;
+    active.relayed = std::max(active.relayed, report.relayed);
+    const bool isLoser = report.isCancelled && !active.live.empty();
+    if (isLoser) {
+        drainQueue(now, actions);
+        return;
+    }
+    if (report.state == AttemptState::Complete) {
+        m_lengths.learn(active.call.customer, active.call.taskClass, report.generated);
+    } else if (!report.isCancelled && !hadFirstByte) {
+        m_slowness.onWaiting(now, endpoint, classKey(active.call), now - sent);
+    }
+    active.excluded.push_back(endpoint);
+    if (!active.live.empty() && report.state != AttemptState::Complete) {
+        drainQueue(now, actions); // a hedge still runs and may answer
+        return;
+    }
+    bool wasDenied = false;
+    const Next next = afterAttempt(active.call, report, [&] {
+        const bool isAllowed = allowRetry(active);
+        wasDenied = !isAllowed;
+        return isAllowed;
+    });
+    if (next == Next::Finish) {
+        endCall(now, report.call);
+    } else if (next == Next::Fail) {
+        refuse(now, active, reasonAfter(active, report, wasDenied), actions);
+    } else {
+        ++m_counts.retries;
+        startAgain(now, active, actions);
+    }
+    drainQueue(now, actions);
+}
+
+void Router::startAgain(Instant now, Active &active, Actions &actions)
+{
+    if (tryStart(now, active, actions)) {
+        return;
+    }
+    const Placement placement = m_placer.choose(now, active.call, m_view, active.excluded);
+    const bool hasTime = now < active.call.deadline;
+    if (placement.verdict == Verdict::None || !hasTime) {
+        refuse(now, active, Reason::EndpointFailed, actions);
+        return;
+    }
+    const Reason reason = m_queue.push(now, active.call.lane, queuedCall(active));
+    if (reason != Reason::None) {
+        refuse(now, active, reason, actions);
+        return;
+    }
+    active.isQueued = true;
+}
+
+void Router::onCallerGone(Instant now, CallKey key, Actions &actions)
+{
+    const auto found = m_calls.find(key);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Active &active = found->second;
+    for (const Attempt &attempt : active.live) {
+        actions.cancels.push_back({key, attempt.number});
+    }
+    m_queue.remove(key);
+    ++m_counts.refusals[Reason::CallerGone];
+    endCall(now, key);
+    drainQueue(now, actions);
+}
+
+void Router::checkWaiting(Instant now, Active &active)
+{
+    for (Attempt &attempt : active.live) {
+        if (attempt.hasFirstByte || now < attempt.nextWaitCheck) {
+            continue;
+        }
+        attempt.nextWaitCheck = now + slowChecksEvery;
+        m_slowness.onWaiting(now, attempt.endpoint, classKey(active.call), now - attempt.sent);
+    }
+}
+
+void Router::hedgeLate(Instant now, Active &active, Actions &actions)
+{
+    const Call &call = active.call;
+    const bool mayHedge = m_settings.slowness.policy == Policy::Galenafold && call.isIdempotent
+        && call.lane == Lane::Short && !active.isHedged && active.live.size() == 1 && !active.live.front().hasFirstByte;
+    if (!mayHedge) {
+        return;
+    }
+    const Span patience = m_slowness.expected(classKey(call), m_settings.slowness.hedgePercentile);
+    if (patience.count() == 0 || now - active.live.front().sent < patience) {
+        return;
+    }
+    std::vector<EndpointSlot> excluded = active.excluded;
+    excluded.push_back(active.live.front().endpoint);
+    const Placement placement = m_placer.choose(now, call, m_view, excluded);
+    if (placement.verdict != Verdict::Go || !m_hedgeBudget.take()) {
+        return;
+    }
+    active.isHedged = true;
+    ++m_counts.hedges;
+    startAt(now, active, placement, true, actions);
+}
+
+void Router::onTick(Instant now, Actions &actions)
+{
+    for (const CallKey key : m_queue.expire(now)) {
+        const auto found = m_calls.find(key);
+        if (found != m_calls.end()) {
+            refuse(now, found->second, Reason::WouldMissDeadline, actions);
+        }
+    }
+    for (auto &[key, active] : m_calls) {
+        checkWaiting(now, active);
+        hedgeLate(now, active, actions);
+    }
+    if (now >= m_nextShares) {
+        m_nextShares = now + sharesEvery;
+        m_shares.onTick(now);
+        refreshPools(now);
+    }
+    if (now >= m_nextSecond) {
+        m_nextSecond = now + std::chrono::seconds(1);
+        m_view.expire(now);
+    }
+    drainQueue(now, actions);
+}
+
+void Router::refreshPools(Instant now)
+{
+    m_peerLoads.apply(now, m_peers, m_view);
+    std::vector<PoolId> pools;
+    for (const VmRecord &record : m_membership.routable()) {
+        for (const PoolId &pool : record.pools) {
+            if (std::find(pools.begin(), pools.end(), pool) == pools.end()) {
+                pools.push_back(pool);
+            }
+        }
+    }
+    for (const PoolId &id : pools) {
+        if (const Pool *pool = m_view.pool(id)) {
+            m_slowness.judge(now, *pool, m_view);
+        }
+    }
+}
+
+// What is known of others
+
+void Router::onMembershipChanged()
+{
+    std::vector<VmId> routers;
+    m_peers.clear();
+    for (const VmRecord &record : m_membership.entryVms()) {
+        routers.push_back(record.id);
+        if (record.id != m_settings.name) {
+            m_peers.push_back(record.id);
+        }
+    }
+    m_shares.setRouters(m_settings.name, routers);
+    FleetPosition position;
+    position.routers = static_cast<int>(m_shares.routerCount());
+    for (const VmId &router : routers) {
+        position.rank += router < m_settings.name ? 1 : 0;
+    }
+    m_placer.setPosition(position);
+    m_limiter.setPosition(position);
+    m_peerLoads.keepOnly(m_peers);
+    const std::vector<VmRecord> routable = m_membership.routable();
+    m_view.setRoutable(routable);
+    m_endpointNames.clear();
+    for (const VmRecord &record : routable) {
+        m_endpointNames[endpointHash(record.id)] = record.id;
+    }
+}
+
+void Router::onVmList(Instant now, const std::vector<VmRecord> &list)
+{
+    (void)now;
+    const std::vector<VmRecord> before = m_membership.entryVms();
+    const bool hasChanged = m_membership.onVmList(list);
+    const auto isSame = [](const VmRecord &a, const VmRecord &b) { return a.id == b.id; };
+    const std::vector<VmRecord> after = m_membership.entryVms();
+    if (hasChanged || !std::equal(before.begin(), before.end(), after.begin(), after.end(), isSame)) {
+        onMembershipChanged();
+    }
+}
+
+void Router::onLeaving(Instant now, const LeavingMark &mark)
+{
+    (void)now;
+    if (m_membership.onLeaving(mark)) {
+        onMembershipChanged();
+    }
+}
+
+void Router::onLoadReport(Instant now, const LoadReport &report)
+{
+    if (report.isLeaving) {
+        onLeaving(now, {report.endpoint, report.incarnation});
+    }
+    m_view.onReport(now, report);
+}
+
+void Router::onContextLost(const ChatId &chat, const VmId &endpoint)
+{
+    EndpointSlot slot{};
+    if (m_view.find(endpoint, slot)) {
+        m_placer.onContextLost(chat, slot);
+    }
+}
+
+void Router::onGossip(Instant now, const GossipMessage &message)
+{
+    m_peerLoads.onMessage(now, message);
+    m_shares.onPeerDemand(now, message.from, message.demand);
+    for (const LeavingMark &mark : message.leaving) {
+        onLeaving(now, mark);
+    }
+    for (const ReportDigest &digest : message.reports) {
+        const auto name = m_endpointNames.find(digest.endpointHash);
+        EndpointSlot slot{};
+        if (name == m_endpointNames.end() || !m_view.find(name->second, slot)) {
+            continue;
+        }
+        LoadReport report;
+        report.endpoint = name->second;
+        report.incarnation = m_view.at(slot).vm.incarnation;
+        report.measured = now - std::chrono::milliseconds(digest.ageMillis);
+        report.slots = digest.slots;
+        report.inFlight = digest.inFlight;
+        report.longInFlight = digest.longInFlight;
+        m_view.onReport(now, report);
+    }
+}
+
+static std::uint16_t narrowed(double value)
+{
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, 65535.0));
+}
+
+GossipMessage Router::gossip(Instant now) const
+{
+    GossipMessage message;
+    message.from = m_settings.name;
+    message.demand = m_shares.ownDemand(mostDemandTold);
+    for (CustomerDemand &demand : message.demand) {
+        for (const CustomerId &customer : m_shares.customers()) {
+            if (customerHash(customer) == demand.customerHash) {
+                demand.inProgress = narrowed(m_limiter.inProgress(customer));
+            }
+        }
+    }
+    message.leaving = m_membership.marksToTell(mostMarksTold);
+    std::vector<std::pair<Instant, ReportDigest>> reports;
+    for (std::size_t i = 0; i < m_view.size(); ++i) {
+        const EndpointLoad &endpoint = m_view.at(static_cast<EndpointSlot>(i));
+        const auto hash = static_cast<std::uint32_t>(endpoint.hash);
+        if (endpoint.own.total > 0 && message.loads.size() < mostLoadsTold) {
+            message.loads.push_back({hash, narrowed(endpoint.own.total), narrowed(endpoint.own.longLane)});
+        } else if (endpoint.own.total > 0) {
+            message.isComplete = false;
+        }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.report.measured).count();
+        if (endpoint.hasReport && endpoint.isRoutable && age < 2000) {
+            reports.push_back({endpoint.report.measured,
+                               {hash, narrowed(static_cast<double>(age)), narrowed(endpoint.report.slots),
+                                narrowed(endpoint.report.inFlight), narrowed(endpoint.report.longInFlight)}});
+        }
+    }
+    const auto isNewer = [](const auto &a, const auto &b) { return a.first > b.first; };
+    std::sort(reports.begin(), reports.end(), isNewer);
+    for (std::size_t i = 0; i < std::min(reports.size(), mostReportsTold); ++i) {
+        message.reports.push_back(reports[i].second);
+    }
+    return message;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/control/slowness.cpp
@@ -0,0 +1,123 @@
+// Relative detection of slow endpoints.
+#include "control/slowness.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenafold
+{
+
+constexpr double observationRate = 0.3; // weight of the latest observation
+constexpr int samplesToJudge = 3;
+constexpr double samplesToExpect = 20;  // of a class, before its quantiles mean anything
+constexpr double recoverFraction = 0.6; // of the ejecting ratio, at which an endpoint is taken back
+constexpr double mostRatio = 50;        // one observation counts no more than this
+constexpr double slowWeight = 0.05;
+
+Slowness::Slowness(const SlownessSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void Slowness::observe(EndpointSlot endpoint, double ratio)
+{
+    Health &health = m_health[static_cast<std::uint32_t>(endpoint)];
+    ++health.samples;
+    health.ratio += observationRate * (std::min(ratio, mostRatio) - health.ratio);
+}
+
+Span Slowness::expected(const std::string &classKey, double quantile) const
+{
+    const auto found = m_classes.find(classKey);
+    if (found == m_classes.end() || found->second.samples() < samplesToExpect) {
+        return Span(0);
+    }
+    return found->second.quantile(quantile);
+}
+
+static double ratioOf(Span time, Span median)
+{
+    return static_cast<double>(time.count()) / static_cast<double>(std::max<Span::rep>(1, median.count()));
+}
+
+void Slowness::onFirstByte(Instant now, EndpointSlot endpoint, const std::string &classKey, Span time)
+{
+    (void)now;
+    const Span median = expected(classKey, 0.5);
+    m_classes[classKey].add(time);
+    if (median.count() > 0) {
+        observe(endpoint, ratioOf(time, median));
+    }
+}
+
+void Slowness::onWaiting(Instant now, EndpointSlot endpoint, const std::string &classKey, Span soFar)
+{
+    (void)now;
+    const Span median = expected(classKey, 0.5);
+    if (median.count() > 0 && ratioOf(soFar, median) > m_settings.ejectRatio) {
+        observe(endpoint, ratioOf(soFar, median));
+    }
+}
+
+double Slowness::medianRatio(const Pool &pool) const
+{
+    std::vector<double> ratios;
+    for (const EndpointSlot slot : pool.members) {
+        const auto health = m_health.find(static_cast<std::uint32_t>(slot));
+        if (health != m_health.end() && health->second.samples >= samplesToJudge) {
+            ratios.push_back(health->second.ratio);
+        }
+    }
+    if (ratios.empty()) {
+        return 1;
+    }
+    const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    return std::max(*middle, 0.05);
+}
+
+void Slowness::judge(Instant now, const Pool &pool, LoadView &view)
+{
+    if (m_settings.policy == Policy::Naive) {
+        return;
+    }
+    const double median = medianRatio(pool);
+    const auto most = static_cast<std::size_t>(m_settings.ejectedFraction * static_cast<double>(pool.members.size()));
+    std::vector<EndpointSlot> slow;
+    for (const EndpointSlot slot : pool.members) {
+        const Health &health = m_health[static_cast<std::uint32_t>(slot)];
+        const double limit = m_settings.ejectRatio * median * (health.isEjected ? recoverFraction : 1);
+        if (health.samples >= samplesToJudge && health.ratio > limit) {
+            slow.push_back(slot);
+        }
+    }
+    const auto isSlower = [this](EndpointSlot a, EndpointSlot b) {
+        return m_health[static_cast<std::uint32_t>(a)].ratio > m_health[static_cast<std::uint32_t>(b)].ratio;
+    };
+    std::sort(slow.begin(), slow.end(), isSlower);
+    slow.resize(std::min(slow.size(), most));
+    for (const EndpointSlot slot : pool.members) {
+        Health &health = m_health[static_cast<std::uint32_t>(slot)];
+        const bool isSlow = std::find(slow.begin(), slow.end(), slot) != slow.end();
+        if (isSlow && !health.isEjected) {
+            health.probeAt = now + m_settings.probeEvery;
+        }
+        health.isEjected = isSlow;
+        view.at(slot).weight = isSlow ? slowWeight : 1;
+    }
+}
+
+bool Slowness::takeProbe(Instant now, const Pool &pool, const LoadView &view, EndpointSlot &endpoint)
+{
+    for (const EndpointSlot slot : pool.members) {
+        Health &health = m_health[static_cast<std::uint32_t>(slot)];
+        if (health.isEjected && health.probeAt <= now && view.at(slot).isRoutable && view.at(slot).own.total < 1) {
+            health.probeAt = now + m_settings.probeEvery;
+            endpoint = slot;
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/filters/place.cpp
@@ -0,0 +1,319 @@
+// Rendezvous hashing with bounded load, affinity and a choice between waiting at home and recomputing elsewhere.
+#include "filters/place.h"
+
+#include <boost/random/uniform_01.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenafold
+{
+
+constexpr double ejectedWeight = 0.5; // an endpoint below this weight is slow and gets no ordinary work
+
+const char *text(PlacedBy by)
+{
+    switch (by) {
+    case PlacedBy::Hint:
+        return "hint";
+    case PlacedBy::Recent:
+        return "recent";
+    case PlacedBy::Home:
+        return "home";
+    case PlacedBy::Spill:
+        return "spill";
+    case PlacedBy::LeastLoaded:
+        return "least_loaded";
+    case PlacedBy::Probe:
+        return "probe";
+    }
+    return "home";
+}
+
+// Recent chats
+
+RecentChats::RecentChats(int capacity)
+    : m_half(static_cast<std::size_t>(std::max(0, capacity)) / 2)
+{
+}
+
+void RecentChats::put(std::uint64_t chatHash, EndpointSlot endpoint)
+{
+    if (m_half == 0) {
+        return;
+    }
+    if (m_young.size() >= m_half) {
+        m_old.swap(m_young);
+        m_young.clear();
+    }
+    m_young[chatHash] = endpoint;
+}
+
+bool RecentChats::find(std::uint64_t chatHash, EndpointSlot &endpoint) const
+{
+    for (const auto *generation : {&m_young, &m_old}) {
+        const auto found = generation->find(chatHash);
+        if (found != generation->end()) {
+            endpoint = found->second;
+            return true;
+        }
+    }
+    return false;
+}
+
+void RecentChats::forget(std::uint64_t chatHash, EndpointSlot endpoint)
+{
+    for (auto *generation : {&m_young, &m_old}) {
+        const auto found = generation->find(chatHash);
+        if (found != generation->end() && found->second == endpoint) {
+            generation->erase(found);
+        }
+    }
+}
+
+// Placer
+
+Placer::Placer(const PlacementSettings &placement, const QueueSettings &queue, std::uint64_t seed)
+    : m_settings(placement)
+    , m_queue(queue)
+    , m_recent(placement.recentChats)
+    , m_random(seed)
+{
+}
+
+double Placer::uniform()
+{
+    return boost::random::uniform_01<double>()(m_random);
+}
+
+void Placer::onServed(const ChatId &chat, EndpointSlot endpoint)
+{
+    if (!chat.isEmpty()) {
+        m_recent.put(hashName(chat.text), endpoint);
+    }
+}
+
+void Placer::onContextLost(const ChatId &chat, EndpointSlot endpoint)
+{
+    m_recent.forget(hashName(chat.text), endpoint);
+}
+
+static bool contains(const std::vector<EndpointSlot> &list, EndpointSlot slot)
+{
+    return std::find(list.begin(), list.end(), slot) != list.end();
+}
+
+static bool serves(const EndpointLoad &endpoint, const PoolId &pool)
+{
+    const auto &pools = endpoint.vm.pools;
+    return endpoint.isRoutable && std::find(pools.begin(), pools.end(), pool) != pools.end();
+}
+
+void Placer::addRendezvous(const Call &call, const Pool &pool, const LoadView &view, std::vector<Candidate> &list) const
+{
+    struct Scored {
+        double score;
+        EndpointSlot endpoint;
+    };
+    const std::uint64_t chatHash = hashName(call.chat.text);
+    const auto isBetter = [](const Scored &a, const Scored &b) { return a.score > b.score; };
+    const auto most = static_cast<std::size_t>(m_settings.candidates);
+    std::vector<Scored> best; // a heap with the worst of the best on top
+    best.reserve(most + 1);
+    for (const EndpointSlot slot : pool.members) {
+        const Scored scored{rendezvousScore(chatHash, view.at(slot).hash, 1.0), slot};
+        if (best.size() == most && !isBetter(scored, best.front())) {
+            continue;
+        }
+        best.push_back(scored);
+        std::push_heap(best.begin(), best.end(), isBetter);
+        if (best.size() > most) {
+            std::pop_heap(best.begin(), best.end(), isBetter);
+            best.pop_back();
+        }
+    }
+    std::sort_heap(best.begin(), best.end(), isBetter);
+    for (const Scored &scored : best) {
+        const bool isHome = scored.endpoint == best.front().endpoint;
+        list.push_back({scored.endpoint, isHome ? PlacedBy::Home : PlacedBy::Spill});
+    }
+}
+
+/// Hint and recent table only; the rendezvous order is added when these do not settle it.
+std::vector<Placer::Candidate> Placer::candidates(const Call &call, const Pool &pool, const LoadView &view) const
+{
+    (void)pool;
+    std::vector<Candidate> list;
+    EndpointSlot slot{};
+    const bool hasHint = !call.hint.endpoint.isEmpty() && view.find(call.hint.endpoint, slot);
+    if (hasHint && view.at(slot).vm.incarnation == call.hint.incarnation && serves(view.at(slot), call.pool)) {
+        list.push_back({slot, PlacedBy::Hint});
+        return list;
+    }
+    if (m_recent.find(hashName(call.chat.text), slot) && serves(view.at(slot), call.pool)) {
+        list.push_back({slot, PlacedBy::Recent});
+    }
+    return list;
+}
+
+double Placer::boundOf(const EndpointLoad &endpoint, const Pool &pool, const LoadView &view) const
+{
+    const double fleetBound = m_settings.loadBound * pool.meanWith(1);
+    if (view.peersComplete() || endpoint.hasReport || m_position.routers <= 1) {
+        return std::max(fleetBound, 1.0);
+    }
+    // Nothing is known of others: keep this router's part of the bound, rounded so that all parts add up.
+    const double ownPart = roundedPart(m_settings.loadBound * pool.ownMeanWith(1), m_position, endpoint.hash);
+    return std::max(ownPart, endpoint.own.total + 1 <= 1 ? 1.0 : 0.0);
+}
+
+Placer::Room Placer::roomAt(const Call &call, const EndpointLoad &endpoint, const Pool &pool, const LoadView &view)
+{
+    Room room;
+    room.load = endpoint.total();
+    room.bound = boundOf(endpoint, pool, view);
+    room.isInBound = room.load + 1 <= room.bound;
+    const double slots = endpoint.slots();
+    if (m_queue.policy == Policy::Naive) {
+        room.hasSlot = endpoint.total() < slots * (1 + m_queue.backlog);
+        return room;
+    }
+    const double reserved = std::max(1.0, std::floor(slots * m_queue.reservedSlots));
+    const bool isShort = call.lane == Lane::Short;
+    const bool hasLongSlot = endpoint.longLane() < std::max(1.0, slots - reserved) && endpoint.total() < slots;
+    room.hasSlot = isShort ? endpoint.total() < slots * (1 + m_queue.backlog) : hasLongSlot;
+    return room;
+}
+
+/// Compares the wait for a slot at home with computing the prompt again elsewhere.
+bool Placer::worthWaiting(const Call &call, const EndpointLoad &home) const
+{
+    const double callSeconds = std::max(1.0, call.output) / m_settings.decodeTokensPerSecond;
+    const double excess = std::max(0.0, home.total() - home.slots()) + 1;
+    const double waitSeconds = excess * callSeconds / home.slots();
+    const double recomputeSeconds = call.prompt / m_settings.prefillTokensPerSecond;
+    return waitSeconds < recomputeSeconds;
+}
+
+/// Spills some calls before the bound is reached, so that routers with the same stale view do not all turn at once.
+bool Placer::spillsEarly(const Room &room)
+{
+    const double start = m_settings.spillStart * room.bound;
+    if (room.load + 1 <= start || room.bound <= 2) {
+        return false;
+    }
+    const double depth = (room.load + 1 - start) / std::max(1e-9, room.bound - start);
+    return uniform() < depth * depth;
+}
+
+Placement Placer::choose(Instant now, const Call &call, const LoadView &view, const std::vector<EndpointSlot> &excluded)
+{
+    (void)now;
+    const Pool *pool = view.pool(call.pool);
+    if (!pool || pool->members.empty()) {
+        return {};
+    }
+    if (m_settings.policy == Policy::Naive) {
+        return chooseNaively(call, *pool, view, excluded);
+    }
+    if (call.chat.isEmpty()) {
+        return chooseLeastLoaded(call, *pool, view, excluded);
+    }
+    std::vector<Candidate> list = candidates(call, *pool, view);
+    Placement placement;
+    bool hasOrder = false;
+    bool anyLeft = false;
+    for (std::size_t i = 0; i < list.size() || !hasOrder; ++i) {
+        if (i == list.size()) {
+            addRendezvous(call, *pool, view, list);
+            hasOrder = true;
+            if (i == list.size()) {
+                break;
+            }
+        }
+        const EndpointLoad &endpoint = view.at(list[i].endpoint);
+        if (contains(excluded, list[i].endpoint) || endpoint.weight < ejectedWeight) {
+            continue;
+        }
+        anyLeft = true;
+        const Room room = roomAt(call, endpoint, *pool, view);
+        ++placement.considered;
+        const bool isHolder = placement.considered == 1;
+        if (room.hasSlot && room.isInBound && !(isHolder && spillsEarly(room))) {
+            placement.verdict = Verdict::Go;
+            placement.endpoint = list[i].endpoint;
+            placement.by = isHolder ? list[i].by : PlacedBy::Spill;
+            placement.load = room.load;
+            placement.bound = room.bound;
+            return placement;
+        }
+        if (isHolder && !room.hasSlot && worthWaiting(call, endpoint)) {
+            placement.verdict = Verdict::Wait;
+            return placement;
+        }
+    }
+    Placement fallback = chooseLeastLoaded(call, *pool, view, excluded);
+    fallback.considered += placement.considered;
+    if (fallback.verdict == Verdict::None && anyLeft) {
+        fallback.verdict = Verdict::Wait;
+    }
+    return fallback;
+}
+
+Placement Placer::chooseLeastLoaded(const Call &call, const Pool &pool, const LoadView &view,
+                                    const std::vector<EndpointSlot> &excluded)
+{
+    constexpr int draws = 4; // the best of a few drawn at random, so that routers do not herd
+    Placement best;
+    bool anyLeft = false;
+    const std::size_t members = pool.members.size();
+    const bool takeAll = members <= static_cast<std::size_t>(draws) * 4;
+    const std::size_t tries = takeAll ? members : draws;
+    const auto first = static_cast<std::size_t>(uniform() * static_cast<double>(members));
+    for (std::size_t i = 0; i < tries; ++i) {
+        const std::size_t pick =
+            takeAll ? (first + i) % members : static_cast<std::size_t>(uniform() * static_cast<double>(members));
+        const EndpointSlot slot = pool.members[std::min(pick, members - 1)];
+        const EndpointLoad &endpoint = view.at(slot);
+        if (contains(excluded, slot)) {
+            continue;
+        }
+        anyLeft = true;
+        const Room room = roomAt(call, endpoint, pool, view);
+        const bool isBetter = best.verdict != Verdict::Go || room.load < best.load;
+        ++best.considered;
+        if (room.hasSlot && room.isInBound && endpoint.weight >= ejectedWeight && isBetter) {
+            best.verdict = Verdict::Go;
+            best.endpoint = slot;
+            best.by = PlacedBy::LeastLoaded;
+            best.load = room.load;
+            best.bound = room.bound;
+        }
+    }
+    if (best.verdict != Verdict::Go) {
+        best.verdict = anyLeft ? Verdict::Wait : Verdict::None;
+    }
+    return best;
+}
+
+/// Plain rendezvous hashing: always the home, whatever its load. Calls without a chat go anywhere.
+Placement Placer::chooseNaively(const Call &call, const Pool &pool, const LoadView &view,
+                                const std::vector<EndpointSlot> &excluded)
+{
+    Placement placement;
+    double best = -1;
+    const std::uint64_t chatHash = call.chat.isEmpty() ? m_random() : hashName(call.chat.text);
+    for (const EndpointSlot slot : pool.members) {
+        const double score = rendezvousScore(chatHash, view.at(slot).hash, 1.0);
+        if (contains(excluded, slot) || score <= best) {
+            continue;
+        }
+        best = score;
+        placement.verdict = Verdict::Go;
+        placement.endpoint = slot;
+        placement.by = PlacedBy::Home;
+    }
+    return placement;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/galenafold/ini.cpp
@@ -0,0 +1,193 @@
+// Reading of INI text with inih, and the checks of single values.
+#include "galenafold/ini.h"
+
+#include <ini.h>
+
+#include <cstdlib>
+#include <sstream>
+
+namespace galenafold
+{
+
+std::string IniFault::message() const
+{
+    std::string line = file + ": [" + section + "] " + key;
+    if (!value.empty()) {
+        line += " = '" + value + "'";
+    }
+    return line + ": " + allowed;
+}
+
+// Fields
+
+static std::optional<double> toNumber(const std::string &value)
+{
+    char *end = nullptr;
+    const double number = std::strtod(value.c_str(), &end);
+    if (value.empty() || *end != '\0') {
+        return std::nullopt;
+    }
+    return number;
+}
+
+static std::string rangeText(double least, double most)
+{
+    std::ostringstream out;
+    out << "a number from " << least << " to " << most << " is allowed";
+    return out.str();
+}
+
+IniSetter textField(std::string &target)
+{
+    return [&target](const std::string &value) -> std::optional<std::string> {
+        if (value.empty()) {
+            return "a text that is not empty is allowed";
+        }
+        target = value;
+        return std::nullopt;
+    };
+}
+
+IniSetter numberField(double &target, double least, double most)
+{
+    return [&target, least, most](const std::string &value) -> std::optional<std::string> {
+        const auto number = toNumber(value);
+        if (!number || !(*number >= least) || !(*number <= most)) {
+            return rangeText(least, most);
+        }
+        target = *number;
+        return std::nullopt;
+    };
+}
+
+IniSetter integerField(int &target, int least, int most)
+{
+    return [&target, least, most](const std::string &value) -> std::optional<std::string> {
+        const auto number = toNumber(value);
+        const bool isWhole = number && *number == static_cast<double>(static_cast<long long>(*number));
+        if (!isWhole || *number < least || *number > most) {
+            return "whole: " + rangeText(least, most);
+        }
+        target = static_cast<int>(*number);
+        return std::nullopt;
+    };
+}
+
+IniSetter flagField(bool &target)
+{
+    return [&target](const std::string &value) -> std::optional<std::string> {
+        if (value != "yes" && value != "no") {
+            return "yes or no is allowed";
+        }
+        target = value == "yes";
+        return std::nullopt;
+    };
+}
+
+IniSetter millisField(Span &target, int least, int most)
+{
+    return [&target, least, most](const std::string &value) -> std::optional<std::string> {
+        int millis = 0;
+        if (const auto fault = integerField(millis, least, most)(value)) {
+            return "milliseconds, " + *fault;
+        }
+        target = std::chrono::milliseconds(millis);
+        return std::nullopt;
+    };
+}
+
+static std::string trimmed(const std::string &text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+IniSetter listField(std::vector<PoolId> &target)
+{
+    return [&target](const std::string &value) -> std::optional<std::string> {
+        std::istringstream in(value);
+        std::string item;
+        target.clear();
+        while (std::getline(in, item, ',')) {
+            if (trimmed(item).empty()) {
+                return "names parted by commas are allowed";
+            }
+            target.push_back({trimmed(item)});
+        }
+        return std::nullopt;
+    };
+}
+
+IniSetter policyField(Policy &target)
+{
+    return [&target](const std::string &value) -> std::optional<std::string> {
+        if (value != "galenafold" && value != "naive") {
+            return "galenafold or naive is allowed";
+        }
+        target = value == "naive" ? Policy::Naive : Policy::Galenafold;
+        return std::nullopt;
+    };
+}
+
+// Reading
+
+static int collectEntry(void *user, const char *section, const char *name, const char *value)
+{
+    static_cast<std::vector<IniEntry> *>(user)->push_back({section, name, value ? value : ""});
+    return 1;
+}
+
+std::vector<IniEntry> parseIni(const std::string &file, const std::string &text, std::vector<IniFault> &faults)
+{
+    std::vector<IniEntry> entries;
+    const int line = ini_parse_string(text.c_str(), collectEntry, &entries);
+    if (line != 0) {
+        faults.push_back({file, "", "line " + std::to_string(line), "", "[section] or key = value is allowed"});
+    }
+    return entries;
+}
+
+static const IniField *fieldOf(const std::vector<IniField> &fields, const IniEntry &entry)
+{
+    for (const IniField &field : fields) {
+        if (field.section == entry.section && field.key == entry.key) {
+            return &field;
+        }
+    }
+    return nullptr;
+}
+
+static bool hasEntry(const std::vector<IniEntry> &entries, const IniField &field)
+{
+    for (const IniEntry &entry : entries) {
+        if (field.section == entry.section && field.key == entry.key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void applyIni(const std::string &file, const std::vector<IniEntry> &entries, const std::vector<IniField> &fields,
+              std::vector<IniFault> &faults)
+{
+    for (const IniEntry &entry : entries) {
+        const IniField *field = fieldOf(fields, entry);
+        if (!field) {
+            faults.push_back({file, entry.section, entry.key, entry.value, "unknown key; remove it"});
+            continue;
+        }
+        if (const auto allowed = field->set(entry.value)) {
+            faults.push_back({file, entry.section, entry.key, entry.value, *allowed});
+        }
+    }
+    for (const IniField &field : fields) {
+        if (field.isRequired && !hasEntry(entries, field)) {
+            faults.push_back({file, field.section, field.key, "", "this key is required"});
+        }
+    }
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/galenafold/settings.cpp
@@ -0,0 +1,99 @@
+// The table of INI keys behind `Settings`.
+#include "galenafold/settings.h"
+
+namespace galenafold
+{
+
+constexpr int maxPort = 65535;
+constexpr int maxWorkers = 20000;
+constexpr int dayMillis = 86400000;
+
+static std::vector<IniField> daemonFields(Settings &settings, double &bodyBytes)
+{
+    return {
+        {"daemon", "name", textField(settings.name.text), true},
+        {"daemon", "address", textField(settings.address), true},
+        {"daemon", "data_centre", textField(settings.dataCentre.text), true},
+        {"daemon", "http_port", integerField(settings.httpPort, 0, maxPort), true},
+        {"daemon", "peer_port", integerField(settings.peerPort, 0, maxPort), true},
+        {"daemon", "workers", integerField(settings.workers, 1, maxWorkers)},
+        {"daemon", "max_body_bytes", numberField(bodyBytes, 1024, 1 << 30)},
+        {"platform", "log", textField(settings.logAddress), true},
+        {"platform", "vm_list", textField(settings.vmListAddress), true},
+        {"trace", "path", textField(settings.tracePath)},
+        {"trace", "fraction", numberField(settings.traceFraction, 0, 1)},
+    };
+}
+
+static std::vector<IniField> decisionFields(Settings &settings)
+{
+    PlacementSettings &placement = settings.placement;
+    QueueSettings &queue = settings.queue;
+    LimitSettings &limits = settings.limits;
+    return {
+        {"placement", "policy", policyField(placement.policy)},
+        {"placement", "load_bound", numberField(placement.loadBound, 1, 10)},
+        {"placement", "spill_start", numberField(placement.spillStart, 0, 1)},
+        {"placement", "candidates", integerField(placement.candidates, 1, 64)},
+        {"placement", "recent_chats", integerField(placement.recentChats, 0, 10000000)},
+        {"placement", "prefill_tokens_per_second", numberField(placement.prefillTokensPerSecond, 1, 1e9)},
+        {"placement", "decode_tokens_per_second", numberField(placement.decodeTokensPerSecond, 1, 1e9)},
+        {"placement", "report_lifetime_ms", millisField(placement.reportLifetime, 1, dayMillis)},
+        {"queue", "policy", policyField(queue.policy)},
+        {"queue", "capacity", integerField(queue.capacity, 1, 1000000)},
+        {"queue", "reserved_slots", numberField(queue.reservedSlots, 0, 0.9)},
+        {"queue", "backlog", numberField(queue.backlog, 0, 10)},
+        {"queue", "quantum", numberField(queue.quantum, 1, 1e6)},
+        {"limits", "policy", policyField(limits.policy)},
+        {"limits", "floor", numberField(limits.floor, 0, 1)},
+        {"limits", "burst_seconds", numberField(limits.burstSeconds, 0, 60)},
+        {"limits", "silent_after_ms", millisField(limits.silentAfter, 1, dayMillis)},
+        {"limits", "rise_after_ms", millisField(limits.riseAfter, 0, dayMillis)},
+    };
+}
+
+static std::vector<IniField> faultFields(Settings &settings)
+{
+    SlownessSettings &slowness = settings.slowness;
+    RetrySettings &retry = settings.retry;
+    GossipSettings &gossip = settings.gossip;
+    return {
+        {"slowness", "policy", policyField(slowness.policy)},
+        {"slowness", "eject_ratio", numberField(slowness.ejectRatio, 1, 100)},
+        {"slowness", "ejected_fraction", numberField(slowness.ejectedFraction, 0, 1)},
+        {"slowness", "probe_every_ms", millisField(slowness.probeEvery, 1, dayMillis)},
+        {"slowness", "hedge_budget", numberField(slowness.hedgeBudget, 0, 1)},
+        {"slowness", "hedge_percentile", numberField(slowness.hedgePercentile, 0.5, 1)},
+        {"retry", "policy", policyField(retry.policy)},
+        {"retry", "budget", numberField(retry.budget, 0, 1)},
+        {"retry", "burst", numberField(retry.burst, 0, 1000)},
+        {"retry", "attempts", integerField(retry.attempts, 1, 16)},
+        {"gossip", "bytes_per_second", integerField(gossip.bytesPerSecond, 100, 1000000)},
+        {"gossip", "round_ms", millisField(gossip.round, 10, dayMillis)},
+        {"gossip", "fanout", integerField(gossip.fanout, 1, 100)},
+        {"gossip", "bytes_per_message", integerField(gossip.bytesPerMessage, 200, 60000)},
+    };
+}
+
+boost::leaf::result<Settings> parseSettings(const std::string &file, const std::string &text)
+{
+    Settings settings;
+    double bodyBytes = static_cast<double>(settings.maxBodyBytes);
+    std::vector<IniField> fields = daemonFields(settings, bodyBytes);
+    for (const IniField &field : decisionFields(settings)) {
+        fields.push_back(field);
+    }
+    for (const IniField &field : faultFields(settings)) {
+        fields.push_back(field);
+    }
+    std::vector<IniFault> faults;
+    const std::vector<IniEntry> entries = parseIni(file, text, faults);
+    applyIni(file, entries, fields, faults);
+    if (!faults.empty()) {
+        return boost::leaf::new_error(SettingsFaults{faults});
+    }
+    settings.maxBodyBytes = static_cast<std::size_t>(bodyBytes);
+    return settings;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/galenafold/settings.h
@@ -0,0 +1,19 @@
+// The daemon's settings: the table of INI keys behind `Settings`.
+#pragma once
+
+#include "galenafold/ini.h"
+
+#include <boost/leaf.hpp>
+
+namespace galenafold
+{
+
+/// All faults of one settings file; travels as a Boost.LEAF error.
+struct SettingsFaults {
+    std::vector<IniFault> faults;
+};
+
+/// Reads and checks settings. @param file named in faults. @return the settings, or a SettingsFaults error.
+boost::leaf::result<Settings> parseSettings(const std::string &file, const std::string &text);
+
+} // namespace galenafold
--- /dev/null
+++ b/shell/core.cpp
@@ -0,0 +1,388 @@
+// The control thread.
+#include "shell/core.h"
+
+#include <asio/post.hpp>
+#include <future>
+#include <glog/logging.h>
+
+namespace galenafold
+{
+
+constexpr auto tickEvery = std::chrono::milliseconds(10);
+constexpr auto figuresEvery = std::chrono::milliseconds(500);
+constexpr auto pullEvery = std::chrono::milliseconds(200);
+constexpr auto snapshotEvery = std::chrono::seconds(30); // the log must keep contract records for much longer
+constexpr LogOffset recordsBeforeSnapshot = 1;           // an unchanged stream needs its snapshot repeated too
+
+Core::Core(const Settings &settings, CoreHooks hooks, Metrics &metrics)
+    : m_settings(settings)
+    , m_hooks(std::move(hooks))
+    , m_metrics(metrics)
+    , m_router(settings)
+    , m_gossipBudget(settings.gossip)
+    , m_picker(settings.seed ^ hashName(settings.name.text))
+    , m_work(asio::make_work_guard(m_io))
+    , m_timer(m_io)
+{
+    publish();
+}
+
+Core::~Core()
+{
+    stop();
+}
+
+void Core::start()
+{
+    m_snapshotDue = clockNow() + snapshotEvery;
+    m_thread = std::thread([this] { m_io.run(); });
+    asio::post(m_io, [this] { tick(); });
+}
+
+void Core::stop()
+{
+    m_isStopping = true;
+    m_io.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void Core::post(std::function<void(Instant)> job)
+{
+    asio::post(m_io, [job = std::move(job)] { job(clockNow()); });
+}
+
+std::shared_ptr<const ControlSnapshot> Core::snapshot() const
+{
+    return std::atomic_load(&m_snapshot);
+}
+
+void Core::publish()
+{
+    auto snapshot = std::make_shared<ControlSnapshot>();
+    snapshot->contracts = m_book.table();
+    snapshot->entryVms = m_router.membership().entryVms();
+    snapshot->endpoints = m_router.membership().routable();
+    snapshot->hasContracts = m_book.upTo() > 0;
+    snapshot->hasVmList = m_hasVmList;
+    snapshot->isWhole = m_book.isWhole();
+    std::atomic_store(&m_snapshot, std::shared_ptr<const ControlSnapshot>(snapshot));
+    m_contractsUpTo = m_book.upTo();
+    m_nextToRead = m_book.nextToRead();
+}
+
+// Calls
+
+Reason Core::admit(const Contract &contract)
+{
+    auto answer = std::make_shared<std::promise<Reason>>();
+    std::future<Reason> future = answer->get_future();
+    post([this, contract, answer](Instant now) { answer->set_value(m_router.admit(now, contract)); });
+    return future.get();
+}
+
+void Core::unadmit(const CustomerId &customer)
+{
+    post([this, customer](Instant) { m_router.unadmit(customer); });
+}
+
+void Core::submit(const std::shared_ptr<CallContext> &context, double weight)
+{
+    post([this, context, weight](Instant now) {
+        Actions actions;
+        m_contexts[context->call.key] = context;
+        m_router.submit(now, context->call, weight, actions);
+        carryOut(now, actions);
+    });
+}
+
+void Core::onFirstByte(CallKey call, int attempt)
+{
+    post([this, call, attempt](Instant now) {
+        Actions actions;
+        m_router.onFirstByte(now, call, attempt, actions);
+        carryOut(now, actions);
+    });
+}
+
+void Core::onAttemptEnded(const AttemptReport &report)
+{
+    post([this, report](Instant now) {
+        Actions actions;
+        m_router.onAttemptEnded(now, report, actions);
+        if (report.state == AttemptState::Complete) {
+            m_contexts.erase(report.call);
+        }
+        carryOut(now, actions);
+    });
+}
+
+void Core::onCallerGone(CallKey call)
+{
+    post([this, call](Instant now) {
+        Actions actions;
+        m_router.onCallerGone(now, call, actions);
+        carryOut(now, actions);
+        m_contexts.erase(call);
+    });
+}
+
+void Core::carryOut(Instant now, const Actions &actions)
+{
+    for (const StartAttempt &start : actions.starts) {
+        const auto context = m_contexts.find(start.call);
+        if (context == m_contexts.end()) {
+            continue;
+        }
+        CallTrace &trace = context->second->trace;
+        if (start.attempt == 1) {
+            trace.add({"queue", context->second->call.arrival, now, {}});
+        }
+        trace.add({"place", now, now, {{"endpoint", start.endpoint.id.text}, {"by", text(start.placement.by)}}});
+        m_hooks.start(start, context->second);
+    }
+    for (const CancelAttempt &cancel : actions.cancels) {
+        const auto context = m_contexts.find(cancel.call);
+        if (context != m_contexts.end()) {
+            AttemptRunner::cancel(*context->second, cancel.attempt);
+        }
+    }
+    for (const Refusal &refusal : actions.refusals) {
+        const auto context = m_contexts.find(refusal.call);
+        if (context != m_contexts.end()) {
+            context->second->trace.markFault();
+            context->second->exchange.refuse({refusal.reason, refusal.run});
+            m_contexts.erase(context);
+        }
+    }
+}
+
+// What is known of others
+
+void Core::onVmList(const std::vector<VmRecord> &list)
+{
+    post([this, list](Instant now) {
+        m_router.onVmList(now, list);
+        m_hasVmList = m_hasVmList || !m_router.membership().routable().empty(); // an empty list is no news
+        publish();
+    });
+}
+
+void Core::onLoadReport(const LoadReport &report)
+{
+    post([this, report](Instant now) {
+        m_router.onLoadReport(now, report);
+        if (report.isLeaving) {
+            publish();
+        }
+    });
+}
+
+void Core::onContextLost(const VmId &endpoint, const std::vector<ChatId> &chats)
+{
+    post([this, endpoint, chats](Instant) {
+        for (const ChatId &chat : chats) {
+            m_router.onContextLost(chat, endpoint);
+        }
+    });
+}
+
+void Core::takeRecord(const LogRecord &record, LogOffset firstRetained)
+{
+    const Applied applied = m_book.apply(record, firstRetained);
+    const bool isSnapshot = record.value.find("\"kind\":\"snapshot\"") != std::string::npos;
+    if (isSnapshot) {
+        m_lastSnapshot = record.offset;
+        m_snapshotDue = clockNow() + snapshotEvery;
+    }
+    switch (applied) {
+    case Applied::Accepted:
+        LOG(INFO) << "contracts: record " << record.offset << " is in force";
+        break;
+    case Applied::StaleBase:
+        ++m_recordsRefused;
+        LOG(WARNING) << "contracts: record " << record.offset << " has a stale base";
+        break;
+    case Applied::Malformed:
+        ++m_recordsRefused;
+        LOG(WARNING) << "contracts: record " << record.offset << " does not parse";
+        break;
+    case Applied::FutureFormat:
+        ++m_recordsRefused;
+        LOG(WARNING) << "contracts: record " << record.offset << " is from a later release";
+        break;
+    default:
+        break;
+    }
+}
+
+void Core::onContractRecords(const std::vector<LogRecord> &records, LogOffset firstRetained, LogOffset end)
+{
+    post([this, records, firstRetained, end](Instant) {
+        const LogOffset before = m_book.upTo();
+        const bool wasWhole = m_book.isWhole();
+        m_book.onLogRange(firstRetained, end);
+        for (const LogRecord &record : records) {
+            takeRecord(record, firstRetained);
+        }
+        if (m_book.upTo() != before || m_book.isWhole() != wasWhole) {
+            publish();
+        }
+        m_nextToRead = m_book.nextToRead();
+    });
+}
+
+LogOffset Core::onGossip(const GossipMessage &message)
+{
+    post([this, message](Instant now) {
+        m_router.onGossip(now, message);
+        if (!message.leaving.empty()) {
+            publish();
+        }
+    });
+    onPeerOffset(message.from, message.contractsUpTo);
+    return m_contractsUpTo;
+}
+
+void Core::onPeerOffset(const VmId &peer, LogOffset upTo)
+{
+    if (upTo <= m_contractsUpTo) {
+        return;
+    }
+    post([this, peer, upTo](Instant now) {
+        PeerAddress address;
+        const bool isBehind = upTo > m_book.upTo() && now >= m_nextPull;
+        if (isBehind && peerAddress(peer, address)) {
+            m_nextPull = now + pullEvery;
+            m_hooks.pull(address, m_book.isWhole() ? m_book.upTo() : 0);
+        }
+    });
+}
+
+void Core::onPulled(const PulledContracts &pulled)
+{
+    post([this, pulled](Instant) {
+        if (!pulled.snapshot.empty()) {
+            m_book.adoptEncoded(pulled.snapshot);
+        }
+        for (const LogRecord &record : pulled.records) {
+            if (m_book.isWhole() && record.offset == m_book.upTo()) {
+                takeRecord(record, 0);
+            }
+        }
+        publish();
+    });
+}
+
+void Core::recordsFor(LogOffset offset, std::function<void(const PulledContracts &)> callback)
+{
+    post([this, offset, callback = std::move(callback)](Instant) {
+        PulledContracts pulled;
+        if (offset > 0) {
+            pulled.records = m_book.recordsFrom(offset);
+        }
+        if (pulled.records.empty()) {
+            pulled.snapshot = encodeContractSnapshot(m_book.state());
+        }
+        callback(pulled);
+    });
+}
+
+bool Core::peerAddress(const VmId &vm, PeerAddress &address) const
+{
+    for (const VmRecord &record : m_router.membership().entryVms()) {
+        if (record.id == vm) {
+            address = {vm, record.address, record.peerPort};
+            return true;
+        }
+    }
+    return false;
+}
+
+// Rounds
+
+void Core::tick()
+{
+    if (m_isStopping) {
+        return;
+    }
+    const Instant now = clockNow();
+    Actions actions;
+    m_router.onTick(now, actions);
+    carryOut(now, actions);
+    if (now >= m_nextGossip) {
+        m_nextGossip = now + m_settings.gossip.round;
+        gossipRound(now);
+    }
+    if (now >= m_nextFigures) {
+        m_nextFigures = now + figuresEvery;
+        publishFigures();
+        keepSnapshot(now);
+    }
+    m_timer.expires_at(std::chrono::steady_clock::time_point(now + tickEvery));
+    m_timer.async_wait([this](const std::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void Core::gossipRound(Instant now)
+{
+    const std::vector<VmId> peers = m_router.peers();
+    if (peers.empty()) {
+        return;
+    }
+    GossipMessage message = m_router.gossip(now);
+    message.contractsUpTo = m_book.isWhole() ? m_book.upTo() : 0;
+    const int count = m_gossipBudget.take(now, Peers::sizeOf(message), static_cast<int>(peers.size()));
+    for (const VmId &peer : m_picker.pick(peers, count)) {
+        PeerAddress address;
+        if (peerAddress(peer, address)) {
+            m_hooks.gossip(address, message);
+        }
+    }
+}
+
+/// Appends a snapshot when its time has come. Each VM has its place in line, so that one that failed is followed by the
+/// next; two snapshots at once do no harm.
+void Core::keepSnapshot(Instant now)
+{
+    if (!m_book.isWhole() || m_book.upTo() < recordsBeforeSnapshot) {
+        return;
+    }
+    const double own = rendezvousScore(hashName("snapshot"), hashName(m_settings.name.text), 1);
+    int place = 0;
+    for (const VmId &peer : m_router.peers()) {
+        place += rendezvousScore(hashName("snapshot"), hashName(peer.text), 1) > own ? 1 : 0;
+    }
+    if (now < m_snapshotDue + place * std::chrono::seconds(2)) {
+        return;
+    }
+    m_snapshotDue = now + snapshotEvery;
+    m_hooks.appendSnapshot(encodeContractSnapshot(m_book.state()));
+}
+
+void Core::publishFigures()
+{
+    ControlFigures figures;
+    figures.counts = m_router.counts();
+    figures.callsInProgress = m_router.callsInProgress();
+    figures.queuedShort = m_router.queued(Lane::Short);
+    figures.queuedLong = m_router.queued(Lane::Long);
+    figures.contractsUpTo = m_book.upTo();
+    figures.controlBytes = m_hooks.controlBytes();
+    figures.peersRefused = m_hooks.peersRefused();
+    figures.recordsRefused = m_recordsRefused;
+    const LoadView &loads = m_router.loads();
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+        const EndpointLoad &endpoint = loads.at(static_cast<EndpointSlot>(i));
+        if (endpoint.isRoutable) {
+            figures.loads.emplace_back(endpoint.vm.id.text, endpoint.total());
+        }
+    }
+    m_metrics.set(figures);
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/shell/core.h
@@ -0,0 +1,115 @@
+// The control thread: owns the router's decisions and the contracts, publishes immutable snapshots, carries actions
+// out.
+//
+// Sections of this file: Snapshot, Hooks, Core.
+//
+// Traffic threads read snapshots and post events; only this thread changes state, so nothing here is locked.
+#pragma once
+
+#include "control/contracts.h"
+#include "control/router.h"
+#include "shell/metrics.h"
+#include "shell/peers.h"
+#include "shell/runner.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace galenafold
+{
+
+// Snapshot
+
+/// What other threads may know of the control state. Immutable, replaced whole.
+struct ControlSnapshot {
+    std::shared_ptr<const ContractTable> contracts;
+    std::vector<VmRecord> entryVms;  // live ones, this one included
+    std::vector<VmRecord> endpoints; // routable ones
+    bool hasContracts = false;
+    bool hasVmList = false;
+    bool isWhole = false; // nothing of the contract stream is missing
+};
+
+// Hooks
+
+/// What the control thread asks of the rest of the daemon.
+struct CoreHooks {
+    std::function<void(const StartAttempt &, const std::shared_ptr<CallContext> &)> start;
+    std::function<void(const PeerAddress &, const GossipMessage &)> gossip;
+    std::function<void(const PeerAddress &, LogOffset)> pull;
+    std::function<void(const std::string &record)> appendSnapshot;
+    std::function<std::int64_t()> controlBytes;
+    std::function<std::int64_t()> peersRefused;
+};
+
+// Core
+
+class Core
+{
+public:
+    Core(const Settings &settings, CoreHooks hooks, Metrics &metrics);
+    ~Core();
+
+    void start();
+    void stop();
+
+    std::shared_ptr<const ControlSnapshot> snapshot() const; ///< Any thread.
+
+    // Calls; from traffic threads.
+
+    Reason admit(const Contract &contract); ///< Applies limits; waits for the control thread.
+    void unadmit(const CustomerId &customer);
+    void submit(const std::shared_ptr<CallContext> &context, double weight);
+    void onFirstByte(CallKey call, int attempt);
+    void onAttemptEnded(const AttemptReport &report);
+    void onCallerGone(CallKey call);
+
+    // What is known of others; from the followers' and the peers' threads.
+
+    void onVmList(const std::vector<VmRecord> &list);
+    void onLoadReport(const LoadReport &report);
+    void onContextLost(const VmId &endpoint, const std::vector<ChatId> &chats);
+    void onContractRecords(const std::vector<LogRecord> &records, LogOffset firstRetained, LogOffset end);
+    LogOffset onGossip(const GossipMessage &message); ///< @return offset of our contracts
+    void onPeerOffset(const VmId &peer, LogOffset upTo);
+    void onPulled(const PulledContracts &pulled);
+    void recordsFor(LogOffset offset, std::function<void(const PulledContracts &)> callback); ///< For a lagging peer.
+    LogOffset nextContractOffset() const { return m_nextToRead; }
+
+private:
+    void post(std::function<void(Instant)> job);
+    void tick();
+    void gossipRound(Instant now);
+    void keepSnapshot(Instant now);
+    void publish();
+    void publishFigures();
+    void carryOut(Instant now, const Actions &actions);
+    void takeRecord(const LogRecord &record, LogOffset firstRetained);
+    bool peerAddress(const VmId &vm, PeerAddress &address) const;
+
+    Settings m_settings;
+    CoreHooks m_hooks;
+    Metrics &m_metrics;
+    Router m_router;
+    ContractBook m_book;
+    GossipBudget m_gossipBudget;
+    PeerPicker m_picker;
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::steady_timer m_timer;
+    std::thread m_thread;
+    std::map<CallKey, std::shared_ptr<CallContext>> m_contexts;
+    std::shared_ptr<const ControlSnapshot> m_snapshot; // by std::atomic_load and std::atomic_store
+    std::atomic<LogOffset> m_contractsUpTo{0};
+    std::atomic<LogOffset> m_nextToRead{0};
+    std::atomic<bool> m_isStopping{false};
+    bool m_hasVmList = false;
+    std::int64_t m_recordsRefused = 0;
+    LogOffset m_lastSnapshot = 0;
+    Instant m_snapshotDue{};
+    Instant m_nextGossip{};
+    Instant m_nextFigures{};
+    Instant m_nextPull{};
+};
+
+} // namespace galenafold
--- /dev/null
+++ b/shell/daemon.cpp
@@ -0,0 +1,239 @@
+// One daemon: its parts, wired together; start, drain, stop.
+#include "shell/followers.h"
+#include "shell/front.h"
+
+#include <glog/logging.h>
+
+namespace galenafold
+{
+
+constexpr auto readyPoll = std::chrono::milliseconds(5);
+constexpr auto quietBeforeStop = std::chrono::milliseconds(1000); // no new call for this long: the balancer noticed
+constexpr auto reportDrainEvery = std::chrono::seconds(30);
+constexpr auto flushWithin = std::chrono::seconds(30);
+
+class Daemon::Impl
+{
+public:
+    explicit Impl(const Settings &theSettings);
+    ~Impl();
+
+    bool start();
+    void finishDrain();
+
+    Settings settings;
+    Metrics metrics;
+    Tracer tracer;
+    Core core;
+    AttemptRunner runner;
+    Desks desks;
+    Peers peers;
+    KeyedCalls keyed;
+    Followers followers;
+    Front front;
+    HttpServer server;
+    std::atomic<bool> isDraining{false};
+    std::atomic<bool> isStopped{false};
+
+    bool isReady() const;
+
+private:
+    CoreHooks coreHooks();
+    RunnerHooks runnerHooks();
+    PeerHooks peerHooks();
+    FrontHooks frontHooks();
+    ServerLimits serverLimits() const;
+};
+
+Daemon::Impl::Impl(const Settings &theSettings)
+    : settings(theSettings)
+    , tracer(settings)
+    , core(settings, coreHooks(), metrics)
+    , runner(static_cast<std::size_t>(settings.workers), runnerHooks())
+    , desks([this] { return makeHttpLogClient(settings.logAddress); })
+    , peers(settings.name, peerHooks())
+    , keyed(settings, core, peers, desks)
+    , followers(settings, core)
+    , front(settings, core, keyed, metrics, tracer, frontHooks())
+    , server(serverLimits())
+{
+    front.addRoutes(server.http());
+}
+
+Daemon::Impl::~Impl()
+{
+    if (!isStopped) {
+        isDraining = true;
+        server.stop();
+    }
+    followers.stop();
+    runner.stop();
+    desks.stop();
+    peers.stop();
+    core.stop();
+}
+
+ServerLimits Daemon::Impl::serverLimits() const
+{
+    ServerLimits limits;
+    limits.threads = static_cast<std::size_t>(settings.workers);
+    limits.bodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
+CoreHooks Daemon::Impl::coreHooks()
+{
+    CoreHooks hooks;
+    hooks.start = [this](const StartAttempt &start, const std::shared_ptr<CallContext> &context) {
+        runner.start(start, context);
+    };
+    hooks.gossip = [this](const PeerAddress &peer, const GossipMessage &message) { peers.gossip(peer, message); };
+    hooks.pull = [this](const PeerAddress &peer, LogOffset offset) { peers.pull(peer, offset); };
+    hooks.appendSnapshot = [this](const std::string &record) { followers.appendSnapshot(record); };
+    hooks.controlBytes = [this] { return peers.bytesSent(); };
+    hooks.peersRefused = [this] { return peers.refused(); };
+    return hooks;
+}
+
+RunnerHooks Daemon::Impl::runnerHooks()
+{
+    RunnerHooks hooks;
+    hooks.onFirstByte = [this](CallKey call, int attempt) { core.onFirstByte(call, attempt); };
+    hooks.onEnded = [this](const AttemptReport &report) { core.onAttemptEnded(report); };
+    hooks.onLoad = [this](const LoadReport &report) { core.onLoadReport(report); };
+    return hooks;
+}
+
+PeerHooks Daemon::Impl::peerHooks()
+{
+    PeerHooks hooks;
+    hooks.isKnown = [this](const VmId &vm) {
+        for (const VmRecord &record : core.snapshot()->entryVms) {
+            if (record.id == vm) {
+                return true;
+            }
+        }
+        return false;
+    };
+    hooks.onGossip = [this](const GossipMessage &message) { return core.onGossip(message); };
+    hooks.onPull = [this](LogOffset offset, std::function<void(const PulledContracts &)> callback) {
+        core.recordsFor(offset, std::move(callback));
+    };
+    hooks.onClaim = [this](const ClaimItem &item, Instant answerBy, ClaimCallback callback) {
+        desks.claim(item, answerBy, std::move(callback));
+    };
+    hooks.onSettle = [this](const ClaimItem &item, std::function<void()> onSettled) {
+        desks.settle(item, std::move(onSettled));
+    };
+    hooks.onSettled = [this](const ClaimItem &item, bool isInLog) { keyed.onSettled(item, isInLog); };
+    hooks.onPulled = [this](const PulledContracts &pulled) { core.onPulled(pulled); };
+    hooks.onPeerOffset = [this](const VmId &vm, LogOffset upTo) { core.onPeerOffset(vm, upTo); };
+    return hooks;
+}
+
+FrontHooks Daemon::Impl::frontHooks()
+{
+    FrontHooks hooks;
+    hooks.isReady = [this] { return isReady(); };
+    hooks.isDraining = [this] { return isDraining.load(); };
+    return hooks;
+}
+
+bool Daemon::Impl::isReady() const
+{
+    const auto snapshot = core.snapshot();
+    return !isDraining && snapshot->hasContracts && snapshot->hasVmList;
+}
+
+bool Daemon::Impl::start()
+{
+    if (!peers.start(settings.address, settings.peerPort)) {
+        return false;
+    }
+    if (!server.start(settings.address, settings.httpPort)) {
+        LOG(ERROR) << "front: cannot listen on " << settings.address << ':' << settings.httpPort;
+        return false;
+    }
+    core.start();
+    followers.start();
+    LOG(INFO) << "daemon: '" << settings.name.text << "' listens on port " << server.port();
+    return true;
+}
+
+/// Late calls are still served: the balancer may be slow to notice. Nothing is cut off, however long it takes.
+void Daemon::Impl::finishDrain()
+{
+    isDraining = true;
+    const Instant begin = clockNow();
+    Instant reportAt = begin + reportDrainEvery;
+    while (true) {
+        const Instant now = clockNow();
+        const bool isQuiet = now > std::max(front.lastArrival(), begin) + quietBeforeStop;
+        if (isQuiet && front.callsInProgress() == 0) {
+            break;
+        }
+        if (now >= reportAt) {
+            LOG(WARNING) << "drain: still " << front.callsInProgress() << " calls in progress";
+            reportAt = now + reportDrainEvery;
+        }
+        std::this_thread::sleep_for(readyPoll);
+    }
+    server.stop();
+    isStopped = true;
+    LOG_IF(ERROR, !keyed.flush(clockNow() + flushWithin)) << "drain: some outcomes are not in the log";
+    LOG(INFO) << "drain: '" << settings.name.text << "' has ended all calls";
+}
+
+// Public
+
+Daemon::Daemon(Settings settings)
+    : m_impl(std::make_unique<Impl>(settings))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::start()
+{
+    return m_impl->start();
+}
+
+int Daemon::httpPort() const
+{
+    return m_impl->server.port();
+}
+
+int Daemon::peerPort() const
+{
+    return m_impl->peers.port();
+}
+
+bool Daemon::isReady() const
+{
+    return m_impl->isReady();
+}
+
+bool Daemon::waitReady(Instant deadline) const
+{
+    while (!isReady() && clockNow() < deadline) {
+        std::this_thread::sleep_for(readyPoll);
+    }
+    return isReady();
+}
+
+void Daemon::beginDrain()
+{
+    m_impl->isDraining = true;
+}
+
+void Daemon::finishDrain()
+{
+    m_impl->finishDrain();
+}
+
+std::int64_t Daemon::controlBytesSent() const
+{
+    return m_impl->peers.bytesSent();
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/shell/followers.cpp
@@ -0,0 +1,155 @@
+// Following the platform.
+#include "shell/followers.h"
+
+#include "platform/endpoint.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace galenafold
+{
+
+constexpr auto contractWait = std::chrono::milliseconds(1000); // the log holds an empty answer back this long
+constexpr auto retryAfter = std::chrono::milliseconds(200);
+constexpr auto vmListEvery = std::chrono::milliseconds(500);
+constexpr auto probeEvery = std::chrono::milliseconds(500);
+constexpr std::size_t probersOfEndpoint = 2;
+constexpr std::size_t probeThreads = 16;
+
+Followers::Followers(const Settings &settings, Core &core)
+    : m_settings(settings)
+    , m_core(core)
+    , m_pool(probeThreads)
+{
+}
+
+Followers::~Followers()
+{
+    stop();
+}
+
+void Followers::start()
+{
+    m_threads.emplace_back([this] { followContracts(); });
+    m_threads.emplace_back([this] { followVmList(); });
+    m_threads.emplace_back([this] { probeEndpoints(); });
+}
+
+void Followers::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_wake.notify_all();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    m_pool.shutdown();
+}
+
+bool Followers::waitFor(std::chrono::milliseconds time)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_wake.wait_for(lock, time, [this] { return m_isStopping; });
+    return !m_isStopping;
+}
+
+void Followers::followContracts()
+{
+    const std::unique_ptr<LogClient> log = makeHttpLogClient(m_settings.logAddress);
+    LogOffset next = 0;
+    bool wasGood = true;
+    while (waitFor(std::chrono::milliseconds(0))) {
+        next = std::max(next, m_core.nextContractOffset());
+        const ReadResult result = log->read("contracts", next, contractWait);
+        LOG_IF(WARNING, wasGood && !result.isGood) << "contracts: the log does not answer";
+        wasGood = result.isGood;
+        if (!result.isGood) {
+            waitFor(retryAfter);
+            continue;
+        }
+        std::vector<LogRecord> records;
+        for (const StoredRecord &record : result.records) {
+            records.push_back({record.offset, record.value});
+            next = std::max(next, record.offset + 1);
+        }
+        m_core.onContractRecords(records, result.firstRetained, result.end);
+    }
+}
+
+void Followers::followVmList()
+{
+    bool wasGood = true;
+    do {
+        std::vector<VmRecord> list;
+        const bool isGood = readVmList(m_settings.vmListAddress, list);
+        LOG_IF(WARNING, wasGood && !isGood) << "members: the VM list does not answer";
+        wasGood = isGood;
+        if (isGood) {
+            m_core.onVmList(list);
+        }
+    } while (waitFor(vmListEvery));
+}
+
+/// @return endpoints that this VM probes: it is among the first few in the endpoint's rendezvous order of entry VMs
+std::vector<VmRecord> Followers::duties() const
+{
+    const auto snapshot = m_core.snapshot();
+    std::vector<VmRecord> result;
+    const std::uint64_t self = hashName(m_settings.name.text);
+    for (const VmRecord &endpoint : snapshot->endpoints) {
+        const std::uint64_t hash = hashName(endpoint.id.text);
+        const double own = rendezvousScore(hash, self, 1);
+        std::size_t before = 0;
+        for (const VmRecord &vm : snapshot->entryVms) {
+            const bool isOther = vm.id != m_settings.name;
+            before += isOther && rendezvousScore(hash, hashName(vm.id.text), 1) > own ? 1 : 0;
+        }
+        if (before < probersOfEndpoint && endpoint.kind == VmKind::Engine) {
+            result.push_back(endpoint);
+        }
+    }
+    return result;
+}
+
+void Followers::probe(const VmRecord &endpoint)
+{
+    LoadReport report;
+    if (!EndpointClient::readLoad(endpoint, report)) {
+        return;
+    }
+    m_core.onLoadReport(report);
+    const std::string key = endpoint.id.text + '/' + std::to_string(static_cast<std::uint64_t>(endpoint.incarnation));
+    std::int64_t from = 0;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        from = m_cacheOffsets[key];
+    }
+    std::vector<ChatId> dropped;
+    if (EndpointClient::readCacheEvents(endpoint, from, dropped)) {
+        m_core.onContextLost(endpoint.id, dropped);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_cacheOffsets[key] = from;
+    }
+}
+
+void Followers::probeEndpoints()
+{
+    do {
+        for (const VmRecord &endpoint : duties()) {
+            m_pool.enqueue([this, endpoint] { probe(endpoint); });
+        }
+    } while (waitFor(probeEvery));
+}
+
+void Followers::appendSnapshot(const std::string &record)
+{
+    m_pool.enqueue([this, record] {
+        const AppendResult result = makeHttpLogClient(m_settings.logAddress)->append("contracts", record);
+        LOG_IF(WARNING, result.state != AppendState::Taken) << "contracts: snapshot was not confirmed";
+    });
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/shell/front.h
@@ -0,0 +1,85 @@
+// The HTTP front: what callers, the balancer and operators speak to.
+//
+// Sections of this file: Parsing, Front.
+#pragma once
+
+#include "filters/classify.h"
+#include "shell/core.h"
+#include "shell/keyed.h"
+#include "shell/metrics.h"
+#include "shell/trace.h"
+
+namespace galenafold
+{
+
+// Parsing
+
+/// What the body of a chat completion asks for. Untrusted input.
+struct ParsedChat {
+    bool isGood = false;
+    std::string fault; // what is wrong, for the caller
+    CallShape shape;
+};
+
+/// Reads an OpenAI-shaped body. @param chat given by the caller, or empty to derive one from the conversation's head.
+ParsedChat parseChat(const std::string &body, const std::string &chat);
+
+/// Reads the hint of an earlier answer, "VM/INCARNATION". @return an empty hint for anything else.
+EndpointHint parseHint(const std::string &text);
+std::string encodeHint(const EndpointHint &hint);
+
+/// Body of an error, OpenAI-shaped, with the field `run`.
+std::string errorBody(Reason reason, Run run, const std::string &message);
+int statusOf(Reason reason);
+
+// Front
+
+struct FrontHooks {
+    std::function<bool()> isReady;
+    std::function<bool()> isDraining;
+};
+
+class Front
+{
+public:
+    Front(const Settings &settings, Core &core, KeyedCalls &keyed, Metrics &metrics, Tracer &tracer, FrontHooks hooks);
+
+    void addRoutes(httplib::Server &server);
+    int callsInProgress() const { return m_inProgress; }
+    Instant lastArrival() const { return Instant(Span(m_lastArrival)); }
+
+private:
+    struct Exchanged; // one request on its way
+
+    void chat(const httplib::Request &request, httplib::Response &response);
+    void service(const httplib::Request &request, httplib::Response &response);
+    void models(const httplib::Request &request, httplib::Response &response);
+    void status(const httplib::Request &request, httplib::Response &response);
+    void trace(const httplib::Request &request, httplib::Response &response);
+    void onLibraryError(httplib::Response &response);
+
+    bool open(const httplib::Request &request, httplib::Response &response, Exchanged &call);
+    bool classifyAndAdmit(const httplib::Request &request, httplib::Response &response, const CallShape &shape,
+                          Exchanged &call);
+    void answer(httplib::Response &response, const std::shared_ptr<Exchanged> &call);
+    void answerWhole(httplib::Response &response, Exchanged &call, const AnswerHead &head);
+    void answerStream(httplib::Response &response, const std::shared_ptr<Exchanged> &call, const AnswerHead &head);
+    bool claimKey(const httplib::Request &request, httplib::Response &response, Exchanged &call);
+    void settleKey(const Exchanged &call, const ClaimOutcome &outcome, Run run);
+    void refuse(httplib::Response &response, Exchanged &call, Reason reason, Run run, const std::string &message);
+    void finish(Exchanged &call, Reason reason, Run run);
+    RequestId newRequestId();
+
+    Settings m_settings;
+    Core &m_core;
+    KeyedCalls &m_keyed;
+    Metrics &m_metrics;
+    Tracer &m_tracer;
+    FrontHooks m_hooks;
+    std::atomic<std::uint64_t> m_nextKey{1};
+    std::atomic<int> m_inProgress{0};
+    std::atomic<std::int64_t> m_lastArrival{0};
+    std::string m_requestPrefix;
+};
+
+} // namespace galenafold
--- /dev/null
+++ b/tests/settings.cpp
@@ -0,0 +1,76 @@
+// Settings and contracts as INI: every fault is reported at once, with file, section, key, value and what is allowed.
+#include "galenafold/settings.h"
+#include "control/contracts.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenafold;
+
+static std::vector<IniFault> faultsOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::vector<IniFault>> {
+            BOOST_LEAF_CHECK(parseSettings("test.ini", text));
+            return std::vector<IniFault>();
+        },
+        [](const SettingsFaults &faults) { return faults.faults; }, [] { return std::vector<IniFault>(); });
+}
+
+static const std::string goodSettings = "[daemon]\nname = entry-1\naddress = 127.0.0.1\ndata_centre = dc-1\n"
+                                        "http_port = 0\npeer_port = 0\n[platform]\nlog = 127.0.0.1:1\n"
+                                        "vm_list = 127.0.0.1:2\n";
+
+TEST_GROUP(Settings){};
+
+TEST(Settings, goodOnesHaveNoFault)
+{
+    LONGS_EQUAL(0, faultsOf(goodSettings).size());
+}
+
+TEST(Settings, everyFaultIsReported)
+{
+    const auto faults = faultsOf(goodSettings + "[placement]\nload_bound = much\nspeed = 3\n[queue]\ncapacity = -1\n");
+    LONGS_EQUAL(3, faults.size());
+    STRCMP_EQUAL("test.ini: [placement] load_bound = 'much': a number from 1 to 10 is allowed",
+                 faults[0].message().c_str());
+    STRCMP_EQUAL("test.ini: [placement] speed = '3': unknown key; remove it", faults[1].message().c_str());
+    CHECK(faults[2].message().find("[queue] capacity = '-1'") != std::string::npos);
+}
+
+TEST(Settings, missingKeysAreFaults)
+{
+    LONGS_EQUAL(7, faultsOf("").size());
+}
+
+TEST(Settings, textThatIsNoIniIsAFault)
+{
+    CHECK(!faultsOf(goodSettings + "[open\n").empty());
+}
+
+TEST_GROUP(ContractText){};
+
+static std::size_t contractFaults(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::size_t> {
+            BOOST_LEAF_CHECK(parseContract("c.ini", text));
+            return std::size_t(0);
+        },
+        [](const ContractFaults &faults) { return faults.faults.size(); }, [] { return std::size_t(99); });
+}
+
+static const std::string goodContract =
+    "[contract]\ncustomer = a\nrate = 1\nconcurrency = 1\n[key.k]\nsha256 = " + std::string(64, 'a') + "\n";
+
+TEST(ContractText, goodOneHasNoFault)
+{
+    LONGS_EQUAL(0, contractFaults(goodContract));
+}
+
+TEST(ContractText, faultsOfKeysClassesAndNumbers)
+{
+    LONGS_EQUAL(1, contractFaults(goodContract + "[key.l]\nsha256 = SECRET\n"));
+    LONGS_EQUAL(1, contractFaults(goodContract + "[class.x]\nlane = middle\n"));
+    LONGS_EQUAL(1, contractFaults(goodContract + "[class.x]\ntask = x\n"));
+    LONGS_EQUAL(1, contractFaults("[contract]\ncustomer = a\nrate = 1\nconcurrency = 1\n"));
+}
--- /dev/null
+++ b/wire/peer.capnp
@@ -0,0 +1,65 @@
+# What daemons say to each other. Regenerate with `capnp compile -oc++ wire/peer.capnp`; the result is committed.
+@0xb8f2a3c95d1e7046;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("galenafold::wire");
+
+struct PeerLoad { endpointHash @0 :UInt32; total @1 :UInt16; longLane @2 :UInt16; }
+
+struct ReportDigest {
+  endpointHash @0 :UInt32;
+  ageMillis @1 :UInt16;
+  slots @2 :UInt16;
+  inFlight @3 :UInt16;
+  longInFlight @4 :UInt16;
+}
+
+struct LeavingMark { vm @0 :Text; incarnation @1 :UInt64; }
+
+struct CustomerDemand { customerHash @0 :UInt32; callsPerSecond @1 :Float32; inProgress @2 :UInt16; }
+
+struct Gossip {
+  from @0 :Text;
+  contractsUpTo @1 :Int64;
+  isComplete @2 :Bool;
+  loads @3 :List(PeerLoad);
+  reports @4 :List(ReportDigest);
+  leaving @5 :List(LeavingMark);
+  demand @6 :List(CustomerDemand);
+  peerPort @7 :UInt16;
+}
+
+struct ContractRecord { offset @0 :Int64; value @1 :Text; }
+
+struct ClaimItem {
+  kind @0 :UInt8;
+  key @1 :Text;
+  nonce @2 :Text;
+  fingerprint @3 :Text;
+  windowSeconds @4 :UInt32;
+  status @5 :UInt16;
+  contentType @6 :Text;
+  body @7 :Data;
+  isBodyKept @8 :Bool;
+  from @9 :Text;
+}
+
+struct ClaimAnswer {
+  result @0 :UInt8;
+  status @1 :UInt16;
+  contentType @2 :Text;
+  body @3 :Data;
+  isBodyKept @4 :Bool;
+}
+
+interface Peer {
+  # Sends what the caller knows; the answer says how far the other's contracts are.
+  gossip @0 (message :Gossip) -> (contractsUpTo :Int64);
+
+  # Contract records from an offset, or a snapshot when they are no longer at hand.
+  pull @1 (from :Text, offset :Int64) -> (records :List(ContractRecord), snapshot :Text);
+
+  # Claims a key at the owner of its partition, or settles a claim.
+  claim @2 (item :ClaimItem, patienceMillis :UInt32) -> (answer :ClaimAnswer);
+  settle @3 (item :ClaimItem) -> ();
+}
