--- a/control/router.cpp
+++ b/control/router.cpp
@@ -144,6 +144,7 @@
     attempt.endpoint = placement.endpoint;
     attempt.sent = now;
     attempt.nextWaitCheck = now + slowChecksEvery;
+    attempt.resumeFrom = active.relayed;
     active.live.push_back(attempt);
     if (attempt.number == 1) {
         ++m_counts.firstAttempts;
@@ -237,36 +238,62 @@
     }
     active.mayHaveRun = active.mayHaveRun || runOf(report) != Run::No;
     active.relayed = std::max(active.relayed, report.relayed);
-    const bool isLoser = report.isCancelled && !active.live.empty();
-    if (isLoser) {
+    const bool isWhole = report.state == AttemptState::Complete && !report.isCancelled;
+    if (isWhole) {
+        m_lengths.learn(active.call.customer, active.call.taskClass, report.generated);
+        endCall(now, report.call);
         drainQueue(now, actions);
         return;
     }
-    if (report.state == AttemptState::Complete) {
-        m_lengths.learn(active.call.customer, active.call.taskClass, report.generated);
-    } else if (!report.isCancelled && !hadFirstByte) {
+    if (!report.isCancelled && !hadFirstByte) {
         m_slowness.onWaiting(now, endpoint, classKey(active.call), now - sent);
     }
     active.excluded.push_back(endpoint);
-    if (!active.live.empty() && report.state != AttemptState::Complete) {
-        drainQueue(now, actions); // a hedge still runs and may answer
-        return;
+    if (!dropUseless(now, active, actions)) {
+        goOn(now, active, report, actions);
+    }
+    drainQueue(now, actions);
+}
+
+/// Cancels attempts that cannot continue where the caller's answer stands. @return true when one that can is left.
+bool Router::dropUseless(Instant now, Active &active, Actions &actions)
+{
+    const auto isUseless = [&](const Attempt &attempt) { return attempt.resumeFrom != active.relayed; };
+    for (const Attempt &attempt : active.live) {
+        if (isUseless(attempt)) {
+            actions.cancels.push_back({active.call.key, attempt.number});
+            m_view.onEnded(now, attempt.endpoint, active.call.lane);
+            active.mayHaveRun = true;
+        }
+    }
+    active.live.erase(std::remove_if(active.live.begin(), active.live.end(), isUseless), active.live.end());
+    return !active.live.empty();
+}
+
+/// No attempt is left: retries, resumes or fails the call by all that is known of it.
+void Router::goOn(Instant now, Active &active, const AttemptReport &report, Actions &actions)
+{
+    AttemptReport known = report;
+    known.isCancelled = false; // a cancelled loser may be the last one left, after its winner broke
+    if (active.relayed > 0) {
+        known.state = AttemptState::Streaming;
+        known.relayed = active.relayed;
+        known.saysNotRun = false;
+    } else if (report.isCancelled) {
+        known.state = AttemptState::MaybeSent;
     }
     bool wasDenied = false;
-    const Next next = afterAttempt(active.call, report, [&] {
+    const Next next = afterAttempt(active.call, known, [&] {
         const bool isAllowed = allowRetry(active);
         wasDenied = !isAllowed;
         return isAllowed;
     });
-    if (next == Next::Finish) {
-        endCall(now, report.call);
-    } else if (next == Next::Fail) {
+    if (next == Next::Fail || next == Next::Finish) {
         refuse(now, active, reasonAfter(active, report, wasDenied), actions);
-    } else {
-        ++m_counts.retries;
-        startAgain(now, active, actions);
+        return;
     }
-    drainQueue(now, actions);
+    ++m_counts.retries;
+    startAgain(now, active, actions);
 }
 
 void Router::startAgain(Instant now, Active &active, Actions &actions)
--- a/control/router.h
+++ b/control/router.h
@@ -105,6 +105,7 @@
         EndpointSlot endpoint{};
         Instant sent{};
         Instant nextWaitCheck{};
+        Tokens resumeFrom = 0;
         bool hasFirstByte = false;
     };
     struct Active {
@@ -123,6 +124,8 @@
     bool tryStart(Instant now, Active &active, Actions &actions);
     bool tryProbe(Instant now, const Active &active, Placement &placement);
     void startAt(Instant now, Active &active, const Placement &placement, bool isHedge, Actions &actions);
+    bool dropUseless(Instant now, Active &active, Actions &actions);
+    void goOn(Instant now, Active &active, const AttemptReport &report, Actions &actions);
     void startAgain(Instant now, Active &active, Actions &actions);
     void endCall(Instant now, CallKey key);
     void refuse(Instant now, Active &active, Reason reason, Actions &actions);
--- a/filters/relay.cpp
+++ b/filters/relay.cpp
@@ -9,6 +9,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t maxEventBytes = 1 << 20;
+constexpr std::size_t mostWholeBytes = 16 << 20;
+constexpr int firstServerFault = 500;
 
 StreamGuard::StreamGuard(const RequestId &request, Tokens relayed)
     : m_request(request)
@@ -91,4 +93,133 @@
     return {};
 }
 
+// Reader
+
+AnswerReader::AnswerReader(const ReaderPlan &plan, RelayHooks hooks)
+    : m_plan(plan)
+    , m_hooks(std::move(hooks))
+    , m_guard(plan.request, plan.resumeFrom)
+{
+}
+
+bool AnswerReader::onHead(const EndpointHead &head)
+{
+    m_head = head;
+    m_hasHead = true;
+    if (head.hasLoad) {
+        m_hooks.onLoad(head.load);
+    }
+    if (head.echoedRequest != m_plan.request.text) {
+        m_fault = "answer to '" + head.echoedRequest + "' came for '" + m_plan.request.text + "'";
+        return false;
+    }
+    if (head.run == "no") {
+        m_saysNotRun = true; // only now: another request's refusal says nothing of this one
+        m_fault = "endpoint '" + m_plan.endpoint.endpoint.text + "' did not run it";
+        return false;
+    }
+    if (head.status >= firstServerFault || !head.isFramed) {
+        m_fault = "endpoint '" + m_plan.endpoint.endpoint.text + "' answered status " + std::to_string(head.status);
+        return false;
+    }
+    m_isStreaming = m_plan.isStream && head.status == 200;
+    return true;
+}
+
+bool AnswerReader::win()
+{
+    if (m_hasWon) {
+        return true;
+    }
+    AnswerHead head;
+    head.status = m_head.status;
+    head.contentType = m_head.contentType;
+    head.servedBy = m_plan.endpoint;
+    head.reusedPrompt = m_head.reusedPrompt;
+    head.isStream = m_isStreaming;
+    m_hasWon = m_hooks.win(head);
+    return m_hasWon;
+}
+
+bool AnswerReader::relay(const std::string &bytes)
+{
+    const bool isTaken = bytes.empty() || (win() && m_hooks.push(bytes, m_guard.relayed()));
+    m_isUnwanted = m_isUnwanted || !isTaken;
+    return isTaken;
+}
+
+bool AnswerReader::onData(const char *data, std::size_t size)
+{
+    if (!m_isStreaming) {
+        m_whole.append(data, size);
+        return m_whole.size() <= mostWholeBytes;
+    }
+    const std::string bytes = m_guard.feed(data, size);
+    const bool isRelayed = relay(bytes);
+    if (m_guard.state() == StreamState::Broken) {
+        m_fault = m_guard.fault();
+    }
+    return isRelayed && m_guard.state() != StreamState::Broken;
+}
+
+void AnswerReader::finishWhole(AttemptReport &report)
+{
+    const bool isModel = m_plan.isModel && m_head.status == 200;
+    const std::string fault = checkWholeAnswer({m_head.echoedRequest, m_whole, isModel}, m_plan.request);
+    if (!fault.empty()) {
+        m_fault = fault;
+        report.state = AttemptState::MaybeSent;
+        return;
+    }
+    if (!relay(m_whole.empty() ? "\n" : m_whole)) {
+        report.isCancelled = true;
+        return;
+    }
+    report.state = AttemptState::Complete;
+    report.generated = m_plan.expectedOutput;
+    m_hooks.endWhole();
+}
+
+void AnswerReader::finishStream(SendResult result, AttemptReport &report)
+{
+    report.relayed = m_guard.relayed();
+    report.generated = m_guard.relayed();
+    if (m_isUnwanted) {
+        report.isCancelled = true; // another attempt won, or the caller hung up
+        report.relayed = m_plan.resumeFrom;
+        m_hooks.lose();
+        return;
+    }
+    if (m_guard.state() == StreamState::Done) {
+        report.state = AttemptState::Complete;
+        m_hooks.endWhole();
+        return;
+    }
+    if (m_fault.empty()) {
+        m_fault = result == SendResult::Whole ? "stream ended without its closing event" : "stream was cut";
+    }
+    report.state = m_guard.relayed() > m_plan.resumeFrom || m_hasWon ? AttemptState::Streaming : AttemptState::Head;
+    m_hooks.lose();
+}
+
+AttemptReport AnswerReader::finish(SendResult result, bool isCancelled)
+{
+    AttemptReport report;
+    report.call = m_plan.call;
+    report.attempt = m_plan.attempt;
+    report.isCancelled = isCancelled;
+    report.saysNotRun = m_saysNotRun;
+    report.saysLeaving = m_hasHead && m_head.hasLoad && m_head.load.isLeaving;
+    report.state = result == SendResult::NotSent ? AttemptState::NotSent : AttemptState::MaybeSent;
+    report.relayed = m_plan.resumeFrom;
+    if (m_isStreaming) {
+        finishStream(result, report);
+    } else if (result == SendResult::Whole && m_fault.empty()) {
+        finishWhole(report);
+    } else if (m_fault.empty()) {
+        m_fault = result == SendResult::NotSent ? "no connection" : "no whole answer";
+    }
+    return report;
+}
+
 } // namespace galenafold
--- a/filters/relay.h
+++ b/filters/relay.h
@@ -1,13 +1,43 @@
 // Last filter: lets an endpoint's answer through only while it is the right one, in order and whole.
 //
-// Sections of this file: Stream, Whole answer.
+// Sections of this file: Heads, Stream, Whole answer, Reader.
 #pragma once
 
-#include "galenafold/galenafold.h"
+#include "filters/attempt.h"
 
 namespace galenafold
 {
 
+// Heads
+
+/// Head of an endpoint's answer.
+struct EndpointHead {
+    int status = 0;
+    std::string contentType;
+    std::string echoedRequest;
+    std::string run;         // X-Request-Run: "no" when the endpoint did not run it
+    bool isFramed = false;   // its end can be told from a cut connection
+    Tokens reusedPrompt = 0; // prompt tokens that were still in its cache
+    bool hasLoad = false;
+    LoadReport load;
+};
+
+/// What the caller is answered with.
+struct AnswerHead {
+    int status = 200;
+    std::string contentType;
+    EndpointHint servedBy;
+    Tokens reusedPrompt = 0;
+    bool isStream = false;
+};
+
+/// How the exchange with an endpoint ended, as HTTP sees it.
+enum class SendResult : std::uint8_t {
+    NotSent, // the connection could not be made
+    Broken,  // bytes may have been sent; the answer is missing or not whole
+    Whole,   // the answer ended as HTTP says it should
+};
+
 // Stream
 
 enum class StreamState : std::uint8_t {
@@ -54,4 +84,57 @@
 /// @return why the answer must not be relayed; empty when it may
 std::string checkWholeAnswer(const WholeAnswer &answer, const RequestId &request);
 
+// Reader
+
+/// Where checked answers go. All are called on the thread that feeds the reader.
+struct RelayHooks {
+    std::function<bool(const AnswerHead &)> win; ///< Offers to answer the caller. false: another attempt won.
+    std::function<bool(const std::string &, Tokens relayed)> push; ///< Relays bytes. false: stop.
+    std::function<void()> endWhole;                                ///< All of the answer was pushed.
+    std::function<void()> lose;                                    ///< The attempt broke after it won.
+    std::function<void(const LoadReport &)> onLoad;                ///< The head carried the endpoint's load.
+};
+
+/// What the reader must know of its attempt.
+struct ReaderPlan {
+    CallKey call{};
+    int attempt = 1;
+    RequestId request;
+    EndpointHint endpoint;
+    Tokens resumeFrom = 0;
+    Tokens expectedOutput = 0;
+    bool isStream = false;
+    bool isModel = false;
+};
+
+/// Takes one attempt's answer as it comes, lets through what may pass, and says how the attempt ended.
+class AnswerReader
+{
+public:
+    AnswerReader(const ReaderPlan &plan, RelayHooks hooks);
+
+    bool onHead(const EndpointHead &head);           ///< @return false: give the attempt up
+    bool onData(const char *data, std::size_t size); ///< @return false: give the attempt up
+    AttemptReport finish(SendResult result, bool isCancelled);
+    const std::string &fault() const { return m_fault; } ///< @return what was wrong; empty: nothing
+
+private:
+    bool win();
+    bool relay(const std::string &bytes);
+    void finishWhole(AttemptReport &report);
+    void finishStream(SendResult result, AttemptReport &report);
+
+    ReaderPlan m_plan;
+    RelayHooks m_hooks;
+    StreamGuard m_guard;
+    EndpointHead m_head;
+    std::string m_whole;
+    std::string m_fault;
+    bool m_hasHead = false;
+    bool m_saysNotRun = false;
+    bool m_isStreaming = false;
+    bool m_hasWon = false;
+    bool m_isUnwanted = false;
+};
+
 } // namespace galenafold
--- a/shell/exchange.cpp
+++ b/shell/exchange.cpp
@@ -6,10 +6,12 @@
 
 constexpr std::size_t pipeBytes = 64 * 1024;
 
-bool Exchange::offerHead(int attempt, const AnswerHead &head)
+bool Exchange::offerHead(int attempt, const AnswerHead &head, Tokens resumeFrom)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_isAbandoned || m_refusal || m_isWhole || (m_winner != 0 && m_winner != attempt)) {
+    const bool isTaken = m_winner != 0 && m_winner != attempt;
+    const bool fits = resumeFrom == m_relayed; // a late loser may not answer from the start again
+    if (m_isAbandoned || m_refusal || m_isWhole || isTaken || !fits) {
         return false;
     }
     m_winner = attempt;
@@ -20,7 +22,7 @@
     return true;
 }
 
-bool Exchange::push(int attempt, const std::string &bytes)
+bool Exchange::push(int attempt, const std::string &bytes, Tokens relayed)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
     m_changed.wait(lock, [this] { return m_bytes.size() < pipeBytes || m_isAbandoned; });
@@ -28,6 +30,7 @@
         return false;
     }
     m_bytes += bytes;
+    m_relayed = relayed;
     m_changed.notify_all();
     return true;
 }
--- a/shell/exchange.h
+++ b/shell/exchange.h
@@ -14,15 +14,6 @@
 namespace galenafold
 {
 
-/// What the caller is answered with.
-struct AnswerHead {
-    int status = 200;
-    std::string contentType;
-    EndpointHint servedBy;
-    Tokens reusedPrompt = 0;
-    bool isStream = false;
-};
-
 /// Why the caller gets an error instead.
 struct CallRefusal {
     Reason reason = Reason::None;
@@ -41,10 +32,13 @@
 public:
     // For attempts.
 
-    bool offerHead(int attempt, const AnswerHead &head); ///< @return false: another attempt won
-    bool push(int attempt, const std::string &bytes);    ///< Blocks while the pipe is full. @return false: stop
-    void endWhole(int attempt);                          ///< All bytes were pushed.
-    void loseAttempt(int attempt);                       ///< The attempt broke; another may take over.
+    /// @param resumeFrom tokens that the attempt leaves out. @return false: another attempt won
+    bool offerHead(int attempt, const AnswerHead &head, Tokens resumeFrom);
+
+    /// Blocks while the pipe is full. @param relayed tokens that the caller has with these bytes. @return false: stop
+    bool push(int attempt, const std::string &bytes, Tokens relayed);
+    void endWhole(int attempt);    ///< All bytes were pushed.
+    void loseAttempt(int attempt); ///< The attempt broke; another may take over.
 
     // For the control thread.
 
@@ -63,6 +57,7 @@
     std::optional<CallRefusal> m_refusal;
     std::string m_bytes;
     int m_winner = 0;
+    Tokens m_relayed = 0;
     bool m_isWhole = false;
     bool m_isAbandoned = false;
 };
--- a/shell/peers.cpp
+++ b/shell/peers.cpp
@@ -142,7 +142,7 @@
 // Counting stream
 
 /// Counts what goes out over a connection.
-class CountingStream : public kj::AsyncIoStream
+class CountingStream final : public kj::AsyncIoStream
 {
 public:
     CountingStream(kj::Own<kj::AsyncIoStream> inner, std::atomic<std::int64_t> &sent)
@@ -284,7 +284,7 @@
 };
 
 /// Lives on the peer thread only, but for `requestStop`.
-class Peers::Loop : private kj::TaskSet::ErrorHandler
+class Peers::Loop final : private kj::TaskSet::ErrorHandler
 {
 public:
     Loop(Peers &peers, const std::string &address, int port)
--- a/shell/runner.h
+++ b/shell/runner.h
@@ -48,6 +48,7 @@
 
 private:
     void run(const StartAttempt &start, CallContext &context, CancelToken &token);
+    RelayHooks relayHooks(const StartAttempt &start, CallContext &context) const;
 
     RunnerHooks m_hooks;
     EndpointClient m_client;
