Test a real daemon against bad callers and bad endpoints; spend no retry budget in vain

Cause: with one endpoint left, a retry cannot go anywhere, yet it took from the budget; after five failures callers were told 'retry budget spent' in place of the endpoint's fault (test BadEndpoint, six faults in a row: 503 for 502). Change: the budget is asked only when another endpoint could take the call. Conclusion: broken JSON, big bodies and heads, wrong keys, hang-ups, crossed, doubled, cut and rubbish answers each give a clear error; the HTTP client of the library does not send twice by itself.

--- a/control/router.cpp
+++ b/control/router.cpp
@@ -283,7 +283,11 @@
         known.state = AttemptState::MaybeSent;
     }
     bool wasDenied = false;
+    const bool hasElsewhere = m_placer.choose(now, active.call, m_view, active.excluded).verdict != Verdict::None;
     const Next next = afterAttempt(active.call, known, [&] {
+        if (!hasElsewhere) {
+            return false; // costs no budget
+        }
         const bool isAllowed = allowRetry(active);
         wasDenied = !isAllowed;
         return isAllowed;
@@ -301,9 +305,7 @@
     if (tryStart(now, active, actions)) {
         return;
     }
-    const Placement placement = m_placer.choose(now, active.call, m_view, active.excluded);
-    const bool hasTime = now < active.call.deadline;
-    if (placement.verdict == Verdict::None || !hasTime) {
+    if (now >= active.call.deadline) {
         refuse(now, active, Reason::EndpointFailed, actions);
         return;
     }
--- /dev/null
+++ b/tests/front.cpp
@@ -0,0 +1,265 @@
+// A real daemon on loopback: bad input from callers, and endpoints that misbehave. A clear error each, nothing crossed.
+#include "shell/front.h"
+#include "fakes/fleet.h"
+#include "platform/endpoint.h"
+
+#include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+
+using namespace galenafold;
+using Json = nlohmann::json;
+
+static const std::string apiKey = "k-123";
+constexpr auto patience = std::chrono::seconds(20);
+
+static std::string chatBody(int tokens, bool isStream, const std::string &model = "tea-large")
+{
+    const Json message{{"role", "user"}, {"content", "hello"}};
+    return Json{{"model", model}, {"messages", Json::array({message})}, {"max_tokens", tokens}, {"stream", isStream}}
+        .dump();
+}
+
+/// One daemon, one engine, one service.
+struct SmallFleet {
+    SmallFleet()
+        : fleet(plan())
+    {
+        fleet.publish("kedai", sampleContract("kedai", apiKey, 1000, 1000), 0);
+        isStarted = fleet.start();
+    }
+    static FleetPlan plan()
+    {
+        FleetPlan plan;
+        plan.daemons = 1;
+        plan.engines = 1;
+        plan.engine.decodeTokensPerSecond = 500;
+        plan.settings.maxBodyBytes = 100000;
+        plan.settings.traceFraction = 1;
+        return plan;
+    }
+    httplib::Result post(const std::string &body, const std::string &key = apiKey)
+    {
+        httplib::Client client("127.0.0.1", fleet.daemon(0).httpPort());
+        client.set_read_timeout(patience);
+        return client.Post("/v1/chat/completions", {{"Authorization", "Bearer " + key}}, body, "application/json");
+    }
+    httplib::Result reserve(const std::string &key, const std::string &body = "{}")
+    {
+        httplib::Client client("127.0.0.1", fleet.daemon(0).httpPort());
+        client.set_read_timeout(patience);
+        httplib::Headers headers{{"Authorization", "Bearer " + apiKey}};
+        if (!key.empty()) {
+            headers.emplace("Idempotency-Key", key);
+        }
+        return client.Post("/v1/services/ledger/reserve", headers, body, "application/json");
+    }
+    void fault(EngineFault fault)
+    {
+        fleet.engine(0).setFaultHook([fault](const RequestId &, int) { return fault; });
+    }
+
+    Fleet fleet;
+    bool isStarted = false;
+};
+
+static void checkError(const httplib::Result &response, int status, const std::string &code, const std::string &run)
+{
+    CHECK(bool(response));
+    LONGS_EQUAL(status, response->status);
+    const Json json = Json::parse(response->body, nullptr, false);
+    CHECK(json.is_object() && json.contains("error"));
+    STRCMP_EQUAL(code.c_str(), json["error"]["code"].get<std::string>().c_str());
+    STRCMP_EQUAL(run.c_str(), json["error"]["run"].get<std::string>().c_str());
+    STRCMP_EQUAL(run.c_str(), response->get_header_value("Galenafold-Run").c_str());
+}
+
+TEST_GROUP(BadInput)
+{
+    SmallFleet small;
+};
+
+TEST(BadInput, brokenBodiesAreRefusedAsNotRun)
+{
+    CHECK(small.isStarted);
+    for (const char *body : {"", "{", "[]", "{}", "{\"model\":1}", "{\"model\":\"tea-large\",\"messages\":[]}",
+                             "{\"model\":\"tea-large\",\"messages\":[1]}"}) {
+        checkError(small.post(body), 400, "bad_request", "no");
+    }
+    const std::string zero = "{\"model\":\"tea-large\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],"
+                             "\"max_tokens\":0}";
+    checkError(small.post(zero), 400, "bad_request", "no");
+    LONGS_EQUAL(0, small.fleet.engine(0).executed().size());
+}
+
+TEST(BadInput, unknownModelAndWrongKey)
+{
+    checkError(small.post(chatBody(2, false, "nobody")), 404, "not_allowed", "no");
+    checkError(small.post(chatBody(2, false), "wrong"), 401, "bad_key", "no");
+    LONGS_EQUAL(0, small.fleet.engine(0).executed().size());
+}
+
+TEST(BadInput, oversizedBodyAndHeader)
+{
+    checkError(small.post(std::string(200000, 'x')), 413, "too_large", "no");
+    httplib::Client client("127.0.0.1", small.fleet.daemon(0).httpPort());
+    const auto response = client.Post("/v1/chat/completions",
+                                      {{"Authorization", "Bearer " + apiKey}, {"X-Big", std::string(100000, 'h')}},
+                                      chatBody(2, false), "application/json");
+    CHECK(!response || response->status >= 400);
+    LONGS_EQUAL(0, small.fleet.engine(0).executed().size());
+    LONGS_EQUAL(200, small.post(chatBody(2, false))->status);
+}
+
+TEST(BadInput, aKeyThatCarriesNoAgeIsRefused)
+{
+    checkError(small.reserve("not-a-uuid"), 400, "bad_request", "no");
+    checkError(small.reserve("9b2ae1a5-7a0c-4d6c-9d63-0a1b2c3d4e5f"), 400, "bad_request", "no");
+    LONGS_EQUAL(0, small.fleet.service(0).executionsByRequest().size());
+}
+
+TEST(BadInput, aCallerThatHangsUpCancelsTheEnginesStream)
+{
+    httplib::Client client("127.0.0.1", small.fleet.daemon(0).httpPort());
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = {{"Authorization", "Bearer " + apiKey}};
+    request.body = chatBody(5000, true);
+    request.content_receiver = [](const char *, std::size_t, std::uint64_t, std::uint64_t) { return false; };
+    client.send(request);
+    const Instant deadline = clockNow() + patience;
+    while (small.fleet.engine(0).figures().cancelled == 0 && clockNow() < deadline) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    LONGS_EQUAL(1, small.fleet.engine(0).figures().cancelled);
+    LONGS_EQUAL(0, small.fleet.engine(0).inFlight());
+}
+
+TEST_GROUP(BadEndpoint)
+{
+    SmallFleet small;
+};
+
+TEST(BadEndpoint, wholeAnswersThatAreNotOnesOwnAreNotRelayed)
+{
+    for (const EngineFault fault : {EngineFault::WrongRequest, EngineFault::Rubbish, EngineFault::TwoAnswers,
+                                    EngineFault::CutHalfWay, EngineFault::CutBeforeHead, EngineFault::Status500}) {
+        small.fault(fault);
+        checkError(small.post(chatBody(4, false)), 502, "endpoint_failed", "unknown");
+    }
+    small.fault(EngineFault::None);
+    LONGS_EQUAL(200, small.post(chatBody(4, false))->status);
+}
+
+TEST(BadEndpoint, aRefusalByTheOnlyEndpointIsToldAsNotRun)
+{
+    small.fault(EngineFault::RefuseNotRun);
+    checkError(small.post(chatBody(4, false)), 503, "endpoint_refused", "no");
+    LONGS_EQUAL(0, small.fleet.engine(0).executed().size());
+}
+
+TEST(BadEndpoint, brokenStreamsNeverEndCleanly)
+{
+    for (const EngineFault fault : {EngineFault::CutHalfWay, EngineFault::CleanEndEarly, EngineFault::Rubbish}) {
+        small.fault(fault);
+        const auto response = small.post(chatBody(10, true));
+        CHECK(!response); // cut: the last chunk is missing
+    }
+    small.fault(EngineFault::TwoAnswers);
+    const auto response = small.post(chatBody(10, true));
+    CHECK(bool(response));
+    const std::string done = "data: [DONE]\n\n";
+    LONGS_EQUAL(response->body.size() - done.size(), response->body.find(done));
+}
+
+TEST(BadEndpoint, aCutStreamIsResumedElsewhereAndTheCallerSeesOneAnswer)
+{
+    small.fleet.addEngine();
+    small.fleet.publishList();
+    const std::string wanted = "\"token\":10";
+    int whole = 0;
+    std::atomic<int> cuts{0};
+    for (std::size_t i = 0; i < 2; ++i) {
+        small.fleet.engine(i).setFaultHook([&cuts](const RequestId &, int attempt) {
+            cuts += attempt == 1 ? 1 : 0;
+            return attempt == 1 ? EngineFault::CutHalfWay : EngineFault::None;
+        });
+    }
+    const Instant deadline = clockNow() + patience;
+    while (whole == 0 && clockNow() < deadline) { // until the list has named the second engine
+        const auto response = small.post(chatBody(10, true));
+        if (response && response->body.find("[DONE]") != std::string::npos) {
+            ++whole;
+            std::size_t tokens = 0;
+            for (std::size_t at = response->body.find("\"token\":"); at != std::string::npos;
+                 at = response->body.find("\"token\":", at + 1)) {
+                ++tokens;
+            }
+            LONGS_EQUAL(10, tokens);
+        }
+    }
+    LONGS_EQUAL(1, whole);
+    CHECK(cuts > 0);
+}
+
+TEST(BadEndpoint, aServiceThatLosesItsAnswerIsNotAskedAgain)
+{
+    small.fleet.service(0).setFaultHook([](const RequestId &) { return ServiceFault::LoseAnswer; });
+    checkError(small.reserve(""), 502, "endpoint_failed", "unknown");
+    const std::string key = makeUuidV7(wallClock(), 7);
+    checkError(small.reserve(key), 502, "endpoint_failed", "unknown");
+    checkError(small.reserve(key), 409, "key_in_progress", "unknown");
+    LONGS_EQUAL(2, small.fleet.service(0).executionsByRequest().size());
+    LONGS_EQUAL(1, small.fleet.service(0).executionsByKey()[key]);
+}
+
+TEST(BadEndpoint, aRefusedKeyedCallFreesItsKey)
+{
+    const std::string key = makeUuidV7(wallClock(), 8);
+    small.fleet.service(0).setFaultHook([](const RequestId &) { return ServiceFault::RefuseNotRun; });
+    checkError(small.reserve(key), 503, "endpoint_refused", "no");
+    small.fleet.service(0).setFaultHook(nullptr);
+    const Instant deadline = clockNow() + patience;
+    int status = 0;
+    while (status != 200 && clockNow() < deadline) { // until the void is in the log
+        status = small.reserve(key)->status;
+    }
+    LONGS_EQUAL(200, status);
+    LONGS_EQUAL(1, small.fleet.service(0).executionsByKey()[key]);
+}
+
+TEST(BadEndpoint, keyedCallsWithAnotherBodyAndReplays)
+{
+    const std::string key = makeUuidV7(wallClock(), 9);
+    const auto first = small.reserve(key, "{\"a\":1}");
+    LONGS_EQUAL(200, first->status);
+    checkError(small.reserve(key, "{\"a\":2}"), 422, "key_mismatch", "no");
+    const Instant deadline = clockNow() + patience;
+    std::string replayed;
+    while (replayed.empty() && clockNow() < deadline) {
+        const auto again = small.reserve(key, "{\"a\":1}");
+        replayed = again->status == 200 ? again->body : "";
+    }
+    STRCMP_EQUAL(first->body.c_str(), replayed.c_str());
+}
+
+TEST(BadEndpoint, theHttpClientNeverSendsTwiceByItself)
+{
+    small.fleet.service(0).setFaultHook([](const RequestId &) { return ServiceFault::LoseAnswer; });
+    EndpointClient client;
+    for (int i = 0; i < 5; ++i) {
+        EndpointRequest request;
+        request.endpoint = small.fleet.service(0).record({{"ledger"}}, {"dc"});
+        request.request = {"once-" + std::to_string(i)};
+        request.path = "/operations/reserve";
+        request.deadline = clockNow() + patience;
+        CancelToken token;
+        EndpointEvents events;
+        events.onHead = [](const EndpointHead &) { return true; };
+        events.onData = [](const char *, std::size_t) { return true; };
+        CHECK(client.send(request, events, token) == SendResult::Broken);
+    }
+    for (const auto &[request, count] : small.fleet.service(0).executionsByRequest()) {
+        LONGS_EQUAL(1, count);
+    }
+}
