--- a/fakes/fleet.cpp
+++ b/fakes/fleet.cpp
@@ -120,7 +120,7 @@
 FakeEngine &Fleet::addEngine()
 {
     const VmId id{"engine-" + std::to_string(m_nextEngine++)};
-    m_engines.push_back({id, std::make_unique<FakeEngine>(id, Incarnation(m_nextIncarnation++), m_plan.engine)});
+    m_engines.push_back({id, std::make_unique<FakeEngine>(id, Incarnation(m_nextIncarnation++), m_plan.engine), false});
     m_engines.back().engine->start();
     return *m_engines.back().engine;
 }
@@ -133,6 +133,22 @@
     entry.engine->stop();
 }
 
+void Fleet::replaceEngine(std::size_t index)
+{
+    addEngine();
+    std::swap(m_engines[index], m_engines.back());
+    const std::unique_ptr<FakeEngine> gone = std::move(m_engines.back().engine);
+    m_engines.pop_back();
+    publishList();
+    gone->stop();
+}
+
+void Fleet::hideEngine(std::size_t index, bool isHidden)
+{
+    m_engines[index].isHidden = isHidden;
+    publishList();
+}
+
 void Fleet::markLeaving(const VmId &vm)
 {
     m_leaving.insert(vm);
@@ -153,7 +169,9 @@
         list.push_back(record);
     }
     for (const EngineEntry &entry : m_engines) {
-        list.push_back(entry.engine->record(m_plan.models, {"dc-1"}));
+        if (!entry.isHidden) {
+            list.push_back(entry.engine->record(m_plan.models, {"dc-1"}));
+        }
     }
     for (const auto &service : m_services) {
         list.push_back(service->record(m_plan.serviceNames, {"dc-1"}));
--- a/fakes/fleet.h
+++ b/fakes/fleet.h
@@ -39,8 +39,10 @@
     void drainDaemon(std::size_t index); ///< Off the list, drained, gone.
     void killDaemon(std::size_t index);  ///< Gone at once.
     FakeEngine &addEngine();
-    void removeEngine(std::size_t index); ///< Gone at once, off the list.
-    void markLeaving(const VmId &vm);     ///< On the list.
+    void removeEngine(std::size_t index);              ///< Gone at once, off the list.
+    void replaceEngine(std::size_t index);             ///< Gone at once; a fresh one takes its place.
+    void hideEngine(std::size_t index, bool isHidden); ///< Off the list for a while, though it runs.
+    void markLeaving(const VmId &vm);                  ///< On the list.
     void publishList();
 
     Daemon &daemon(std::size_t index) { return *m_daemons[index].daemon; }
@@ -63,6 +65,7 @@
     struct EngineEntry {
         VmId id;
         std::unique_ptr<FakeEngine> engine;
+        bool isHidden = false;
     };
 
     bool startDaemon();
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -63,6 +63,7 @@
     auto snapshot = std::make_shared<ControlSnapshot>();
     snapshot->contracts = m_book.table();
     snapshot->entryVms = m_router.membership().entryVms();
+    snapshot->knownEntries = m_router.membership().knownEntries();
     snapshot->endpoints = m_router.membership().routable();
     snapshot->hasContracts = m_book.upTo() > 0;
     snapshot->hasVmList = m_hasVmList;
--- a/shell/core.h
+++ b/shell/core.h
@@ -24,6 +24,7 @@
 struct ControlSnapshot {
     std::shared_ptr<const ContractTable> contracts;
     std::vector<VmRecord> entryVms;  // live ones, this one included
+    std::set<VmId> knownEntries;     // every entry VM that the list ever named; a leaving one may still speak
     std::vector<VmRecord> endpoints; // routable ones
     bool hasContracts = false;
     bool hasVmList = false;
--- a/shell/daemon.cpp
+++ b/shell/daemon.cpp
@@ -107,14 +107,7 @@
 PeerHooks Daemon::Impl::peerHooks()
 {
     PeerHooks hooks;
-    hooks.isKnown = [this](const VmId &vm) {
-        for (const VmRecord &record : core.snapshot()->entryVms) {
-            if (record.id == vm) {
-                return true;
-            }
-        }
-        return false;
-    };
+    hooks.isKnown = [this](const VmId &vm) { return core.snapshot()->knownEntries.count(vm) > 0; };
     hooks.onGossip = [this](const GossipMessage &message) { return core.onGossip(message); };
     hooks.onPull = [this](LogOffset offset, std::function<void(const PulledContracts &)> callback) {
         core.recordsFor(offset, std::move(callback));
--- /dev/null
+++ b/tests/control.cpp
@@ -0,0 +1,224 @@
+// Contracts and membership: record order decides, state never goes back, leaving is sticky.
+#include "control/contracts.h"
+#include "control/gossip.h"
+#include "control/membership.h"
+#include "fakes/fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace galenafold;
+
+TEST_GROUP(Contracts)
+{
+    std::vector<LogRecord> log;
+
+    std::string ini(const std::string &customer, int rate)
+    {
+        return sampleContract(customer, customer, rate, 10);
+    }
+    void append(const std::string &value)
+    {
+        log.push_back({static_cast<LogOffset>(log.size()), value});
+    }
+    void appendContract(const std::string &customer, std::int64_t base, int rate)
+    {
+        append(encodeContractRecord({{customer}, base, "n" + std::to_string(log.size()), ini(customer, rate)}));
+    }
+    Applied applyAll(ContractBook & book, LogOffset from, LogOffset firstRetained)
+    {
+        Applied last = Applied::AlreadySeen;
+        for (const LogRecord &record : log) {
+            if (record.offset >= from) {
+                last = book.apply(record, firstRetained);
+            }
+        }
+        return last;
+    }
+    double rateOf(const ContractBook &book, const std::string &customer)
+    {
+        const auto entry = book.state().entries.find({customer});
+        return entry == book.state().entries.end() ? -1 : entry->second.contract.rate;
+    }
+};
+
+TEST(Contracts, ofTwoRacingAmendmentsExactlyOneWinsOnEveryReader)
+{
+    ContractBook first;
+    ContractBook second;
+    appendContract("a", 0, 1);
+    appendContract("a", 1, 2);
+    CHECK(applyAll(first, 0, 0) == Applied::Accepted);
+    appendContract("a", 1, 3);
+    CHECK(first.apply(log.back(), 0) == Applied::StaleBase);
+    applyAll(second, 0, 0);
+    DOUBLES_EQUAL(2, rateOf(first, "a"), 0);
+    DOUBLES_EQUAL(2, rateOf(second, "a"), 0);
+    LONGS_EQUAL(2, first.state().entries.at({"a"}).contract.version);
+}
+
+TEST(Contracts, recordsThatDoNotParseOrComeFromTheFutureChangeNothing)
+{
+    ContractBook book;
+    appendContract("a", 0, 1);
+    applyAll(book, 0, 0);
+    append("{");
+    CHECK(book.apply(log.back(), 0) == Applied::Malformed);
+    append("{\"format\":99,\"kind\":\"contract\",\"customer\":\"a\",\"base\":1}");
+    CHECK(book.apply(log.back(), 0) == Applied::FutureFormat);
+    append("{\"format\":\"x\",\"kind\":3}");
+    CHECK(book.apply(log.back(), 0) == Applied::Malformed);
+    append(encodeContractRecord({{"a"}, 1, "n", "[contract]\nrate = much\n"}));
+    CHECK(book.apply(log.back(), 0) == Applied::Malformed);
+    DOUBLES_EQUAL(1, rateOf(book, "a"), 0);
+    LONGS_EQUAL(5, book.upTo());
+}
+
+TEST(Contracts, stateNeverGoesToALowerOffset)
+{
+    ContractBook book;
+    appendContract("a", 0, 1);
+    applyAll(book, 0, 0);
+    const ContractSnapshot old = book.state();
+    appendContract("a", 1, 2);
+    book.apply(log.back(), 0);
+    CHECK(!book.adopt(old));
+    CHECK(book.apply(log.front(), 0) == Applied::AlreadySeen);
+    DOUBLES_EQUAL(2, rateOf(book, "a"), 0);
+}
+
+TEST(Contracts, aFreshReaderNeedsASnapshotWhenRetentionTookTheBeginning)
+{
+    ContractBook old;
+    appendContract("a", 0, 1);
+    appendContract("b", 0, 5);
+    appendContract("a", 1, 2);
+    applyAll(old, 0, 0);
+    ContractBook fresh;
+    CHECK(fresh.apply(log[2], 2) == Applied::Deferred); // base 1 cannot be judged
+    CHECK(!fresh.isWhole());
+    const std::string snapshot = encodeContractSnapshot(old.state());
+    appendContract("b", 1, 6);
+    append(snapshot); // taken before the last amendment
+    fresh.apply(log[3], 2);
+    fresh.apply(log[4], 2);
+    CHECK(fresh.isWhole());
+    DOUBLES_EQUAL(2, rateOf(fresh, "a"), 0);
+    DOUBLES_EQUAL(6, rateOf(fresh, "b"), 0); // the deferred record was folded after the snapshot
+    LONGS_EQUAL(5, fresh.upTo());
+}
+
+TEST(Contracts, aReaderThatSleptPastRetentionServesOldStateUntilASnapshotComes)
+{
+    ContractBook awake;
+    ContractBook slept;
+    appendContract("a", 0, 1);
+    applyAll(awake, 0, 0);
+    applyAll(slept, 0, 0);
+    appendContract("a", 1, 2);
+    appendContract("a", 2, 3);
+    applyAll(awake, 1, 0);
+    append(encodeContractSnapshot(awake.state()));
+    CHECK(slept.apply(log[2], 2) == Applied::Deferred);
+    DOUBLES_EQUAL(1, rateOf(slept, "a"), 0);
+    slept.apply(log[3], 2);
+    DOUBLES_EQUAL(3, rateOf(slept, "a"), 0);
+    CHECK(slept.isWhole());
+}
+
+TEST(Contracts, peersGetRecentRecordsOrASnapshot)
+{
+    ContractBook book;
+    appendContract("a", 0, 1);
+    appendContract("a", 1, 2);
+    applyAll(book, 0, 0);
+    LONGS_EQUAL(1, book.recordsFrom(1).size());
+    ContractBook fresh;
+    CHECK(fresh.adoptEncoded(encodeContractSnapshot(book.state())));
+    DOUBLES_EQUAL(2, rateOf(fresh, "a"), 0);
+    CHECK(!fresh.adoptEncoded("{\"up_to\":9}"));
+    CHECK(!fresh.adoptEncoded("rubbish"));
+}
+
+TEST_GROUP(Members)
+{
+    Membership members;
+
+    VmRecord vm(const std::string &id, int incarnation, VmKind kind = VmKind::Engine)
+    {
+        VmRecord record;
+        record.id = {id};
+        record.kind = kind;
+        record.incarnation = Incarnation(static_cast<std::uint64_t>(incarnation));
+        record.pools = {{"tea"}};
+        return record;
+    }
+};
+
+TEST(Members, anyOneSignalStopsNewWorkAndNoListBringsItBack)
+{
+    members.onVmList({vm("e1", 1), vm("e2", 1)});
+    LONGS_EQUAL(2, members.routable().size());
+    CHECK(members.onLeaving({{"e1"}, Incarnation(1)}));
+    LONGS_EQUAL(1, members.routable().size());
+    members.onVmList({vm("e1", 1), vm("e2", 1)}); // a lagging list still says live
+    LONGS_EQUAL(1, members.routable().size());
+    CHECK(!members.onLeaving({{"e1"}, Incarnation(1)}));
+}
+
+TEST(Members, aNewIncarnationIsRoutableAndAnOldOneNeverComesBack)
+{
+    members.onVmList({vm("e1", 1)});
+    members.onLeaving({{"e1"}, Incarnation(1)});
+    members.onVmList({vm("e1", 2)});
+    LONGS_EQUAL(1, members.routable().size());
+    members.onVmList({vm("e1", 1)}); // an older list
+    LONGS_EQUAL(0, members.routable().size());
+}
+
+TEST(Members, aLeavingEntryVmIsNoPeerButItsMessagesAreKnown)
+{
+    VmRecord leaving = vm("entry-1", 1, VmKind::Entry);
+    leaving.state = VmState::Leaving;
+    members.onVmList({leaving, vm("entry-2", 1, VmKind::Entry)});
+    LONGS_EQUAL(1, members.entryVms().size());
+    CHECK(members.isKnownEntry({"entry-1"}));
+    CHECK(!members.isKnownEntry({"stranger"}));
+}
+
+TEST_GROUP(Gossip){};
+
+TEST(Gossip, theByteBudgetHoldsAtAnyNumberOfPeers)
+{
+    for (const int peers : {19, 199, 1499}) {
+        GossipSettings settings;
+        GossipBudget budget(settings);
+        Instant now{};
+        std::int64_t sent = 0;
+        constexpr int bytes = 900;
+        for (int round = 0; round < 500; ++round) {
+            now += settings.round;
+            sent += static_cast<std::int64_t>(budget.take(now, bytes, peers)) * bytes;
+        }
+        const double seconds = 500 * std::chrono::duration<double>(settings.round).count();
+        CHECK(static_cast<double>(sent) / seconds <= settings.bytesPerSecond * 1.01);
+        CHECK(sent > 0);
+    }
+}
+
+TEST(Gossip, everyPeerIsToldBeforeOneIsToldTwice)
+{
+    PeerPicker picker(1);
+    std::vector<VmId> peers;
+    for (int i = 0; i < 20; ++i) {
+        peers.push_back({"p" + std::to_string(i)});
+    }
+    std::set<VmId> told;
+    for (int round = 0; round < 5; ++round) {
+        for (const VmId &peer : picker.pick(peers, 4)) {
+            CHECK(told.insert(peer).second);
+        }
+    }
+    LONGS_EQUAL(20, told.size());
+}
--- /dev/null
+++ b/tests/fleet.cpp
@@ -0,0 +1,229 @@
+// Daemons together, over loopback: contracts through an outage, leaving, drains, owners that die.
+#include "fakes/fleet.h"
+#include "platform/endpoint.h"
+
+#include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+
+using namespace galenafold;
+using Json = nlohmann::json;
+
+static const std::string apiKey = "k-1";
+constexpr auto patience = std::chrono::seconds(20);
+
+static std::string chatBody(int tokens, bool isStream)
+{
+    const Json message{{"role", "user"}, {"content", "hello"}};
+    return Json{
+        {"model", "tea-large"}, {"messages", Json::array({message})}, {"max_tokens", tokens}, {"stream", isStream}}
+        .dump();
+}
+
+static httplib::Result postChat(int port, int tokens, bool isStream)
+{
+    httplib::Client client("127.0.0.1", port);
+    client.set_read_timeout(patience);
+    return client.Post("/v1/chat/completions", {{"Authorization", "Bearer " + apiKey}}, chatBody(tokens, isStream),
+                       "application/json");
+}
+
+static httplib::Result postReserve(int port, const std::string &key)
+{
+    httplib::Client client("127.0.0.1", port);
+    client.set_read_timeout(patience);
+    return client.Post("/v1/services/ledger/reserve", {{"Authorization", "Bearer " + apiKey}, {"Idempotency-Key", key}},
+                       "{}", "application/json");
+}
+
+static FleetPlan planOf(int daemons, int engines)
+{
+    FleetPlan plan;
+    plan.daemons = daemons;
+    plan.engines = engines;
+    plan.engine.decodeTokensPerSecond = 500;
+    return plan;
+}
+
+static bool waitFor(const std::function<bool()> &isTrue)
+{
+    const Instant deadline = clockNow() + patience;
+    while (!isTrue()) {
+        if (clockNow() >= deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+TEST_GROUP(FleetContracts){};
+
+TEST(FleetContracts, throughALogOutageWithAllButOneReplacedNothingReverts)
+{
+    Fleet fleet(planOf(4, 1));
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 100, 100), 0);
+    CHECK(fleet.start());
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 200, 100), 1);
+    CHECK(fleet.waitVersion("kedai", 2, clockNow() + patience));
+    fleet.log().setOutage(true);
+    for (int i = 0; i < 3; ++i) {
+        fleet.killDaemon(0);
+        fleet.addDaemon(); // knows nothing, and the log is down: it learns from a peer
+        CHECK(fleet.daemon(fleet.daemons() - 1).waitReady(clockNow() + patience));
+    }
+    CHECK(fleet.waitVersion("kedai", 2, clockNow() + patience));
+    fleet.log().setOutage(false);
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 300, 100), 2);
+    CHECK(fleet.waitVersion("kedai", 3, clockNow() + patience));
+}
+
+TEST(FleetContracts, aFreshDaemonIsNotReadyBeforeItHasContracts)
+{
+    Fleet fleet(planOf(1, 1));
+    fleet.hasContracts = false;
+    CHECK(fleet.start());
+    CHECK(waitFor([&] { return fleet.daemon(0).httpPort() > 0; }));
+    CHECK(!fleet.daemon(0).isReady());
+    const auto response = postChat(fleet.daemon(0).httpPort(), 2, false);
+    LONGS_EQUAL(503, response->status);
+    STRCMP_EQUAL("no", response->get_header_value("Galenafold-Run").c_str());
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 100, 100), 0);
+    CHECK(fleet.daemon(0).waitReady(clockNow() + patience));
+}
+
+TEST_GROUP(FleetLeaving){};
+
+TEST(FleetLeaving, theEndpointsOwnWordReachesAllRoutersThoughTheListLags)
+{
+    Fleet fleet(planOf(4, 2));
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 1000, 1000), 0);
+    CHECK(fleet.start());
+    fleet.vmList().setLag(std::chrono::seconds(30));
+    fleet.engine(0).setLeaving(true); // it would refuse: the routers must stop asking
+    const Instant begin = clockNow();
+    int quiet = 0;
+    CHECK(waitFor([&] {
+        for (std::size_t i = 0; i < fleet.daemons(); ++i) {
+            postChat(fleet.daemon(i).httpPort(), 1, false);
+        }
+        bool allKnow = true;
+        for (std::size_t i = 0; i < fleet.daemons(); ++i) {
+            httplib::Client client("127.0.0.1", fleet.daemon(i).httpPort());
+            const auto status = client.Get("/status");
+            allKnow = allKnow && status && status->body.find("engine-1\"") == std::string::npos;
+        }
+        quiet += allKnow ? 1 : 0;
+        return quiet > 0;
+    }));
+    CHECK(clockNow() - begin < std::chrono::seconds(30)); // the list alone would have taken this long
+}
+
+TEST_GROUP(FleetDrain){};
+
+TEST(FleetDrain, rollingReplacementOfEveryDaemonFailsNoRequest)
+{
+    Fleet fleet(planOf(3, 2));
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 1e5, 1e5), 0);
+    CHECK(fleet.start());
+    std::mutex mutex;
+    std::vector<int> ports; // what the balancer has; it is slow to notice
+    const auto refresh = [&] {
+        const std::lock_guard<std::mutex> lock(mutex);
+        ports.clear();
+        for (std::size_t i = 0; i < fleet.daemons(); ++i) {
+            ports.push_back(fleet.daemon(i).httpPort());
+        }
+    };
+    refresh();
+    std::atomic<bool> isDone{false};
+    std::atomic<int> sent{0};
+    std::atomic<int> failed{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            for (int call = 0; !isDone; ++call) {
+                int port = 0;
+                {
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    port = ports[static_cast<std::size_t>(call + i) % ports.size()];
+                }
+                const bool isStream = call % 2 == 0;
+                const auto response = postChat(port, 10, isStream);
+                const bool isWhole = response && response->status == 200
+                    && (!isStream || response->body.find("[DONE]") != std::string::npos);
+                ++sent;
+                failed += isWhole ? 0 : 1;
+            }
+        });
+    }
+    for (int i = 0; i < 3; ++i) {
+        fleet.addDaemon();
+        CHECK(fleet.daemon(fleet.daemons() - 1).waitReady(clockNow() + patience));
+        fleet.daemon(0).beginDrain();
+        std::this_thread::sleep_for(std::chrono::milliseconds(200)); // the balancer still sends here
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            ports.erase(ports.begin());
+            ports.push_back(fleet.daemon(fleet.daemons() - 1).httpPort());
+        }
+        fleet.drainDaemon(0);
+    }
+    isDone = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    LONGS_EQUAL(0, failed);
+    CHECK(sent > 100);
+}
+
+TEST_GROUP(FleetClaims){};
+
+TEST(FleetClaims, keysAreHonouredThroughOutagesLostAnswersAndDeadOwners)
+{
+    Fleet fleet(planOf(4, 1));
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 1e5, 1e5), 0);
+    CHECK(fleet.start());
+    std::atomic<int> appends{0};
+    fleet.log().setFaultHook([&appends](const std::string &) {
+        const int number = ++appends;
+        return number % 7 == 3 ? LogFault::LoseAnswer : number % 11 == 5 ? LogFault::Outage : LogFault::None;
+    });
+    std::vector<std::string> keys;
+    std::map<std::string, std::string> firstAnswers;
+    int untrue = 0;
+    for (std::uint64_t i = 0; i < 24; ++i) {
+        keys.push_back(makeUuidV7(wallClock(), i));
+        if (i == 12) {
+            fleet.killDaemon(1); // owner of some partitions; the list is right at once, peers' views are not
+        }
+        for (std::size_t turn = 0; turn < 3; ++turn) {
+            const auto response = postReserve(fleet.daemon((i + turn) % fleet.daemons()).httpPort(), keys.back());
+            if (response && response->status == 200) {
+                const auto first = firstAnswers.emplace(keys.back(), response->body).first;
+                untrue += first->second == response->body ? 0 : 1;
+            }
+        }
+    }
+    const auto executions = fleet.service(0).executionsByKey();
+    for (const std::string &key : keys) {
+        const auto count = executions.find(key);
+        CHECK(count == executions.end() || count->second == 1);
+        CHECK(firstAnswers.count(key) == 0 || count != executions.end());
+    }
+    LONGS_EQUAL(0, untrue);
+    CHECK(firstAnswers.size() >= 20);
+}
+
+TEST(FleetClaims, withTheLogDownKeyedCallsAreRefusedAsNotRunAndOthersServed)
+{
+    Fleet fleet(planOf(2, 1));
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 1e5, 1e5), 0);
+    CHECK(fleet.start());
+    fleet.log().setOutage(true);
+    const auto refused = postReserve(fleet.daemon(0).httpPort(), makeUuidV7(wallClock(), 1));
+    LONGS_EQUAL(503, refused->status);
+    STRCMP_EQUAL("no", refused->get_header_value("Galenafold-Run").c_str());
+    LONGS_EQUAL(0, fleet.service(0).executionsByRequest().size());
+    LONGS_EQUAL(200, postChat(fleet.daemon(0).httpPort(), 2, false)->status);
+    fleet.log().setOutage(false);
+}
