--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -9,12 +9,37 @@
 {
 
 constexpr double budgetDepthSeconds = 0.5; // of traffic that may be saved up
+constexpr double beaconPart = 0.6;         // of the byte budget; the rest is for gossip
+constexpr auto heartbeatEvery = std::chrono::milliseconds(500);
 
 std::uint32_t endpointHash(const VmId &endpoint)
 {
     return static_cast<std::uint32_t>(hashName(endpoint.text));
 }
 
+// Beacon
+
+BeaconPacer::BeaconPacer(const GossipSettings &settings)
+    : m_settings(settings)
+{
+}
+
+bool BeaconPacer::take(Instant now, int bytes, bool hasChanged)
+{
+    const double rate = m_settings.bytesPerSecond * beaconPart;
+    const double depth = rate * budgetDepthSeconds;
+    const double elapsed = std::chrono::duration<double>(now - m_filled).count();
+    m_bytes = std::min(depth, m_bytes + elapsed * rate);
+    m_filled = now;
+    const bool isDue = hasChanged || now >= m_heartbeatAt;
+    if (!isDue || bytes > m_bytes) {
+        return false;
+    }
+    m_bytes -= bytes;
+    m_heartbeatAt = now + heartbeatEvery;
+    return true;
+}
+
 // Budget
 
 GossipBudget::GossipBudget(const GossipSettings &settings)
@@ -24,7 +49,7 @@
 
 int GossipBudget::take(Instant now, int bytes, int peers)
 {
-    const double rate = m_settings.bytesPerSecond;
+    const double rate = m_settings.bytesPerSecond * (1 - beaconPart);
     const double depth = std::max(rate * budgetDepthSeconds, static_cast<double>(bytes));
     const double elapsed = m_isNew ? 0 : std::chrono::duration<double>(now - m_filled).count();
     m_bytes = std::min(depth, m_bytes + elapsed * rate);
@@ -69,39 +94,48 @@
 {
 }
 
-void PeerLoads::onMessage(Instant now, const GossipMessage &message)
+void PeerLoads::onBeacon(Instant now, const LoadBeacon &beacon)
 {
-    Peer &peer = m_peers[message.from];
+    Peer &peer = m_peers[beacon.from];
+    const bool isOlder = beacon.number <= peer.number && now < peer.heard + m_silentAfter;
+    if (isOlder) {
+        return; // overtaken on the way; after a silence the sender may have started anew
+    }
     peer.heard = now;
-    peer.isComplete = message.isComplete;
-    peer.loads = message.loads;
+    peer.number = beacon.number;
+    peer.loads = beacon.loads;
 }
 
 void PeerLoads::keepOnly(const std::vector<VmId> &peers)
 {
-    for (auto it = m_peers.begin(); it != m_peers.end();) {
-        const bool isLive = std::find(peers.begin(), peers.end(), it->first) != peers.end();
-        it = isLive ? std::next(it) : m_peers.erase(it);
+    std::unordered_map<std::uint32_t, Peer> kept;
+    for (const VmId &vm : peers) {
+        const auto peer = m_peers.find(endpointHash(vm));
+        if (peer != m_peers.end()) {
+            kept.insert(*peer);
+        }
     }
+    m_peers.swap(kept);
 }
 
 void PeerLoads::apply(Instant now, const std::vector<VmId> &peers, LoadView &view) const
 {
     std::unordered_map<std::uint32_t, InFlight> sums;
+    Instant asOf = now;
     for (const VmId &vm : peers) {
-        const auto peer = m_peers.find(vm);
-        const bool isFresh = peer != m_peers.end() && peer->second.heard + m_silentAfter >= now;
-        if (!isFresh || !peer->second.isComplete) {
-            view.setPeersComplete(false);
+        const auto peer = m_peers.find(endpointHash(vm));
+        if (peer == m_peers.end() || peer->second.heard + m_silentAfter < now) {
+            view.setPeersAsOf(Instant::min());
             return;
         }
+        asOf = std::min(asOf, peer->second.heard);
         for (const PeerLoad &load : peer->second.loads) {
             InFlight &sum = sums[load.endpointHash];
             sum.total += load.total;
             sum.longLane += load.longLane;
         }
     }
-    view.setPeersComplete(true);
+    view.setPeersAsOf(asOf);
     for (std::size_t i = 0; i < view.size(); ++i) {
         const auto slot = static_cast<EndpointSlot>(i);
         const auto sum = sums.find(static_cast<std::uint32_t>(view.at(slot).hash));
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -1,6 +1,6 @@
 // What daemons tell each other every round, under a byte budget, and what a daemon makes of it.
 //
-// Sections of this file: Message, Budget, Peers.
+// Sections of this file: Message, Beacon, Budget, Peers.
 //
 // Gossip is only efficiency. Whatever it says, contracts advance by offset alone and leaving merges by OR.
 #pragma once
@@ -16,13 +16,6 @@
 
 // Message
 
-/// Calls that the sender has in progress at one endpoint.
-struct PeerLoad {
-    std::uint32_t endpointHash = 0;
-    std::uint16_t total = 0;
-    std::uint16_t longLane = 0;
-};
-
 /// A report that the sender got from an endpoint.
 struct ReportDigest {
     std::uint32_t endpointHash = 0;
@@ -35,8 +28,6 @@
 struct GossipMessage {
     VmId from;
     LogOffset contractsUpTo = 0;
-    bool isComplete = true; // `loads` names every endpoint where the sender has calls
-    std::vector<PeerLoad> loads;
     std::vector<ReportDigest> reports;
     std::vector<LeavingMark> leaving;
     std::vector<CustomerDemand> demand;
@@ -44,6 +35,40 @@
 
 std::uint32_t endpointHash(const VmId &endpoint);
 
+// Beacon
+
+/// Calls that the sender has in progress at one endpoint.
+struct PeerLoad {
+    std::uint32_t endpointHash = 0;
+    std::uint16_t total = 0;
+    std::uint16_t longLane = 0;
+};
+
+/// A router's own calls in progress, told to all peers as they change, as often as bytes allow. Lossy: the newest
+/// counts. In a small fleet it makes every router's view nearly exact; in a large one the budget stops it, and reports
+/// serve.
+struct LoadBeacon {
+    std::uint32_t from = 0;      // hash of the VM's name
+    std::uint32_t number = 0;    // rises; an older beacon is ignored
+    std::vector<PeerLoad> loads; // endpoints where the sender has calls
+};
+
+/// When to send beacons.
+class BeaconPacer
+{
+public:
+    explicit BeaconPacer(const GossipSettings &settings);
+
+    /// @param bytes of a beacon to all peers. @param hasChanged since the last. @return true: send it now
+    bool take(Instant now, int bytes, bool hasChanged);
+
+private:
+    GossipSettings m_settings;
+    double m_bytes = 0;
+    Instant m_filled{};
+    Instant m_heartbeatAt{};
+};
+
 // Budget
 
 /// Says how many messages of a size may go out this round.
@@ -81,7 +106,7 @@
 {
 public:
     explicit PeerLoads(Span silentAfter);
-    void onMessage(Instant now, const GossipMessage &message);
+    void onBeacon(Instant now, const LoadBeacon &beacon);
 
     /// Puts the sums of peers' calls into the view, if all live peers were heard lately.
     void apply(Instant now, const std::vector<VmId> &peers, LoadView &view) const;
@@ -92,12 +117,12 @@
 private:
     struct Peer {
         Instant heard{};
-        bool isComplete = false;
+        std::uint32_t number = 0;
         std::vector<PeerLoad> loads;
     };
 
     Span m_silentAfter;
-    std::unordered_map<VmId, Peer> m_peers;
+    std::unordered_map<std::uint32_t, Peer> m_peers; // by hash of the name
 };
 
 } // namespace galenafold
--- a/control/loadview.cpp
+++ b/control/loadview.cpp
@@ -88,20 +88,23 @@
         }
         for (const PoolId &pool : endpoint.vm.pools) {
             m_pools[pool].members.push_back(static_cast<EndpointSlot>(i));
+            m_pools[pool].slotSum += endpoint.slots();
         }
-        addToPools(endpoint, endpoint.own.total, endpoint.others.total);
+        addToPools(endpoint, endpoint.own, endpoint.others);
     }
 }
 
-void LoadView::addToPools(const EndpointLoad &endpoint, double own, double others)
+void LoadView::addToPools(const EndpointLoad &endpoint, const InFlight &own, const InFlight &others)
 {
     if (!endpoint.isRoutable) {
         return;
     }
     for (const PoolId &id : endpoint.vm.pools) {
         Pool &pool = m_pools[id];
-        pool.ownSum += own;
-        pool.othersSum += others;
+        pool.ownSum += own.total;
+        pool.ownLongSum += own.longLane;
+        pool.othersSum += others.total;
+        pool.othersLongSum += others.longLane;
     }
 }
 
@@ -114,13 +117,14 @@
 void LoadView::changeOwn(Instant now, EndpointSlot slot, Lane lane, double change)
 {
     EndpointLoad &endpoint = at(slot);
+    const double longChange = lane == Lane::Long ? change : 0;
     endpoint.own.total += change;
-    endpoint.own.longLane += lane == Lane::Long ? change : 0;
+    endpoint.own.longLane += longChange;
     endpoint.ownHistory.emplace_back(now, endpoint.own);
     if (endpoint.ownHistory.size() > maxOwnHistory) {
         endpoint.ownHistory.pop_front();
     }
-    addToPools(endpoint, change, 0);
+    addToPools(endpoint, {change, longChange}, {});
 }
 
 void LoadView::onSent(Instant now, EndpointSlot slot, Lane lane)
@@ -157,9 +161,13 @@
     if (isStale || (endpoint.hasReport && report.measured <= endpoint.report.measured)) {
         return false;
     }
+    const int slotsBefore = endpoint.slots();
     endpoint.report = report;
     endpoint.hasReport = true;
-    if (!m_peersComplete) {
+    if (endpoint.slots() != slotsBefore) {
+        rebuildPools();
+    }
+    if (!peersComplete()) {
         const InFlight own = ownAt(endpoint, report.measured);
         setOthers(slot,
                   {std::max(0.0, report.inFlight - own.total), std::max(0.0, report.longInFlight - own.longLane)});
@@ -170,7 +178,7 @@
 void LoadView::setOthers(EndpointSlot slot, const InFlight &others)
 {
     EndpointLoad &endpoint = at(slot);
-    addToPools(endpoint, 0, others.total - endpoint.others.total);
+    addToPools(endpoint, {}, {others.total - endpoint.others.total, others.longLane - endpoint.others.longLane});
     endpoint.others = others;
 }
 
@@ -179,7 +187,7 @@
     for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
         EndpointLoad &endpoint = m_endpoints[i];
         const bool isStale = endpoint.hasReport && endpoint.report.measured + m_settings.reportLifetime < now;
-        if (isStale && !m_peersComplete) {
+        if (isStale && !peersComplete()) {
             setOthers(static_cast<EndpointSlot>(i), {});
         }
     }
--- a/control/loadview.h
+++ b/control/loadview.h
@@ -48,6 +48,9 @@
     std::vector<EndpointSlot> members; // routable ones only
     double ownSum = 0;
     double othersSum = 0;
+    double ownLongSum = 0;
+    double othersLongSum = 0;
+    double slotSum = 0; // of all members
 
     double meanWith(double extra) const; ///< @return mean load over the pool with `extra` more calls
     double ownMeanWith(double extra) const;
@@ -71,8 +74,8 @@
 
     /// Sets what peers have in progress, when all live peers are known; it goes before reports.
     void setOthers(EndpointSlot slot, const InFlight &others);
-    void setPeersComplete(bool isComplete) { m_peersComplete = isComplete; }
-    bool peersComplete() const { return m_peersComplete; }
+    void setPeersAsOf(Instant asOf) { m_peersAsOf = asOf; } ///< Instant::min(): some live peer is not known
+    bool peersComplete() const { return m_peersAsOf != Instant::min(); }
 
     /// Forgets reports that are too old.
     void expire(Instant now);
@@ -84,7 +87,7 @@
     bool find(const VmId &id, EndpointSlot &slot) const; ///< @return true and the slot of the endpoint's latest life
 
 private:
-    void addToPools(const EndpointLoad &endpoint, double own, double others);
+    void addToPools(const EndpointLoad &endpoint, const InFlight &own, const InFlight &others);
     void changeOwn(Instant now, EndpointSlot slot, Lane lane, double change);
     void rebuildPools();
 
@@ -92,7 +95,7 @@
     std::vector<EndpointLoad> m_endpoints;
     std::unordered_map<VmId, EndpointSlot> m_latest;
     std::unordered_map<PoolId, Pool> m_pools;
-    bool m_peersComplete = false;
+    Instant m_peersAsOf = Instant::min();
 };
 
 /// Hash of a name, the same on every router.
--- a/control/router.cpp
+++ b/control/router.cpp
@@ -9,10 +9,10 @@
 
 constexpr auto sharesEvery = std::chrono::milliseconds(100);
 constexpr auto slowChecksEvery = std::chrono::milliseconds(250);
+constexpr double secondsWorthTelling = 0.3;
 constexpr double hedgeBurst = 3;
 constexpr int naiveRetries = 3; // of the naive policy: a fixed count for each call
 constexpr std::size_t mostDemandTold = 32;
-constexpr std::size_t mostLoadsTold = 48;
 constexpr std::size_t mostReportsTold = 16;
 constexpr std::size_t mostMarksTold = 8;
 constexpr double startMargin = 1.2; // over the expected service time, kept before a deadline
@@ -153,6 +153,8 @@
     }
     ++m_counts.placements[placement.by];
     m_view.onSent(now, placement.endpoint, active.call.lane);
+    m_hasLoadChanged = m_hasLoadChanged || isWorthTelling(active.call);
+    m_placer.onStarted(placement);
     StartAttempt start;
     start.call = active.call.key;
     start.attempt = attempt.number;
@@ -181,11 +183,25 @@
     }
 }
 
+/// A call that ends before peers hear of it is not worth a beacon of its own.
+bool Router::isWorthTelling(const Call &call) const
+{
+    const double prefill = call.prompt / m_settings.placement.prefillTokensPerSecond;
+    const double decode = call.output / m_settings.placement.decodeTokensPerSecond;
+    return prefill + decode > secondsWorthTelling;
+}
+
+void Router::noteEnded(Instant now, EndpointSlot endpoint, const Call &call)
+{
+    m_view.onEnded(now, endpoint, call.lane);
+    m_hasLoadChanged = m_hasLoadChanged || isWorthTelling(call);
+}
+
 void Router::endCall(Instant now, CallKey key)
 {
     const auto found = m_calls.find(key);
     for (const Attempt &attempt : found->second.live) {
-        m_view.onEnded(now, attempt.endpoint, found->second.call.lane); // a cancelled loser reports to nobody
+        noteEnded(now, attempt.endpoint, found->second.call); // a cancelled loser reports to nobody
     }
     m_limiter.release(found->second.call.customer);
     m_calls.erase(found);
@@ -232,7 +248,7 @@
     const bool hadFirstByte = live->hasFirstByte;
     const Instant sent = live->sent;
     active.live.erase(live);
-    m_view.onEnded(now, endpoint, active.call.lane);
+    noteEnded(now, endpoint, active.call);
     if (report.saysLeaving) {
         onLeaving(now, {vm.id, vm.incarnation});
     }
@@ -262,7 +278,7 @@
     for (const Attempt &attempt : active.live) {
         if (isUseless(attempt)) {
             actions.cancels.push_back({active.call.key, attempt.number});
-            m_view.onEnded(now, attempt.endpoint, active.call.lane);
+            noteEnded(now, attempt.endpoint, active.call);
             active.mayHaveRun = true;
         }
     }
@@ -476,7 +492,6 @@
 
 void Router::onGossip(Instant now, const GossipMessage &message)
 {
-    m_peerLoads.onMessage(now, message);
     m_shares.onPeerDemand(now, message.from, message.demand);
     for (const LeavingMark &mark : message.leaving) {
         onLeaving(now, mark);
@@ -498,6 +513,12 @@
     }
 }
 
+void Router::onBeacon(Instant now, const LoadBeacon &beacon)
+{
+    m_peerLoads.onBeacon(now, beacon);
+    m_peerLoads.apply(now, m_peers, m_view);
+}
+
 static std::uint16_t narrowed(double value)
 {
     return static_cast<std::uint16_t>(std::clamp(value, 0.0, 65535.0));
@@ -520,11 +541,6 @@
     for (std::size_t i = 0; i < m_view.size(); ++i) {
         const EndpointLoad &endpoint = m_view.at(static_cast<EndpointSlot>(i));
         const auto hash = static_cast<std::uint32_t>(endpoint.hash);
-        if (endpoint.own.total > 0 && message.loads.size() < mostLoadsTold) {
-            message.loads.push_back({hash, narrowed(endpoint.own.total), narrowed(endpoint.own.longLane)});
-        } else if (endpoint.own.total > 0) {
-            message.isComplete = false;
-        }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.report.measured).count();
         if (endpoint.hasReport && endpoint.isRoutable && age < 2000) {
             reports.push_back({endpoint.report.measured,
@@ -540,4 +556,20 @@
     return message;
 }
 
+LoadBeacon Router::beacon()
+{
+    LoadBeacon beacon;
+    beacon.from = endpointHash(m_settings.name);
+    beacon.number = ++m_beacons;
+    for (std::size_t i = 0; i < m_view.size(); ++i) {
+        const EndpointLoad &endpoint = m_view.at(static_cast<EndpointSlot>(i));
+        if (endpoint.own.total > 0) {
+            const auto hash = static_cast<std::uint32_t>(endpoint.hash);
+            beacon.loads.push_back({hash, narrowed(endpoint.own.total), narrowed(endpoint.own.longLane)});
+        }
+    }
+    m_hasLoadChanged = false;
+    return beacon;
+}
+
 } // namespace galenafold
--- a/control/router.h
+++ b/control/router.h
@@ -87,10 +87,15 @@
     void onLoadReport(Instant now, const LoadReport &report);
     void onContextLost(const ChatId &chat, const VmId &endpoint);
     void onGossip(Instant now, const GossipMessage &message);
+    void onBeacon(Instant now, const LoadBeacon &beacon); ///< A peer's own calls in progress.
 
     /// @return what to tell peers, within the byte limit of a message; contract offset left to the caller
     GossipMessage gossip(Instant now) const;
 
+    /// @return own calls in progress, for all peers; the change that it tells is then taken as told
+    LoadBeacon beacon();
+    bool hasLoadChanged() const { return m_hasLoadChanged; } ///< @return true since the last beacon
+
     const Membership &membership() const { return m_membership; }
     const LoadView &loads() const { return m_view; }
     const RouterCounts &counts() const { return m_counts; }
@@ -135,6 +140,8 @@
     Reason reasonAfter(const Active &active, const AttemptReport &report, bool wasDenied) const;
     QueuedCall queuedCall(const Active &active) const;
     void onMembershipChanged();
+    bool isWorthTelling(const Call &call) const;
+    void noteEnded(Instant now, EndpointSlot endpoint, const Call &call);
     void refreshPools(Instant now);
     static std::string classKey(const Call &call);
 
@@ -154,6 +161,8 @@
     std::map<std::uint32_t, VmId> m_endpointNames; // by hash, as gossip names them
     std::map<CallKey, Active> m_calls;
     RouterCounts m_counts;
+    bool m_hasLoadChanged = false;
+    std::uint32_t m_beacons = 0;
     Instant m_nextSecond{};
     Instant m_nextShares{};
 };
--- a/daemons/load.cpp
+++ b/daemons/load.cpp
@@ -90,6 +90,7 @@
             {"engine_tokens", figures.engineTokens},
             {"double_executions", figures.doubleExecutions},
             {"untrue_refusals", figures.untrueRefusals},
+            {"most_long", figures.mostLong},
             {"log_appends", figures.logAppends}};
 }
 
--- a/daemons/loadrun.cpp
+++ b/daemons/loadrun.cpp
@@ -564,6 +564,7 @@
         const EngineFigures engine = fleet.engine(i).figures();
         figures.engineStarts += engine.started;
         figures.engineTokens += engine.generatedTokens;
+        figures.mostLong = std::max(figures.mostLong, engine.mostLong);
         const std::set<std::string> ids = fleet.engine(i).executed();
         executed.insert(ids.begin(), ids.end());
     }
--- a/daemons/loadrun.h
+++ b/daemons/loadrun.h
@@ -36,6 +36,7 @@
     double engineTokens = 0;           // generated
     std::int64_t doubleExecutions = 0; // keyed calls that ran more than once
     std::int64_t untrueRefusals = 0;   // told not run, and ran
+    int mostLong = 0;                  // long calls at one engine at once
     std::int64_t logAppends = 0;
     double seconds = 0;
 };
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -105,6 +105,12 @@
     return m_figures.inFlight;
 }
 
+int FakeEngine::longInFlight() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_longInFlight;
+}
+
 std::set<std::string> FakeEngine::executed() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -127,6 +133,7 @@
     ++m_figures.inFlight;
     m_figures.mostInFlight = std::max(m_figures.mostInFlight, m_figures.inFlight);
     m_longInFlight += work.isLong ? 1 : 0;
+    m_figures.mostLong = std::max(m_figures.mostLong, m_longInFlight);
     work.hasSlot = true;
     work.engine = this;
     noteLoad();
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -56,6 +56,7 @@
     double generatedTokens = 0;
     int inFlight = 0;
     int mostInFlight = 0;
+    int mostLong = 0;           // of the long lane, at once
 };
 
 // Engine
@@ -75,6 +76,7 @@
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     EngineFigures figures() const;
     int inFlight() const;
+    int longInFlight() const; ///< @return of these, in the long lane
     std::set<std::string> executed() const; ///< @return ids of requests that got a slot
 
 private:
--- a/fakes/fleet.cpp
+++ b/fakes/fleet.cpp
@@ -53,7 +53,13 @@
 
 Fleet::~Fleet()
 {
-    m_daemons.clear();
+    std::vector<std::thread> enders; // each waits for its long polls to end
+    for (DaemonEntry &entry : m_daemons) {
+        enders.emplace_back([&entry] { entry.daemon.reset(); });
+    }
+    for (std::thread &ender : enders) {
+        ender.join();
+    }
     for (EngineEntry &entry : m_engines) {
         entry.engine->stop();
     }
--- a/filters/place.cpp
+++ b/filters/place.cpp
@@ -9,7 +9,13 @@
 namespace galenafold
 {
 
-constexpr double ejectedWeight = 0.5; // an endpoint below this weight is slow and gets no ordinary work
+constexpr double borrowWindowSeconds = 0.5; // in which peers learn of what was borrowed
+constexpr double mostBorrow = 2;
+constexpr std::size_t smallPool = 64;
+constexpr std::size_t randomDraws = 3;          // endpoints compared for a call without context
+constexpr double neverBorrowed = 0.15;          // of a pool's long slots
+constexpr double leastSecondsWorthReuse = 0.02; // of prefill
+constexpr double ejectedWeight = 0.5;           // an endpoint below this weight is slow and gets no ordinary work
 
 const char *text(PlacedBy by)
 {
@@ -176,15 +182,55 @@
     const double slots = endpoint.slots();
     if (m_queue.policy == Policy::Naive) {
         room.hasSlot = endpoint.total() < slots * (1 + m_queue.backlog);
+        room.hasBacklog = room.hasSlot;
         return room;
     }
-    const double reserved = std::max(1.0, std::floor(slots * m_queue.reservedSlots));
-    const bool isShort = call.lane == Lane::Short;
-    const bool hasLongSlot = endpoint.longLane() < std::max(1.0, slots - reserved) && endpoint.total() < slots;
-    room.hasSlot = isShort ? endpoint.total() < slots * (1 + m_queue.backlog) : hasLongSlot;
+    room.hasSlot = endpoint.total() < slots;
+    room.hasBacklog = endpoint.total() < slots * (1 + m_queue.backlog);
+    if (call.lane == Lane::Long) {
+        room.isBorrowed = isLongBorrowed(endpoint);
+        room.hasSlot = room.hasSlot && endpoint.longLane() < longSlots(endpoint) && (!room.isBorrowed || m_borrow >= 1);
+        room.hasBacklog = room.hasSlot;
+    }
     return room;
 }
 
+double Placer::longSlots(const EndpointLoad &endpoint) const
+{
+    const double slots = endpoint.slots();
+    const double reserved = std::max(1.0, std::floor(slots * m_queue.reservedSlots));
+    return std::max(1.0, slots - reserved);
+}
+
+/// A free long slot is seen by all routers at once. Each has a part of every endpoint's slots, rounded so that all
+/// parts add up, and borrows beyond it so slowly that all together take no more than what is free before they know of
+/// it.
+bool Placer::isLongBorrowed(const EndpointLoad &endpoint) const
+{
+    return endpoint.own.longLane >= roundedPart(longSlots(endpoint) / m_position.routers, m_position, endpoint.hash);
+}
+
+void Placer::earnBorrow(Instant now, const Pool &pool)
+{
+    const double longSum = pool.slotSum * (1 - m_queue.reservedSlots);
+    const double spared = longSum * (1 - neverBorrowed); // or owners of a part would find it taken
+    const double free = std::max(0.0, spared - pool.ownLongSum - pool.othersLongSum);
+    const double elapsed = std::chrono::duration<double>(now - m_borrowAt).count();
+    m_borrow = std::min(mostBorrow, m_borrow + elapsed * free / (m_position.routers * borrowWindowSeconds));
+    m_borrowAt = now;
+}
+
+void Placer::onStarted(const Placement &placement)
+{
+    m_borrow -= placement.isBorrowed ? 1 : 0;
+}
+
+/// A small prompt is computed again sooner than a slot comes free; such calls go where most room is.
+bool Placer::isAffinityWorthless(const Call &call) const
+{
+    return call.chat.isEmpty() || call.prompt < leastSecondsWorthReuse * m_settings.prefillTokensPerSecond;
+}
+
 /// Compares the wait for a slot at home with computing the prompt again elsewhere.
 bool Placer::worthWaiting(const Call &call, const EndpointLoad &home) const
 {
@@ -208,7 +254,6 @@
 
 Placement Placer::choose(Instant now, const Call &call, const LoadView &view, const std::vector<EndpointSlot> &excluded)
 {
-    (void)now;
     const Pool *pool = view.pool(call.pool);
     if (!pool || pool->members.empty()) {
         return {};
@@ -216,16 +261,23 @@
     if (m_settings.policy == Policy::Naive) {
         return chooseNaively(call, *pool, view, excluded);
     }
-    if (call.chat.isEmpty()) {
-        return chooseLeastLoaded(call, *pool, view, excluded);
+    if (call.lane == Lane::Long) {
+        earnBorrow(now, *pool);
     }
-    std::vector<Candidate> list = candidates(call, *pool, view);
+    return isAffinityWorthless(call) ? chooseLeastLoaded(call, *pool, view, excluded)
+                                     : chooseForChat(call, *pool, view, excluded);
+}
+
+Placement Placer::chooseForChat(const Call &call, const Pool &pool, const LoadView &view,
+                                const std::vector<EndpointSlot> &excluded)
+{
+    std::vector<Candidate> list = candidates(call, pool, view);
     Placement placement;
     bool hasOrder = false;
     bool anyLeft = false;
     for (std::size_t i = 0; i < list.size() || !hasOrder; ++i) {
         if (i == list.size()) {
-            addRendezvous(call, *pool, view, list);
+            addRendezvous(call, pool, view, list);
             hasOrder = true;
             if (i == list.size()) {
                 break;
@@ -236,7 +288,7 @@
             continue;
         }
         anyLeft = true;
-        const Room room = roomAt(call, endpoint, *pool, view);
+        const Room room = roomAt(call, endpoint, pool, view);
         ++placement.considered;
         const bool isHolder = placement.considered == 1;
         if (room.hasSlot && room.isInBound && !(isHolder && spillsEarly(room))) {
@@ -245,6 +297,7 @@
             placement.by = isHolder ? list[i].by : PlacedBy::Spill;
             placement.load = room.load;
             placement.bound = room.bound;
+            placement.isBorrowed = room.isBorrowed;
             return placement;
         }
         if (isHolder && !room.hasSlot && worthWaiting(call, endpoint)) {
@@ -252,7 +305,7 @@
             return placement;
         }
     }
-    Placement fallback = chooseLeastLoaded(call, *pool, view, excluded);
+    Placement fallback = chooseLeastLoaded(call, pool, view, excluded);
     fallback.considered += placement.considered;
     if (fallback.verdict == Verdict::None && anyLeft) {
         fallback.verdict = Verdict::Wait;
@@ -260,34 +313,65 @@
     return fallback;
 }
 
+/// Calls in the way at an endpoint. Peers' short calls end before one hears of them, so they say nothing.
+double Placer::crowdAt(const Call &call, const EndpointLoad &endpoint) const
+{
+    if (call.lane == Lane::Long) {
+        return endpoint.total();
+    }
+    const double crowd = endpoint.own.total + endpoint.others.longLane;
+    return hasOwnShortSlot(endpoint) ? crowd - endpoint.slots() : crowd;
+}
+
+/// A short slot is this router's alone when its part of the endpoint's reserved slots is not in use: no peer will take
+/// it.
+bool Placer::hasOwnShortSlot(const EndpointLoad &endpoint) const
+{
+    const double reserved = endpoint.slots() - longSlots(endpoint);
+    const double part = roundedPart(reserved / m_position.routers, m_position, endpoint.hash);
+    return endpoint.own.total - endpoint.own.longLane < part && endpoint.longLane() <= longSlots(endpoint);
+}
+
+/// The best of a few drawn at random, so that routers with the same stale view do not herd; when none of these has
+/// room, the first of all that has.
 Placement Placer::chooseLeastLoaded(const Call &call, const Pool &pool, const LoadView &view,
                                     const std::vector<EndpointSlot> &excluded)
 {
-    constexpr int draws = 4; // the best of a few drawn at random, so that routers do not herd
     Placement best;
+    double leastCrowd = 0;
     bool anyLeft = false;
     const std::size_t members = pool.members.size();
-    const bool takeAll = members <= static_cast<std::size_t>(draws) * 4;
-    const std::size_t tries = takeAll ? members : draws;
     const auto first = static_cast<std::size_t>(uniform() * static_cast<double>(members));
-    for (std::size_t i = 0; i < tries; ++i) {
+    const bool isSmall = members <= smallPool; // then all are compared, for a slot of one's own
+    const std::size_t draws = isSmall ? 0 : randomDraws;
+    for (std::size_t i = 0; i < draws + members; ++i) {
+        if (i >= draws && !isSmall && best.verdict == Verdict::Go) {
+            break;
+        }
+        const bool isDrawn = i < draws;
         const std::size_t pick =
-            takeAll ? (first + i) % members : static_cast<std::size_t>(uniform() * static_cast<double>(members));
-        const EndpointSlot slot = pool.members[std::min(pick, members - 1)];
+            isDrawn ? static_cast<std::size_t>(uniform() * static_cast<double>(members)) : first + i;
+        const EndpointSlot slot = pool.members[pick % members];
         const EndpointLoad &endpoint = view.at(slot);
         if (contains(excluded, slot)) {
             continue;
         }
         anyLeft = true;
         const Room room = roomAt(call, endpoint, pool, view);
-        const bool isBetter = best.verdict != Verdict::Go || room.load < best.load;
+        const double crowd = crowdAt(call, endpoint);
+        const bool isBetter = best.verdict != Verdict::Go || crowd < leastCrowd;
+        if (isSmall && i >= randomDraws && crowd >= 0 && best.verdict == Verdict::Go) {
+            continue; // past the first few, only a slot of one's own is looked for
+        }
         ++best.considered;
-        if (room.hasSlot && room.isInBound && endpoint.weight >= ejectedWeight && isBetter) {
+        if (room.hasBacklog && room.isInBound && endpoint.weight >= ejectedWeight && isBetter) {
             best.verdict = Verdict::Go;
             best.endpoint = slot;
             best.by = PlacedBy::LeastLoaded;
             best.load = room.load;
             best.bound = room.bound;
+            best.isBorrowed = room.isBorrowed;
+            leastCrowd = crowd;
         }
     }
     if (best.verdict != Verdict::Go) {
--- a/filters/place.h
+++ b/filters/place.h
@@ -30,9 +30,10 @@
     Verdict verdict = Verdict::None;
     EndpointSlot endpoint{};
     PlacedBy by = PlacedBy::Home;
-    double load = 0;    // estimated calls in progress at the endpoint before this one
-    double bound = 0;   // most that it may carry
-    int considered = 0; // candidates looked at
+    double load = 0;         // estimated calls in progress at the endpoint before this one
+    double bound = 0;        // most that it may carry
+    int considered = 0;      // candidates looked at
+    bool isBorrowed = false; // a long slot beyond this router's part
 };
 
 // Recent chats
@@ -64,6 +65,7 @@
     /// Decides where a call goes now. @param excluded endpoints that already failed this call.
     Placement choose(Instant now, const Call &call, const LoadView &view, const std::vector<EndpointSlot> &excluded);
 
+    void onStarted(const Placement &placement); ///< The placement was used.
     void onServed(const ChatId &chat, EndpointSlot endpoint);
     void onContextLost(const ChatId &chat, EndpointSlot endpoint); ///< From a cache event; late ones only refine.
 
@@ -75,9 +77,11 @@
         EndpointSlot endpoint{};
         PlacedBy by = PlacedBy::Home;
     };
-    struct Room {               // what stands against one candidate
-        bool hasSlot = false;   // of the call's lane
-        bool isInBound = false; // of the mean
+    struct Room {                // what stands against one candidate
+        bool hasSlot = false;    // of the call's lane, free now
+        bool hasBacklog = false; // or soon
+        bool isBorrowed = false; // a long slot beyond this router's part
+        bool isInBound = false;  // of the mean
         double load = 0;
         double bound = 0;
     };
@@ -85,18 +89,28 @@
     std::vector<Candidate> candidates(const Call &call, const Pool &pool, const LoadView &view) const;
     void addRendezvous(const Call &call, const Pool &pool, const LoadView &view, std::vector<Candidate> &list) const;
     Room roomAt(const Call &call, const EndpointLoad &endpoint, const Pool &pool, const LoadView &view);
+    bool isAffinityWorthless(const Call &call) const;
     bool worthWaiting(const Call &call, const EndpointLoad &home) const;
     bool spillsEarly(const Room &room);
+    double longSlots(const EndpointLoad &endpoint) const;
+    bool isLongBorrowed(const EndpointLoad &endpoint) const;
+    void earnBorrow(Instant now, const Pool &pool);
+    Placement chooseForChat(const Call &call, const Pool &pool, const LoadView &view,
+                            const std::vector<EndpointSlot> &excluded);
     Placement chooseLeastLoaded(const Call &call, const Pool &pool, const LoadView &view,
                                 const std::vector<EndpointSlot> &excluded);
     Placement chooseNaively(const Call &call, const Pool &pool, const LoadView &view,
                             const std::vector<EndpointSlot> &excluded);
+    bool hasOwnShortSlot(const EndpointLoad &endpoint) const;
+    double crowdAt(const Call &call, const EndpointLoad &endpoint) const;
     double uniform();
 
     PlacementSettings m_settings;
     QueueSettings m_queue;
     FleetPosition m_position;
     RecentChats m_recent;
+    double m_borrow = 0; // long calls that may start beyond the part
+    Instant m_borrowAt{};
     boost::random::mt19937_64 m_random;
 };
 
--- /dev/null
+++ b/shell/beacons.cpp
@@ -0,0 +1,118 @@
+// The packed form of beacons, and the socket that carries them.
+#include "shell/beacons.h"
+
+#include "wire/peer.capnp.h"
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+namespace galenafold
+{
+
+constexpr int datagramHeadBytes = 28; // IP and UDP
+constexpr std::size_t mostLoads = 256;
+constexpr std::uint64_t mostWords = 2048; // that a decoded beacon may make us read
+
+std::string encodeBeacon(const LoadBeacon &beacon)
+{
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<wire::LoadBeacon>();
+    const auto count = static_cast<unsigned>(std::min(beacon.loads.size(), mostLoads));
+    root.setFrom(beacon.from);
+    root.setNumber(beacon.number);
+    auto endpoints = root.initEndpoints(count);
+    auto totals = root.initTotals(count);
+    auto longLanes = root.initLongLanes(count);
+    for (unsigned i = 0; i < count; ++i) {
+        endpoints.set(i, beacon.loads[i].endpointHash);
+        totals.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].total, 255)));
+        longLanes.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].longLane, 255)));
+    }
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, builder);
+    const auto bytes = out.getArray();
+    return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
+}
+
+static void readBeacon(const std::string &bytes, LoadBeacon &beacon)
+{
+    const auto *data = reinterpret_cast<const kj::byte *>(bytes.data());
+    kj::ArrayInputStream in(kj::arrayPtr(data, bytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = mostWords;
+    capnp::PackedMessageReader reader(in, options);
+    const auto root = reader.getRoot<wire::LoadBeacon>();
+    const auto endpoints = root.getEndpoints();
+    const auto totals = root.getTotals();
+    const auto longLanes = root.getLongLanes();
+    const unsigned count = std::min({endpoints.size(), totals.size(), longLanes.size()});
+    beacon.from = root.getFrom();
+    beacon.number = root.getNumber();
+    for (unsigned i = 0; i < count; ++i) {
+        beacon.loads.push_back({endpoints[i], totals[i], longLanes[i]});
+    }
+}
+
+bool decodeBeacon(const std::string &bytes, LoadBeacon &beacon)
+{
+    const auto failure = kj::runCatchingExceptions([&] { readBeacon(bytes, beacon); });
+    return failure == nullptr;
+}
+
+int datagramBytes(const std::string &payload)
+{
+    return static_cast<int>(payload.size()) + datagramHeadBytes;
+}
+
+BeaconSocket::BeaconSocket(asio::io_context &io, std::function<void(const LoadBeacon &)> onBeacon)
+    : m_socket(io)
+    , m_onBeacon(std::move(onBeacon))
+{
+}
+
+bool BeaconSocket::open(const std::string &address, int port)
+{
+    std::error_code error;
+    const auto where = asio::ip::make_address(address, error);
+    if (error) {
+        return false;
+    }
+    const asio::ip::udp::endpoint endpoint(where, static_cast<unsigned short>(port));
+    m_socket.open(endpoint.protocol(), error);
+    m_socket.bind(endpoint, error);
+    if (error) {
+        return false;
+    }
+    receive();
+    return true;
+}
+
+void BeaconSocket::send(const std::string &payload, const std::string &address, int port)
+{
+    std::error_code error;
+    const auto where = asio::ip::make_address(address, error);
+    if (!error) {
+        m_socket.send_to(asio::buffer(payload), {where, static_cast<unsigned short>(port)}, 0, error);
+        m_bytesSent += datagramBytes(payload);
+    }
+}
+
+void BeaconSocket::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
+                                [this](const std::error_code &error, std::size_t size) {
+                                    if (error == asio::error::operation_aborted) {
+                                        return;
+                                    }
+                                    LoadBeacon beacon;
+                                    if (!error && decodeBeacon(std::string(m_buffer.data(), size), beacon)) {
+                                        m_onBeacon(beacon);
+                                    }
+                                    receive();
+                                });
+}
+
+} // namespace galenafold
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -21,8 +21,10 @@
     , m_router(settings)
     , m_gossipBudget(settings.gossip)
     , m_picker(settings.seed ^ hashName(settings.name.text))
+    , m_beaconPacer(settings.gossip)
     , m_work(asio::make_work_guard(m_io))
     , m_timer(m_io)
+    , m_beacons(m_io, [this](const LoadBeacon &beacon) { m_router.onBeacon(clockNow(), beacon); })
 {
     publish();
 }
@@ -32,11 +34,16 @@
     stop();
 }
 
-void Core::start()
+bool Core::start(int peerPort)
 {
+    if (!m_beacons.open(m_settings.address, peerPort)) {
+        LOG(ERROR) << "peers: cannot listen for datagrams on port " << peerPort;
+        return false;
+    }
     m_snapshotDue = clockNow() + snapshotEvery;
     m_thread = std::thread([this] { m_io.run(); });
     asio::post(m_io, [this] { tick(); });
+    return true;
 }
 
 void Core::stop()
@@ -157,6 +164,25 @@
             m_contexts.erase(context);
         }
     }
+    sendBeacon(now);
+}
+
+/// Tells all peers of own calls in progress, as soon as they change and as often as bytes allow.
+void Core::sendBeacon(Instant now)
+{
+    const std::vector<VmId> peers = m_router.peers();
+    const int guess = static_cast<int>(peers.size()) * m_beaconSize;
+    if (peers.empty() || !m_beaconPacer.take(now, guess, m_router.hasLoadChanged())) {
+        return;
+    }
+    const std::string payload = encodeBeacon(m_router.beacon());
+    m_beaconSize = datagramBytes(payload);
+    for (const VmRecord &vm : m_router.membership().entryVms()) {
+        if (vm.id != m_settings.name) {
+            m_beacons.send(payload, vm.address, vm.peerPort);
+        }
+    }
+    m_beaconBytes = m_beacons.bytesSent();
 }
 
 // What is known of others
--- a/shell/core.h
+++ b/shell/core.h
@@ -8,6 +8,7 @@
 
 #include "control/contracts.h"
 #include "control/router.h"
+#include "shell/beacons.h"
 #include "shell/metrics.h"
 #include "shell/peers.h"
 #include "shell/runner.h"
@@ -51,7 +52,7 @@
     Core(const Settings &settings, CoreHooks hooks, Metrics &metrics);
     ~Core();
 
-    void start();
+    bool start(int peerPort); ///< @param peerPort of the RPC; beacons go by UDP on the same. @return false: taken
     void stop();
 
     std::shared_ptr<const ControlSnapshot> snapshot() const; ///< Any thread.
@@ -75,12 +76,14 @@
     void onPeerOffset(const VmId &peer, LogOffset upTo);
     void onPulled(const PulledContracts &pulled);
     void recordsFor(LogOffset offset, std::function<void(const PulledContracts &)> callback); ///< For a lagging peer.
+    std::int64_t beaconBytes() const { return m_beaconBytes; }
     LogOffset nextContractOffset() const { return m_nextToRead; }
 
 private:
     void post(std::function<void(Instant)> job);
     void tick();
     void gossipRound(Instant now);
+    void sendBeacon(Instant now);
     void keepSnapshot(Instant now);
     void publish();
     void publishFigures();
@@ -95,15 +98,19 @@
     ContractBook m_book;
     GossipBudget m_gossipBudget;
     PeerPicker m_picker;
+    BeaconPacer m_beaconPacer;
     asio::io_context m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::steady_timer m_timer;
+    BeaconSocket m_beacons;
+    std::atomic<std::int64_t> m_beaconBytes{0};
     std::thread m_thread;
     std::map<CallKey, std::shared_ptr<CallContext>> m_contexts;
     std::shared_ptr<const ControlSnapshot> m_snapshot; // by std::atomic_load and std::atomic_store
     std::atomic<LogOffset> m_contractsUpTo{0};
     std::atomic<LogOffset> m_nextToRead{0};
     std::atomic<bool> m_isStopping{false};
+    int m_beaconSize = 64; // bytes of the last one
     bool m_hasVmList = false;
     std::int64_t m_recordsRefused = 0;
     LogOffset m_lastSnapshot = 0;
--- a/shell/daemon.cpp
+++ b/shell/daemon.cpp
@@ -90,7 +90,7 @@
     hooks.gossip = [this](const PeerAddress &peer, const GossipMessage &message) { peers.gossip(peer, message); };
     hooks.pull = [this](const PeerAddress &peer, LogOffset offset) { peers.pull(peer, offset); };
     hooks.appendSnapshot = [this](const std::string &record) { followers.appendSnapshot(record); };
-    hooks.controlBytes = [this] { return peers.bytesSent(); };
+    hooks.controlBytes = [this] { return peers.bytesSent() + core.beaconBytes(); };
     hooks.peersRefused = [this] { return peers.refused(); };
     return hooks;
 }
@@ -147,7 +147,9 @@
         LOG(ERROR) << "front: cannot listen on " << settings.address << ':' << settings.httpPort;
         return false;
     }
-    core.start();
+    if (!core.start(peers.port())) {
+        return false;
+    }
     followers.start();
     LOG(INFO) << "daemon: '" << settings.name.text << "' listens on port " << server.port();
     return true;
@@ -226,7 +228,7 @@
 
 std::int64_t Daemon::controlBytesSent() const
 {
-    return m_impl->peers.bytesSent();
+    return m_impl->peers.bytesSent() + m_impl->core.beaconBytes();
 }
 
 } // namespace galenafold
--- a/shell/peers.cpp
+++ b/shell/peers.cpp
@@ -32,13 +32,6 @@
 {
     builder.setFrom(message.from.text.c_str());
     builder.setContractsUpTo(message.contractsUpTo);
-    builder.setIsComplete(message.isComplete);
-    auto loads = builder.initLoads(static_cast<unsigned>(message.loads.size()));
-    for (unsigned i = 0; i < loads.size(); ++i) {
-        loads[i].setEndpointHash(message.loads[i].endpointHash);
-        loads[i].setTotal(message.loads[i].total);
-        loads[i].setLongLane(message.loads[i].longLane);
-    }
     auto reports = builder.initReports(static_cast<unsigned>(message.reports.size()));
     for (unsigned i = 0; i < reports.size(); ++i) {
         reports[i].setEndpointHash(message.reports[i].endpointHash);
@@ -65,10 +58,6 @@
     GossipMessage message;
     message.from = {text(reader.getFrom())};
     message.contractsUpTo = reader.getContractsUpTo();
-    message.isComplete = reader.getIsComplete();
-    for (const auto load : reader.getLoads()) {
-        message.loads.push_back({load.getEndpointHash(), load.getTotal(), load.getLongLane()});
-    }
     for (const auto report : reader.getReports()) {
         message.reports.push_back({report.getEndpointHash(), report.getAgeMillis(), report.getSlots(),
                                    report.getInFlight(), report.getLongInFlight()});
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -4,7 +4,14 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("galenafold::wire");
 
-struct PeerLoad { endpointHash @0 :UInt32; total @1 :UInt16; longLane @2 :UInt16; }
+# Goes by UDP, packed: one-way, lossy, the newest counts. The lists run side by side.
+struct LoadBeacon {
+  from @0 :UInt32;
+  number @1 :UInt32;
+  endpoints @2 :List(UInt32);
+  totals @3 :List(UInt8);
+  longLanes @4 :List(UInt8);
+}
 
 struct ReportDigest {
   endpointHash @0 :UInt32;
@@ -21,12 +28,9 @@
 struct Gossip {
   from @0 :Text;
   contractsUpTo @1 :Int64;
-  isComplete @2 :Bool;
-  loads @3 :List(PeerLoad);
-  reports @4 :List(ReportDigest);
-  leaving @5 :List(LeavingMark);
-  demand @6 :List(CustomerDemand);
-  peerPort @7 :UInt16;
+  reports @2 :List(ReportDigest);
+  leaving @3 :List(LeavingMark);
+  demand @4 :List(CustomerDemand);
 }
 
 struct ContractRecord { offset @0 :Int64; value @1 :Text; }
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -7,21 +7,19 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
-namespace capnp
-{
-namespace schemas
-{
+namespace capnp {
+namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(a2a65710a8736051);
+CAPNP_DECLARE_SCHEMA(89d7e4adaefa4d18);
 CAPNP_DECLARE_SCHEMA(ff4c45233d2f6c9b);
 CAPNP_DECLARE_SCHEMA(e3491a2b6f4795ec);
 CAPNP_DECLARE_SCHEMA(ce8d53a7819db0e7);
@@ -39,3462 +37,3046 @@
 CAPNP_DECLARE_SCHEMA(90778e443dbcf9cb);
 CAPNP_DECLARE_SCHEMA(fdf633bb27d6754d);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
-namespace galenafold
-{
-namespace wire
-{
+namespace galenafold {
+namespace wire {
 
-struct PeerLoad {
-    PeerLoad() = delete;
+struct LoadBeacon {
+  LoadBeacon() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(a2a65710a8736051, 1, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct ReportDigest {
-    ReportDigest() = delete;
+  ReportDigest() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(ff4c45233d2f6c9b, 2, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ff4c45233d2f6c9b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct LeavingMark {
-    LeavingMark() = delete;
+  LeavingMark() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(e3491a2b6f4795ec, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e3491a2b6f4795ec, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct CustomerDemand {
-    CustomerDemand() = delete;
+  CustomerDemand() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(ce8d53a7819db0e7, 2, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce8d53a7819db0e7, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Gossip {
-    Gossip() = delete;
+  Gossip() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(bce8dbad57fce424, 2, 5)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bce8dbad57fce424, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct ContractRecord {
-    ContractRecord() = delete;
+  ContractRecord() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(d552e5ef580bcae9, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d552e5ef580bcae9, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct ClaimItem {
-    ClaimItem() = delete;
+  ClaimItem() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(97aa5b1c05ff88fe, 1, 6)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97aa5b1c05ff88fe, 1, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct ClaimAnswer {
-    ClaimAnswer() = delete;
+  ClaimAnswer() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(fdadeace3dd71776, 1, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fdadeace3dd71776, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer {
-    Peer() = delete;
+  Peer() = delete;
 
 #if !CAPNP_LITE
-    class Client;
-    class Server;
-#endif // !CAPNP_LITE
-
-    struct GossipParams;
-    struct GossipResults;
-    struct PullParams;
-    struct PullResults;
-    struct ClaimParams;
-    struct ClaimResults;
-    struct SettleParams;
-    struct SettleResults;
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-    struct _capnpPrivate {
-        CAPNP_DECLARE_INTERFACE_HEADER(e4ec4126049f2ed4)
-        static constexpr ::capnp::_::RawBrandedSchema const *brand() { return &schema->defaultBrand; }
-    };
-#endif // !CAPNP_LITE
+  struct GossipParams;
+  struct GossipResults;
+  struct PullParams;
+  struct PullResults;
+  struct ClaimParams;
+  struct ClaimResults;
+  struct SettleParams;
+  struct SettleResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(e4ec4126049f2ed4)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
 };
 
 struct Peer::GossipParams {
-    GossipParams() = delete;
+  GossipParams() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(82f1e995d1eaa3d8, 0, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(82f1e995d1eaa3d8, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::GossipResults {
-    GossipResults() = delete;
+  GossipResults() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(e42bb32a2bd9c154, 1, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e42bb32a2bd9c154, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::PullParams {
-    PullParams() = delete;
+  PullParams() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(8f3c363a9b78a417, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f3c363a9b78a417, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::PullResults {
-    PullResults() = delete;
+  PullResults() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(91a8f4c5a1bb799c, 0, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91a8f4c5a1bb799c, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::ClaimParams {
-    ClaimParams() = delete;
+  ClaimParams() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(fff3ff818dda729e, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fff3ff818dda729e, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::ClaimResults {
-    ClaimResults() = delete;
+  ClaimResults() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(f5d938cd66a5e274, 0, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f5d938cd66a5e274, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::SettleParams {
-    SettleParams() = delete;
+  SettleParams() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(90778e443dbcf9cb, 0, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90778e443dbcf9cb, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct Peer::SettleResults {
-    SettleResults() = delete;
+  SettleResults() = delete;
 
-    class Reader;
-    class Builder;
-    class Pipeline;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(fdf633bb27d6754d, 0, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const *brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fdf633bb27d6754d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
-class PeerLoad::Reader
-{
+class LoadBeacon::Reader {
 public:
-    typedef PeerLoad Reads;
+  typedef LoadBeacon Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint32_t getEndpointHash() const;
+  inline  ::uint32_t getFrom() const;
 
-    inline ::uint16_t getTotal() const;
+  inline  ::uint32_t getNumber() const;
 
-    inline ::uint16_t getLongLane() const;
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getEndpoints() const;
 
-private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class PeerLoad::Builder
-{
-public:
-    typedef PeerLoad Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline bool hasTotals() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getTotals() const;
 
-    inline ::uint32_t getEndpointHash();
-    inline void setEndpointHash(::uint32_t value);
+  inline bool hasLongLanes() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getLongLanes() const;
 
-    inline ::uint16_t getTotal();
-    inline void setTotal(::uint16_t value);
-
-    inline ::uint16_t getLongLane();
-    inline void setLongLane(::uint16_t value);
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadBeacon::Builder {
+public:
+  typedef LoadBeacon Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFrom();
+  inline void setFrom( ::uint32_t value);
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEndpoints(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownEndpoints();
+
+  inline bool hasTotals();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getTotals();
+  inline void setTotals( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTotals(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initTotals(unsigned int size);
+  inline void adoptTotals(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownTotals();
+
+  inline bool hasLongLanes();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getLongLanes();
+  inline void setLongLanes( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLongLanes(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initLongLanes(unsigned int size);
+  inline void adoptLongLanes(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownLongLanes();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PeerLoad::Pipeline
-{
+class LoadBeacon::Pipeline {
 public:
-    typedef PeerLoad Pipelines;
+  typedef LoadBeacon Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ReportDigest::Reader
-{
+class ReportDigest::Reader {
 public:
-    typedef ReportDigest Reads;
+  typedef ReportDigest Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint32_t getEndpointHash() const;
+  inline  ::uint32_t getEndpointHash() const;
 
-    inline ::uint16_t getAgeMillis() const;
+  inline  ::uint16_t getAgeMillis() const;
 
-    inline ::uint16_t getSlots() const;
+  inline  ::uint16_t getSlots() const;
 
-    inline ::uint16_t getInFlight() const;
+  inline  ::uint16_t getInFlight() const;
 
-    inline ::uint16_t getLongInFlight() const;
+  inline  ::uint16_t getLongInFlight() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class ReportDigest::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ReportDigest::Builder {
 public:
-    typedef ReportDigest Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ReportDigest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint32_t getEndpointHash();
-    inline void setEndpointHash(::uint32_t value);
+  inline  ::uint32_t getEndpointHash();
+  inline void setEndpointHash( ::uint32_t value);
 
-    inline ::uint16_t getAgeMillis();
-    inline void setAgeMillis(::uint16_t value);
+  inline  ::uint16_t getAgeMillis();
+  inline void setAgeMillis( ::uint16_t value);
 
-    inline ::uint16_t getSlots();
-    inline void setSlots(::uint16_t value);
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
 
-    inline ::uint16_t getInFlight();
-    inline void setInFlight(::uint16_t value);
+  inline  ::uint16_t getInFlight();
+  inline void setInFlight( ::uint16_t value);
 
-    inline ::uint16_t getLongInFlight();
-    inline void setLongInFlight(::uint16_t value);
+  inline  ::uint16_t getLongInFlight();
+  inline void setLongInFlight( ::uint16_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ReportDigest::Pipeline
-{
+class ReportDigest::Pipeline {
 public:
-    typedef ReportDigest Pipelines;
+  typedef ReportDigest Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class LeavingMark::Reader
-{
+class LeavingMark::Reader {
 public:
-    typedef LeavingMark Reads;
+  typedef LeavingMark Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasVm() const;
-    inline ::capnp::Text::Reader getVm() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
-    inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class LeavingMark::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingMark::Builder {
 public:
-    typedef LeavingMark Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef LeavingMark Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasVm();
-    inline ::capnp::Text::Builder getVm();
-    inline void setVm(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initVm(unsigned int size);
-    inline void adoptVm(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownVm();
-
-    inline ::uint64_t getIncarnation();
-    inline void setIncarnation(::uint64_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class LeavingMark::Pipeline
-{
+class LeavingMark::Pipeline {
 public:
-    typedef LeavingMark Pipelines;
+  typedef LeavingMark Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class CustomerDemand::Reader
-{
+class CustomerDemand::Reader {
 public:
-    typedef CustomerDemand Reads;
+  typedef CustomerDemand Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint32_t getCustomerHash() const;
+  inline  ::uint32_t getCustomerHash() const;
 
-    inline float getCallsPerSecond() const;
+  inline float getCallsPerSecond() const;
 
-    inline ::uint16_t getInProgress() const;
+  inline  ::uint16_t getInProgress() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class CustomerDemand::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CustomerDemand::Builder {
 public:
-    typedef CustomerDemand Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef CustomerDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint32_t getCustomerHash();
-    inline void setCustomerHash(::uint32_t value);
+  inline  ::uint32_t getCustomerHash();
+  inline void setCustomerHash( ::uint32_t value);
 
-    inline float getCallsPerSecond();
-    inline void setCallsPerSecond(float value);
+  inline float getCallsPerSecond();
+  inline void setCallsPerSecond(float value);
 
-    inline ::uint16_t getInProgress();
-    inline void setInProgress(::uint16_t value);
+  inline  ::uint16_t getInProgress();
+  inline void setInProgress( ::uint16_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class CustomerDemand::Pipeline
-{
+class CustomerDemand::Pipeline {
 public:
-    typedef CustomerDemand Pipelines;
+  typedef CustomerDemand Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Gossip::Reader
-{
+class Gossip::Reader {
 public:
-    typedef Gossip Reads;
+  typedef Gossip Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasFrom() const;
-    inline ::capnp::Text::Reader getFrom() const;
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
 
-    inline ::int64_t getContractsUpTo() const;
+  inline  ::int64_t getContractsUpTo() const;
 
-    inline bool getIsComplete() const;
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Reader getReports() const;
 
-    inline bool hasLoads() const;
-    inline ::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
 
-    inline bool hasReports() const;
-    inline ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Reader getReports() const;
-
-    inline bool hasLeaving() const;
-    inline ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Reader getLeaving() const;
-
-    inline bool hasDemand() const;
-    inline ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Reader getDemand() const;
-
-    inline ::uint16_t getPeerPort() const;
+  inline bool hasDemand() const;
+  inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Gossip::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Gossip::Builder {
 public:
-    typedef Gossip Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasFrom();
-    inline ::capnp::Text::Builder getFrom();
-    inline void setFrom(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initFrom(unsigned int size);
-    inline void adoptFrom(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownFrom();
-
-    inline ::int64_t getContractsUpTo();
-    inline void setContractsUpTo(::int64_t value);
-
-    inline bool getIsComplete();
-    inline void setIsComplete(bool value);
-
-    inline bool hasLoads();
-    inline ::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Builder getLoads();
-    inline void setLoads(::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-    inline void adoptLoads(::capnp::Orphan<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>> disownLoads();
-
-    inline bool hasReports();
-    inline ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Builder getReports();
-    inline void setReports(::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Builder initReports(
-        unsigned int size);
-    inline void adoptReports(
-        ::capnp::Orphan<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>> disownReports();
-
-    inline bool hasLeaving();
-    inline ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Builder getLeaving();
-    inline void setLeaving(::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Builder initLeaving(
-        unsigned int size);
-    inline void adoptLeaving(
-        ::capnp::Orphan<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>> disownLeaving();
-
-    inline bool hasDemand();
-    inline ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Builder getDemand();
-    inline void setDemand(::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Builder initDemand(
-        unsigned int size);
-    inline void adoptDemand(
-        ::capnp::Orphan<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>> disownDemand();
-
-    inline ::uint16_t getPeerPort();
-    inline void setPeerPort(::uint16_t value);
+  typedef Gossip Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline  ::int64_t getContractsUpTo();
+  inline void setContractsUpTo( ::int64_t value);
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>> disownReports();
+
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>> disownLeaving();
+
+  inline bool hasDemand();
+  inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder getDemand();
+  inline void setDemand( ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
+  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>> disownDemand();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Gossip::Pipeline
-{
+class Gossip::Pipeline {
 public:
-    typedef Gossip Pipelines;
+  typedef Gossip Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ContractRecord::Reader
-{
+class ContractRecord::Reader {
 public:
-    typedef ContractRecord Reads;
+  typedef ContractRecord Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::int64_t getOffset() const;
+  inline  ::int64_t getOffset() const;
 
-    inline bool hasValue() const;
-    inline ::capnp::Text::Reader getValue() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class ContractRecord::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ContractRecord::Builder {
 public:
-    typedef ContractRecord Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ContractRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline ::int64_t getOffset();
-    inline void setOffset(::int64_t value);
-
-    inline bool hasValue();
-    inline ::capnp::Text::Builder getValue();
-    inline void setValue(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initValue(unsigned int size);
-    inline void adoptValue(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownValue();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getOffset();
+  inline void setOffset( ::int64_t value);
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ContractRecord::Pipeline
-{
+class ContractRecord::Pipeline {
 public:
-    typedef ContractRecord Pipelines;
+  typedef ContractRecord Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ClaimItem::Reader
-{
+class ClaimItem::Reader {
 public:
-    typedef ClaimItem Reads;
+  typedef ClaimItem Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint8_t getKind() const;
+  inline  ::uint8_t getKind() const;
 
-    inline bool hasKey() const;
-    inline ::capnp::Text::Reader getKey() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-    inline bool hasNonce() const;
-    inline ::capnp::Text::Reader getNonce() const;
+  inline bool hasNonce() const;
+  inline  ::capnp::Text::Reader getNonce() const;
 
-    inline bool hasFingerprint() const;
-    inline ::capnp::Text::Reader getFingerprint() const;
+  inline bool hasFingerprint() const;
+  inline  ::capnp::Text::Reader getFingerprint() const;
 
-    inline ::uint32_t getWindowSeconds() const;
+  inline  ::uint32_t getWindowSeconds() const;
 
-    inline ::uint16_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
-    inline bool hasContentType() const;
-    inline ::capnp::Text::Reader getContentType() const;
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
-    inline bool hasBody() const;
-    inline ::capnp::Data::Reader getBody() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
-    inline bool getIsBodyKept() const;
+  inline bool getIsBodyKept() const;
 
-    inline bool hasFrom() const;
-    inline ::capnp::Text::Reader getFrom() const;
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class ClaimItem::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClaimItem::Builder {
 public:
-    typedef ClaimItem Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline ::uint8_t getKind();
-    inline void setKind(::uint8_t value);
-
-    inline bool hasKey();
-    inline ::capnp::Text::Builder getKey();
-    inline void setKey(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initKey(unsigned int size);
-    inline void adoptKey(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownKey();
-
-    inline bool hasNonce();
-    inline ::capnp::Text::Builder getNonce();
-    inline void setNonce(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initNonce(unsigned int size);
-    inline void adoptNonce(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownNonce();
-
-    inline bool hasFingerprint();
-    inline ::capnp::Text::Builder getFingerprint();
-    inline void setFingerprint(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initFingerprint(unsigned int size);
-    inline void adoptFingerprint(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownFingerprint();
-
-    inline ::uint32_t getWindowSeconds();
-    inline void setWindowSeconds(::uint32_t value);
-
-    inline ::uint16_t getStatus();
-    inline void setStatus(::uint16_t value);
-
-    inline bool hasContentType();
-    inline ::capnp::Text::Builder getContentType();
-    inline void setContentType(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initContentType(unsigned int size);
-    inline void adoptContentType(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownContentType();
-
-    inline bool hasBody();
-    inline ::capnp::Data::Builder getBody();
-    inline void setBody(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initBody(unsigned int size);
-    inline void adoptBody(::capnp::Orphan<::capnp::Data> &&value);
-    inline ::capnp::Orphan<::capnp::Data> disownBody();
-
-    inline bool getIsBodyKept();
-    inline void setIsBodyKept(bool value);
-
-    inline bool hasFrom();
-    inline ::capnp::Text::Builder getFrom();
-    inline void setFrom(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initFrom(unsigned int size);
-    inline void adoptFrom(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownFrom();
+  typedef ClaimItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasNonce();
+  inline  ::capnp::Text::Builder getNonce();
+  inline void setNonce( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
+
+  inline bool hasFingerprint();
+  inline  ::capnp::Text::Builder getFingerprint();
+  inline void setFingerprint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFingerprint();
+
+  inline  ::uint32_t getWindowSeconds();
+  inline void setWindowSeconds( ::uint32_t value);
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getIsBodyKept();
+  inline void setIsBodyKept(bool value);
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ClaimItem::Pipeline
-{
+class ClaimItem::Pipeline {
 public:
-    typedef ClaimItem Pipelines;
+  typedef ClaimItem Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ClaimAnswer::Reader
-{
+class ClaimAnswer::Reader {
 public:
-    typedef ClaimAnswer Reads;
+  typedef ClaimAnswer Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint8_t getResult() const;
+  inline  ::uint8_t getResult() const;
 
-    inline ::uint16_t getStatus() const;
+  inline  ::uint16_t getStatus() const;
 
-    inline bool hasContentType() const;
-    inline ::capnp::Text::Reader getContentType() const;
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
 
-    inline bool hasBody() const;
-    inline ::capnp::Data::Reader getBody() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
-    inline bool getIsBodyKept() const;
+  inline bool getIsBodyKept() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class ClaimAnswer::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClaimAnswer::Builder {
 public:
-    typedef ClaimAnswer Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ClaimAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline ::uint8_t getResult();
-    inline void setResult(::uint8_t value);
-
-    inline ::uint16_t getStatus();
-    inline void setStatus(::uint16_t value);
-
-    inline bool hasContentType();
-    inline ::capnp::Text::Builder getContentType();
-    inline void setContentType(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initContentType(unsigned int size);
-    inline void adoptContentType(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownContentType();
-
-    inline bool hasBody();
-    inline ::capnp::Data::Builder getBody();
-    inline void setBody(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initBody(unsigned int size);
-    inline void adoptBody(::capnp::Orphan<::capnp::Data> &&value);
-    inline ::capnp::Orphan<::capnp::Data> disownBody();
-
-    inline bool getIsBodyKept();
-    inline void setIsBodyKept(bool value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getResult();
+  inline void setResult( ::uint8_t value);
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getIsBodyKept();
+  inline void setIsBodyKept(bool value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ClaimAnswer::Pipeline
-{
+class ClaimAnswer::Pipeline {
 public:
-    typedef ClaimAnswer Pipelines;
+  typedef ClaimAnswer Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client : public virtual ::capnp::Capability::Client
-{
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-    typedef Peer Calls;
-    typedef Peer Reads;
-
-    Client(decltype(nullptr));
-    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
-    template<typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>>
-    Client(::kj::Own<_t> &&server);
-    template<typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
-    Client(::kj::Promise<_t> &&promise);
-    Client(::kj::Exception &&exception);
-    Client(Client &) = default;
-    Client(Client &&) = default;
-    Client &operator=(Client &other);
-    Client &operator=(Client &&other);
-
-    ::capnp::Request<::galenafold::wire::Peer::GossipParams, ::galenafold::wire::Peer::GossipResults> gossipRequest(
-        ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::galenafold::wire::Peer::PullParams, ::galenafold::wire::Peer::PullResults> pullRequest(
-        ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::galenafold::wire::Peer::ClaimParams, ::galenafold::wire::Peer::ClaimResults> claimRequest(
-        ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-    ::capnp::Request<::galenafold::wire::Peer::SettleParams, ::galenafold::wire::Peer::SettleResults> settleRequest(
-        ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::galenafold::wire::Peer::GossipParams,  ::galenafold::wire::Peer::GossipResults> gossipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafold::wire::Peer::PullParams,  ::galenafold::wire::Peer::PullResults> pullRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafold::wire::Peer::ClaimParams,  ::galenafold::wire::Peer::ClaimResults> claimRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::galenafold::wire::Peer::SettleParams,  ::galenafold::wire::Peer::SettleResults> settleRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-    Client() = default;
+  Client() = default;
 };
 
-class Peer::Server : public virtual ::capnp::Capability::Server
-{
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-    typedef Peer Serves;
+  typedef Peer Serves;
 
-    ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-        uint64_t interfaceId, uint16_t methodId,
-        ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
 protected:
-    typedef ::galenafold::wire::Peer::GossipParams GossipParams;
-    typedef ::galenafold::wire::Peer::GossipResults GossipResults;
-    typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
-    virtual ::kj::Promise<void> gossip(GossipContext context);
-    typedef ::galenafold::wire::Peer::PullParams PullParams;
-    typedef ::galenafold::wire::Peer::PullResults PullResults;
-    typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
-    virtual ::kj::Promise<void> pull(PullContext context);
-    typedef ::galenafold::wire::Peer::ClaimParams ClaimParams;
-    typedef ::galenafold::wire::Peer::ClaimResults ClaimResults;
-    typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
-    virtual ::kj::Promise<void> claim(ClaimContext context);
-    typedef ::galenafold::wire::Peer::SettleParams SettleParams;
-    typedef ::galenafold::wire::Peer::SettleResults SettleResults;
-    typedef ::capnp::CallContext<SettleParams, SettleResults> SettleContext;
-    virtual ::kj::Promise<void> settle(SettleContext context);
-
-    inline ::galenafold::wire::Peer::Client thisCap()
-    {
-        return ::capnp::Capability::Server::thisCap().template castAs<::galenafold::wire::Peer>();
-    }
-
-    ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-        uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif // !CAPNP_LITE
-
-class Peer::GossipParams::Reader
-{
+  typedef  ::galenafold::wire::Peer::GossipParams GossipParams;
+  typedef  ::galenafold::wire::Peer::GossipResults GossipResults;
+  typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
+  virtual ::kj::Promise<void> gossip(GossipContext context);
+  typedef  ::galenafold::wire::Peer::PullParams PullParams;
+  typedef  ::galenafold::wire::Peer::PullResults PullResults;
+  typedef ::capnp::CallContext<PullParams, PullResults> PullContext;
+  virtual ::kj::Promise<void> pull(PullContext context);
+  typedef  ::galenafold::wire::Peer::ClaimParams ClaimParams;
+  typedef  ::galenafold::wire::Peer::ClaimResults ClaimResults;
+  typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
+  virtual ::kj::Promise<void> claim(ClaimContext context);
+  typedef  ::galenafold::wire::Peer::SettleParams SettleParams;
+  typedef  ::galenafold::wire::Peer::SettleResults SettleResults;
+  typedef ::capnp::CallContext<SettleParams, SettleResults> SettleContext;
+  virtual ::kj::Promise<void> settle(SettleContext context);
+
+  inline  ::galenafold::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::galenafold::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::GossipParams::Reader {
 public:
-    typedef GossipParams Reads;
+  typedef GossipParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasMessage() const;
-    inline ::galenafold::wire::Gossip::Reader getMessage() const;
+  inline bool hasMessage() const;
+  inline  ::galenafold::wire::Gossip::Reader getMessage() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::GossipParams::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipParams::Builder {
 public:
-    typedef GossipParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef GossipParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasMessage();
-    inline ::galenafold::wire::Gossip::Builder getMessage();
-    inline void setMessage(::galenafold::wire::Gossip::Reader value);
-    inline ::galenafold::wire::Gossip::Builder initMessage();
-    inline void adoptMessage(::capnp::Orphan<::galenafold::wire::Gossip> &&value);
-    inline ::capnp::Orphan<::galenafold::wire::Gossip> disownMessage();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::galenafold::wire::Gossip::Builder getMessage();
+  inline void setMessage( ::galenafold::wire::Gossip::Reader value);
+  inline  ::galenafold::wire::Gossip::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::galenafold::wire::Gossip>&& value);
+  inline ::capnp::Orphan< ::galenafold::wire::Gossip> disownMessage();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::GossipParams::Pipeline
-{
+class Peer::GossipParams::Pipeline {
 public:
-    typedef GossipParams Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef GossipParams Pipelines;
 
-    inline ::galenafold::wire::Gossip::Pipeline getMessage();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafold::wire::Gossip::Pipeline getMessage();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::GossipResults::Reader
-{
+class Peer::GossipResults::Reader {
 public:
-    typedef GossipResults Reads;
+  typedef GossipResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::int64_t getContractsUpTo() const;
+  inline  ::int64_t getContractsUpTo() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::GossipResults::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipResults::Builder {
 public:
-    typedef GossipResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef GossipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::int64_t getContractsUpTo();
-    inline void setContractsUpTo(::int64_t value);
+  inline  ::int64_t getContractsUpTo();
+  inline void setContractsUpTo( ::int64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::GossipResults::Pipeline
-{
+class Peer::GossipResults::Pipeline {
 public:
-    typedef GossipResults Pipelines;
+  typedef GossipResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::PullParams::Reader
-{
+class Peer::PullParams::Reader {
 public:
-    typedef PullParams Reads;
+  typedef PullParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasFrom() const;
-    inline ::capnp::Text::Reader getFrom() const;
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
 
-    inline ::int64_t getOffset() const;
+  inline  ::int64_t getOffset() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::PullParams::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PullParams::Builder {
 public:
-    typedef PullParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef PullParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasFrom();
-    inline ::capnp::Text::Builder getFrom();
-    inline void setFrom(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initFrom(unsigned int size);
-    inline void adoptFrom(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownFrom();
-
-    inline ::int64_t getOffset();
-    inline void setOffset(::int64_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline  ::int64_t getOffset();
+  inline void setOffset( ::int64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PullParams::Pipeline
-{
+class Peer::PullParams::Pipeline {
 public:
-    typedef PullParams Pipelines;
+  typedef PullParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::PullResults::Reader
-{
+class Peer::PullResults::Reader {
 public:
-    typedef PullResults Reads;
+  typedef PullResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasRecords() const;
-    inline ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
-    inline bool hasSnapshot() const;
-    inline ::capnp::Text::Reader getSnapshot() const;
+  inline bool hasSnapshot() const;
+  inline  ::capnp::Text::Reader getSnapshot() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::PullResults::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PullResults::Builder {
 public:
-    typedef PullResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasRecords();
-    inline ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Builder getRecords();
-    inline void setRecords(::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Builder initRecords(
-        unsigned int size);
-    inline void adoptRecords(
-        ::capnp::Orphan<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>> &&value);
-    inline ::capnp::Orphan<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>> disownRecords();
-
-    inline bool hasSnapshot();
-    inline ::capnp::Text::Builder getSnapshot();
-    inline void setSnapshot(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initSnapshot(unsigned int size);
-    inline void adoptSnapshot(::capnp::Orphan<::capnp::Text> &&value);
-    inline ::capnp::Orphan<::capnp::Text> disownSnapshot();
+  typedef PullResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool hasSnapshot();
+  inline  ::capnp::Text::Builder getSnapshot();
+  inline void setSnapshot( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSnapshot(unsigned int size);
+  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSnapshot();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PullResults::Pipeline
-{
+class Peer::PullResults::Pipeline {
 public:
-    typedef PullResults Pipelines;
+  typedef PullResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::ClaimParams::Reader
-{
+class Peer::ClaimParams::Reader {
 public:
-    typedef ClaimParams Reads;
+  typedef ClaimParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasItem() const;
-    inline ::galenafold::wire::ClaimItem::Reader getItem() const;
+  inline bool hasItem() const;
+  inline  ::galenafold::wire::ClaimItem::Reader getItem() const;
 
-    inline ::uint32_t getPatienceMillis() const;
+  inline  ::uint32_t getPatienceMillis() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::ClaimParams::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ClaimParams::Builder {
 public:
-    typedef ClaimParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ClaimParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasItem();
-    inline ::galenafold::wire::ClaimItem::Builder getItem();
-    inline void setItem(::galenafold::wire::ClaimItem::Reader value);
-    inline ::galenafold::wire::ClaimItem::Builder initItem();
-    inline void adoptItem(::capnp::Orphan<::galenafold::wire::ClaimItem> &&value);
-    inline ::capnp::Orphan<::galenafold::wire::ClaimItem> disownItem();
-
-    inline ::uint32_t getPatienceMillis();
-    inline void setPatienceMillis(::uint32_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem();
+  inline  ::galenafold::wire::ClaimItem::Builder getItem();
+  inline void setItem( ::galenafold::wire::ClaimItem::Reader value);
+  inline  ::galenafold::wire::ClaimItem::Builder initItem();
+  inline void adoptItem(::capnp::Orphan< ::galenafold::wire::ClaimItem>&& value);
+  inline ::capnp::Orphan< ::galenafold::wire::ClaimItem> disownItem();
+
+  inline  ::uint32_t getPatienceMillis();
+  inline void setPatienceMillis( ::uint32_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimParams::Pipeline
-{
+class Peer::ClaimParams::Pipeline {
 public:
-    typedef ClaimParams Pipelines;
+  typedef ClaimParams Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
-
-    inline ::galenafold::wire::ClaimItem::Pipeline getItem();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafold::wire::ClaimItem::Pipeline getItem();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::ClaimResults::Reader
-{
+class Peer::ClaimResults::Reader {
 public:
-    typedef ClaimResults Reads;
+  typedef ClaimResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasAnswer() const;
-    inline ::galenafold::wire::ClaimAnswer::Reader getAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::galenafold::wire::ClaimAnswer::Reader getAnswer() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::ClaimResults::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ClaimResults::Builder {
 public:
-    typedef ClaimResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef ClaimResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasAnswer();
-    inline ::galenafold::wire::ClaimAnswer::Builder getAnswer();
-    inline void setAnswer(::galenafold::wire::ClaimAnswer::Reader value);
-    inline ::galenafold::wire::ClaimAnswer::Builder initAnswer();
-    inline void adoptAnswer(::capnp::Orphan<::galenafold::wire::ClaimAnswer> &&value);
-    inline ::capnp::Orphan<::galenafold::wire::ClaimAnswer> disownAnswer();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer();
+  inline  ::galenafold::wire::ClaimAnswer::Builder getAnswer();
+  inline void setAnswer( ::galenafold::wire::ClaimAnswer::Reader value);
+  inline  ::galenafold::wire::ClaimAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::galenafold::wire::ClaimAnswer>&& value);
+  inline ::capnp::Orphan< ::galenafold::wire::ClaimAnswer> disownAnswer();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ClaimResults::Pipeline
-{
+class Peer::ClaimResults::Pipeline {
 public:
-    typedef ClaimResults Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef ClaimResults Pipelines;
 
-    inline ::galenafold::wire::ClaimAnswer::Pipeline getAnswer();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafold::wire::ClaimAnswer::Pipeline getAnswer();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::SettleParams::Reader
-{
+class Peer::SettleParams::Reader {
 public:
-    typedef SettleParams Reads;
+  typedef SettleParams Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasItem() const;
-    inline ::galenafold::wire::ClaimItem::Reader getItem() const;
+  inline bool hasItem() const;
+  inline  ::galenafold::wire::ClaimItem::Reader getItem() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::SettleParams::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SettleParams::Builder {
 public:
-    typedef SettleParams Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef SettleParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasItem();
-    inline ::galenafold::wire::ClaimItem::Builder getItem();
-    inline void setItem(::galenafold::wire::ClaimItem::Reader value);
-    inline ::galenafold::wire::ClaimItem::Builder initItem();
-    inline void adoptItem(::capnp::Orphan<::galenafold::wire::ClaimItem> &&value);
-    inline ::capnp::Orphan<::galenafold::wire::ClaimItem> disownItem();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItem();
+  inline  ::galenafold::wire::ClaimItem::Builder getItem();
+  inline void setItem( ::galenafold::wire::ClaimItem::Reader value);
+  inline  ::galenafold::wire::ClaimItem::Builder initItem();
+  inline void adoptItem(::capnp::Orphan< ::galenafold::wire::ClaimItem>&& value);
+  inline ::capnp::Orphan< ::galenafold::wire::ClaimItem> disownItem();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::SettleParams::Pipeline
-{
+class Peer::SettleParams::Pipeline {
 public:
-    typedef SettleParams Pipelines;
-
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  typedef SettleParams Pipelines;
 
-    inline ::galenafold::wire::ClaimItem::Pipeline getItem();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+  inline  ::galenafold::wire::ClaimItem::Pipeline getItem();
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Peer::SettleResults::Reader
-{
+class Peer::SettleResults::Reader {
 public:
-    typedef SettleResults Reads;
+  typedef SettleResults Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructReader _reader;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
-};
-
-class Peer::SettleResults::Builder
-{
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SettleResults::Builder {
 public:
-    typedef SettleResults Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef SettleResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::SettleResults::Pipeline
-{
+class Peer::SettleResults::Pipeline {
 public:
-    typedef SettleResults Pipelines;
+  typedef SettleResults Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template<typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline ::uint32_t PeerLoad::Reader::getEndpointHash() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadBeacon::Reader::getFrom() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t PeerLoad::Builder::getEndpointHash()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadBeacon::Builder::getFrom() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PeerLoad::Builder::setEndpointHash(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LoadBeacon::Builder::setFrom( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t PeerLoad::Reader::getTotal() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadBeacon::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t PeerLoad::Builder::getTotal()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadBeacon::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerLoad::Builder::setTotal(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void LoadBeacon::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t PeerLoad::Reader::getLongLane() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool LoadBeacon::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadBeacon::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadBeacon::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadBeacon::Builder::setEndpoints( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void LoadBeacon::Builder::setEndpoints(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadBeacon::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadBeacon::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t PeerLoad::Builder::getLongLane()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool LoadBeacon::Reader::hasTotals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void PeerLoad::Builder::setLongLane(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool LoadBeacon::Builder::hasTotals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadBeacon::Reader::getTotals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::getTotals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadBeacon::Builder::setTotals( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LoadBeacon::Builder::setTotals(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::initTotals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadBeacon::Builder::adoptTotals(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> LoadBeacon::Builder::disownTotals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t ReportDigest::Reader::getEndpointHash() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool LoadBeacon::Reader::hasLongLanes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadBeacon::Builder::hasLongLanes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadBeacon::Reader::getLongLanes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::getLongLanes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadBeacon::Builder::setLongLanes( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void LoadBeacon::Builder::setLongLanes(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::initLongLanes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadBeacon::Builder::adoptLongLanes(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> LoadBeacon::Builder::disownLongLanes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ReportDigest::Reader::getEndpointHash() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t ReportDigest::Builder::getEndpointHash()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ReportDigest::Builder::getEndpointHash() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ReportDigest::Builder::setEndpointHash(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ReportDigest::Builder::setEndpointHash( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t ReportDigest::Reader::getAgeMillis() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ReportDigest::Builder::getAgeMillis()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ReportDigest::Builder::setAgeMillis(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ReportDigest::Builder::setAgeMillis( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t ReportDigest::Reader::getSlots() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ReportDigest::Builder::getSlots()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ReportDigest::Builder::setSlots(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void ReportDigest::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t ReportDigest::Reader::getInFlight() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Reader::getInFlight() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ReportDigest::Builder::getInFlight()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Builder::getInFlight() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ReportDigest::Builder::setInFlight(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void ReportDigest::Builder::setInFlight( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t ReportDigest::Reader::getLongInFlight() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Reader::getLongInFlight() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ReportDigest::Builder::getLongInFlight()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ReportDigest::Builder::getLongInFlight() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void ReportDigest::Builder::setLongInFlight(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void ReportDigest::Builder::setLongInFlight( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LeavingMark::Reader::hasVm() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool LeavingMark::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeavingMark::Builder::hasVm()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool LeavingMark::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader LeavingMark::Reader::getVm() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader LeavingMark::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder LeavingMark::Builder::getVm()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder LeavingMark::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LeavingMark::Builder::setVm(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-                                                   value);
+inline void LeavingMark::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder LeavingMark::Builder::initVm(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder LeavingMark::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void LeavingMark::Builder::adoptVm(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void LeavingMark::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> LeavingMark::Builder::disownVm()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> LeavingMark::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t LeavingMark::Reader::getIncarnation() const
-{
-    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LeavingMark::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t LeavingMark::Builder::getIncarnation()
-{
-    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LeavingMark::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeavingMark::Builder::setIncarnation(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void LeavingMark::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t CustomerDemand::Reader::getCustomerHash() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CustomerDemand::Reader::getCustomerHash() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t CustomerDemand::Builder::getCustomerHash()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CustomerDemand::Builder::getCustomerHash() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CustomerDemand::Builder::setCustomerHash(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CustomerDemand::Builder::setCustomerHash( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline float CustomerDemand::Reader::getCallsPerSecond() const
-{
-    return _reader.getDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline float CustomerDemand::Reader::getCallsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline float CustomerDemand::Builder::getCallsPerSecond()
-{
-    return _builder.getDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline float CustomerDemand::Builder::getCallsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CustomerDemand::Builder::setCallsPerSecond(float value)
-{
-    _builder.setDataField<float>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CustomerDemand::Builder::setCallsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t CustomerDemand::Reader::getInProgress() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t CustomerDemand::Reader::getInProgress() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t CustomerDemand::Builder::getInProgress()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t CustomerDemand::Builder::getInProgress() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CustomerDemand::Builder::setInProgress(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void CustomerDemand::Builder::setInProgress( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Gossip::Reader::hasFrom() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gossip::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasFrom()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Gossip::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Gossip::Reader::getFrom() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Gossip::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Gossip::Builder::getFrom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Gossip::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setFrom(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-                                                   value);
+inline void Gossip::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Gossip::Builder::initFrom(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Gossip::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptFrom(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Gossip::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Gossip::Builder::disownFrom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Gossip::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Gossip::Reader::getContractsUpTo() const
-{
-    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Gossip::Reader::getContractsUpTo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Gossip::Builder::getContractsUpTo()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Gossip::Builder::getContractsUpTo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setContractsUpTo(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Gossip::Builder::setContractsUpTo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Gossip::Reader::getIsComplete() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Gossip::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Gossip::Builder::getIsComplete()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool Gossip::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setIsComplete(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool Gossip::Reader::hasLoads() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline bool Gossip::Builder::hasLoads()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void Gossip::Builder::setReports( ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLoads() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLoads()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Gossip::Builder::adoptReports(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setLoads(::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportDigest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLoads(
-    unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline bool Gossip::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::adoptLoads(
-    ::capnp::Orphan<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline bool Gossip::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>> Gossip::Builder::
-    disownLoads()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::PeerLoad, ::capnp::Kind::STRUCT>>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool Gossip::Reader::hasReports() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline bool Gossip::Builder::hasReports()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline void Gossip::Builder::setLeaving( ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getReports() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLeaving(unsigned int size) {
