+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getReports()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Gossip::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setReports(
-    ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LeavingMark,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initReports(
-    unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline bool Gossip::Reader::hasDemand() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::adoptReports(
-    ::capnp::Orphan<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>> Gossip::Builder::
-    disownReports()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ReportDigest, ::capnp::Kind::STRUCT>>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Gossip::Reader::hasLeaving() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Gossip::Builder::hasLeaving()
-{
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLeaving() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLeaving()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Gossip::Builder::setLeaving(
-    ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLeaving(
-    unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline bool Gossip::Builder::hasDemand() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::adoptLeaving(
-    ::capnp::Orphan<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>> Gossip::Builder::
-    disownLeaving()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::LeavingMark, ::capnp::Kind::STRUCT>>::disown(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Gossip::Reader::hasDemand() const
-{
-    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool Gossip::Builder::hasDemand()
-{
-    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getDemand()
-    const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getDemand()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Gossip::Builder::setDemand(
-    ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initDemand(
-    unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::adoptDemand(
-    ::capnp::Orphan<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>> Gossip::Builder::
-    disownDemand()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::CustomerDemand, ::capnp::Kind::STRUCT>>::disown(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Gossip::Builder::setDemand( ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline ::uint16_t Gossip::Reader::getPeerPort() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline ::uint16_t Gossip::Builder::getPeerPort()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void Gossip::Builder::adoptDemand(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setPeerPort(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ContractRecord::Reader::getOffset() const
-{
-    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t ContractRecord::Reader::getOffset() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ContractRecord::Builder::getOffset()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t ContractRecord::Builder::getOffset() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ContractRecord::Builder::setOffset(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ContractRecord::Builder::setOffset( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ContractRecord::Reader::hasValue() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ContractRecord::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ContractRecord::Builder::hasValue()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ContractRecord::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ContractRecord::Reader::getValue() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ContractRecord::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ContractRecord::Builder::getValue()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ContractRecord::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ContractRecord::Builder::setValue(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-                                                   value);
+inline void ContractRecord::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ContractRecord::Builder::initValue(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ContractRecord::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ContractRecord::Builder::adoptValue(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ContractRecord::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ContractRecord::Builder::disownValue()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ContractRecord::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t ClaimItem::Reader::getKind() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t ClaimItem::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t ClaimItem::Builder::getKind()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t ClaimItem::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimItem::Builder::setKind(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimItem::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimItem::Reader::hasKey() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimItem::Builder::hasKey()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ClaimItem::Reader::getKey() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimItem::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::getKey()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimItem::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimItem::Builder::setKey(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimItem::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::initKey(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ClaimItem::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimItem::Builder::adoptKey(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimItem::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ClaimItem::Builder::disownKey()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ClaimItem::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimItem::Reader::hasNonce() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimItem::Builder::hasNonce()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ClaimItem::Reader::getNonce() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimItem::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::getNonce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimItem::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimItem::Builder::setNonce(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimItem::Builder::setNonce( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::initNonce(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ClaimItem::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ClaimItem::Builder::adoptNonce(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimItem::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ClaimItem::Builder::disownNonce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ClaimItem::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimItem::Reader::hasFingerprint() const
-{
-    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimItem::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimItem::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline bool ClaimItem::Builder::hasFingerprint()
-{
-    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::Text::Builder ClaimItem::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Reader ClaimItem::Reader::getFingerprint() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void ClaimItem::Builder::setFingerprint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::getFingerprint()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ClaimItem::Builder::setFingerprint(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-                                                   value);
-}
-inline ::capnp::Text::Builder ClaimItem::Builder::initFingerprint(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void ClaimItem::Builder::adoptFingerprint(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> ClaimItem::Builder::disownFingerprint()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimItem::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ClaimItem::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimItem::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t ClaimItem::Reader::getWindowSeconds() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+inline  ::uint32_t ClaimItem::Reader::getWindowSeconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-inline ::uint32_t ClaimItem::Builder::getWindowSeconds()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ClaimItem::Builder::getWindowSeconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ClaimItem::Builder::setWindowSeconds(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ClaimItem::Builder::setWindowSeconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t ClaimItem::Reader::getStatus() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ClaimItem::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ClaimItem::Builder::getStatus()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ClaimItem::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ClaimItem::Builder::setStatus(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ClaimItem::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimItem::Reader::hasContentType() const
-{
-    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimItem::Builder::hasContentType()
-{
-    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ClaimItem::Reader::getContentType() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimItem::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::getContentType()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimItem::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ClaimItem::Builder::setContentType(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimItem::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::initContentType(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ClaimItem::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ClaimItem::Builder::adoptContentType(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimItem::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ClaimItem::Builder::disownContentType()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ClaimItem::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimItem::Reader::hasBody() const
-{
-    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimItem::Builder::hasBody()
-{
-    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ClaimItem::Reader::getBody() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ClaimItem::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ClaimItem::Builder::getBody()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ClaimItem::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ClaimItem::Builder::setBody(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimItem::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ClaimItem::Builder::initBody(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder ClaimItem::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ClaimItem::Builder::adoptBody(::capnp::Orphan<::capnp::Data> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimItem::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ClaimItem::Builder::disownBody()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ClaimItem::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimItem::Reader::getIsBodyKept() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ClaimItem::Reader::getIsBodyKept() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool ClaimItem::Builder::getIsBodyKept()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ClaimItem::Builder::getIsBodyKept() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void ClaimItem::Builder::setIsBodyKept(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void ClaimItem::Builder::setIsBodyKept(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimItem::Reader::hasFrom() const
-{
-    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimItem::Builder::hasFrom()
-{
-    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline bool ClaimItem::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ClaimItem::Reader::getFrom() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimItem::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::getFrom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimItem::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void ClaimItem::Builder::setFrom(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimItem::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ClaimItem::Builder::initFrom(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ClaimItem::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void ClaimItem::Builder::adoptFrom(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimItem::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ClaimItem::Builder::disownFrom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ClaimItem::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline ::uint8_t ClaimAnswer::Reader::getResult() const
-{
-    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t ClaimAnswer::Reader::getResult() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t ClaimAnswer::Builder::getResult()
-{
-    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint8_t ClaimAnswer::Builder::getResult() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimAnswer::Builder::setResult(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimAnswer::Builder::setResult( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t ClaimAnswer::Reader::getStatus() const
-{
-    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ClaimAnswer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t ClaimAnswer::Builder::getStatus()
-{
-    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ClaimAnswer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ClaimAnswer::Builder::setStatus(::uint16_t value)
-{
-    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ClaimAnswer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimAnswer::Reader::hasContentType() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ClaimAnswer::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimAnswer::Builder::hasContentType()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ClaimAnswer::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ClaimAnswer::Reader::getContentType() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ClaimAnswer::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ClaimAnswer::Builder::getContentType()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ClaimAnswer::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimAnswer::Builder::setContentType(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ClaimAnswer::Builder::initContentType(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder ClaimAnswer::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimAnswer::Builder::adoptContentType(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimAnswer::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ClaimAnswer::Builder::disownContentType()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ClaimAnswer::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimAnswer::Reader::hasBody() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool ClaimAnswer::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ClaimAnswer::Builder::hasBody()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool ClaimAnswer::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ClaimAnswer::Reader::getBody() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ClaimAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ClaimAnswer::Builder::getBody()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ClaimAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimAnswer::Builder::setBody(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-                                                   value);
+inline void ClaimAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ClaimAnswer::Builder::initBody(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder ClaimAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ClaimAnswer::Builder::adoptBody(::capnp::Orphan<::capnp::Data> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimAnswer::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ClaimAnswer::Builder::disownBody()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ClaimAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimAnswer::Reader::getIsBodyKept() const
-{
-    return _reader.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ClaimAnswer::Reader::getIsBodyKept() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool ClaimAnswer::Builder::getIsBodyKept()
-{
-    return _builder.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool ClaimAnswer::Builder::getIsBodyKept() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void ClaimAnswer::Builder::setIsBodyKept(bool value)
-{
-    _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void ClaimAnswer::Builder::setIsBodyKept(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr)
-{
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Peer::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::galenafold::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::galenafold::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
-inline Peer::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
-    : ::capnp::Capability::Client(::kj::mv(hook))
-{
+
+#endif  // !CAPNP_LITE
+inline bool Peer::GossipParams::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GossipParams::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafold::wire::Gossip::Reader Peer::GossipParams::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::Gossip>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-template<typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t> &&server)
-    : ::capnp::Capability::Client(::kj::mv(server))
-{
+inline  ::galenafold::wire::Gossip::Builder Peer::GossipParams::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::Gossip>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::galenafold::wire::Gossip::Pipeline Peer::GossipParams::Pipeline::getMessage() {
+  return  ::galenafold::wire::Gossip::Pipeline(_typeless.getPointerField(0));
 }
-template<typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t> &&promise)
-    : ::capnp::Capability::Client(::kj::mv(promise))
-{
+#endif  // !CAPNP_LITE
+inline void Peer::GossipParams::Builder::setMessage( ::galenafold::wire::Gossip::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::Gossip>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline Peer::Client::Client(::kj::Exception &&exception)
-    : ::capnp::Capability::Client(::kj::mv(exception))
-{
+inline  ::galenafold::wire::Gossip::Builder Peer::GossipParams::Builder::initMessage() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::Gossip>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::galenafold::wire::Peer::Client &Peer::Client::operator=(Client &other)
-{
-    ::capnp::Capability::Client::operator=(other);
-    return *this;
+inline void Peer::GossipParams::Builder::adoptMessage(
+    ::capnp::Orphan< ::galenafold::wire::Gossip>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::Gossip>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::galenafold::wire::Peer::Client &Peer::Client::operator=(Client &&other)
-{
-    ::capnp::Capability::Client::operator=(kj::mv(other));
-    return *this;
+inline ::capnp::Orphan< ::galenafold::wire::Gossip> Peer::GossipParams::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::Gossip>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#endif // !CAPNP_LITE
-inline bool Peer::GossipParams::Reader::hasMessage() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::int64_t Peer::GossipResults::Reader::getContractsUpTo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Peer::GossipParams::Builder::hasMessage()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::int64_t Peer::GossipResults::Builder::getContractsUpTo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::GossipResults::Builder::setContractsUpTo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::galenafold::wire::Gossip::Reader Peer::GossipParams::Reader::getMessage() const
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::Gossip>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool Peer::PullParams::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::galenafold::wire::Gossip::Builder Peer::GossipParams::Builder::getMessage()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::Gossip>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Peer::PullParams::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline ::galenafold::wire::Gossip::Pipeline Peer::GossipParams::Pipeline::getMessage()
-{
-    return ::galenafold::wire::Gossip::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Reader Peer::PullParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif // !CAPNP_LITE
-inline void Peer::GossipParams::Builder::setMessage(::galenafold::wire::Gossip::Reader value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::Gossip>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder Peer::PullParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::galenafold::wire::Gossip::Builder Peer::GossipParams::Builder::initMessage()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::Gossip>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::PullParams::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::GossipParams::Builder::adoptMessage(::capnp::Orphan<::galenafold::wire::Gossip> &&value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::Gossip>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder Peer::PullParams::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan<::galenafold::wire::Gossip> Peer::GossipParams::Builder::disownMessage()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::Gossip>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::PullParams::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::PullParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Peer::GossipResults::Reader::getContractsUpTo() const
-{
-    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Peer::PullParams::Reader::getOffset() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Peer::GossipResults::Builder::getContractsUpTo()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t Peer::PullParams::Builder::getOffset() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::GossipResults::Builder::setContractsUpTo(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::PullParams::Builder::setOffset( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::PullParams::Reader::hasFrom() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::PullResults::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::PullParams::Builder::hasFrom()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::PullResults::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Peer::PullParams::Reader::getFrom() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Reader Peer::PullResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Peer::PullParams::Builder::getFrom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Builder Peer::PullResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::PullParams::Builder::setFrom(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-                                                   value);
+inline void Peer::PullResults::Builder::setRecords( ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Peer::PullParams::Builder::initFrom(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>::Builder Peer::PullResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::PullParams::Builder::adoptFrom(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::PullResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Peer::PullParams::Builder::disownFrom()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>> Peer::PullResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ContractRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Peer::PullParams::Reader::getOffset() const
-{
-    return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::PullResults::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::int64_t Peer::PullParams::Builder::getOffset()
-{
-    return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::PullResults::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Peer::PullParams::Builder::setOffset(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Peer::PullResults::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool Peer::PullResults::Reader::hasRecords() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::Text::Builder Peer::PullResults::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline bool Peer::PullResults::Builder::hasRecords()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void Peer::PullResults::Builder::setSnapshot( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Reader Peer::PullResults::Reader::
-    getRecords() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Peer::PullResults::Builder::initSnapshot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Builder Peer::PullResults::Builder::
-    getRecords()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::PullResults::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::PullResults::Builder::setRecords(
-    ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline ::capnp::Orphan< ::capnp::Text> Peer::PullResults::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>::Builder Peer::PullResults::Builder::
-    initRecords(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline bool Peer::ClaimParams::Reader::hasItem() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Peer::PullResults::Builder::adoptRecords(
-    ::capnp::Orphan<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>> Peer::PullResults::
-    Builder::disownRecords()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::galenafold::wire::ContractRecord, ::capnp::Kind::STRUCT>>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::PullResults::Reader::hasSnapshot() const
-{
-    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::PullResults::Builder::hasSnapshot()
-{
-    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader Peer::PullResults::Reader::getSnapshot() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Peer::PullResults::Builder::getSnapshot()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::PullResults::Builder::setSnapshot(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-                                                   value);
-}
-inline ::capnp::Text::Builder Peer::PullResults::Builder::initSnapshot(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Peer::PullResults::Builder::adoptSnapshot(::capnp::Orphan<::capnp::Text> &&value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Peer::PullResults::Builder::disownSnapshot()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::ClaimParams::Reader::hasItem() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ClaimParams::Builder::hasItem()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::galenafold::wire::ClaimItem::Reader Peer::ClaimParams::Reader::getItem() const
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::galenafold::wire::ClaimItem::Builder Peer::ClaimParams::Builder::getItem()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Peer::ClaimParams::Builder::hasItem() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafold::wire::ClaimItem::Reader Peer::ClaimParams::Reader::getItem() const {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafold::wire::ClaimItem::Builder Peer::ClaimParams::Builder::getItem() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::galenafold::wire::ClaimItem::Pipeline Peer::ClaimParams::Pipeline::getItem()
-{
-    return ::galenafold::wire::ClaimItem::Pipeline(_typeless.getPointerField(0));
+inline  ::galenafold::wire::ClaimItem::Pipeline Peer::ClaimParams::Pipeline::getItem() {
+  return  ::galenafold::wire::ClaimItem::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void Peer::ClaimParams::Builder::setItem(::galenafold::wire::ClaimItem::Reader value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Peer::ClaimParams::Builder::setItem( ::galenafold::wire::ClaimItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::galenafold::wire::ClaimItem::Builder Peer::ClaimParams::Builder::initItem()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::galenafold::wire::ClaimItem::Builder Peer::ClaimParams::Builder::initItem() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ClaimParams::Builder::adoptItem(::capnp::Orphan<::galenafold::wire::ClaimItem> &&value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::ClaimParams::Builder::adoptItem(
+    ::capnp::Orphan< ::galenafold::wire::ClaimItem>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::galenafold::wire::ClaimItem> Peer::ClaimParams::Builder::disownItem()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::galenafold::wire::ClaimItem> Peer::ClaimParams::Builder::disownItem() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Peer::ClaimParams::Reader::getPatienceMillis() const
-{
-    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Peer::ClaimParams::Reader::getPatienceMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Peer::ClaimParams::Builder::getPatienceMillis()
-{
-    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Peer::ClaimParams::Builder::getPatienceMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ClaimParams::Builder::setPatienceMillis(::uint32_t value)
-{
-    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ClaimParams::Builder::setPatienceMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ClaimResults::Reader::hasAnswer() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ClaimResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ClaimResults::Builder::hasAnswer()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ClaimResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::galenafold::wire::ClaimAnswer::Reader Peer::ClaimResults::Reader::getAnswer() const
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimAnswer>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::galenafold::wire::ClaimAnswer::Reader Peer::ClaimResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::galenafold::wire::ClaimAnswer::Builder Peer::ClaimResults::Builder::getAnswer()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimAnswer>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::galenafold::wire::ClaimAnswer::Builder Peer::ClaimResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::galenafold::wire::ClaimAnswer::Pipeline Peer::ClaimResults::Pipeline::getAnswer()
-{
-    return ::galenafold::wire::ClaimAnswer::Pipeline(_typeless.getPointerField(0));
-}
-#endif // !CAPNP_LITE
-inline void Peer::ClaimResults::Builder::setAnswer(::galenafold::wire::ClaimAnswer::Reader value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::ClaimAnswer>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::galenafold::wire::ClaimAnswer::Builder Peer::ClaimResults::Builder::initAnswer()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimAnswer>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ClaimResults::Builder::adoptAnswer(::capnp::Orphan<::galenafold::wire::ClaimAnswer> &&value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::ClaimAnswer>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::galenafold::wire::ClaimAnswer> Peer::ClaimResults::Builder::disownAnswer()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimAnswer>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::SettleParams::Reader::hasItem() const
-{
-    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SettleParams::Builder::hasItem()
-{
-    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::galenafold::wire::ClaimItem::Reader Peer::SettleParams::Reader::getItem() const
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::get(
-        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::galenafold::wire::ClaimItem::Builder Peer::SettleParams::Builder::getItem()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::get(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::galenafold::wire::ClaimAnswer::Pipeline Peer::ClaimResults::Pipeline::getAnswer() {
+  return  ::galenafold::wire::ClaimAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ClaimResults::Builder::setAnswer( ::galenafold::wire::ClaimAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::galenafold::wire::ClaimAnswer::Builder Peer::ClaimResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ClaimResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::galenafold::wire::ClaimAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::galenafold::wire::ClaimAnswer> Peer::ClaimResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SettleParams::Reader::hasItem() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SettleParams::Builder::hasItem() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::galenafold::wire::ClaimItem::Reader Peer::SettleParams::Reader::getItem() const {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::galenafold::wire::ClaimItem::Builder Peer::SettleParams::Builder::getItem() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::galenafold::wire::ClaimItem::Pipeline Peer::SettleParams::Pipeline::getItem()
-{
-    return ::galenafold::wire::ClaimItem::Pipeline(_typeless.getPointerField(0));
+inline  ::galenafold::wire::ClaimItem::Pipeline Peer::SettleParams::Pipeline::getItem() {
+  return  ::galenafold::wire::ClaimItem::Pipeline(_typeless.getPointerField(0));
 }
-#endif // !CAPNP_LITE
-inline void Peer::SettleParams::Builder::setItem(::galenafold::wire::ClaimItem::Reader value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::set(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void Peer::SettleParams::Builder::setItem( ::galenafold::wire::ClaimItem::Reader value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::galenafold::wire::ClaimItem::Builder Peer::SettleParams::Builder::initItem()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::init(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::galenafold::wire::ClaimItem::Builder Peer::SettleParams::Builder::initItem() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::SettleParams::Builder::adoptItem(::capnp::Orphan<::galenafold::wire::ClaimItem> &&value)
-{
-    ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::adopt(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::SettleParams::Builder::adoptItem(
+    ::capnp::Orphan< ::galenafold::wire::ClaimItem>&& value) {
+  ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::galenafold::wire::ClaimItem> Peer::SettleParams::Builder::disownItem()
-{
-    return ::capnp::_::PointerHelpers<::galenafold::wire::ClaimItem>::disown(
-        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::galenafold::wire::ClaimItem> Peer::SettleParams::Builder::disownItem() {
+  return ::capnp::_::PointerHelpers< ::galenafold::wire::ClaimItem>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-} // namespace wire
-} // namespace galenafold
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
