Tell peers of each start at once, and the whole count only now and then

Change: a start notice of some 54 bytes counts until the call should have ended; whole counts keep their bytes; borrowing is slow while some peer is not heard.

--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr double budgetDepthSeconds = 0.5; // of traffic that may be saved up
-constexpr double beaconPart = 0.6;         // of the byte budget; the rest is for gossip
-constexpr auto heartbeatEvery = std::chrono::milliseconds(500);
+constexpr double beaconPart = 0.85;        // of the byte budget; the rest is for gossip
+constexpr auto heartbeatEvery = std::chrono::milliseconds(700);
 
 std::uint32_t endpointHash(const VmId &endpoint)
 {
@@ -24,13 +24,19 @@
 {
 }
 
-bool BeaconPacer::take(Instant now, int bytes, bool hasChanged)
+void BeaconPacer::fill(Instant now)
 {
     const double rate = m_settings.bytesPerSecond * beaconPart;
     const double depth = rate * budgetDepthSeconds;
     const double elapsed = std::chrono::duration<double>(now - m_filled).count();
     m_bytes = std::min(depth, m_bytes + elapsed * rate);
     m_filled = now;
+}
+
+bool BeaconPacer::take(Instant now, int bytes, bool hasChanged)
+{
+    fill(now);
+    m_beaconBytes = bytes;
     const bool isDue = hasChanged || now >= m_heartbeatAt;
     if (!isDue || bytes > m_bytes) {
         return false;
@@ -40,6 +46,17 @@
     return true;
 }
 
+bool BeaconPacer::takeStart(Instant now, int bytes)
+{
+    fill(now);
+    const double spared = now + heartbeatEvery / 2 > m_heartbeatAt ? m_beaconBytes : 0; // for the whole count
+    if (bytes + spared > m_bytes) {
+        return false;
+    }
+    m_bytes -= bytes;
+    return true;
+}
+
 // Budget
 
 GossipBudget::GossipBudget(const GossipSettings &settings)
@@ -103,7 +120,13 @@
     }
     peer.heard = now;
     peer.number = beacon.number;
-    peer.loads = beacon.loads;
+    if (beacon.isStart) {
+        peer.starts.push_back({beacon.start, now + std::chrono::milliseconds(beacon.start.lastsMillis)});
+        return;
+    }
+    peer.loads = beacon.loads; // names all calls that last; of the others, starts stay until they should have ended
+    const auto isCovered = [](const CountedStart &start) { return start.notice.lastsMillis >= briefCallMillis; };
+    peer.starts.erase(std::remove_if(peer.starts.begin(), peer.starts.end(), isCovered), peer.starts.end());
 }
 
 void PeerLoads::keepOnly(const std::vector<VmId> &peers)
@@ -118,7 +141,7 @@
     m_peers.swap(kept);
 }
 
-void PeerLoads::apply(Instant now, const std::vector<VmId> &peers, LoadView &view) const
+void PeerLoads::apply(Instant now, const std::vector<VmId> &peers, LoadView &view)
 {
     std::unordered_map<std::uint32_t, InFlight> sums;
     Instant asOf = now;
@@ -134,6 +157,14 @@
             sum.total += load.total;
             sum.longLane += load.longLane;
         }
+        std::vector<CountedStart> &starts = peer->second.starts;
+        const auto hasEnded = [now](const CountedStart &start) { return start.until <= now; };
+        starts.erase(std::remove_if(starts.begin(), starts.end(), hasEnded), starts.end());
+        for (const CountedStart &start : starts) {
+            InFlight &sum = sums[start.notice.endpointHash];
+            sum.total += 1;
+            sum.longLane += start.notice.isLong ? 1 : 0;
+        }
     }
     view.setPeersAsOf(asOf);
     for (std::size_t i = 0; i < view.size(); ++i) {
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -44,13 +44,23 @@
     std::uint16_t longLane = 0;
 };
 
-/// A router's own calls in progress, told to all peers as they change, as often as bytes allow. Lossy: the newest
-/// counts. In a small fleet it makes every router's view nearly exact; in a large one the budget stops it, and reports
-/// serve.
+constexpr std::uint16_t briefCallMillis = 300; // a call expected to end before is told as a start only
+
+/// One call that has just started. It counts until it should have ended, so its end need not be told.
+struct StartNotice {
+    std::uint32_t endpointHash = 0;
+    std::uint16_t lastsMillis = 0; // expected
+    bool isLong = false;
+};
+
+/// A router's own calls in progress, told to all peers as often as bytes allow. Lossy: the newest counts. In a small
+/// fleet it makes every router's view nearly exact; in a large one the budget stops it, and reports serve.
 struct LoadBeacon {
-    std::uint32_t from = 0;      // hash of the VM's name
-    std::uint32_t number = 0;    // rises; an older beacon is ignored
-    std::vector<PeerLoad> loads; // endpoints where the sender has calls
+    std::uint32_t from = 0;   // hash of the VM's name
+    std::uint32_t number = 0; // rises; an older beacon is ignored
+    bool isStart = false;     // only `start` is set
+    StartNotice start;
+    std::vector<PeerLoad> loads; // endpoints where the sender has calls that last; brief ones are told as starts only
 };
 
 /// When to send beacons.
@@ -62,11 +72,17 @@
     /// @param bytes of a beacon to all peers. @param hasChanged since the last. @return true: send it now
     bool take(Instant now, int bytes, bool hasChanged);
 
+    /// @param bytes of a start notice to all peers. @return true: send it now
+    bool takeStart(Instant now, int bytes);
+
 private:
+    void fill(Instant now);
+
     GossipSettings m_settings;
     double m_bytes = 0;
     Instant m_filled{};
     Instant m_heartbeatAt{};
+    int m_beaconBytes = 0; // of the last whole count to all peers
 };
 
 // Budget
@@ -109,16 +125,21 @@
     void onBeacon(Instant now, const LoadBeacon &beacon);
 
     /// Puts the sums of peers' calls into the view, if all live peers were heard lately.
-    void apply(Instant now, const std::vector<VmId> &peers, LoadView &view) const;
+    void apply(Instant now, const std::vector<VmId> &peers, LoadView &view);
 
     /// Forgets peers that are no longer live.
     void keepOnly(const std::vector<VmId> &peers);
 
 private:
+    struct CountedStart {
+        StartNotice notice;
+        Instant until{};
+    };
     struct Peer {
         Instant heard{};
         std::uint32_t number = 0;
         std::vector<PeerLoad> loads;
+        std::vector<CountedStart> starts;
     };
 
     Span m_silentAfter;
--- a/control/router.cpp
+++ b/control/router.cpp
@@ -9,7 +9,6 @@
 
 constexpr auto sharesEvery = std::chrono::milliseconds(100);
 constexpr auto slowChecksEvery = std::chrono::milliseconds(250);
-constexpr double secondsWorthTelling = 0.3;
 constexpr double hedgeBurst = 3;
 constexpr int naiveRetries = 3; // of the naive policy: a fixed count for each call
 constexpr std::size_t mostDemandTold = 32;
@@ -32,6 +31,11 @@
     onMembershipChanged();
 }
 
+static std::uint16_t narrowed(double value)
+{
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, 65535.0));
+}
+
 std::string Router::classKey(const Call &call)
 {
     return call.customer.text + '/' + call.taskClass;
@@ -153,7 +157,7 @@
     }
     ++m_counts.placements[placement.by];
     m_view.onSent(now, placement.endpoint, active.call.lane);
-    m_hasLoadChanged = m_hasLoadChanged || isWorthTelling(active.call);
+    noteStarted(active.call, placement.endpoint);
     m_placer.onStarted(placement);
     StartAttempt start;
     start.call = active.call.key;
@@ -183,18 +187,31 @@
     }
 }
 
-/// A call that ends before peers hear of it is not worth a beacon of its own.
-bool Router::isWorthTelling(const Call &call) const
+std::chrono::milliseconds Router::expectedTime(const Call &call) const
 {
     const double prefill = call.prompt / m_settings.placement.prefillTokensPerSecond;
     const double decode = call.output / m_settings.placement.decodeTokensPerSecond;
-    return prefill + decode > secondsWorthTelling;
+    return std::chrono::milliseconds(static_cast<std::int64_t>((prefill + decode) * 1000));
+}
+
+bool Router::isBrief(const Call &call) const
+{
+    return expectedTime(call).count() < briefCallMillis;
+}
+
+void Router::noteStarted(const Call &call, EndpointSlot endpoint)
+{
+    StartNotice notice;
+    notice.endpointHash = static_cast<std::uint32_t>(m_view.at(endpoint).hash);
+    notice.lastsMillis = narrowed(static_cast<double>(expectedTime(call).count()));
+    notice.isLong = call.lane == Lane::Long;
+    m_starts.push_back(notice);
 }
 
 void Router::noteEnded(Instant now, EndpointSlot endpoint, const Call &call)
 {
     m_view.onEnded(now, endpoint, call.lane);
-    m_hasLoadChanged = m_hasLoadChanged || isWorthTelling(call);
+    m_hasLoadChanged = m_hasLoadChanged || !isBrief(call); // the end of a brief call is known by its start
 }
 
 void Router::endCall(Instant now, CallKey key)
@@ -519,11 +536,6 @@
     m_peerLoads.apply(now, m_peers, m_view);
 }
 
-static std::uint16_t narrowed(double value)
-{
-    return static_cast<std::uint16_t>(std::clamp(value, 0.0, 65535.0));
-}
-
 GossipMessage Router::gossip(Instant now) const
 {
     GossipMessage message;
@@ -558,18 +570,39 @@
 
 LoadBeacon Router::beacon()
 {
+    std::map<EndpointSlot, InFlight> lasting;
+    for (const auto &[key, active] : m_calls) {
+        for (const Attempt &attempt : active.live) {
+            if (!isBrief(active.call)) {
+                lasting[attempt.endpoint].total += 1;
+                lasting[attempt.endpoint].longLane += active.call.lane == Lane::Long ? 1 : 0;
+            }
+        }
+    }
     LoadBeacon beacon;
     beacon.from = endpointHash(m_settings.name);
     beacon.number = ++m_beacons;
-    for (std::size_t i = 0; i < m_view.size(); ++i) {
-        const EndpointLoad &endpoint = m_view.at(static_cast<EndpointSlot>(i));
-        if (endpoint.own.total > 0) {
-            const auto hash = static_cast<std::uint32_t>(endpoint.hash);
-            beacon.loads.push_back({hash, narrowed(endpoint.own.total), narrowed(endpoint.own.longLane)});
-        }
+    for (const auto &[slot, count] : lasting) {
+        const auto hash = static_cast<std::uint32_t>(m_view.at(slot).hash);
+        beacon.loads.push_back({hash, narrowed(count.total), narrowed(count.longLane)});
     }
     m_hasLoadChanged = false;
     return beacon;
 }
 
+std::vector<LoadBeacon> Router::takeStarts()
+{
+    std::vector<LoadBeacon> beacons;
+    for (const StartNotice &notice : m_starts) {
+        LoadBeacon beacon;
+        beacon.from = endpointHash(m_settings.name);
+        beacon.number = ++m_beacons;
+        beacon.isStart = true;
+        beacon.start = notice;
+        beacons.push_back(beacon);
+    }
+    m_starts.clear();
+    return beacons;
+}
+
 } // namespace galenafold
--- a/control/router.h
+++ b/control/router.h
@@ -94,6 +94,7 @@
 
     /// @return own calls in progress, for all peers; the change that it tells is then taken as told
     LoadBeacon beacon();
+    std::vector<LoadBeacon> takeStarts(); ///< @return calls that started since the last time, one beacon each
     bool hasLoadChanged() const { return m_hasLoadChanged; } ///< @return true since the last beacon
 
     const Membership &membership() const { return m_membership; }
@@ -140,7 +141,9 @@
     Reason reasonAfter(const Active &active, const AttemptReport &report, bool wasDenied) const;
     QueuedCall queuedCall(const Active &active) const;
     void onMembershipChanged();
-    bool isWorthTelling(const Call &call) const;
+    std::chrono::milliseconds expectedTime(const Call &call) const;
+    bool isBrief(const Call &call) const;
+    void noteStarted(const Call &call, EndpointSlot endpoint);
     void noteEnded(Instant now, EndpointSlot endpoint, const Call &call);
     void refreshPools(Instant now);
     static std::string classKey(const Call &call);
@@ -163,6 +166,7 @@
     RouterCounts m_counts;
     bool m_hasLoadChanged = false;
     std::uint32_t m_beacons = 0;
+    std::vector<StartNotice> m_starts;
     Instant m_nextSecond{};
     Instant m_nextShares{};
 };
--- a/filters/place.cpp
+++ b/filters/place.cpp
@@ -9,10 +9,11 @@
 namespace galenafold
 {
 
-constexpr double borrowWindowSeconds = 0.5; // in which peers learn of what was borrowed
+constexpr double borrowWindowSeconds = 1.0; // in which peers learn of what was borrowed
 constexpr double mostBorrow = 2;
-constexpr std::size_t smallPool = 64;
+constexpr std::size_t smallPool = 64;           // endpoints, all compared
 constexpr std::size_t randomDraws = 3;          // endpoints compared for a call without context
+constexpr double blindBorrowing = 0.1;          // of the pace, while some peer is not heard
 constexpr double neverBorrowed = 0.15;          // of a pool's long slots
 constexpr double leastSecondsWorthReuse = 0.02; // of prefill
 constexpr double ejectedWeight = 0.5;           // an endpoint below this weight is slow and gets no ordinary work
@@ -189,7 +190,9 @@
     room.hasBacklog = endpoint.total() < slots * (1 + m_queue.backlog);
     if (call.lane == Lane::Long) {
         room.isBorrowed = isLongBorrowed(endpoint);
-        room.hasSlot = room.hasSlot && endpoint.longLane() < longSlots(endpoint) && (!room.isBorrowed || m_borrow >= 1);
+        const double left = longSlots(endpoint) - endpoint.longLane();
+        const bool mayBorrow = m_borrow >= 1 && left >= 2; // the last one is for a router whose part it is
+        room.hasSlot = room.hasSlot && left >= 1 && (!room.isBorrowed || mayBorrow);
         room.hasBacklog = room.hasSlot;
     }
     return room;
@@ -210,13 +213,15 @@
     return endpoint.own.longLane >= roundedPart(longSlots(endpoint) / m_position.routers, m_position, endpoint.hash);
 }
 
-void Placer::earnBorrow(Instant now, const Pool &pool)
+void Placer::earnBorrow(Instant now, const Pool &pool, bool isViewComplete)
 {
     const double longSum = pool.slotSum * (1 - m_queue.reservedSlots);
     const double spared = longSum * (1 - neverBorrowed); // or owners of a part would find it taken
     const double free = std::max(0.0, spared - pool.ownLongSum - pool.othersLongSum);
-    const double elapsed = std::chrono::duration<double>(now - m_borrowAt).count();
-    m_borrow = std::min(mostBorrow, m_borrow + elapsed * free / (m_position.routers * borrowWindowSeconds));
+    const bool isFirst = m_borrowAt == Instant{};
+    const double elapsed = isFirst ? 0 : std::chrono::duration<double>(now - m_borrowAt).count();
+    const double caution = isViewComplete ? 1 : blindBorrowing;
+    m_borrow = std::min(mostBorrow, m_borrow + caution * elapsed * free / (m_position.routers * borrowWindowSeconds));
     m_borrowAt = now;
 }
 
@@ -262,7 +267,7 @@
         return chooseNaively(call, *pool, view, excluded);
     }
     if (call.lane == Lane::Long) {
-        earnBorrow(now, *pool);
+        earnBorrow(now, *pool, view.peersComplete() || m_position.routers <= 1);
     }
     return isAffinityWorthless(call) ? chooseLeastLoaded(call, *pool, view, excluded)
                                      : chooseForChat(call, *pool, view, excluded);
@@ -313,36 +318,16 @@
     return fallback;
 }
 
-/// Calls in the way at an endpoint. Peers' short calls end before one hears of them, so they say nothing.
-double Placer::crowdAt(const Call &call, const EndpointLoad &endpoint) const
-{
-    if (call.lane == Lane::Long) {
-        return endpoint.total();
-    }
-    const double crowd = endpoint.own.total + endpoint.others.longLane;
-    return hasOwnShortSlot(endpoint) ? crowd - endpoint.slots() : crowd;
-}
-
-/// A short slot is this router's alone when its part of the endpoint's reserved slots is not in use: no peer will take
-/// it.
-bool Placer::hasOwnShortSlot(const EndpointLoad &endpoint) const
-{
-    const double reserved = endpoint.slots() - longSlots(endpoint);
-    const double part = roundedPart(reserved / m_position.routers, m_position, endpoint.hash);
-    return endpoint.own.total - endpoint.own.longLane < part && endpoint.longLane() <= longSlots(endpoint);
-}
-
-/// The best of a few drawn at random, so that routers with the same stale view do not herd; when none of these has
-/// room, the first of all that has.
+/// The least loaded of a small pool, ties broken at random; of a large one the best of a few drawn at random, and when
+/// none of these has room, the first that has.
 Placement Placer::chooseLeastLoaded(const Call &call, const Pool &pool, const LoadView &view,
                                     const std::vector<EndpointSlot> &excluded)
 {
     Placement best;
-    double leastCrowd = 0;
     bool anyLeft = false;
     const std::size_t members = pool.members.size();
     const auto first = static_cast<std::size_t>(uniform() * static_cast<double>(members));
-    const bool isSmall = members <= smallPool; // then all are compared, for a slot of one's own
+    const bool isSmall = members <= smallPool;
     const std::size_t draws = isSmall ? 0 : randomDraws;
     for (std::size_t i = 0; i < draws + members; ++i) {
         if (i >= draws && !isSmall && best.verdict == Verdict::Go) {
@@ -358,11 +343,7 @@
         }
         anyLeft = true;
         const Room room = roomAt(call, endpoint, pool, view);
-        const double crowd = crowdAt(call, endpoint);
-        const bool isBetter = best.verdict != Verdict::Go || crowd < leastCrowd;
-        if (isSmall && i >= randomDraws && crowd >= 0 && best.verdict == Verdict::Go) {
-            continue; // past the first few, only a slot of one's own is looked for
-        }
+        const bool isBetter = best.verdict != Verdict::Go || room.load < best.load;
         ++best.considered;
         if (room.hasBacklog && room.isInBound && endpoint.weight >= ejectedWeight && isBetter) {
             best.verdict = Verdict::Go;
@@ -371,7 +352,6 @@
             best.load = room.load;
             best.bound = room.bound;
             best.isBorrowed = room.isBorrowed;
-            leastCrowd = crowd;
         }
     }
     if (best.verdict != Verdict::Go) {
--- a/filters/place.h
+++ b/filters/place.h
@@ -94,15 +94,13 @@
     bool spillsEarly(const Room &room);
     double longSlots(const EndpointLoad &endpoint) const;
     bool isLongBorrowed(const EndpointLoad &endpoint) const;
-    void earnBorrow(Instant now, const Pool &pool);
+    void earnBorrow(Instant now, const Pool &pool, bool isViewComplete);
     Placement chooseForChat(const Call &call, const Pool &pool, const LoadView &view,
                             const std::vector<EndpointSlot> &excluded);
     Placement chooseLeastLoaded(const Call &call, const Pool &pool, const LoadView &view,
                                 const std::vector<EndpointSlot> &excluded);
     Placement chooseNaively(const Call &call, const Pool &pool, const LoadView &view,
                             const std::vector<EndpointSlot> &excluded);
-    bool hasOwnShortSlot(const EndpointLoad &endpoint) const;
-    double crowdAt(const Call &call, const EndpointLoad &endpoint) const;
     double uniform();
 
     PlacementSettings m_settings;
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -212,7 +212,7 @@
     Policy policy = Policy::Galenafold;
     double floor = 0.2;                                 // fraction of a limit split evenly, whatever the demand
     double burstSeconds = 0.25;                         // depth of the rate bucket
-    Span silentAfter = std::chrono::milliseconds(1500); // a peer not heard for this long counts as a full one
+    Span silentAfter = std::chrono::milliseconds(2500); // a peer not heard for this long counts as a full one
     Span riseAfter = std::chrono::milliseconds(600);    // a share grows only after peers could hear of it
 };
 
--- a/shell/beacons.cpp
+++ b/shell/beacons.cpp
@@ -16,13 +16,17 @@
 constexpr std::size_t mostLoads = 256;
 constexpr std::uint64_t mostWords = 2048; // that a decoded beacon may make us read
 
-std::string encodeBeacon(const LoadBeacon &beacon)
+static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
 {
-    capnp::MallocMessageBuilder builder;
-    auto root = builder.initRoot<wire::LoadBeacon>();
-    const auto count = static_cast<unsigned>(std::min(beacon.loads.size(), mostLoads));
     root.setFrom(beacon.from);
     root.setNumber(beacon.number);
+    if (beacon.isStart) {
+        root.setStartedAt(beacon.start.endpointHash);
+        root.setLastsMillis(beacon.start.lastsMillis);
+        root.setIsLong(beacon.start.isLong);
+        return;
+    }
+    const auto count = static_cast<unsigned>(std::min(beacon.loads.size(), mostLoads));
     auto endpoints = root.initEndpoints(count);
     auto totals = root.initTotals(count);
     auto longLanes = root.initLongLanes(count);
@@ -31,6 +35,12 @@
         totals.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].total, 255)));
         longLanes.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].longLane, 255)));
     }
+}
+
+std::string encodeBeacon(const LoadBeacon &beacon)
+{
+    capnp::MallocMessageBuilder builder;
+    fillBeacon(builder.initRoot<wire::LoadBeacon>(), beacon);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
     const auto bytes = out.getArray();
@@ -51,6 +61,8 @@
     const unsigned count = std::min({endpoints.size(), totals.size(), longLanes.size()});
     beacon.from = root.getFrom();
     beacon.number = root.getNumber();
+    beacon.isStart = root.getStartedAt() != 0;
+    beacon.start = {root.getStartedAt(), root.getLastsMillis(), root.getIsLong()};
     for (unsigned i = 0; i < count; ++i) {
         beacon.loads.push_back({endpoints[i], totals[i], longLanes[i]});
     }
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -167,16 +167,29 @@
     sendBeacon(now);
 }
 
-/// Tells all peers of own calls in progress, as soon as they change and as often as bytes allow.
+/// Tells all peers of own calls: each start at once, the whole count now and then, as often as bytes allow.
 void Core::sendBeacon(Instant now)
 {
-    const std::vector<VmId> peers = m_router.peers();
-    const int guess = static_cast<int>(peers.size()) * m_beaconSize;
-    if (peers.empty() || !m_beaconPacer.take(now, guess, m_router.hasLoadChanged())) {
+    const int peers = static_cast<int>(m_router.peers().size());
+    const std::vector<LoadBeacon> starts = m_router.takeStarts();
+    if (peers == 0) {
         return;
     }
-    const std::string payload = encodeBeacon(m_router.beacon());
-    m_beaconSize = datagramBytes(payload);
+    for (const LoadBeacon &start : starts) {
+        const std::string payload = encodeBeacon(start);
+        if (m_beaconPacer.takeStart(now, peers * datagramBytes(payload))) {
+            sendToPeers(payload);
+        }
+    }
+    if (m_beaconPacer.take(now, peers * m_beaconSize, m_router.hasLoadChanged())) {
+        const std::string payload = encodeBeacon(m_router.beacon());
+        m_beaconSize = datagramBytes(payload);
+        sendToPeers(payload);
+    }
+}
+
+void Core::sendToPeers(const std::string &payload)
+{
     for (const VmRecord &vm : m_router.membership().entryVms()) {
         if (vm.id != m_settings.name) {
             m_beacons.send(payload, vm.address, vm.peerPort);
--- a/shell/core.h
+++ b/shell/core.h
@@ -84,6 +84,7 @@
     void tick();
     void gossipRound(Instant now);
     void sendBeacon(Instant now);
+    void sendToPeers(const std::string &payload);
     void keepSnapshot(Instant now);
     void publish();
     void publishFigures();
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -4,13 +4,16 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("galenafold::wire");
 
-# Goes by UDP, packed: one-way, lossy, the newest counts. The lists run side by side.
+# Goes by UDP, packed: one-way, lossy, the newest counts. Either the lists, which run side by side, or one start.
 struct LoadBeacon {
   from @0 :UInt32;
   number @1 :UInt32;
   endpoints @2 :List(UInt32);
   totals @3 :List(UInt8);
   longLanes @4 :List(UInt8);
+  startedAt @5 :UInt32;    # hash of the endpoint where a call has just started; 0: this is no start
+  lastsMillis @6 :UInt16;
+  isLong @7 :Bool;
 }
 
 struct ReportDigest {
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -51,7 +51,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -340,6 +340,12 @@
   inline bool hasLongLanes() const;
   inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getLongLanes() const;
 
+  inline  ::uint32_t getStartedAt() const;
+
+  inline  ::uint16_t getLastsMillis() const;
+
+  inline bool getIsLong() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -398,6 +404,15 @@
   inline void adoptLongLanes(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownLongLanes();
 
+  inline  ::uint32_t getStartedAt();
+  inline void setStartedAt( ::uint32_t value);
+
+  inline  ::uint16_t getLastsMillis();
+  inline void setLastsMillis( ::uint16_t value);
+
+  inline bool getIsLong();
+  inline void setIsLong(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2023,6 +2038,48 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t LoadBeacon::Reader::getStartedAt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadBeacon::Builder::getStartedAt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LoadBeacon::Builder::setStartedAt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t LoadBeacon::Reader::getLastsMillis() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LoadBeacon::Builder::getLastsMillis() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void LoadBeacon::Builder::setLastsMillis( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadBeacon::Reader::getIsLong() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadBeacon::Builder::getIsLong() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+inline void LoadBeacon::Builder::setIsLong(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ReportDigest::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
