--- /dev/null
+++ b/benchmarks/decision.cpp
@@ -0,0 +1,229 @@
+// Processor time of decisions, by Google Benchmark: placement at 12 to 10,000 endpoints, limits at 640 customers, a
+// beacon, the fold of contracts and of claims. docs/CAPACITY.md takes its slopes from here.
+#include "control/claims.h"
+#include "control/contracts.h"
+#include "control/gossip.h"
+#include "fakes/fleet.h"
+#include "filters/limit.h"
+#include "filters/place.h"
+#include "shell/beacons.h"
+#include "shell/peers.h"
+
+#include <benchmark/benchmark.h>
+
+namespace galenafold
+{
+
+static std::vector<VmRecord> endpoints(int count)
+{
+    std::vector<VmRecord> list;
+    for (int i = 0; i < count; ++i) {
+        VmRecord record;
+        record.id = {"engine-" + std::to_string(i)};
+        record.incarnation = Incarnation(1);
+        record.pools = {{"tea"}};
+        list.push_back(record);
+    }
+    return list;
+}
+
+static Call callFor(int number, bool hasHint)
+{
+    Call call;
+    call.pool = {"tea"};
+    call.chat = {"chat-" + std::to_string(number)};
+    call.prompt = 4000;
+    call.output = 100;
+    if (hasHint) {
+        call.hint = {{"engine-" + std::to_string(number % 12)}, Incarnation(1)};
+    }
+    return call;
+}
+
+static void place(benchmark::State &state, bool hasHint)
+{
+    const Instant now(std::chrono::seconds(100));
+    LoadView view({});
+    view.setRoutable(endpoints(static_cast<int>(state.range(0))));
+    PlacementSettings settings;
+    settings.recentChats = 0; // the worst case: nothing is remembered
+    Placer placer(settings, {}, 1);
+    int number = 0;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(placer.choose(now, callFor(++number % 997, hasHint), view, {}));
+    }
+}
+
+static void placeWithHint(benchmark::State &state)
+{
+    place(state, true);
+}
+static void placeWithoutHint(benchmark::State &state)
+{
+    place(state, false);
+}
+BENCHMARK(placeWithHint)->Arg(12)->Arg(100)->Arg(1000)->Arg(10000);
+BENCHMARK(placeWithoutHint)->Arg(12)->Arg(100)->Arg(1000)->Arg(10000);
+
+static void limit(benchmark::State &state)
+{
+    const auto customers = static_cast<int>(state.range(0));
+    Shares shares({});
+    shares.setRouters({"a"}, {{"a"}, {"b"}});
+    Limiter limiter({});
+    std::vector<Contract> contracts;
+    for (int i = 0; i < customers; ++i) {
+        contracts.emplace_back();
+        contracts.back().customer = {"customer-" + std::to_string(i)};
+        contracts.back().rate = 1e9;
+        contracts.back().concurrency = 1e9;
+    }
+    Instant now(std::chrono::seconds(100));
+    std::size_t number = 0;
+    for (auto _ : state) {
+        now += Span(10);
+        const Contract &contract = contracts[++number % contracts.size()];
+        shares.onArrival(now, contract.customer);
+        benchmark::DoNotOptimize(limiter.admit(now, contract, shares));
+        limiter.release(contract.customer);
+    }
+}
+BENCHMARK(limit)->Arg(10)->Arg(100)->Arg(640);
+
+/// Working out all shares, done ten times a second.
+static void shareTick(benchmark::State &state)
+{
+    const auto routers = static_cast<int>(state.range(0));
+    constexpr int customers = 32;
+    Shares shares({});
+    std::vector<VmId> names;
+    std::vector<CustomerDemand> demand;
+    for (int i = 0; i < customers; ++i) {
+        demand.push_back({customerHash({"customer-" + std::to_string(i)}), 1.0f, 1});
+    }
+    Instant now(std::chrono::seconds(100));
+    for (int i = 0; i < routers; ++i) {
+        names.push_back({"entry-" + std::to_string(i)});
+    }
+    shares.setRouters({"entry-0"}, names);
+    for (const VmId &name : names) {
+        shares.onPeerDemand(now, name, demand);
+    }
+    for (int i = 0; i < customers; ++i) {
+        shares.onArrival(now, {"customer-" + std::to_string(i)});
+    }
+    for (auto _ : state) {
+        now += Span(1);
+        shares.onTick(now);
+    }
+}
+BENCHMARK(shareTick)->Arg(20)->Arg(200)->Arg(1500);
+
+static LoadBeacon beaconOf(int loads)
+{
+    LoadBeacon beacon;
+    beacon.from = 7;
+    for (int i = 0; i < loads; ++i) {
+        beacon.loads.push_back({static_cast<std::uint32_t>(i * 7919 + 1), 3, 1});
+    }
+    return beacon;
+}
+
+static void beaconRoundTrip(benchmark::State &state)
+{
+    const LoadBeacon beacon = beaconOf(static_cast<int>(state.range(0)));
+    std::string bytes;
+    for (auto _ : state) {
+        bytes = encodeBeacon(beacon);
+        LoadBeacon back;
+        benchmark::DoNotOptimize(decodeBeacon(bytes, back));
+    }
+    state.counters["datagram_bytes"] = datagramBytes(bytes);
+}
+BENCHMARK(beaconRoundTrip)->Arg(0)->Arg(5)->Arg(50)->Arg(250);
+
+static void startNotice(benchmark::State &state)
+{
+    LoadBeacon beacon;
+    beacon.from = 0x12345678;
+    beacon.number = 0x12345;
+    beacon.isStart = true;
+    beacon.start = {0x89abcdef, 170, false};
+    std::string bytes;
+    for (auto _ : state) {
+        bytes = encodeBeacon(beacon);
+        LoadBeacon back;
+        benchmark::DoNotOptimize(decodeBeacon(bytes, back));
+    }
+    state.counters["datagram_bytes"] = datagramBytes(bytes);
+}
+BENCHMARK(startNotice);
+
+static void gossipSize(benchmark::State &state)
+{
+    GossipMessage message;
+    message.from = {"entry-1"};
+    for (int i = 0; i < state.range(0); ++i) {
+        message.demand.push_back({static_cast<std::uint32_t>(i), 1.0f, 1});
+        if (i < 16) {
+            message.reports.push_back({static_cast<std::uint32_t>(i), 1, 1, 1, 1});
+        }
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(Peers::sizeOf(message));
+    }
+    state.counters["bytes"] = Peers::sizeOf(message);
+}
+BENCHMARK(gossipSize)->Arg(0)->Arg(10)->Arg(32);
+
+static void foldContract(benchmark::State &state)
+{
+    ContractBook book;
+    LogOffset offset = 0;
+    const int customers = static_cast<int>(state.range(0));
+    for (int i = 0; i < customers; ++i) {
+        const std::string name = "customer-" + std::to_string(i);
+        book.apply({offset, encodeContractRecord({{name}, 0, name, sampleContract(name, name, 1, 1)})}, 0);
+        ++offset;
+    }
+    std::int64_t version = 1;
+    const std::string ini = sampleContract("customer-0", "customer-0", 1, 1);
+    for (auto _ : state) {
+        book.apply({offset, encodeContractRecord({{"customer-0"}, version, "n", ini})}, 0);
+        ++offset;
+        ++version;
+        benchmark::DoNotOptimize(book.table());
+    }
+    state.counters["snapshot_bytes"] = static_cast<double>(encodeContractSnapshot(book.state()).size());
+}
+BENCHMARK(foldContract)->Arg(10)->Arg(100)->Arg(640)->Unit(benchmark::kMicrosecond);
+
+static void foldClaims(benchmark::State &state)
+{
+    const int batch = static_cast<int>(state.range(0));
+    ClaimTable table;
+    LogOffset offset = 0;
+    std::uint64_t serial = 0;
+    const UnixMillis time(1700000000000);
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        std::vector<ClaimItem> items;
+        for (int i = 0; i < batch; ++i) {
+            ClaimItem item;
+            item.key = "kedai/ledger/" + makeUuidV7(time, ++serial);
+            item.nonce = "entry-1-1234567890-" + std::to_string(serial);
+            item.fingerprint = std::string(32, 'f');
+            items.push_back(item);
+        }
+        const std::string value = encodeClaims(items);
+        bytes = value.size();
+        table.fold({offset++, time, value});
+    }
+    state.counters["bytes_an_item"] = static_cast<double>(bytes) / batch;
+    state.SetItemsProcessed(state.iterations() * batch);
+}
+BENCHMARK(foldClaims)->Arg(1)->Arg(20)->Arg(200)->Iterations(200);
+
+} // namespace galenafold
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/benchmarks/overhead.cpp
@@ -0,0 +1,178 @@
+// What one router adds: latency against a direct call to the same stand-in, in turn; many open streams; memory a
+// stream; start to ready.
+//
+// Sections of this file: Latency, Streams, Start.
+#include "fakes/fleet.h"
+#include "platform/endpoint.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <glog/logging.h>
+
+namespace galenafold
+{
+
+static const char *const key = "k";
+constexpr int calls = 2000;
+constexpr int streams = 500;
+constexpr int streamTokens = 200;
+constexpr auto tokenEvery = std::chrono::milliseconds(30);
+
+static std::string body(int tokens, bool isStream)
+{
+    return "{\"model\":\"tea-large\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"max_tokens\":"
+        + std::to_string(tokens) + ",\"stream\":" + (isStream ? "true" : "false") + "}";
+}
+
+static double quantile(std::vector<double> &values, double fraction)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1))];
+}
+
+// Latency
+
+static double once(httplib::Client &client, int number)
+{
+    const httplib::Headers headers{{"Authorization", std::string("Bearer ") + key},
+                                   {"Galenafold-Task", "condition-tag"},
+                                   {"X-Request-Id", "direct-" + std::to_string(number)},
+                                   {"X-Priority", "5"}};
+    const Instant begin = clockNow();
+    const auto response = client.Post("/v1/chat/completions", headers, body(1, false), "application/json");
+    const double micros = std::chrono::duration<double, std::micro>(clockNow() - begin).count();
+    return response && response->status == 200 ? micros : -1;
+}
+
+static void measureLatency(Fleet &fleet)
+{
+    const VmRecord engine = fleet.engine(0).record({}, {});
+    httplib::Client direct("127.0.0.1", engine.port);
+    httplib::Client routed("127.0.0.1", fleet.daemon(0).httpPort());
+    direct.set_keep_alive(true);
+    routed.set_keep_alive(true);
+    direct.set_tcp_nodelay(true);
+    routed.set_tcp_nodelay(true);
+    std::vector<double> directTimes;
+    std::vector<double> routedTimes;
+    for (int i = 0; i < calls; ++i) {
+        directTimes.push_back(once(direct, i));
+        routedTimes.push_back(once(routed, i));
+    }
+    const double p50 = quantile(routedTimes, 0.5) - quantile(directTimes, 0.5);
+    const double p99 = quantile(routedTimes, 0.99) - quantile(directTimes, 0.99);
+    std::printf(
+        "latency: direct p50 %.0f us p99 %.0f us, routed p50 %.0f us p99 %.0f us, added p50 %.0f us p99 %.0f us\n",
+        quantile(directTimes, 0.5), quantile(directTimes, 0.99), quantile(routedTimes, 0.5),
+        quantile(routedTimes, 0.99), p50, p99);
+}
+
+// Streams
+
+static double residentMegabytes()
+{
+    std::ifstream in("/proc/self/status");
+    std::string line;
+    while (std::getline(in, line)) {
+        if (line.compare(0, 6, "VmRSS:") == 0) {
+            return std::atof(line.c_str() + 6) / 1024;
+        }
+    }
+    return 0;
+}
+
+static void measureStreams(int port, const char *what)
+{
+    std::mutex mutex;
+    std::vector<double> late; // ms, against the pace from each stream's first token
+    std::atomic<int> whole{0};
+    const double before = residentMegabytes();
+    double during = 0;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < streams; ++i) {
+        callers.emplace_back([&, i] {
+            httplib::Client client("127.0.0.1", port);
+            client.set_tcp_nodelay(true);
+            client.set_read_timeout(60);
+            httplib::Request request;
+            request.method = "POST";
+            request.path = "/v1/chat/completions";
+            request.headers = {{"Authorization", std::string("Bearer ") + key},
+                               {"Galenafold-Task", "appraisal"},
+                               {"X-Request-Id", "stream-" + std::to_string(i)},
+                               {"X-Priority", "5"}};
+            request.body = body(streamTokens, true);
+            Instant first{};
+            int count = 0;
+            std::vector<double> mine;
+            std::string tail;
+            request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+                const Instant now = clockNow();
+                const std::string text(data, size);
+                for (std::size_t at = text.find("\"token\""); at != std::string::npos;
+                     at = text.find("\"token\"", at + 1)) {
+                    first = count == 0 ? now : first;
+                    mine.push_back(std::chrono::duration<double, std::milli>(now - first - count * tokenEvery).count());
+                    ++count;
+                }
+                return true;
+            };
+            const auto result = client.send(request);
+            whole += result && count == streamTokens ? 1 : 0;
+            const std::lock_guard<std::mutex> lock(mutex);
+            late.insert(late.end(), mine.begin(), mine.end());
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    during = residentMegabytes();
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    std::printf("streams %s: %d of %d whole, token late p50 %.2f ms p99 %.2f ms max %.2f ms, memory %.0f KB a stream\n",
+                what, whole.load(), streams, quantile(late, 0.5), quantile(late, 0.99), late.back(),
+                (during - before) * 1024 / streams);
+}
+
+// Start
+
+static void measureStart(Fleet &fleet)
+{
+    const Instant begin = clockNow();
+    fleet.addDaemon();
+    fleet.daemon(fleet.daemons() - 1).waitReady(begin + std::chrono::seconds(10));
+    std::printf("start to ready: %.0f ms\n", std::chrono::duration<double, std::milli>(clockNow() - begin).count());
+}
+
+static int run()
+{
+    FleetPlan plan;
+    plan.daemons = 1;
+    plan.engines = 1;
+    plan.engine.slots = 1000;
+    plan.engine.decodeTokensPerSecond = 10000;
+    plan.engine.prefillTokensPerSecond = 1e9;
+    plan.settings.placement.loadBound = 10;
+    Fleet quick(plan);
+    quick.publish("kedai", sampleContract("kedai", key, 1e6, 1e6), 0);
+    quick.start();
+    measureLatency(quick);
+    measureStart(quick);
+    plan.engine.decodeTokensPerSecond = 1000.0 / static_cast<double>(tokenEvery.count());
+    Fleet paced(plan);
+    paced.publish("kedai", sampleContract("kedai", key, 1e6, 1e6), 0);
+    paced.start();
+    measureStreams(paced.engine(0).record({}, {}).port, "direct");
+    measureStreams(paced.daemon(0).httpPort(), "routed");
+    return 0;
+}
+
+} // namespace galenafold
+
+int main(int, char **argv)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = google::GLOG_ERROR;
+    google::InitGoogleLogging(argv[0]);
+    return galenafold::run();
+}
