Judge slowness by the work done, share findings, eject the unreachable, borrow concurrency

Cause: (1) a class's median mixes cache hits and misses, so engines that reused less looked slow; four of twelve were ejected and reuse fell. (2) Every router probed each ejected engine twice a second: at 20 routers the probes were the tail. (3) A dead endpoint kept its calls until the list dropped it. (4) Small limits, split over 20 routers, refused random arrivals. Change: the time to the first byte is held against prefill of what was not reused; routers tell each other what they found slow; probes take turns over routers and are copied at half their due time; a failed connect ejects; buckets are as deep as random arrivals need, and concurrency is borrowed slowly.

--- a/control/gossip.h
+++ b/control/gossip.h
@@ -25,12 +25,19 @@
     std::uint16_t longInFlight = 0;
 };
 
+/// How slow the sender found an endpoint.
+struct SlowFinding {
+    std::uint32_t endpointHash = 0;
+    float ratio = 1; // of its times to its peers'
+};
+
 struct GossipMessage {
     VmId from;
     LogOffset contractsUpTo = 0;
     std::vector<ReportDigest> reports;
     std::vector<LeavingMark> leaving;
     std::vector<CustomerDemand> demand;
+    std::vector<SlowFinding> slow;
 };
 
 std::uint32_t endpointHash(const VmId &endpoint);
--- a/control/router.cpp
+++ b/control/router.cpp
@@ -9,11 +9,13 @@
 
 constexpr auto sharesEvery = std::chrono::milliseconds(100);
 constexpr auto slowChecksEvery = std::chrono::milliseconds(250);
+constexpr auto baseTime = std::chrono::milliseconds(10); // of any answer, beside its tokens
 constexpr double hedgeBurst = 3;
 constexpr int naiveRetries = 3; // of the naive policy: a fixed count for each call
 constexpr std::size_t mostDemandTold = 32;
 constexpr std::size_t mostReportsTold = 16;
 constexpr std::size_t mostMarksTold = 8;
+constexpr std::size_t mostFindingsTold = 8;
 constexpr double startMargin = 1.2; // over the expected service time, kept before a deadline
 
 Router::Router(const Settings &settings)
@@ -23,7 +25,7 @@
     , m_queue(settings.queue)
     , m_limiter(settings.limits)
     , m_shares(settings.limits)
-    , m_slowness(settings.slowness)
+    , m_slowness(settings.slowness, hashName(settings.name.text))
     , m_peerLoads(settings.limits.silentAfter)
     , m_retryBudget(settings.retry.budget, settings.retry.burst)
     , m_hedgeBudget(settings.slowness.hedgeBudget, hedgeBurst)
@@ -118,7 +120,7 @@
     const Pool *pool = m_view.pool(call.pool);
     const bool mayProbe = pool && call.lane == Lane::Short && call.isIdempotent && active.attemptsMade == 0;
     EndpointSlot endpoint{};
-    if (!mayProbe || !m_slowness.takeProbe(now, *pool, m_view, endpoint)) {
+    if (!mayProbe || !m_slowness.takeProbe(now, *pool, m_view, m_shares.routerCount(), endpoint)) {
         return false;
     }
     ++m_counts.probes;
@@ -149,6 +151,7 @@
     attempt.sent = now;
     attempt.nextWaitCheck = now + slowChecksEvery;
     attempt.resumeFrom = active.relayed;
+    attempt.isProbe = placement.by == PlacedBy::Probe;
     active.live.push_back(attempt);
     if (attempt.number == 1) {
         ++m_counts.firstAttempts;
@@ -169,7 +172,20 @@
     actions.starts.push_back(start);
 }
 
-void Router::onFirstByte(Instant now, CallKey key, int attempt, Actions &actions)
+/// @return when the first byte should come, for the work that the call is; zero for plain services, whose work is
+/// unknown
+Span Router::dueFirstByte(const Call &call, EndpointSlot endpoint, Tokens reused) const
+{
+    if (m_view.at(endpoint).vm.kind == VmKind::Service) {
+        return Span(0);
+    }
+    const PlacementSettings &speeds = m_settings.placement;
+    const double prefill = std::max(0.0, call.prompt - reused) / speeds.prefillTokensPerSecond;
+    const double decode = (call.isStream ? 1 : std::max(1.0, call.output)) / speeds.decodeTokensPerSecond;
+    return baseTime + std::chrono::duration_cast<Span>(std::chrono::duration<double>(prefill + decode));
+}
+
+void Router::onFirstByte(Instant now, CallKey key, int attempt, Tokens reused, Actions &actions)
 {
     const auto found = m_calls.find(key);
     if (found == m_calls.end()) {
@@ -182,7 +198,8 @@
             continue;
         }
         live.hasFirstByte = true;
-        m_slowness.onFirstByte(now, live.endpoint, classKey(active.call), now - live.sent);
+        const Span due = dueFirstByte(active.call, live.endpoint, reused);
+        m_slowness.onFirstByte(live.endpoint, classKey(active.call), now - live.sent, due);
         m_placer.onServed(active.call.chat, live.endpoint);
     }
 }
@@ -278,8 +295,13 @@
         drainQueue(now, actions);
         return;
     }
-    if (!report.isCancelled && !hadFirstByte) {
-        m_slowness.onWaiting(now, endpoint, classKey(active.call), now - sent);
+    if (!report.isCancelled && report.state == AttemptState::NotSent) {
+        m_slowness.onUnreachable(endpoint);
+        if (const Pool *pool = m_view.pool(active.call.pool)) {
+            m_slowness.judge(now, *pool, m_view);
+        }
+    } else if (!report.isCancelled && !hadFirstByte) {
+        m_slowness.onWaiting(endpoint, classKey(active.call), now - sent, dueFirstByte(active.call, endpoint, 0));
     }
     active.excluded.push_back(endpoint);
     if (!dropUseless(now, active, actions)) {
@@ -373,7 +395,8 @@
             continue;
         }
         attempt.nextWaitCheck = now + slowChecksEvery;
-        m_slowness.onWaiting(now, attempt.endpoint, classKey(active.call), now - attempt.sent);
+        const Span due = dueFirstByte(active.call, attempt.endpoint, 0);
+        m_slowness.onWaiting(attempt.endpoint, classKey(active.call), now - attempt.sent, due);
     }
 }
 
@@ -385,14 +408,17 @@
     if (!mayHedge) {
         return;
     }
-    const Span patience = m_slowness.expected(classKey(call), m_settings.slowness.hedgePercentile);
-    if (patience.count() == 0 || now - active.live.front().sent < patience) {
+    const Attempt &waiting = active.live.front();
+    const double quantile = waiting.isProbe ? 0.5 : m_settings.slowness.hedgePercentile;
+    const Span expected = m_slowness.expected(classKey(call), quantile);
+    const Span patience = waiting.isProbe ? expected / 2 : expected; // a probe's caller must not pay for it
+    if (expected.count() == 0 || now - waiting.sent < patience) {
         return;
     }
     std::vector<EndpointSlot> excluded = active.excluded;
-    excluded.push_back(active.live.front().endpoint);
+    excluded.push_back(waiting.endpoint);
     const Placement placement = m_placer.choose(now, call, m_view, excluded);
-    if (placement.verdict != Verdict::Go || !m_hedgeBudget.take()) {
+    if (placement.verdict != Verdict::Go || (!waiting.isProbe && !m_hedgeBudget.take())) {
         return;
     }
     active.isHedged = true;
@@ -507,20 +533,31 @@
     }
 }
 
+bool Router::slotByHash(std::uint32_t hash, EndpointSlot &slot) const
+{
+    const auto name = m_endpointNames.find(hash);
+    return name != m_endpointNames.end() && m_view.find(name->second, slot);
+}
+
 void Router::onGossip(Instant now, const GossipMessage &message)
 {
     m_shares.onPeerDemand(now, message.from, message.demand);
     for (const LeavingMark &mark : message.leaving) {
         onLeaving(now, mark);
     }
+    for (const SlowFinding &finding : message.slow) {
+        EndpointSlot slot{};
+        if (slotByHash(finding.endpointHash, slot)) {
+            m_slowness.onPeerFinding(slot, finding.ratio);
+        }
+    }
     for (const ReportDigest &digest : message.reports) {
-        const auto name = m_endpointNames.find(digest.endpointHash);
         EndpointSlot slot{};
-        if (name == m_endpointNames.end() || !m_view.find(name->second, slot)) {
+        if (!slotByHash(digest.endpointHash, slot)) {
             continue;
         }
         LoadReport report;
-        report.endpoint = name->second;
+        report.endpoint = m_view.at(slot).vm.id;
         report.incarnation = m_view.at(slot).vm.incarnation;
         report.measured = now - std::chrono::milliseconds(digest.ageMillis);
         report.slots = digest.slots;
@@ -549,6 +586,11 @@
         }
     }
     message.leaving = m_membership.marksToTell(mostMarksTold);
+    for (const auto &[slot, ratio] : m_slowness.findings(now)) {
+        if (message.slow.size() < mostFindingsTold) {
+            message.slow.push_back({static_cast<std::uint32_t>(m_view.at(slot).hash), static_cast<float>(ratio)});
+        }
+    }
     std::vector<std::pair<Instant, ReportDigest>> reports;
     for (std::size_t i = 0; i < m_view.size(); ++i) {
         const EndpointLoad &endpoint = m_view.at(static_cast<EndpointSlot>(i));
--- a/control/router.h
+++ b/control/router.h
@@ -75,7 +75,8 @@
     /// Queues an admitted call, and starts what can start.
     void submit(Instant now, const Call &call, double weight, Actions &actions);
 
-    void onFirstByte(Instant now, CallKey call, int attempt, Actions &actions); ///< The attempt won; others end.
+    /// The attempt won; others end. @param reused prompt tokens that the endpoint still had
+    void onFirstByte(Instant now, CallKey call, int attempt, Tokens reused, Actions &actions);
     void onAttemptEnded(Instant now, const AttemptReport &report, Actions &actions);
     void onCallerGone(Instant now, CallKey call, Actions &actions);
     void onTick(Instant now, Actions &actions); ///< Some hundred times a second.
@@ -113,6 +114,7 @@
         Instant nextWaitCheck{};
         Tokens resumeFrom = 0;
         bool hasFirstByte = false;
+        bool isProbe = false;
     };
     struct Active {
         Call call;
@@ -128,6 +130,8 @@
 
     void drainQueue(Instant now, Actions &actions);
     bool tryStart(Instant now, Active &active, Actions &actions);
+    Span dueFirstByte(const Call &call, EndpointSlot endpoint, Tokens reused) const;
+    bool slotByHash(std::uint32_t hash, EndpointSlot &slot) const;
     bool tryProbe(Instant now, const Active &active, Placement &placement);
     void startAt(Instant now, Active &active, const Placement &placement, bool isHedge, Actions &actions);
     bool dropUseless(Instant now, Active &active, Actions &actions);
--- a/control/shares.cpp
+++ b/control/shares.cpp
@@ -17,6 +17,19 @@
     return static_cast<std::uint32_t>(hashName(customer.text));
 }
 
+constexpr double borrowWindowSeconds = 1.0; // in which peers learn of what was borrowed
+constexpr double mostBorrow = 2;
+
+void BorrowPace::earn(Instant now, double free, std::size_t routers, double caution)
+{
+    const bool isFirst = m_earned == Instant{};
+    const double elapsed = isFirst ? 0 : std::chrono::duration<double>(now - m_earned).count();
+    const double pace =
+        std::max(0.0, free) / (static_cast<double>(std::max<std::size_t>(1, routers)) * borrowWindowSeconds);
+    m_tokens = std::min(mostBorrow, m_tokens + caution * elapsed * pace);
+    m_earned = now;
+}
+
 Shares::Shares(const LimitSettings &settings)
     : m_settings(settings)
 {
@@ -132,6 +145,20 @@
     return sum;
 }
 
+bool Shares::isViewComplete(Instant now) const
+{
+    return std::all_of(m_routers.begin(), m_routers.end(), [&](const VmId &router) {
+        const auto peer = m_peers.find(router);
+        return router == m_self || (peer != m_peers.end() && peer->second.heard + m_settings.silentAfter >= now);
+    });
+}
+
+double Shares::ownCallsPerSecond(const CustomerId &customer) const
+{
+    const auto own = m_own.find(customer);
+    return own == m_own.end() ? 0 : own->second.callsPerSecond;
+}
+
 std::vector<CustomerId> Shares::customers() const
 {
     std::vector<CustomerId> result;
--- a/control/shares.h
+++ b/control/shares.h
@@ -18,6 +18,21 @@
     std::uint16_t inProgress = 0; // calls admitted and not ended
 };
 
+/// Lets routers go beyond their parts of something scarce, so slowly that all together take no more than what is free
+/// before they hear of each other.
+class BorrowPace
+{
+public:
+    /// @param free of the whole, as far as known. @param caution 1: the view is complete; less: slower
+    void earn(Instant now, double free, std::size_t routers, double caution);
+    bool has() const { return m_tokens >= 1; }
+    void take() { m_tokens -= 1; }
+
+private:
+    double m_tokens = 0;
+    Instant m_earned{};
+};
+
 class Shares
 {
 public:
@@ -41,6 +56,12 @@
     /// @return calls of the customer in progress at peers heard lately
     double othersInProgress(Instant now, const CustomerId &customer) const;
 
+    /// @return true when every live peer was heard lately
+    bool isViewComplete(Instant now) const;
+
+    /// @return smoothed calls a second that arrive at this router
+    double ownCallsPerSecond(const CustomerId &customer) const;
+
     /// @return own demand, largest first, at most `most` entries; `inProgress` is left to the caller
     std::vector<CustomerDemand> ownDemand(std::size_t most) const;
 
--- a/control/slowness.cpp
+++ b/control/slowness.cpp
@@ -9,13 +9,16 @@
 
 constexpr double observationRate = 0.3; // weight of the latest observation
 constexpr int samplesToJudge = 3;
-constexpr double samplesToExpect = 20;  // of a class, before its quantiles mean anything
-constexpr double recoverFraction = 0.6; // of the ejecting ratio, at which an endpoint is taken back
-constexpr double mostRatio = 50;        // one observation counts no more than this
+constexpr double samplesToExpect = 20;                // of a class, before its quantiles mean anything
+constexpr double recoverFraction = 0.6;               // of the ejecting ratio, at which an endpoint is taken back
+constexpr double mostRatio = 50;                      // one observation counts no more than this
+constexpr auto findingLife = std::chrono::seconds(5); // a probe's finding is told to peers this long
+constexpr std::uint64_t probeSpread = 20;             // routers that eject together do not probe together
 constexpr double slowWeight = 0.05;
 
-Slowness::Slowness(const SlownessSettings &settings)
+Slowness::Slowness(const SlownessSettings &settings, std::uint64_t seed)
     : m_settings(settings)
+    , m_random(seed)
 {
 }
 
@@ -40,25 +43,30 @@
     return static_cast<double>(time.count()) / static_cast<double>(std::max<Span::rep>(1, median.count()));
 }
 
-void Slowness::onFirstByte(Instant now, EndpointSlot endpoint, const std::string &classKey, Span time)
+void Slowness::onFirstByte(EndpointSlot endpoint, const std::string &classKey, Span time, Span due)
 {
-    (void)now;
-    const Span median = expected(classKey, 0.5);
+    const Span wanted = due.count() > 0 ? due : expected(classKey, 0.5);
     m_classes[classKey].add(time);
-    if (median.count() > 0) {
-        observe(endpoint, ratioOf(time, median));
+    if (wanted.count() > 0) {
+        observe(endpoint, ratioOf(time, wanted));
     }
 }
 
-void Slowness::onWaiting(Instant now, EndpointSlot endpoint, const std::string &classKey, Span soFar)
+void Slowness::onWaiting(EndpointSlot endpoint, const std::string &classKey, Span soFar, Span due)
 {
-    (void)now;
-    const Span median = expected(classKey, 0.5);
-    if (median.count() > 0 && ratioOf(soFar, median) > m_settings.ejectRatio) {
-        observe(endpoint, ratioOf(soFar, median));
+    const Span wanted = due.count() > 0 ? due : expected(classKey, 0.5);
+    if (wanted.count() > 0 && ratioOf(soFar, wanted) > m_settings.ejectRatio) {
+        observe(endpoint, ratioOf(soFar, wanted));
     }
 }
 
+void Slowness::onUnreachable(EndpointSlot endpoint)
+{
+    Health &health = m_health[static_cast<std::uint32_t>(endpoint)];
+    health.samples = std::max(health.samples, samplesToJudge);
+    health.ratio = mostRatio;
+}
+
 double Slowness::medianRatio(const Pool &pool) const
 {
     std::vector<double> ratios;
@@ -100,19 +108,21 @@
         Health &health = m_health[static_cast<std::uint32_t>(slot)];
         const bool isSlow = std::find(slow.begin(), slow.end(), slot) != slow.end();
         if (isSlow && !health.isEjected) {
-            health.probeAt = now + m_settings.probeEvery;
+            health.probeAt = now + m_settings.probeEvery * (1 + static_cast<Span::rep>(m_random++ % probeSpread));
         }
         health.isEjected = isSlow;
         view.at(slot).weight = isSlow ? slowWeight : 1;
     }
 }
 
-bool Slowness::takeProbe(Instant now, const Pool &pool, const LoadView &view, EndpointSlot &endpoint)
+bool Slowness::takeProbe(Instant now, const Pool &pool, const LoadView &view, std::size_t routers,
+                         EndpointSlot &endpoint)
 {
     for (const EndpointSlot slot : pool.members) {
         Health &health = m_health[static_cast<std::uint32_t>(slot)];
         if (health.isEjected && health.probeAt <= now && view.at(slot).isRoutable && view.at(slot).own.total < 1) {
-            health.probeAt = now + m_settings.probeEvery;
+            health.probeAt = now + m_settings.probeEvery * static_cast<Span::rep>(routers);
+            health.probed = now;
             endpoint = slot;
             return true;
         }
@@ -120,4 +130,21 @@
     return false;
 }
 
+void Slowness::onPeerFinding(EndpointSlot endpoint, double ratio)
+{
+    observe(endpoint, ratio);
+}
+
+std::vector<std::pair<EndpointSlot, double>> Slowness::findings(Instant now) const
+{
+    std::vector<std::pair<EndpointSlot, double>> result;
+    for (const auto &[slot, health] : m_health) {
+        const bool isProbed = health.probed != Instant{} && now < health.probed + findingLife;
+        if (health.isEjected || isProbed) {
+            result.emplace_back(static_cast<EndpointSlot>(slot), health.ratio);
+        }
+    }
+    return result;
+}
+
 } // namespace galenafold
--- a/control/slowness.h
+++ b/control/slowness.h
@@ -1,7 +1,8 @@
 // Slow endpoints: each compared with its peers for the same class of work, ejected softly, probed, taken back.
 //
-// An observation is the time to the first byte over the median of its class. Waiting attempts count before they end,
-// so that an endpoint that has stopped answering is noticed. At most a set fraction of a pool is ejected.
+// An observation is the time to the first byte over the time that the work should have taken. Waiting attempts count
+// before they end, so that an endpoint that has stopped answering is noticed. At most a set fraction of a pool is
+// ejected.
 #pragma once
 
 #include "control/latency.h"
@@ -15,19 +16,29 @@
 class Slowness
 {
 public:
-    explicit Slowness(const SlownessSettings &settings);
+    Slowness(const SlownessSettings &settings, std::uint64_t seed);
 
-    /// Learns a time to the first byte.
-    void onFirstByte(Instant now, EndpointSlot endpoint, const std::string &classKey, Span time);
+    /// Learns a time to the first byte. @param due what it should have been; zero: the class's median
+    void onFirstByte(EndpointSlot endpoint, const std::string &classKey, Span time, Span due);
 
     /// Counts an attempt that still waits, or failed, as at least this slow.
-    void onWaiting(Instant now, EndpointSlot endpoint, const std::string &classKey, Span soFar);
+    void onWaiting(EndpointSlot endpoint, const std::string &classKey, Span soFar, Span due);
+
+    /// Counts a connection that could not be made: enough by itself to eject.
+    void onUnreachable(EndpointSlot endpoint);
 
     /// Sets the weights of a pool's endpoints.
     void judge(Instant now, const Pool &pool, LoadView &view);
 
-    /// @return an ejected endpoint whose turn to be probed has come; its next turn is set
-    bool takeProbe(Instant now, const Pool &pool, const LoadView &view, EndpointSlot &endpoint);
+    /// @param routers that probe too; each takes its turn. @return an ejected endpoint whose turn to be probed has
+    /// come; its next turn is set
+    bool takeProbe(Instant now, const Pool &pool, const LoadView &view, std::size_t routers, EndpointSlot &endpoint);
+
+    /// Takes a peer's finding. @param ratio of the endpoint's times to its peers'.
+    void onPeerFinding(EndpointSlot endpoint, double ratio);
+
+    /// @return endpoints that this router ejects, or has probed lately, with their ratios
+    std::vector<std::pair<EndpointSlot, double>> findings(Instant now) const;
 
     /// @return the class's time to the first byte at a quantile; zero before enough was seen
     Span expected(const std::string &classKey, double quantile) const;
@@ -37,6 +48,7 @@
         double ratio = 1; // smoothed observations
         int samples = 0;
         Instant probeAt{};
+        Instant probed{};
         bool isEjected = false;
     };
 
@@ -44,6 +56,7 @@
     double medianRatio(const Pool &pool) const;
 
     SlownessSettings m_settings;
+    std::uint64_t m_random; // spreads first probes over routers
     std::unordered_map<std::string, LatencyHistogram> m_classes;
     std::unordered_map<std::uint32_t, Health> m_health;
 };
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -44,7 +44,7 @@
     : m_id(id)
     , m_incarnation(incarnation)
     , m_knobs(knobs)
-    , m_server(ServerLimits{static_cast<std::size_t>(knobs.threads), 64 << 20, 60, 60, 60})
+    , m_server(ServerLimits{static_cast<std::size_t>(knobs.threads), 64 << 20, 15, 60, 60})
 {
     httplib::Server &http = m_server.http();
     http.Post("/v1/chat/completions",
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -56,7 +56,7 @@
     double generatedTokens = 0;
     int inFlight = 0;
     int mostInFlight = 0;
-    int mostLong = 0;           // of the long lane, at once
+    int mostLong = 0; // of the long lane, at once
 };
 
 // Engine
@@ -76,7 +76,7 @@
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
     EngineFigures figures() const;
     int inFlight() const;
-    int longInFlight() const; ///< @return of these, in the long lane
+    int longInFlight() const;               ///< @return of these, in the long lane
     std::set<std::string> executed() const; ///< @return ids of requests that got a slot
 
 private:
--- a/fakes/fleet.cpp
+++ b/fakes/fleet.cpp
@@ -60,6 +60,9 @@
     for (std::thread &ender : enders) {
         ender.join();
     }
+    for (std::thread &ender : m_enders) {
+        ender.join();
+    }
     for (EngineEntry &entry : m_engines) {
         entry.engine->stop();
     }
@@ -143,10 +146,10 @@
 {
     addEngine();
     std::swap(m_engines[index], m_engines.back());
-    const std::unique_ptr<FakeEngine> gone = std::move(m_engines.back().engine);
+    std::shared_ptr<FakeEngine> gone = std::move(m_engines.back().engine);
     m_engines.pop_back();
     publishList();
-    gone->stop();
+    m_enders.emplace_back([gone] { gone->stop(); });
 }
 
 void Fleet::hideEngine(std::size_t index, bool isHidden)
--- a/fakes/fleet.h
+++ b/fakes/fleet.h
@@ -76,6 +76,7 @@
     std::vector<EngineEntry> m_engines;
     std::vector<std::unique_ptr<FakeService>> m_services;
     std::vector<DaemonEntry> m_daemons;
+    std::vector<std::thread> m_enders; // stop engines that are gone; idle connections hold them a while
     std::set<VmId> m_leaving;
     int m_nextDaemon = 1;
     int m_nextEngine = 1;
--- a/filters/classify.cpp
+++ b/filters/classify.cpp
@@ -86,6 +86,7 @@
     call.priority = contract.priority + (task.lane == Lane::Long ? longLanePriority : 0);
     call.isIdempotent = task.isIdempotent && !shape.hasKey;
     call.isResumable = call.isIdempotent && shape.isStream && !shape.isService;
+    call.isStream = shape.isStream;
     call.prompt = shape.prompt;
     call.output = shape.mostOutput > 0 ? std::min(shape.mostOutput, task.expectedOutput) : task.expectedOutput;
     call.arrival = now;
--- a/filters/limit.cpp
+++ b/filters/limit.cpp
@@ -9,7 +9,11 @@
 namespace galenafold
 {
 
-constexpr double leastBurst = 1.0;                              // a bucket must hold one call
+constexpr double leastBurst = 1.0;   // a bucket must hold one call
+constexpr double burstSeconds = 2.0; // of this router's own demand: what arrives at random must not be refused
+constexpr double mostBurst = 8.0;
+constexpr double neverBorrowed = 0.1;                           // of a concurrency
+constexpr double blindBorrowing = 0.1;                          // of the pace, while some peer is not heard
 constexpr auto remainderTurn = std::chrono::milliseconds(1000); // how long one router holds a remainder
 
 double roundedPart(double part, const FleetPosition &position, std::uint64_t salt)
@@ -49,16 +53,23 @@
 {
     Bucket &bucket = m_buckets[contract.customer];
     const double rate = contract.rate * shares.share(contract.customer);
-    const double depth = std::max(leastBurst, rate * m_settings.burstSeconds);
+    const double usual = std::min(shares.ownCallsPerSecond(contract.customer), rate);
+    const double random = std::min(mostBurst, leastBurst + burstSeconds * usual);
+    const double depth = std::max(random, rate * m_settings.burstSeconds);
     refill(now, bucket, rate, depth);
     if (bucket.tokens < 1) {
         return Reason::OverRate;
     }
-    const bool isOverFleet =
-        bucket.inProgress + shares.othersInProgress(now, contract.customer) >= contract.concurrency;
-    if (bucket.inProgress >= concurrencyPart(now, contract, shares) || isOverFleet) {
+    const double fleet = bucket.inProgress + shares.othersInProgress(now, contract.customer);
+    const double caution = shares.isViewComplete(now) ? 1 : blindBorrowing;
+    bucket.borrow.earn(now, contract.concurrency * (1 - neverBorrowed) - fleet, shares.routerCount(), caution);
+    const bool isBorrowed = bucket.inProgress >= concurrencyPart(now, contract, shares);
+    if (fleet >= contract.concurrency || (isBorrowed && !bucket.borrow.has())) {
         return Reason::OverConcurrency;
     }
+    if (isBorrowed) {
+        bucket.borrow.take();
+    }
     bucket.tokens -= 1;
     ++bucket.inProgress;
     return Reason::None;
--- a/filters/limit.h
+++ b/filters/limit.h
@@ -39,6 +39,7 @@
         Instant filled{};
         int inProgress = 0;
         bool isNew = true;
+        BorrowPace borrow; // concurrency beyond this router's part
     };
 
     void refill(Instant now, Bucket &bucket, double rate, double depth) const;
--- a/filters/place.cpp
+++ b/filters/place.cpp
@@ -9,8 +9,6 @@
 namespace galenafold
 {
 
-constexpr double borrowWindowSeconds = 1.0; // in which peers learn of what was borrowed
-constexpr double mostBorrow = 2;
 constexpr std::size_t smallPool = 64;           // endpoints, all compared
 constexpr std::size_t randomDraws = 3;          // endpoints compared for a call without context
 constexpr double blindBorrowing = 0.1;          // of the pace, while some peer is not heard
@@ -191,7 +189,7 @@
     if (call.lane == Lane::Long) {
         room.isBorrowed = isLongBorrowed(endpoint);
         const double left = longSlots(endpoint) - endpoint.longLane();
-        const bool mayBorrow = m_borrow >= 1 && left >= 2; // the last one is for a router whose part it is
+        const bool mayBorrow = m_borrow.has() && left >= 2; // the last one is for a router whose part it is
         room.hasSlot = room.hasSlot && left >= 1 && (!room.isBorrowed || mayBorrow);
         room.hasBacklog = room.hasSlot;
     }
@@ -218,16 +216,14 @@
     const double longSum = pool.slotSum * (1 - m_queue.reservedSlots);
     const double spared = longSum * (1 - neverBorrowed); // or owners of a part would find it taken
     const double free = std::max(0.0, spared - pool.ownLongSum - pool.othersLongSum);
-    const bool isFirst = m_borrowAt == Instant{};
-    const double elapsed = isFirst ? 0 : std::chrono::duration<double>(now - m_borrowAt).count();
-    const double caution = isViewComplete ? 1 : blindBorrowing;
-    m_borrow = std::min(mostBorrow, m_borrow + caution * elapsed * free / (m_position.routers * borrowWindowSeconds));
-    m_borrowAt = now;
+    m_borrow.earn(now, free, static_cast<std::size_t>(m_position.routers), isViewComplete ? 1 : blindBorrowing);
 }
 
 void Placer::onStarted(const Placement &placement)
 {
-    m_borrow -= placement.isBorrowed ? 1 : 0;
+    if (placement.isBorrowed) {
+        m_borrow.take();
+    }
 }
 
 /// A small prompt is computed again sooner than a slot comes free; such calls go where most room is.
--- a/filters/place.h
+++ b/filters/place.h
@@ -107,8 +107,7 @@
     QueueSettings m_queue;
     FleetPosition m_position;
     RecentChats m_recent;
-    double m_borrow = 0; // long calls that may start beyond the part
-    Instant m_borrowAt{};
+    BorrowPace m_borrow; // long calls that may start beyond the part
     boost::random::mt19937_64 m_random;
 };
 
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -148,6 +148,7 @@
     int priority = 5;
     bool isIdempotent = true;
     bool isResumable = false; // a stream that an engine can continue from a token offset
+    bool isStream = false;    // its first byte comes before the rest
     Tokens prompt = 0;
     Tokens output = 0; // expected
     Instant arrival{};
@@ -219,10 +220,11 @@
 struct SlownessSettings {
     Policy policy = Policy::Galenafold;
     double ejectRatio = 2.5;       // slower than the median of its peers by this factor: weight falls
-    double ejectedFraction = 0.34; // at most this part of a pool is ejected
-    Span probeEvery = std::chrono::milliseconds(500); // an ejected endpoint gets one short call in this time
-    double hedgeBudget = 0.05;                        // hedges as a fraction of first attempts
-    double hedgePercentile = 0.95;                    // of the class's time to first byte
+    double ejectedFraction = 0.25; // at most this part of a pool is ejected
+    Span probeEvery =
+        std::chrono::milliseconds(1000); // an ejected endpoint gets one short call in this time, of all routers
+    double hedgeBudget = 0.05;           // hedges as a fraction of first attempts
+    double hedgePercentile = 0.95;       // of the class's time to first byte
 };
 
 struct RetrySettings {
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -105,11 +105,11 @@
     });
 }
 
-void Core::onFirstByte(CallKey call, int attempt)
+void Core::onFirstByte(CallKey call, int attempt, Tokens reused)
 {
-    post([this, call, attempt](Instant now) {
+    post([this, call, attempt, reused](Instant now) {
         Actions actions;
-        m_router.onFirstByte(now, call, attempt, actions);
+        m_router.onFirstByte(now, call, attempt, reused, actions);
         carryOut(now, actions);
     });
 }
--- a/shell/core.h
+++ b/shell/core.h
@@ -62,7 +62,7 @@
     Reason admit(const Contract &contract); ///< Applies limits; waits for the control thread.
     void unadmit(const CustomerId &customer);
     void submit(const std::shared_ptr<CallContext> &context, double weight);
-    void onFirstByte(CallKey call, int attempt);
+    void onFirstByte(CallKey call, int attempt, Tokens reused);
     void onAttemptEnded(const AttemptReport &report);
     void onCallerGone(CallKey call);
 
--- a/shell/daemon.cpp
+++ b/shell/daemon.cpp
@@ -98,7 +98,7 @@
 RunnerHooks Daemon::Impl::runnerHooks()
 {
     RunnerHooks hooks;
-    hooks.onFirstByte = [this](CallKey call, int attempt) { core.onFirstByte(call, attempt); };
+    hooks.onFirstByte = [this](CallKey call, int attempt, Tokens reused) { core.onFirstByte(call, attempt, reused); };
     hooks.onEnded = [this](const AttemptReport &report) { core.onAttemptEnded(report); };
     hooks.onLoad = [this](const LoadReport &report) { core.onLoadReport(report); };
     return hooks;
--- a/shell/peers.cpp
+++ b/shell/peers.cpp
@@ -28,6 +28,15 @@
     return std::string(reader.cStr(), reader.size());
 }
 
+static void fillSlow(wire::Gossip::Builder builder, const GossipMessage &message)
+{
+    auto slow = builder.initSlow(static_cast<unsigned>(message.slow.size()));
+    for (unsigned i = 0; i < slow.size(); ++i) {
+        slow[i].setEndpointHash(message.slow[i].endpointHash);
+        slow[i].setRatio(message.slow[i].ratio);
+    }
+}
+
 static void fill(wire::Gossip::Builder builder, const GossipMessage &message)
 {
     builder.setFrom(message.from.text.c_str());
@@ -51,6 +60,7 @@
         demand[i].setCallsPerSecond(message.demand[i].callsPerSecond);
         demand[i].setInProgress(message.demand[i].inProgress);
     }
+    fillSlow(builder, message);
 }
 
 static GossipMessage read(wire::Gossip::Reader reader)
@@ -68,6 +78,9 @@
     for (const auto demand : reader.getDemand()) {
         message.demand.push_back({demand.getCustomerHash(), demand.getCallsPerSecond(), demand.getInProgress()});
     }
+    for (const auto finding : reader.getSlow()) {
+        message.slow.push_back({finding.getEndpointHash(), finding.getRatio()});
+    }
     return message;
 }
 
--- a/shell/runner.cpp
+++ b/shell/runner.cpp
@@ -83,7 +83,7 @@
     hooks.win = [this, attempt, resumeFrom, &context](const AnswerHead &head) {
         const bool hasWon = context.exchange.offerHead(attempt, head, resumeFrom);
         if (hasWon) {
-            m_hooks.onFirstByte(context.call.key, attempt);
+            m_hooks.onFirstByte(context.call.key, attempt, head.reusedPrompt);
         }
         return hasWon;
     };
--- a/shell/runner.h
+++ b/shell/runner.h
@@ -33,7 +33,7 @@
 
 /// What the runner tells the control thread.
 struct RunnerHooks {
-    std::function<void(CallKey, int attempt)> onFirstByte;
+    std::function<void(CallKey, int attempt, Tokens reused)> onFirstByte;
     std::function<void(const AttemptReport &)> onEnded;
     std::function<void(const LoadReport &)> onLoad;
 };
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -180,7 +180,7 @@
         if (hasWon) {
             post(held, [this, held] {
                 Actions actions;
-                m_router.onFirstByte(m_now, held->start.call, held->start.attempt, actions);
+                m_router.onFirstByte(m_now, held->start.call, held->start.attempt, 0, actions);
                 carryOut(actions);
             });
         }
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -28,12 +28,15 @@
 
 struct CustomerDemand { customerHash @0 :UInt32; callsPerSecond @1 :Float32; inProgress @2 :UInt16; }
 
+struct SlowFinding { endpointHash @0 :UInt32; ratio @1 :Float32; }
+
 struct Gossip {
   from @0 :Text;
   contractsUpTo @1 :Int64;
   reports @2 :List(ReportDigest);
   leaving @3 :List(LeavingMark);
   demand @4 :List(CustomerDemand);
+  slow @5 :List(SlowFinding);
 }
 
 struct ContractRecord { offset @0 :Int64; value @1 :Text; }
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(ff4c45233d2f6c9b);
 CAPNP_DECLARE_SCHEMA(e3491a2b6f4795ec);
 CAPNP_DECLARE_SCHEMA(ce8d53a7819db0e7);
+CAPNP_DECLARE_SCHEMA(d8c253006a06986d);
 CAPNP_DECLARE_SCHEMA(bce8dbad57fce424);
 CAPNP_DECLARE_SCHEMA(d552e5ef580bcae9);
 CAPNP_DECLARE_SCHEMA(97aa5b1c05ff88fe);
@@ -103,6 +104,21 @@
   };
 };
 
+struct SlowFinding {
+  SlowFinding() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d8c253006a06986d, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Gossip {
   Gossip() = delete;
 
@@ -111,7 +127,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bce8dbad57fce424, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bce8dbad57fce424, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -707,6 +723,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class SlowFinding::Reader {
+public:
+  typedef SlowFinding Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEndpointHash() const;
+
+  inline float getRatio() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SlowFinding::Builder {
+public:
+  typedef SlowFinding Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEndpointHash();
+  inline void setEndpointHash( ::uint32_t value);
+
+  inline float getRatio();
+  inline void setRatio(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlowFinding::Pipeline {
+public:
+  typedef SlowFinding Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Gossip::Reader {
 public:
   typedef Gossip Reads;
@@ -738,6 +835,9 @@
   inline bool hasDemand() const;
   inline  ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
 
+  inline bool hasSlow() const;
+  inline  ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Reader getSlow() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -797,6 +897,13 @@
   inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CustomerDemand,  ::capnp::Kind::STRUCT>> disownDemand();
 
+  inline bool hasSlow();
+  inline  ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Builder getSlow();
+  inline void setSlow( ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Builder initSlow(unsigned int size);
+  inline void adoptSlow(::capnp::Orphan< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>> disownSlow();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2240,6 +2347,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SlowFinding::Reader::getEndpointHash() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlowFinding::Builder::getEndpointHash() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlowFinding::Builder::setEndpointHash( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float SlowFinding::Reader::getRatio() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float SlowFinding::Builder::getRatio() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlowFinding::Builder::setRatio(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Gossip::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2390,6 +2525,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Gossip::Reader::hasSlow() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasSlow() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getSlow() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getSlow() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setSlow( ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initSlow(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptSlow(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownSlow() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::SlowFinding,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::int64_t ContractRecord::Reader::getOffset() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
