--- a/control/router.cpp
+++ b/control/router.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t routersAtFullPace = 200; // a larger fleet works shares out less often
 constexpr auto slowChecksEvery = std::chrono::milliseconds(250);
 constexpr auto baseTime = std::chrono::milliseconds(10); // of any answer, beside its tokens
+constexpr double noticeMargin = 1.3; // a call that has to wait at its endpoint is there for longer
 constexpr double hedgeBurst = 3;
 constexpr int naiveRetries = 3; // of the naive policy: a fixed count for each call
 constexpr std::size_t mostDemandTold = 32;
@@ -224,7 +225,7 @@
 {
     StartNotice notice;
     notice.endpointHash = static_cast<std::uint32_t>(m_view.at(endpoint).hash);
-    notice.lastsMillis = narrowed(static_cast<double>(expectedTime(call).count()));
+    notice.lastsMillis = narrowed(static_cast<double>(expectedTime(call).count()) * noticeMargin);
     notice.isLong = call.lane == Lane::Long;
     m_starts.push_back(notice);
 }
--- a/daemons/galenafold.cpp
+++ b/daemons/galenafold.cpp
@@ -226,7 +226,8 @@
 static int status(const Arguments &arguments)
 {
     std::vector<VmRecord> list;
-    if (!readVmList(arguments.vmList, list)) {
+    std::string etag;
+    if (readVmList(arguments.vmList, etag, list) == VmListRead::Failed) {
         std::cerr << arguments.vmList << ": the VM list does not answer\n";
         return statusFailed;
     }
@@ -265,7 +266,8 @@
 static int explain(const Arguments &arguments)
 {
     std::vector<VmRecord> list;
-    if (!readVmList(arguments.vmList, list)) {
+    std::string etag;
+    if (readVmList(arguments.vmList, etag, list) == VmListRead::Failed) {
         std::cerr << arguments.vmList << ": the VM list does not answer\n";
         return statusFailed;
     }
--- a/fakes/platform.cpp
+++ b/fakes/platform.cpp
@@ -1,6 +1,7 @@
 // The platform's stand-ins.
 #include "fakes/platform.h"
 
+#include "control/loadview.h"
 #include "platform/endpoint.h"
 
 #include <nlohmann/json.hpp>
@@ -158,9 +159,15 @@
 FakeVmList::FakeVmList()
     : m_server(ServerLimits{})
 {
-    m_server.http().Get("/vms", [this](const httplib::Request &, httplib::Response &response) {
-        response.status = m_isOut ? 503 : 200;
-        response.set_content(m_isOut ? std::string("{}") : text(), "application/json");
+    m_server.http().Get("/vms", [this](const httplib::Request &request, httplib::Response &response) {
+        const std::string body = text();
+        const std::string etag = '"' + std::to_string(hashName(body)) + '"';
+        const bool isSame = request.get_header_value("If-None-Match") == etag;
+        response.set_header("ETag", etag);
+        response.status = m_isOut ? 503 : isSame ? 304 : 200;
+        if (response.status == 200) {
+            response.set_content(body, "application/json");
+        }
     });
 }
 
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -12,7 +12,15 @@
 constexpr auto figuresEvery = std::chrono::milliseconds(500);
 constexpr auto pullEvery = std::chrono::milliseconds(200);
 constexpr auto snapshotEvery = std::chrono::seconds(30); // the log must keep contract records for much longer
-constexpr LogOffset recordsBeforeSnapshot = 1;           // an unchanged stream needs its snapshot repeated too
+constexpr std::size_t snapshotBytesPerSecond = 500;
+constexpr LogOffset recordsBeforeSnapshot = 1; // an unchanged stream needs its snapshot repeated too
+
+/// Every daemon reads every snapshot, so large ones come less often.
+static Span snapshotPace(std::size_t bytes)
+{
+    const auto byBytes = std::chrono::seconds(static_cast<std::int64_t>(bytes / snapshotBytesPerSecond));
+    return std::max<Span>(snapshotEvery, byBytes);
+}
 
 Core::Core(const Settings &settings, CoreHooks hooks, Metrics &metrics)
     : m_settings(settings)
@@ -72,6 +80,7 @@
     snapshot->entryVms = m_router.membership().entryVms();
     snapshot->knownEntries = m_router.membership().knownEntries();
     snapshot->endpoints = m_router.membership().routable();
+    snapshot->membersVersion = m_membersVersion;
     snapshot->hasContracts = m_book.upTo() > 0;
     snapshot->hasVmList = m_hasVmList;
     snapshot->isWhole = m_book.isWhole();
@@ -204,6 +213,7 @@
 {
     post([this, list](Instant now) {
         m_router.onVmList(now, list);
+        ++m_membersVersion;
         m_hasVmList = m_hasVmList || !m_router.membership().routable().empty(); // an empty list is no news
         publish();
     });
@@ -233,8 +243,7 @@
     const Applied applied = m_book.apply(record, firstRetained);
     const bool isSnapshot = record.value.find("\"kind\":\"snapshot\"") != std::string::npos;
     if (isSnapshot) {
-        m_lastSnapshot = record.offset;
-        m_snapshotDue = clockNow() + snapshotEvery;
+        m_snapshotDue = clockNow() + snapshotPace(record.value.size());
     }
     switch (applied) {
     case Applied::Accepted:
@@ -400,8 +409,9 @@
     if (now < m_snapshotDue + place * std::chrono::seconds(2)) {
         return;
     }
-    m_snapshotDue = now + snapshotEvery;
-    m_hooks.appendSnapshot(encodeContractSnapshot(m_book.state()));
+    const std::string record = encodeContractSnapshot(m_book.state());
+    m_snapshotDue = now + snapshotPace(record.size());
+    m_hooks.appendSnapshot(record);
 }
 
 void Core::publishFigures()
--- a/shell/core.h
+++ b/shell/core.h
@@ -24,9 +24,10 @@
 /// What other threads may know of the control state. Immutable, replaced whole.
 struct ControlSnapshot {
     std::shared_ptr<const ContractTable> contracts;
-    std::vector<VmRecord> entryVms;  // live ones, this one included
-    std::set<VmId> knownEntries;     // every entry VM that the list ever named; a leaving one may still speak
-    std::vector<VmRecord> endpoints; // routable ones
+    std::vector<VmRecord> entryVms;   // live ones, this one included
+    std::set<VmId> knownEntries;      // every entry VM that the list ever named; a leaving one may still speak
+    std::vector<VmRecord> endpoints;  // routable ones
+    std::uint64_t membersVersion = 0; // another number whenever the list changed
     bool hasContracts = false;
     bool hasVmList = false;
     bool isWhole = false; // nothing of the contract stream is missing
@@ -112,9 +113,9 @@
     std::atomic<LogOffset> m_nextToRead{0};
     std::atomic<bool> m_isStopping{false};
     int m_beaconSize = 64; // bytes of the last one
+    std::uint64_t m_membersVersion = 0;
     bool m_hasVmList = false;
     std::int64_t m_recordsRefused = 0;
-    LogOffset m_lastSnapshot = 0;
     Instant m_snapshotDue{};
     Instant m_nextGossip{};
     Instant m_nextFigures{};
--- a/shell/followers.cpp
+++ b/shell/followers.cpp
@@ -13,7 +13,9 @@
 constexpr auto retryAfter = std::chrono::milliseconds(200);
 constexpr auto vmListEvery = std::chrono::milliseconds(500);
 constexpr auto probeEvery = std::chrono::milliseconds(500);
-constexpr std::size_t probersOfEndpoint = 2;
+constexpr std::ptrdiff_t probersOfEndpoint = 2;
+constexpr std::size_t probesInRound = 2;
+constexpr std::size_t roundsBetweenEvents = 4; // cache events only refine
 constexpr std::size_t probeThreads = 16;
 
 Followers::Followers(const Settings &settings, Core &core)
@@ -82,31 +84,35 @@
 void Followers::followVmList()
 {
     bool wasGood = true;
+    std::string etag;
     do {
         std::vector<VmRecord> list;
-        const bool isGood = readVmList(m_settings.vmListAddress, list);
+        const VmListRead result = readVmList(m_settings.vmListAddress, etag, list);
+        const bool isGood = result != VmListRead::Failed;
         LOG_IF(WARNING, wasGood && !isGood) << "members: the VM list does not answer";
         wasGood = isGood;
-        if (isGood) {
+        if (result == VmListRead::Changed) {
             m_core.onVmList(list);
         }
     } while (waitFor(vmListEvery));
 }
 
 /// @return endpoints that this VM probes: it is among the first few in the endpoint's rendezvous order of entry VMs
-std::vector<VmRecord> Followers::duties() const
+std::vector<VmRecord> Followers::duties(const ControlSnapshot &snapshot) const
 {
-    const auto snapshot = m_core.snapshot();
+    std::vector<std::uint64_t> others;
+    for (const VmRecord &vm : snapshot.entryVms) {
+        if (vm.id != m_settings.name) {
+            others.push_back(hashName(vm.id.text));
+        }
+    }
     std::vector<VmRecord> result;
     const std::uint64_t self = hashName(m_settings.name.text);
-    for (const VmRecord &endpoint : snapshot->endpoints) {
+    for (const VmRecord &endpoint : snapshot.endpoints) {
         const std::uint64_t hash = hashName(endpoint.id.text);
         const std::uint64_t own = rendezvousScore(hash, self);
-        std::size_t before = 0;
-        for (const VmRecord &vm : snapshot->entryVms) {
-            const bool isOther = vm.id != m_settings.name;
-            before += isOther && rendezvousScore(hash, hashName(vm.id.text)) > own ? 1 : 0;
-        }
+        const auto isBefore = [&](std::uint64_t other) { return rendezvousScore(hash, other) > own; };
+        const auto before = std::count_if(others.begin(), others.end(), isBefore);
         if (before < probersOfEndpoint && endpoint.kind == VmKind::Engine) {
             result.push_back(endpoint);
         }
@@ -114,13 +120,16 @@
     return result;
 }
 
-void Followers::probe(const VmRecord &endpoint)
+void Followers::probe(const VmRecord &endpoint, bool withEvents)
 {
     LoadReport report;
     if (!EndpointClient::readLoad(endpoint, report)) {
         return;
     }
     m_core.onLoadReport(report);
+    if (!withEvents) {
+        return;
+    }
     const std::string key = endpoint.id.text + '/' + std::to_string(static_cast<std::uint64_t>(endpoint.incarnation));
     std::int64_t from = 0;
     {
@@ -135,11 +144,23 @@
     }
 }
 
+/// A few probes a round, in turn: where there are many endpoints, what their answers to calls say must do.
 void Followers::probeEndpoints()
 {
+    std::vector<VmRecord> mine;
+    std::uint64_t version = 0;
+    std::size_t turn = 0;
     do {
-        for (const VmRecord &endpoint : duties()) {
-            m_pool.enqueue([this, endpoint] { probe(endpoint); });
+        const auto snapshot = m_core.snapshot();
+        if (snapshot->membersVersion != version) {
+            version = snapshot->membersVersion;
+            mine = duties(*snapshot);
+        }
+        for (std::size_t i = 0; i < std::min(mine.size(), probesInRound); ++i) {
+            const VmRecord endpoint = mine[turn % mine.size()];
+            const bool withEvents = (turn / mine.size()) % roundsBetweenEvents == 0;
+            ++turn;
+            m_pool.enqueue([this, endpoint, withEvents] { probe(endpoint, withEvents); });
         }
     } while (waitFor(probeEvery));
 }
--- a/shell/followers.h
+++ b/shell/followers.h
@@ -21,8 +21,8 @@
     void followContracts();
     void followVmList();
     void probeEndpoints();
-    std::vector<VmRecord> duties() const;
-    void probe(const VmRecord &endpoint);
+    std::vector<VmRecord> duties(const ControlSnapshot &snapshot) const;
+    void probe(const VmRecord &endpoint, bool withEvents);
 
     Settings m_settings;
     Core &m_core;
