--- a/daemons/loadrun.cpp
+++ b/daemons/loadrun.cpp
@@ -28,7 +28,7 @@
     if (values.empty()) {
         return 0;
     }
-    const auto index = static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1) + 0.5);
+    const auto index = static_cast<std::size_t>(std::lround(fraction * static_cast<double>(values.size() - 1)));
     std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
     return values[index];
 }
--- a/shell/peers.cpp
+++ b/shell/peers.cpp
@@ -19,7 +19,6 @@
 
 constexpr int rpcOverheadBytes = 300; // of one call and its return beyond the message: RPC, TCP and IP heads
 constexpr auto callWithin = 2 * kj::SECONDS;
-constexpr std::size_t mostTextBytes = 8 << 20;
 
 // Conversions
 
