--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -111,6 +111,17 @@
 {
 }
 
+void PeerLoads::takeBack(std::vector<CountedStart> &starts, std::uint32_t endpointHash)
+{
+    const auto isThere = [endpointHash](const CountedStart &start) {
+        return start.notice.endpointHash == endpointHash;
+    };
+    const auto oldest = std::find_if(starts.begin(), starts.end(), isThere);
+    if (oldest != starts.end()) {
+        starts.erase(oldest);
+    }
+}
+
 void PeerLoads::onBeacon(Instant now, const LoadBeacon &beacon)
 {
     Peer &peer = m_peers[beacon.from];
@@ -120,6 +131,10 @@
     }
     peer.heard = now;
     peer.number = beacon.number;
+    if (beacon.isStart && beacon.start.lastsMillis == 0) {
+        takeBack(peer.starts, beacon.start.endpointHash);
+        return;
+    }
     if (beacon.isStart) {
         peer.starts.push_back({beacon.start, now + std::chrono::milliseconds(beacon.start.lastsMillis)});
         return;
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -25,6 +25,9 @@
     std::uint16_t longInFlight = 0;
 };
 
+/// A call is told as longer than expected by this factor; one that waits at its endpoint is there for longer.
+constexpr double noticeMargin = 1.3;
+
 /// How slow the sender found an endpoint.
 struct SlowFinding {
     std::uint32_t endpointHash = 0;
@@ -56,7 +59,7 @@
 /// One call that has just started. It counts until it should have ended, so its end need not be told.
 struct StartNotice {
     std::uint32_t endpointHash = 0;
-    std::uint16_t lastsMillis = 0; // expected
+    std::uint16_t lastsMillis = 0; // expected; 0: such a call has ended before its time
     bool isLong = false;
 };
 
@@ -149,6 +152,8 @@
         std::vector<CountedStart> starts;
     };
 
+    static void takeBack(std::vector<CountedStart> &starts, std::uint32_t endpointHash);
+
     Span m_silentAfter;
     std::unordered_map<std::uint32_t, Peer> m_peers; // by hash of the name
 };
--- a/control/router.cpp
+++ b/control/router.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t routersAtFullPace = 200; // a larger fleet works shares out less often
 constexpr auto slowChecksEvery = std::chrono::milliseconds(250);
 constexpr auto baseTime = std::chrono::milliseconds(10); // of any answer, beside its tokens
+constexpr double earlyEnd = 0.7; // of the time told; a brief call that ends before is taken back
 constexpr double hedgeBurst = 3;
 constexpr int naiveRetries = 3;     // of the naive policy: a fixed count for each call
 constexpr double startMargin = 1.2; // over the expected service time, kept before a deadline
@@ -211,17 +212,27 @@
     return expectedTime(call).count() < briefCallMillis;
 }
 
-void Router::noteEnded(Instant now, EndpointSlot endpoint, const Call &call)
+void Router::noteEnded(Instant now, const Attempt &attempt, const Call &call)
 {
-    m_view.onEnded(now, endpoint, call.lane);
-    m_hasLoadChanged = m_hasLoadChanged || !isBrief(call); // the end of a brief call is known by its start
+    m_view.onEnded(now, attempt.endpoint, call.lane);
+    if (!isBrief(call)) {
+        m_hasLoadChanged = true;
+        return;
+    }
+    const double told = static_cast<double>(expectedTime(call).count()) * noticeMargin;
+    const auto lasted = std::chrono::duration_cast<std::chrono::milliseconds>(now - attempt.sent).count();
+    if (static_cast<double>(lasted) < told * earlyEnd) {
+        StartNotice notice;
+        notice.endpointHash = static_cast<std::uint32_t>(m_view.at(attempt.endpoint).hash);
+        m_starts.push_back(notice); // lasts no time: peers take the start back
+    }
 }
 
 void Router::endCall(Instant now, CallKey key)
 {
     const auto found = m_calls.find(key);
     for (const Attempt &attempt : found->second.live) {
-        noteEnded(now, attempt.endpoint, found->second.call); // a cancelled loser reports to nobody
+        noteEnded(now, attempt, found->second.call); // a cancelled loser reports to nobody
     }
     m_limiter.release(found->second.call.customer);
     m_calls.erase(found);
@@ -267,8 +278,8 @@
     const VmRecord vm = m_view.at(endpoint).vm;
     const bool hadFirstByte = live->hasFirstByte;
     const Instant sent = live->sent;
+    noteEnded(now, *live, active.call);
     active.live.erase(live);
-    noteEnded(now, endpoint, active.call);
     if (report.saysLeaving) {
         onLeaving(now, {vm.id, vm.incarnation});
     }
@@ -303,7 +314,7 @@
     for (const Attempt &attempt : active.live) {
         if (isUseless(attempt)) {
             actions.cancels.push_back({active.call.key, attempt.number});
-            noteEnded(now, attempt.endpoint, active.call);
+            noteEnded(now, attempt, active.call);
             active.mayHaveRun = true;
         }
     }
--- a/control/router.h
+++ b/control/router.h
@@ -95,7 +95,7 @@
 
     /// @return own calls in progress, for all peers; the change that it tells is then taken as told
     LoadBeacon beacon();
-    std::vector<LoadBeacon> takeStarts(); ///< @return calls that started since the last time, one beacon each
+    std::vector<LoadBeacon> takeStarts(); ///< @return starts, and early ends, since the last time; a beacon each
     bool hasLoadChanged() const { return m_hasLoadChanged; } ///< @return true since the last beacon
 
     const Membership &membership() const { return m_membership; }
@@ -148,7 +148,7 @@
     std::chrono::milliseconds expectedTime(const Call &call) const;
     bool isBrief(const Call &call) const;
     void noteStarted(const Call &call, EndpointSlot endpoint);
-    void noteEnded(Instant now, EndpointSlot endpoint, const Call &call);
+    void noteEnded(Instant now, const Attempt &attempt, const Call &call);
     void refreshPools(Instant now);
     static std::string classKey(const Call &call);
 
--- a/control/routernews.cpp
+++ b/control/routernews.cpp
@@ -10,7 +10,6 @@
 constexpr std::size_t mostReportsTold = 16;
 constexpr std::size_t mostMarksTold = 8;
 constexpr std::size_t mostFindingsTold = 8;
-constexpr double noticeMargin = 1.3; // a call that has to wait at its endpoint is there for longer
 constexpr std::chrono::milliseconds oldestReportTold{2000};
 
 static std::uint16_t narrowed(double value)
--- a/filters/place.cpp
+++ b/filters/place.cpp
@@ -165,7 +165,9 @@
 {
     const double fleetBound = m_settings.loadBound * pool.meanWith(1);
     if (view.peersComplete() || endpoint.hasReport || m_position.routers <= 1) {
-        return std::max(fleetBound, std::floor(pool.meanWith(0)) + 1); // the least loaded is always within
+        const double leastLoaded = std::floor(pool.meanWith(0)) + 1; // the least loaded is always within
+        const double nearlyIdle = std::min(fleetBound + 1, 2.0); // a chat may return though its last call just ended
+        return std::max({fleetBound, leastLoaded, nearlyIdle});
     }
     // Nothing is known of others: keep this router's part of the bound, rounded so that all parts add up.
     const double ownPart = roundedPart(m_settings.loadBound * pool.ownMeanWith(1), m_position, endpoint.hash);
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -283,6 +283,24 @@
     }
 }
 
+TEST(Placement, aChatThatReturnsAtOnceGoesHomeThoughItsLastCallStillCounts)
+{
+    LoadView view({});
+    std::vector<VmRecord> records = list();
+    records.resize(3);
+    view.setRoutable(records);
+    Placer placer({}, {}, 1);
+    Call call;
+    call.pool = {"tea"};
+    call.prompt = 4000;
+    call.chat = {"chat"};
+    const Placement first = placer.choose(seconds(0), call, view, {});
+    view.onSent(seconds(0), first.endpoint, Lane::Short);
+    const Placement second = placer.choose(seconds(0), call, view, {});
+    CHECK(second.verdict == Verdict::Go);
+    CHECK(first.endpoint == second.endpoint);
+}
+
 TEST(Placement, churnMovesOnlyWhatItMust)
 {
     LoadView all({});
