--- a/shell/front.cpp
+++ b/shell/front.cpp
@@ -350,12 +350,30 @@
     record.prompt = call.call.prompt;
     record.reusedPrompt = call.reused;
     m_metrics.count(record);
+    keepTrace(call, reason, run);
+}
+
+/// Faults are always kept, but for strangers' calls, which could push all others out.
+void Front::keepTrace(Exchanged &call, Reason reason, Run run)
+{
+    const SpanRecord whole{"call", call.arrival, clockNow(), {{"outcome", text(reason)}, {"run", text(run)}}};
     if (call.context) {
         const std::uint64_t draw = hashName(call.call.request.text) % 10000;
         const bool isSampled = static_cast<double>(draw) < m_settings.traceFraction * 10000;
-        call.context->trace.add({"call", call.arrival, clockNow(), {{"outcome", text(reason)}, {"run", text(run)}}});
+        call.context->trace.add(whole);
         m_tracer.keep(call.context->trace, isSampled);
+        return;
+    }
+    if (reason == Reason::None || reason == Reason::BadKey) {
+        return;
+    }
+    CallTrace trace(call.call.request, call.traceparent, m_settings.seed);
+    for (const SpanRecord &span : call.early) {
+        trace.add(span);
     }
+    trace.add(whole);
+    trace.markFault();
+    m_tracer.keep(trace, false);
 }
 
 void Front::answer(httplib::Response &response, const std::shared_ptr<Exchanged> &call)
--- a/shell/front.h
+++ b/shell/front.h
@@ -49,6 +49,7 @@
     void settleKey(const Exchanged &call, const ClaimOutcome &outcome, Run run);
     void refuse(httplib::Response &response, Exchanged &call, Reason reason, Run run, const std::string &message);
     void finish(Exchanged &call, Reason reason, Run run);
+    void keepTrace(Exchanged &call, Reason reason, Run run);
     RequestId newRequestId();
 
     Settings m_settings;
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -98,6 +98,16 @@
     LONGS_EQUAL(0, small.fleet.engine(0).executed().size());
 }
 
+TEST(BadInput, aRefusalLeavesATraceToExplainIt)
+{
+    const auto refused = small.post(chatBody(2, false, "nobody"));
+    httplib::Client client("127.0.0.1", small.fleet.daemon(0).httpPort());
+    const auto trace = client.Get("/trace?request=" + refused->get_header_value("X-Request-Id"));
+    LONGS_EQUAL(200, trace->status);
+    CHECK(trace->body.find("not_allowed") != std::string::npos);
+    LONGS_EQUAL(404, client.Get("/trace?request=unknown")->status);
+}
+
 TEST(BadInput, oversizedBodyAndHeader)
 {
     checkError(small.post(std::string(200000, 'x')), 413, "too_large", "no");
