Make one piece of what stood two or three times, and drop what nothing calls

Cause: read over, the time of a call's work was reckoned in three places; gossip hashed every customer's name for every entry it told; a moment was kept where only yes or no was asked; three functions had lost their callers. Change: Router::workSeconds serves queue, notices and due times; Shares::ownDemand fills in calls in progress in its one pass; the load view keeps whether all peers are known; Desks::flush, Front::newRequestId and Shares::customers are gone, and an unused parameter. Conclusion: behaviour is the same.

--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -159,14 +159,12 @@
 void PeerLoads::apply(Instant now, const std::vector<VmId> &peers, LoadView &view)
 {
     std::unordered_map<std::uint32_t, InFlight> sums;
-    Instant asOf = now;
     for (const VmId &vm : peers) {
         const auto peer = m_peers.find(endpointHash(vm));
         if (peer == m_peers.end() || peer->second.heard + m_silentAfter < now) {
-            view.setPeersAsOf(Instant::min());
+            view.setPeersComplete(false);
             return;
         }
-        asOf = std::min(asOf, peer->second.heard);
         for (const PeerLoad &load : peer->second.loads) {
             InFlight &sum = sums[load.endpointHash];
             sum.total += load.total;
@@ -181,7 +179,7 @@
             sum.longLane += start.notice.isLong ? 1 : 0;
         }
     }
-    view.setPeersAsOf(asOf);
+    view.setPeersComplete(true);
     for (std::size_t i = 0; i < view.size(); ++i) {
         const auto slot = static_cast<EndpointSlot>(i);
         const auto sum = sums.find(static_cast<std::uint32_t>(view.at(slot).hash));
--- a/control/loadview.h
+++ b/control/loadview.h
@@ -74,8 +74,8 @@
 
     /// Sets what peers have in progress, when all live peers are known; it goes before reports.
     void setOthers(EndpointSlot slot, const InFlight &others);
-    void setPeersAsOf(Instant asOf) { m_peersAsOf = asOf; } ///< Instant::min(): some live peer is not known
-    bool peersComplete() const { return m_peersAsOf != Instant::min(); }
+    void setPeersComplete(bool isComplete) { m_peersComplete = isComplete; }
+    bool peersComplete() const { return m_peersComplete; }
 
     /// Forgets reports that are too old.
     void expire(Instant now);
@@ -95,7 +95,7 @@
     std::vector<EndpointLoad> m_endpoints;
     std::unordered_map<VmId, EndpointSlot> m_latest;
     std::unordered_map<PoolId, Pool> m_pools;
-    Instant m_peersAsOf = Instant::min();
+    bool m_peersComplete = false;
 };
 
 /// Hash of a name, the same on every router.
--- a/control/router.cpp
+++ b/control/router.cpp
@@ -57,9 +57,7 @@
 QueuedCall Router::queuedCall(const Active &active) const
 {
     const Call &call = active.call;
-    const double prefill = call.prompt / m_settings.placement.prefillTokensPerSecond;
-    const double decode = call.output / m_settings.placement.decodeTokensPerSecond;
-    const std::chrono::duration<double> service((prefill + decode) * startMargin);
+    const std::chrono::duration<double> service(workSeconds(call.prompt, call.output) * startMargin);
     QueuedCall queued;
     queued.key = call.key;
     queued.customer = call.customer;
@@ -172,10 +170,9 @@
     if (m_view.at(endpoint).vm.kind == VmKind::Service) {
         return Span(0);
     }
-    const PlacementSettings &speeds = m_settings.placement;
-    const double prefill = std::max(0.0, call.prompt - reused) / speeds.prefillTokensPerSecond;
-    const double decode = (call.isStream ? 1 : std::max(1.0, call.output)) / speeds.decodeTokensPerSecond;
-    return baseTime + std::chrono::duration_cast<Span>(std::chrono::duration<double>(prefill + decode));
+    const Tokens output = call.isStream ? 1 : std::max(1.0, call.output);
+    const std::chrono::duration<double> work(workSeconds(std::max(0.0, call.prompt - reused), output));
+    return baseTime + std::chrono::duration_cast<Span>(work);
 }
 
 void Router::onFirstByte(Instant now, CallKey key, int attempt, Tokens reused, Actions &actions)
@@ -200,11 +197,16 @@
     }
 }
 
+/// @return how long an engine of the settings' speeds takes for the work
+double Router::workSeconds(Tokens prompt, Tokens output) const
+{
+    const PlacementSettings &speeds = m_settings.placement;
+    return prompt / speeds.prefillTokensPerSecond + output / speeds.decodeTokensPerSecond;
+}
+
 std::chrono::milliseconds Router::expectedTime(const Call &call) const
 {
-    const double prefill = call.prompt / m_settings.placement.prefillTokensPerSecond;
-    const double decode = call.output / m_settings.placement.decodeTokensPerSecond;
-    return std::chrono::milliseconds(static_cast<std::int64_t>((prefill + decode) * 1000));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(workSeconds(call.prompt, call.output) * 1000));
 }
 
 bool Router::isBrief(const Call &call) const
--- a/control/router.h
+++ b/control/router.h
@@ -145,6 +145,7 @@
     Reason reasonAfter(const Active &active, const AttemptReport &report, bool wasDenied) const;
     QueuedCall queuedCall(const Active &active) const;
     void onMembershipChanged();
+    double workSeconds(Tokens prompt, Tokens output) const;
     std::chrono::milliseconds expectedTime(const Call &call) const;
     bool isBrief(const Call &call) const;
     void noteStarted(const Call &call, EndpointSlot endpoint);
--- a/control/routernews.cpp
+++ b/control/routernews.cpp
@@ -70,14 +70,8 @@
 {
     GossipMessage message;
     message.from = m_settings.name;
-    message.demand = m_shares.ownDemand(mostDemandTold);
-    for (CustomerDemand &demand : message.demand) {
-        for (const CustomerId &customer : m_shares.customers()) {
-            if (customerHash(customer) == demand.customerHash) {
-                demand.inProgress = narrowed(m_limiter.inProgress(customer));
-            }
-        }
-    }
+    message.demand = m_shares.ownDemand(mostDemandTold,
+                                        [this](const CustomerId &customer) { return m_limiter.inProgress(customer); });
     message.leaving = m_membership.marksToTell(mostMarksTold);
     for (const auto &[slot, ratio] : m_slowness.findings(now)) {
         if (message.slow.size() < mostFindingsTold) {
--- a/control/shares.cpp
+++ b/control/shares.cpp
@@ -159,21 +159,15 @@
     return own == m_own.end() ? 0 : own->second.callsPerSecond;
 }
 
-std::vector<CustomerId> Shares::customers() const
-{
-    std::vector<CustomerId> result;
-    for (const auto &[customer, own] : m_own) {
-        result.push_back(customer);
-    }
-    return result;
-}
-
-std::vector<CustomerDemand> Shares::ownDemand(std::size_t most) const
+std::vector<CustomerDemand> Shares::ownDemand(std::size_t most,
+                                              const std::function<int(const CustomerId &)> &inProgress) const
 {
     std::vector<CustomerDemand> result;
     for (const auto &[customer, own] : m_own) {
         if (own.callsPerSecond >= leastDemand) {
-            result.push_back({customerHash(customer), static_cast<float>(own.callsPerSecond), 0});
+            const int calls = inProgress ? inProgress(customer) : 0;
+            const auto told = static_cast<std::uint16_t>(std::clamp(calls, 0, 65535));
+            result.push_back({customerHash(customer), static_cast<float>(own.callsPerSecond), told});
         }
     }
     const auto isLarger = [](const CustomerDemand &a, const CustomerDemand &b) {
--- a/control/shares.h
+++ b/control/shares.h
@@ -62,11 +62,9 @@
     /// @return smoothed calls a second that arrive at this router
     double ownCallsPerSecond(const CustomerId &customer) const;
 
-    /// @return own demand, largest first, at most `most` entries; `inProgress` is left to the caller
-    std::vector<CustomerDemand> ownDemand(std::size_t most) const;
-
-    /// @return customers that called here lately
-    std::vector<CustomerId> customers() const;
+    /// @param inProgress tells a customer's calls in progress; may be empty. @return own demand, largest first
+    std::vector<CustomerDemand> ownDemand(std::size_t most,
+                                          const std::function<int(const CustomerId &)> &inProgress = nullptr) const;
 
     std::size_t routerCount() const { return m_routers.size(); }
 
--- a/filters/place.cpp
+++ b/filters/place.cpp
@@ -145,9 +145,8 @@
 }
 
 /// Hint and recent table only; the rendezvous order is added when these do not settle it.
-std::vector<Placer::Candidate> Placer::candidates(const Call &call, const Pool &pool, const LoadView &view) const
+std::vector<Placer::Candidate> Placer::candidates(const Call &call, const LoadView &view) const
 {
-    (void)pool;
     std::vector<Candidate> list;
     EndpointSlot slot{};
     const bool hasHint = !call.hint.endpoint.isEmpty() && view.find(call.hint.endpoint, slot);
@@ -171,7 +170,7 @@
     }
     // Nothing is known of others: keep this router's part of the bound, rounded so that all parts add up.
     const double ownPart = roundedPart(m_settings.loadBound * pool.ownMeanWith(1), m_position, endpoint.hash);
-    return std::max(ownPart, endpoint.own.total + 1 <= 1 ? 1.0 : 0.0);
+    return std::max(ownPart, endpoint.own.total <= 0 ? 1.0 : 0.0);
 }
 
 Placer::Room Placer::roomAt(const Call &call, const EndpointLoad &endpoint, const Pool &pool, const LoadView &view)
@@ -274,7 +273,7 @@
 Placement Placer::chooseForChat(const Call &call, const Pool &pool, const LoadView &view,
                                 const std::vector<EndpointSlot> &excluded)
 {
-    std::vector<Candidate> list = candidates(call, pool, view);
+    std::vector<Candidate> list = candidates(call, view);
     Placement placement;
     bool hasOrder = false;
     bool anyLeft = false;
--- a/filters/place.h
+++ b/filters/place.h
@@ -86,7 +86,7 @@
         double bound = 0;
     };
 
-    std::vector<Candidate> candidates(const Call &call, const Pool &pool, const LoadView &view) const;
+    std::vector<Candidate> candidates(const Call &call, const LoadView &view) const;
     void addRendezvous(const Call &call, const Pool &pool, const LoadView &view, std::vector<Candidate> &list) const;
     Room roomAt(const Call &call, const EndpointLoad &endpoint, const Pool &pool, const LoadView &view);
     bool isAffinityWorthless(const Call &call) const;
--- a/shell/desks.cpp
+++ b/shell/desks.cpp
@@ -153,24 +153,6 @@
     runnerFor(item.key).put(item, Instant::max(), std::move(callback));
 }
 
-bool Desks::flush(Instant deadline)
-{
-    while (true) {
-        bool isBusy = false;
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            for (auto &[partition, runner] : m_runners) {
-                const std::lock_guard<std::mutex> runnerLock(runner->mutex);
-                isBusy = isBusy || runner->isBusy();
-            }
-        }
-        if (!isBusy || clockNow() >= deadline) {
-            return !isBusy;
-        }
-        std::this_thread::sleep_for(busyTick);
-    }
-}
-
 void Desks::stop()
 {
     std::map<int, std::unique_ptr<Runner>> runners;
--- a/shell/desks.h
+++ b/shell/desks.h
@@ -26,8 +26,6 @@
     /// Keeps a void or an outcome until it is seen in the log. @param onSettled called then; may be empty.
     void settle(const ClaimItem &item, std::function<void()> onSettled);
 
-    /// Waits until everything settled is in the log. @return false at the deadline.
-    bool flush(Instant deadline);
     void stop();
 
 private:
--- a/shell/front.cpp
+++ b/shell/front.cpp
@@ -66,11 +66,6 @@
     m_requestPrefix = settings.name.text + '-' + std::to_string(device()) + '-';
 }
 
-RequestId Front::newRequestId()
-{
-    return {m_requestPrefix + std::to_string(m_nextKey)};
-}
-
 void Front::addRoutes(httplib::Server &server)
 {
     using Request = httplib::Request;
--- a/shell/front.h
+++ b/shell/front.h
@@ -50,7 +50,6 @@
     void refuse(httplib::Response &response, Exchanged &call, Reason reason, Run run, const std::string &message);
     void finish(Exchanged &call, Reason reason, Run run);
     void keepTrace(Exchanged &call, Reason reason, Run run);
-    RequestId newRequestId();
 
     Settings m_settings;
     Core &m_core;
