--- a/benchmarks/overhead.cpp
+++ b/benchmarks/overhead.cpp
@@ -2,8 +2,8 @@
 // stream; start to ready.
 //
 // Sections of this file: Latency, Streams, Start.
+#include "clients/endpoint.h"
 #include "fakes/fleet.h"
-#include "platform/endpoint.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/benchmarks/publish.cpp
+++ b/benchmarks/publish.cpp
@@ -1,6 +1,6 @@
 // Time from publishing an amendment until it is in force on all of 20 daemons.
+#include "clients/endpoint.h"
 #include "fakes/fleet.h"
-#include "platform/endpoint.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/platform/endpoint.cpp
+++ b/clients/endpoint.cpp
@@ -1,7 +1,7 @@
 // Requests to endpoints over cpp-httplib.
-#include "platform/endpoint.h"
+#include "clients/endpoint.h"
 
-#include "platform/http.h"
+#include "clients/http.h"
 
 #include <nlohmann/json.hpp>
 
@@ -18,11 +18,6 @@
 constexpr auto idleLife = std::chrono::seconds(10);
 constexpr std::size_t mostIdle = 256; // connections to one endpoint
 
-Instant clockNow()
-{
-    return std::chrono::time_point_cast<Span>(std::chrono::steady_clock::now());
-}
-
 bool parseLoad(const std::string &text, Instant now, LoadReport &report)
 {
     std::istringstream in(text);
--- a/platform/endpoint.h
+++ b/clients/endpoint.h
@@ -93,7 +93,4 @@
     std::map<std::string, std::vector<Idle>> m_idle; // by address and port
 };
 
-/// @return now, on the clock that all deadlines are on
-Instant clockNow();
-
 } // namespace galenafold
--- a/platform/http.cpp
+++ b/clients/http.cpp
@@ -1,5 +1,5 @@
 // Set-up of cpp-httplib servers and clients.
-#include "platform/http.h"
+#include "clients/http.h"
 
 #include <algorithm>
 #include <netinet/tcp.h>
--- a/platform/log.cpp
+++ b/clients/log.cpp
@@ -1,7 +1,7 @@
 // HTTP clients of the platform's log and VM list.
-#include "platform/log.h"
+#include "clients/log.h"
 
-#include "platform/http.h"
+#include "clients/http.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/control/directory.cpp
@@ -0,0 +1,129 @@
+// Which replicas may be used.
+#include "control/directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace galenafold
+{
+
+Directory::Directory(Span rejoinWithin)
+    : m_rejoinWithin(rejoinWithin)
+{
+}
+
+static bool isUsable(const std::optional<ReplicaRecord> &record)
+{
+    return record && !record->isDraining;
+}
+
+static bool sameUse(const std::optional<ReplicaRecord> &a, const std::optional<ReplicaRecord> &b)
+{
+    if (!isUsable(a) || !isUsable(b)) {
+        return isUsable(a) == isUsable(b);
+    }
+    return a->address == b->address && a->started == b->started && a->service == b->service && a->isCold == b->isCold
+        && a->slots == b->slots;
+}
+
+/// A removal while the store was away, or just after, may only mean that heartbeats could not be written.
+bool Directory::remove(Instant now, Entry &entry) const
+{
+    const bool mayRejoin = m_isStoreLost || now < m_rejoinUntil;
+    if (isUsable(entry.record) && mayRejoin) {
+        if (!entry.dropAt) {
+            entry.dropAt = m_isStoreLost ? Instant::max() : m_rejoinUntil;
+        }
+        return false;
+    }
+    const bool wasUsable = isUsable(entry.record);
+    entry.record.reset();
+    entry.dropAt.reset();
+    return wasUsable;
+}
+
+bool Directory::apply(Instant now, const RegistryUpdate &update)
+{
+    Entry &entry = m_entries[update.id];
+    if (update.offset <= entry.offset) {
+        return false;
+    }
+    entry.offset = update.offset;
+    if (!update.record) {
+        return remove(now, entry);
+    }
+    const auto before = entry.record;
+    if (before && before->started == update.record->started && before->isDraining && !update.record->isDraining) {
+        return false; // a replica that drains does not return in the same life
+    }
+    if (before && update.record->started < before->started) {
+        return false; // written by an earlier life
+    }
+    entry.record = update.record;
+    entry.dropAt.reset();
+    return !sameUse(before, entry.record);
+}
+
+bool Directory::applyListing(Instant now, const std::vector<RegistryUpdate> &listing, LogOffset listedUpTo)
+{
+    bool hasChanged = false;
+    std::set<EndpointId> listed;
+    for (const RegistryUpdate &update : listing) {
+        listed.insert(update.id);
+        hasChanged = apply(now, update) || hasChanged;
+    }
+    for (auto &[id, entry] : m_entries) {
+        if (listed.count(id) == 0 && entry.offset < listedUpTo && entry.record) {
+            hasChanged = remove(now, entry) || hasChanged;
+        }
+    }
+    return hasChanged;
+}
+
+void Directory::onStoreLost()
+{
+    m_isStoreLost = true;
+}
+
+void Directory::onStoreRegained(Instant now)
+{
+    m_isStoreLost = false;
+    m_rejoinUntil = now + m_rejoinWithin;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.dropAt) {
+            entry.dropAt = m_rejoinUntil;
+        }
+    }
+}
+
+bool Directory::expire(Instant now)
+{
+    bool hasChanged = false;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.dropAt && now >= *entry.dropAt) {
+            hasChanged = isUsable(entry.record) || hasChanged;
+            entry.record.reset();
+            entry.dropAt.reset();
+        }
+    }
+    return hasChanged;
+}
+
+bool Directory::hasLapsed() const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [](const auto &entry) { return entry.second.dropAt.has_value(); });
+}
+
+std::vector<ReplicaRecord> Directory::usable() const
+{
+    std::vector<ReplicaRecord> records;
+    for (const auto &[id, entry] : m_entries) {
+        if (isUsable(entry.record)) {
+            records.push_back(*entry.record);
+        }
+    }
+    return records;
+}
+
+} // namespace galenafold
--- a/daemons/demo.cpp
+++ b/daemons/demo.cpp
@@ -3,8 +3,8 @@
 // Read it top to bottom: each step is a function that prints what it does and what came of it.
 //
 // Sections of this file: Helpers, Steps.
+#include "clients/endpoint.h"
 #include "fakes/fleet.h"
-#include "platform/endpoint.h"
 
 #include <glog/logging.h>
 #include <iostream>
--- a/daemons/galenafold.cpp
+++ b/daemons/galenafold.cpp
@@ -1,10 +1,10 @@
 // galenafold: the operator's tool. Contracts are INI files in version control; this puts them in force.
 //
 // Sections of this file: Arguments, Log, Commands.
+#include "clients/http.h"
+#include "clients/log.h"
 #include "control/contracts.h"
 #include "filters/authenticate.h"
-#include "platform/http.h"
-#include "platform/log.h"
 
 #include <fstream>
 #include <getopt.h>
--- a/daemons/galenafoldd.cpp
+++ b/daemons/galenafoldd.cpp
@@ -1,5 +1,6 @@
 // galenafoldd: the daemon, the same on every entry VM.
 #include "galenafold/settings.h"
+#include "shell/routernode.h"
 
 #include <csignal>
 #include <fstream>
@@ -7,6 +8,7 @@
 #include <glog/logging.h>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 namespace galenafold
 {
@@ -66,7 +68,7 @@
     return std::nullopt;
 }
 
-static std::optional<Settings> readSettings(const std::string &file)
+static std::optional<std::string> readFile(const std::string &file)
 {
     std::ifstream in(file);
     if (!in) {
@@ -75,18 +77,26 @@
     }
     std::stringstream text;
     text << in.rdbuf();
+    return text.str();
+}
+
+/// Reads settings of either kind and reports every fault. @param parse of that kind
+template<typename Kind>
+static std::optional<Kind> readSettings(const std::string &file, const std::string &text,
+                                        boost::leaf::result<Kind> (*parse)(const std::string &, const std::string &))
+{
     return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::optional<Settings>> {
-            BOOST_LEAF_AUTO(settings, parseSettings(file, text.str()));
-            return std::optional<Settings>(settings);
+        [&]() -> boost::leaf::result<std::optional<Kind>> {
+            BOOST_LEAF_AUTO(settings, parse(file, text));
+            return std::optional<Kind>(settings);
         },
-        [](const SettingsFaults &faults) -> std::optional<Settings> {
+        [](const SettingsFaults &faults) -> std::optional<Kind> {
             for (const IniFault &fault : faults.faults) {
                 std::cerr << fault.message() << '\n';
             }
             return std::nullopt;
         },
-        []() -> std::optional<Settings> { return std::nullopt; });
+        []() -> std::optional<Kind> { return std::nullopt; });
 }
 
 static int serve(const Settings &settings, const sigset_t &signals)
@@ -97,20 +107,70 @@
         return statusFailed;
     }
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
+        LOG(INFO) << "daemon: settings are read at the start only";
+    }
     LOG(INFO) << "daemon: drains after signal " << signal;
     daemon.beginDrain();
     daemon.finishDrain();
     return 0;
 }
 
+/// Signals come to a thread of their own: SIGHUP reads the settings again, the others begin the drain.
+static int serveOnPlatform(const RouterSettings &settings, const std::string &file, const sigset_t &signals)
+{
+    RouterNode node(settings);
+    if (!node.start()) {
+        std::cerr << "galenafoldd: '" << settings.name.text << "' cannot listen on " << settings.callers << " and "
+                  << settings.admin << '\n';
+        return statusFailed;
+    }
+    std::thread control([&node] { node.run(); });
+    std::thread waiter([&node, &file, &signals] {
+        int signal = 0;
+        while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
+            const auto text = readFile(file);
+            const auto reread = text ? readSettings(file, *text, parseRouterSettings) : std::nullopt;
+            if (reread) {
+                node.reload(*reread);
+            }
+        }
+        node.beginDrain();
+    });
+    control.join();
+    waiter.detach(); // it may still wait for a signal that never comes
+    return 0;
+}
+
 static int run(int argc, char **argv)
 {
     Arguments arguments;
     if (const auto status = parseArguments(argc, argv, arguments)) {
         return *status;
     }
-    const auto settings = readSettings(arguments.config);
+    const auto text = readFile(arguments.config);
+    if (!text) {
+        return statusUsage;
+    }
+    std::signal(SIGPIPE, SIG_IGN); // a closed connection is an error value
+    sigset_t signals;              // blocked before any thread starts, so that only `sigwait` sees them
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    if (namesStore(*text)) {
+        const auto settings = readSettings(arguments.config, *text, parseRouterSettings);
+        if (!settings) {
+            return statusUsage;
+        }
+        if (arguments.isCheck) {
+            std::cout << arguments.config << ": ok\n";
+            return 0;
+        }
+        return serveOnPlatform(*settings, arguments.config, signals);
+    }
+    const auto settings = readSettings(arguments.config, *text, parseSettings);
     if (!settings) {
         return statusUsage;
     }
@@ -120,11 +180,6 @@
     }
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    sigset_t signals; // blocked before any thread starts, so that only `sigwait` sees them
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return serve(*settings, signals);
 }
 
--- a/daemons/loadrun.cpp
+++ b/daemons/loadrun.cpp
@@ -5,8 +5,8 @@
 
 #include "daemons/arrivals.h"
 
+#include "clients/endpoint.h"
 #include "control/loadview.h"
-#include "platform/endpoint.h"
 
 #include <algorithm>
 #include <cmath>
@@ -440,8 +440,7 @@
     std::uint64_t serial = static_cast<std::uint64_t>(plan.seed) << 32;
     for (const Arrival &arrival : arrivals) {
         const std::chrono::duration<double> offset(arrival.at);
-        std::this_thread::sleep_until(std::chrono::steady_clock::time_point(begin)
-                                      + std::chrono::duration_cast<std::chrono::nanoseconds>(offset));
+        std::this_thread::sleep_until(begin + std::chrono::duration_cast<Span>(offset));
         Tokens reused = 0;
         if (arrival.chat >= 0) {
             const std::lock_guard<std::mutex> lock(fleetMutex);
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -1,7 +1,7 @@
 // The engine stand-in.
 #include "fakes/engine.h"
 
-#include "platform/endpoint.h"
+#include "clients/endpoint.h"
 
 #include <nlohmann/json.hpp>
 
@@ -282,7 +282,7 @@
     }
     const std::chrono::duration<double> step(m_slowFactor / m_knobs.decodeTokensPerSecond);
     work->nextTokenAt += std::chrono::duration_cast<Span>(step);
-    std::this_thread::sleep_until(std::chrono::steady_clock::time_point(work->nextTokenAt));
+    std::this_thread::sleep_until(work->nextTokenAt);
     const std::string bytes = chunk(id, work->next++);
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -4,7 +4,7 @@
 // Sections of this file: Knobs, Faults, Figures, Engine.
 #pragma once
 
-#include "platform/http.h"
+#include "clients/http.h"
 
 #include <atomic>
 #include <list>
--- a/fakes/fleet.cpp
+++ b/fakes/fleet.cpp
@@ -1,8 +1,8 @@
 // A fleet in one process.
 #include "fakes/fleet.h"
 
+#include "clients/endpoint.h"
 #include "filters/authenticate.h"
-#include "platform/endpoint.h"
 
 #include <cstdio>
 #include <sstream>
--- a/fakes/platform.cpp
+++ b/fakes/platform.cpp
@@ -1,8 +1,8 @@
 // The platform's stand-ins.
 #include "fakes/platform.h"
 
+#include "clients/endpoint.h"
 #include "control/loadview.h"
-#include "platform/endpoint.h"
 
 #include <nlohmann/json.hpp>
 
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -1,8 +1,8 @@
 // Small stand-ins for the platform: its append-only log, and its lagging list of VMs.
 #pragma once
 
-#include "platform/http.h"
-#include "platform/log.h"
+#include "clients/http.h"
+#include "clients/log.h"
 
 #include <atomic>
 #include <map>
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -1,7 +1,7 @@
 // A small stand-in for a plain service whose operations may not be repeated: it counts executions.
 #pragma once
 
-#include "platform/http.h"
+#include "clients/http.h"
 
 #include <atomic>
 #include <map>
--- /dev/null
+++ b/filters/board.cpp
@@ -0,0 +1,184 @@
+// Which replica?
+#include "filters/board.h"
+
+#include "control/loadview.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenafold
+{
+
+constexpr auto loadLifetime = std::chrono::milliseconds(1500); // typical length of a generation
+constexpr auto firstAvoid = std::chrono::milliseconds(500);
+constexpr int mostAvoidDoublings = 3;
+constexpr double failureWeight = 0.2;    // of the newest attempt in the smoothed rate
+constexpr double failureRateLimit = 0.5; // above it a replica is avoided even if some attempts succeed
+constexpr auto avoidFailing = std::chrono::milliseconds(1500);
+constexpr auto avoidFull = std::chrono::milliseconds(50);
+
+std::optional<std::uint64_t> affinityOf(const std::vector<PromptPart> &parts)
+{
+    if (parts.size() < 2) {
+        return std::nullopt; // the last part is the request's own
+    }
+    std::uint64_t key = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        key = rendezvousScore(key, parts[i].id);
+    }
+    return key;
+}
+
+EndpointBoard::EndpointBoard(const BoardSettings &settings, DataCentreId here, std::uint64_t seed)
+    : m_settings(settings)
+    , m_here(std::move(here))
+    , m_random(seed)
+{
+}
+
+std::vector<EndpointId> EndpointBoard::setRecords(const std::vector<ReplicaRecord> &records)
+{
+    std::set<EndpointId> kept;
+    for (const ReplicaRecord &record : records) {
+        kept.insert(record.id);
+        EndpointState &state = m_endpoints[record.id];
+        const bool isOtherLife = state.record.started != record.started || state.record.address != record.address;
+        if (isOtherLife) {
+            const int own = state.own;
+            state = EndpointState();
+            state.own = own;
+            state.hash = hashName(record.id.text);
+        }
+        state.record = record;
+    }
+    std::vector<EndpointId> dropped;
+    for (const auto &[id, state] : m_endpoints) {
+        if (kept.count(id) == 0) {
+            dropped.push_back(id);
+        }
+    }
+    for (const EndpointId &id : dropped) {
+        m_endpoints.erase(id);
+    }
+    return dropped;
+}
+
+const EndpointState *EndpointBoard::choose(Instant now, const PlaceRequest &request)
+{
+    std::vector<EndpointState *> sound;
+    std::vector<EndpointState *> avoided;
+    for (auto &[id, state] : m_endpoints) {
+        if (state.record.service != request.service || request.excluded.count(id) > 0) {
+            continue;
+        }
+        (now < state.avoidUntil ? avoided : sound).push_back(&state);
+    }
+    std::vector<EndpointState *> &candidates = sound.empty() ? avoided : sound;
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    if (request.affinity) {
+        return chooseByAffinity(now, candidates, *request.affinity);
+    }
+    return chooseLeastLoaded(now, candidates);
+}
+
+const EndpointState *EndpointBoard::chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates,
+                                                     std::uint64_t key)
+{
+    double sum = 0;
+    for (const EndpointState *state : candidates) {
+        sum += state->load(now);
+    }
+    const double mean = sum / static_cast<double>(candidates.size());
+    const double bound = m_settings.loadBound * mean + m_settings.loadAllowance;
+    std::sort(candidates.begin(), candidates.end(), [key](const EndpointState *a, const EndpointState *b) {
+        return rendezvousScore(key, a->hash) > rendezvousScore(key, b->hash);
+    });
+    for (const EndpointState *state : candidates) {
+        if (state->load(now) + 1 <= bound) {
+            return state;
+        }
+    }
+    return chooseLeastLoaded(now, candidates);
+}
+
+/// Ties go to this router's own data centre, then by chance, so that routers do not herd.
+const EndpointState *EndpointBoard::chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates)
+{
+    constexpr double farCost = 0.75; // a request in progress weighs more than the way to another data centre
+    const EndpointState *best = nullptr;
+    double bestCost = 0;
+    int ties = 0;
+    for (const EndpointState *state : candidates) {
+        const double cost = state->load(now) + (state->record.dataCentre == m_here ? 0 : farCost);
+        if (!best || cost < bestCost) {
+            best = state;
+            bestCost = cost;
+            ties = 1;
+        } else if (cost == bestCost && m_random() % static_cast<std::uint64_t>(++ties) == 0) {
+            best = state;
+        }
+    }
+    return best;
+}
+
+void EndpointBoard::onSent(const EndpointId &id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end()) {
+        ++found->second.own;
+    }
+}
+
+void EndpointBoard::onEnded(Instant now, const EndpointId &id, AttemptEnd end)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    EndpointState &state = found->second;
+    state.own = std::max(0, state.own - 1);
+    if (end == AttemptEnd::Abandoned) {
+        return;
+    }
+    if (end == AttemptEnd::Refused) {
+        state.avoidUntil = std::max<Instant>(state.avoidUntil, now + avoidFull);
+        return;
+    }
+    const bool isGood = end == AttemptEnd::Good;
+    state.failureRate += failureWeight * ((isGood ? 0.0 : 1.0) - state.failureRate);
+    state.failuresInRow = isGood || end == AttemptEnd::Error ? 0 : state.failuresInRow + 1;
+    if (end == AttemptEnd::Unreachable || state.failuresInRow >= 2) {
+        const int doublings = std::min(state.failuresInRow - 1, mostAvoidDoublings);
+        state.avoidUntil = now + firstAvoid * (1 << std::max(0, doublings));
+    } else if (!isGood && state.failureRate > failureRateLimit) {
+        state.avoidUntil = now + avoidFailing;
+    }
+}
+
+void EndpointBoard::onLoad(Instant now, const EndpointId &id, const LoadSample &sample)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    EndpointState &state = found->second;
+    state.others = std::max(0, sample.running + sample.waiting - state.own);
+    state.slowdown = sample.slowdown;
+    state.loadUntil = now + loadLifetime;
+}
+
+const EndpointState *EndpointBoard::find(const EndpointId &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+bool EndpointBoard::serves(const ServiceId &service) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                       [&service](const auto &entry) { return entry.second.record.service == service; });
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/filters/board.h
@@ -0,0 +1,93 @@
+// Which replica? Requests with shared prompt parts go where those parts were read before, within a bound on load.
+//
+// Load pattern: a few dozen shared prompts, some of them hot, over a dozen engines that come and go, seen by many
+// routers of which each handles a sliver. Every router ranks the engines for a prompt alike (rendezvous hashing), so a
+// prompt is read once and not once a router; a full, failing or slow engine passes its requests to the next in rank.
+//
+// Sections of this file: State, Request, Board.
+#pragma once
+
+#include "control/directory.h"
+#include "traffic/dialect.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <set>
+
+namespace galenafold
+{
+
+// State
+
+struct BoardSettings {
+    double loadBound = 2;     // no engine carries more than this multiple of the mean load
+    double loadAllowance = 3; // plus so many requests
+};
+
+/// How one attempt ended, for the replica's health.
+enum class AttemptEnd : std::uint8_t {
+    Good,        // a whole answer
+    Refused,     // the replica did not run it: full, or leaving
+    Error,       // a whole answer that tells of an error of the replica's own
+    Failed,      // broken, silent or wrong
+    Unreachable, // no connection
+    Abandoned,   // given up by the caller: tells nothing
+};
+
+/// One replica as this router sees it.
+struct EndpointState {
+    ReplicaRecord record;
+    std::uint64_t hash = 0; // of its name, for rendezvous
+    int own = 0;            // requests in progress from this router
+    double others = 0;      // requests in progress from other routers, when last reported
+    double slowdown = 1;    // how long work takes there, against its usual time
+    Instant loadUntil{};    // the report counts until then
+    int failuresInRow = 0;
+    double failureRate = 0; // smoothed, 0 to 1
+    Instant avoidUntil{};   // no new work before, while others can take it
+
+    double load(Instant now) const { return own + (now < loadUntil ? others : 0); }
+};
+
+// Request
+
+struct PlaceRequest {
+    ServiceId service;
+    std::optional<std::uint64_t> affinity; // hash of the shared prompt parts
+    std::set<EndpointId> excluded;         // tried already
+};
+
+/// @return hash of the parts that a request shares with others; nothing when it shares none
+std::optional<std::uint64_t> affinityOf(const std::vector<PromptPart> &parts);
+
+// Board
+
+class EndpointBoard
+{
+public:
+    EndpointBoard(const BoardSettings &settings, DataCentreId here, std::uint64_t seed);
+
+    /// Sets which replicas may get new work. @return those that may no longer
+    std::vector<EndpointId> setRecords(const std::vector<ReplicaRecord> &records);
+
+    /// @return the replica to send to, or nothing when none serves
+    const EndpointState *choose(Instant now, const PlaceRequest &request);
+
+    void onSent(const EndpointId &id);
+    void onEnded(Instant now, const EndpointId &id, AttemptEnd end);
+    void onLoad(Instant now, const EndpointId &id, const LoadSample &sample);
+
+    const EndpointState *find(const EndpointId &id) const;
+    bool serves(const ServiceId &service) const;
+    std::size_t size() const { return m_endpoints.size(); }
+
+private:
+    const EndpointState *chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates, std::uint64_t key);
+    const EndpointState *chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
+
+    BoardSettings m_settings;
+    DataCentreId m_here;
+    boost::random::mt19937_64 m_random;
+    std::map<EndpointId, EndpointState> m_endpoints;
+};
+
+} // namespace galenafold
--- /dev/null
+++ b/filters/followup.cpp
@@ -0,0 +1,69 @@
+// What may follow an attempt.
+#include "filters/followup.h"
+
+namespace galenafold
+{
+
+constexpr int mostSends = 4; // for one request, attempts that did not run included
+
+// Budget
+
+RetryBudget::RetryBudget(const RetryBudgetSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void RetryBudget::forgetOld(Instant now, Usage &usage) const
+{
+    const auto trim = [begin = now - m_settings.window](std::deque<Instant> &times) {
+        while (!times.empty() && times.front() < begin) {
+            times.pop_front();
+        }
+    };
+    trim(usage.first);
+    trim(usage.extra);
+}
+
+void RetryBudget::onFirst(Instant now, const ServiceId &service)
+{
+    Usage &usage = m_usage[service];
+    forgetOld(now, usage);
+    usage.first.push_back(now);
+}
+
+bool RetryBudget::take(Instant now, const ServiceId &service)
+{
+    Usage &usage = m_usage[service];
+    forgetOld(now, usage);
+    const double allowed = m_settings.ratio * static_cast<double>(usage.first.size())
+        + m_settings.floor / static_cast<double>(std::max(1, m_settings.routers));
+    if (static_cast<double>(usage.extra.size()) + 1 > allowed) {
+        return false;
+    }
+    usage.extra.push_back(now);
+    return true;
+}
+
+// Decision
+
+FollowUp followUp(const AttemptsSoFar &attempts, const std::function<bool()> &allowExtra)
+{
+    if (attempts.sent >= mostSends) {
+        return FollowUp::Fail;
+    }
+    if (attempts.isStreaming && !attempts.isResumable) {
+        return FollowUp::Fail; // pieces of two runs are never joined
+    }
+    if (attempts.mayHaveRun && !attempts.isRepeatable) {
+        return FollowUp::Fail;
+    }
+    if (attempts.ran >= attempts.maxAttempts) {
+        return FollowUp::Fail;
+    }
+    if (!allowExtra()) {
+        return FollowUp::Fail;
+    }
+    return attempts.isStreaming ? FollowUp::Resume : FollowUp::Again;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/galenafold/clock.cpp
@@ -0,0 +1,17 @@
+// The clock behind every `Instant`.
+#include "galenafold/galenafold.h"
+
+#include <ctime>
+
+namespace galenafold
+{
+
+VmClock::time_point VmClock::now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto sinceBoot = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    return time_point(std::chrono::duration_cast<Span>(sinceBoot));
+}
+
+} // namespace galenafold
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -57,10 +57,29 @@
 
 // [SECTION] Units ----------------------------------------------------------------------------------------------------
 
-using Span = std::chrono::microseconds;                                   // a length of time; never stored as a limit
-using Instant = std::chrono::time_point<std::chrono::steady_clock, Span>; // a deadline or event on this VM's clock
-using UnixMillis = std::chrono::milliseconds;                             // wall clock, only from the log's records
-using Tokens = double;                                                    // prompt or generated tokens
+using Span = std::chrono::microseconds; // a length of time; never stored as a limit
+
+/// The clock behind every deadline. It goes on counting while the VM is suspended: a lease or a proof that is aged by a
+/// clock which stands still looks young after the wake-up. Timers do stand still, so check a deadline before relying on
+/// it.
+struct VmClock {
+    using duration = Span;
+    using rep = Span::rep;
+    using period = Span::period;
+    using time_point = std::chrono::time_point<VmClock, Span>;
+    static constexpr bool is_steady = true;
+    static time_point now(); ///< @return now, suspension included
+};
+
+using Instant = VmClock::time_point;          // a deadline or event on this VM's clock
+using UnixMillis = std::chrono::milliseconds; // wall clock, only from records of the platform
+using Tokens = double;                        // prompt or generated tokens
+
+/// @return now, on the clock that all deadlines are on
+inline Instant clockNow()
+{
+    return VmClock::now();
+}
 
 // [SECTION] Contracts ------------------------------------------------------------------------------------------------
 
@@ -263,6 +282,26 @@
     GossipSettings gossip;
 };
 
+/// What a daemon on the users' platform reads from its INI file. `loadRouterSettings` in settings.h checks it whole.
+struct RouterSettings {
+    VmId name;
+    DataCentreId dataCentre;
+    std::string callers; // IP:PORT for callers
+    std::string admin;   // IP:PORT for readiness and metrics
+    std::string store;   // IP:PORT of the platform's store
+    Span revokeWithin{}; // a key may serve this long after it was taken away; 0: not bounded
+    Span applyWithin = std::chrono::milliseconds(2000);  // a new desired state is in force
+    Span leaveWithin = std::chrono::milliseconds(2000);  // a leaving endpoint gets no new work
+    Span settleWithin = std::chrono::milliseconds(3000); // after a fault of the VM, promises hold again
+    Span drainWithin = std::chrono::seconds(8);          // from SIGTERM to the end
+    Span rejoinWithin = std::chrono::seconds(2);         // lapsed registry entries are back after the store's return
+    double retryRatio = 0.2;                             // extra attempts of the fleet, per first attempt
+    double retryFloor = 0;                               // and besides, in a window
+    Span retryWindow = std::chrono::seconds(10);
+    int fleetAssumed = 64; // routers among which the floor is divided
+    double loadBound = 2;  // no engine carries more than this multiple of the mean
+};
+
 // [SECTION] Daemon ---------------------------------------------------------------------------------------------------
 
 /// One router daemon in this process. Several may run side by side, each on ports of its own.
--- a/galenafold/ini.cpp
+++ b/galenafold/ini.cpp
@@ -96,6 +96,18 @@
     };
 }
 
+IniSetter secondsField(Span &target, double least, double most)
+{
+    return [&target, least, most](const std::string &value) -> std::optional<std::string> {
+        double seconds = 0;
+        if (const auto fault = numberField(seconds, least, most)(value)) {
+            return "seconds, " + *fault;
+        }
+        target = std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
+        return std::nullopt;
+    };
+}
+
 static std::string trimmed(const std::string &text)
 {
     const auto first = text.find_first_not_of(" \t");
--- a/galenafold/ini.h
+++ b/galenafold/ini.h
@@ -40,6 +40,7 @@
 IniSetter integerField(int &target, int least, int most);
 IniSetter flagField(bool &target);
 IniSetter millisField(Span &target, int least, int most);
+IniSetter secondsField(Span &target, double least, double most);
 IniSetter listField(std::vector<PoolId> &target);
 IniSetter policyField(Policy &target);
 
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -1,12 +1,15 @@
 // The table of INI keys behind `Settings`.
 #include "galenafold/settings.h"
 
+#include <algorithm>
+
 namespace galenafold
 {
 
 constexpr int maxPort = 65535;
 constexpr int maxWorkers = 20000;
 constexpr int dayMillis = 86400000;
+constexpr double daySeconds = 86400;
 
 static std::vector<IniField> daemonFields(Settings &settings, double &bodyBytes)
 {
@@ -96,4 +99,45 @@
     return settings;
 }
 
+static std::vector<IniField> routerFields(RouterSettings &settings)
+{
+    return {
+        {"router", "name", textField(settings.name.text), true},
+        {"router", "data_centre", textField(settings.dataCentre.text), true},
+        {"listen", "callers", textField(settings.callers), true},
+        {"listen", "admin", textField(settings.admin), true},
+        {"store", "address", textField(settings.store), true},
+        {"promises", "revoke_within_ms", millisField(settings.revokeWithin, 0, dayMillis)},
+        {"promises", "apply_within_ms", millisField(settings.applyWithin, 1, dayMillis)},
+        {"promises", "leave_within_ms", millisField(settings.leaveWithin, 1, dayMillis)},
+        {"promises", "settle_within_ms", millisField(settings.settleWithin, 1, dayMillis)},
+        {"promises", "drain_within_s", secondsField(settings.drainWithin, 1, daySeconds)},
+        {"promises", "rejoin_within_ms", millisField(settings.rejoinWithin, 0, dayMillis)},
+        {"retry", "ratio", numberField(settings.retryRatio, 0, 10)},
+        {"retry", "floor", numberField(settings.retryFloor, 0, 1e6)},
+        {"retry", "window_s", secondsField(settings.retryWindow, 0.1, daySeconds)},
+        {"retry", "fleet_assumed", integerField(settings.fleetAssumed, 1, 100000)},
+        {"placement", "load_bound", numberField(settings.loadBound, 1, 10)},
+    };
+}
+
+boost::leaf::result<RouterSettings> parseRouterSettings(const std::string &file, const std::string &text)
+{
+    RouterSettings settings;
+    std::vector<IniFault> faults;
+    const std::vector<IniEntry> entries = parseIni(file, text, faults);
+    applyIni(file, entries, routerFields(settings), faults);
+    if (!faults.empty()) {
+        return boost::leaf::new_error(SettingsFaults{faults});
+    }
+    return settings;
+}
+
+bool namesStore(const std::string &text)
+{
+    std::vector<IniFault> faults; // reported by the reading that follows
+    const std::vector<IniEntry> entries = parseIni("", text, faults);
+    return std::any_of(entries.begin(), entries.end(), [](const IniEntry &entry) { return entry.section == "store"; });
+}
+
 } // namespace galenafold
--- a/galenafold/settings.h
+++ b/galenafold/settings.h
@@ -16,4 +16,10 @@
 /// Reads and checks settings. @param file named in faults. @return the settings, or a SettingsFaults error.
 boost::leaf::result<Settings> parseSettings(const std::string &file, const std::string &text);
 
+/// Reads and checks the settings of a daemon on the users' platform. @see parseSettings
+boost::leaf::result<RouterSettings> parseRouterSettings(const std::string &file, const std::string &text);
+
+/// @return true if an INI text is meant for the users' platform: it names a store
+bool namesStore(const std::string &text);
+
 } // namespace galenafold
--- /dev/null
+++ b/net/message.cpp
@@ -0,0 +1,317 @@
+// One HTTP/1.1 message, read by Boost.Beast's parser.
+#include "net/message.h"
+
+#include <algorithm>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <cstdio>
+
+namespace galenafold
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// Head
+
+bool sameToken(std::string_view left, std::string_view right)
+{
+    return beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+const std::string *findField(const HttpFields &fields, std::string_view name)
+{
+    for (const HttpField &field : fields) {
+        if (sameToken(field.name, name)) {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
+static std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+/// @return true if a comma-separated list holds a token
+static bool listHolds(std::string_view list, std::string_view token)
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        if (sameToken(trimmed(list.substr(0, comma)), token)) {
+            return true;
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+bool isHopField(const HttpFields &fields, std::string_view name)
+{
+    static constexpr std::string_view hopFields[] = {"connection",        "keep-alive", "proxy-connection",
+                                                     "transfer-encoding", "te",         "trailer",
+                                                     "upgrade",           "expect",     "content-length"};
+    for (const std::string_view hop : hopFields) {
+        if (sameToken(name, hop)) {
+            return true;
+        }
+    }
+    for (const HttpField &field : fields) {
+        if (sameToken(field.name, "connection") && listHolds(field.value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Parser
+
+class MessageParser::Impl
+{
+public:
+    virtual ~Impl() = default;
+    virtual std::size_t put(std::string_view bytes) = 0;
+    virtual void putEnd() = 0;
+    virtual bool gotSome() const = 0;
+    virtual bool isHeadDone() const = 0;
+    virtual bool isDone() const = 0;
+
+    RequestHead request;
+    ResponseHead response;
+    std::string body;
+    std::string held; // bytes of an unfinished head or chunk head
+    ParseFault fault = ParseFault::None;
+};
+
+/// Takes the callbacks of Beast's parser into our plain structs.
+template<bool isRequest, typename Base>
+class BeastReader : public Base, public http::basic_parser<isRequest>
+{
+    using Parser = http::basic_parser<isRequest>;
+
+public:
+    BeastReader(const ParseLimits &limits, bool skipsBody)
+    {
+        Parser::header_limit(limits.headBytes);
+        Parser::body_limit(limits.bodyBytes);
+        Parser::eager(true);
+        Parser::skip(skipsBody);
+    }
+
+    std::size_t put(std::string_view bytes) override
+    {
+        beast::error_code error;
+        const std::size_t used = Parser::put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+        noteError(error);
+        return used;
+    }
+
+    void putEnd() override
+    {
+        beast::error_code error;
+        Parser::put_eof(error);
+        noteError(error);
+    }
+
+    bool gotSome() const override { return Parser::got_some(); }
+    bool isHeadDone() const override { return Parser::is_header_done(); }
+    bool isDone() const override { return Parser::is_done(); }
+
+private:
+    void noteError(const beast::error_code &error)
+    {
+        if (!error || error == http::error::need_more) {
+            return;
+        }
+        if (error == http::error::header_limit) {
+            this->fault = ParseFault::HeadTooLarge;
+        } else if (error == http::error::body_limit) {
+            this->fault = ParseFault::BodyTooLarge;
+        } else {
+            this->fault = ParseFault::Malformed;
+        }
+    }
+
+    void on_request_impl(http::verb, beast::string_view method, beast::string_view target, int version,
+                         beast::error_code &error) override
+    {
+        this->request.method.assign(method.data(), method.size());
+        this->request.target.assign(target.data(), target.size());
+        this->request.isHttp11 = version > 10;
+        checkVersion(version, error);
+    }
+
+    void on_response_impl(int status, beast::string_view reason, int version, beast::error_code &error) override
+    {
+        this->response.status = status;
+        this->response.reason.assign(reason.data(), reason.size());
+        checkVersion(version, error);
+    }
+
+    static void checkVersion(int version, beast::error_code &error)
+    {
+        constexpr int http10 = 10;
+        constexpr int http11 = 11;
+        if (version != http10 && version != http11) {
+            error = http::error::bad_version;
+        }
+    }
+
+    void on_field_impl(http::field, beast::string_view name, beast::string_view value, beast::error_code &) override
+    {
+        HttpFields &fields = isRequest ? this->request.fields : this->response.fields;
+        fields.push_back({{name.data(), name.size()}, {value.data(), value.size()}});
+    }
+
+    void on_header_impl(beast::error_code &error) override
+    {
+        HttpFields &fields = isRequest ? this->request.fields : this->response.fields;
+        int lengths = 0;
+        int codings = 0;
+        bool isCodingKnown = true;
+        for (const HttpField &field : fields) {
+            lengths += sameToken(field.name, "content-length") ? 1 : 0;
+            if (sameToken(field.name, "transfer-encoding")) {
+                ++codings;
+                isCodingKnown = isCodingKnown && sameToken(field.value, "chunked");
+            }
+        }
+        if (lengths + codings > 1 || !isCodingKnown) {
+            error = http::error::bad_transfer_encoding;
+        }
+        this->request.keepsAlive = Parser::keep_alive();
+        this->response.keepsAlive = Parser::keep_alive();
+        this->response.endsWithConnection = Parser::need_eof();
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, beast::error_code &) override { }
+
+    std::size_t on_body_impl(beast::string_view bytes, beast::error_code &) override
+    {
+        this->body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code &) override { }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes, beast::error_code &) override
+    {
+        this->body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_finish_impl(beast::error_code &) override { }
+};
+
+MessageParser::MessageParser(Kind kind, const ParseLimits &limits)
+{
+    if (kind == Kind::Request) {
+        m_impl = std::make_unique<BeastReader<true, Impl>>(limits, false);
+    } else {
+        m_impl = std::make_unique<BeastReader<false, Impl>>(limits, kind == Kind::ResponseWithoutBody);
+    }
+}
+
+MessageParser::~MessageParser() = default;
+
+/// Beast wants an unfinished line again together with what follows it, so the unused rest is held.
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    Impl &impl = *m_impl;
+    const std::size_t heldBefore = impl.held.size();
+    std::string_view input = bytes;
+    if (heldBefore > 0) {
+        impl.held.append(bytes);
+        input = impl.held;
+    }
+    std::size_t used = 0;
+    while (used < input.size() && !impl.isDone() && impl.fault == ParseFault::None) {
+        const std::size_t step = impl.put(input.substr(used));
+        used += step;
+        if (step == 0) {
+            break;
+        }
+    }
+    if (impl.isDone() || impl.fault != ParseFault::None) {
+        impl.held.clear();
+        return used > heldBefore ? used - heldBefore : 0;
+    }
+    impl.held = std::string(input.substr(used));
+    return bytes.size();
+}
+
+void MessageParser::feedEnd()
+{
+    if (m_impl->fault == ParseFault::None && !m_impl->isDone()) {
+        m_impl->putEnd();
+    }
+}
+
+bool MessageParser::hasStarted() const
+{
+    return m_impl->gotSome() || !m_impl->held.empty();
+}
+
+bool MessageParser::isHeadDone() const
+{
+    return m_impl->isHeadDone();
+}
+
+bool MessageParser::isDone() const
+{
+    return m_impl->isDone();
+}
+
+ParseFault MessageParser::fault() const
+{
+    return m_impl->fault;
+}
+
+RequestHead &MessageParser::request()
+{
+    return m_impl->request;
+}
+
+ResponseHead &MessageParser::response()
+{
+    return m_impl->response;
+}
+
+std::string &MessageParser::body()
+{
+    return m_impl->body;
+}
+
+// Writing
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out.append(name);
+    out.append(": ");
+    out.append(value);
+    out.append("\r\n");
+}
+
+void appendChunk(std::string &out, std::string_view bytes)
+{
+    char size[24];
+    const int length = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    out.append(size, static_cast<std::size_t>(length));
+    out.append(bytes);
+    out.append("\r\n");
+}
+
+const char *statusPhrase(int status)
+{
+    const beast::string_view phrase = http::obsolete_reason(static_cast<http::status>(status));
+    return phrase.data(); // a literal of the library, terminated
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/net/stream.cpp
@@ -0,0 +1,206 @@
+// A non-blocking TCP connection on one event loop.
+#include "net/stream.h"
+
+#include "net/timer.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <charconv>
+
+namespace galenafold
+{
+
+constexpr std::size_t scratchBytes = 32768;
+constexpr auto lingerFor = std::chrono::milliseconds(500); // for the peer to read the last answer and close
+
+TcpStream::TcpStream(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket))
+{
+    asio::error_code ignored; // an old connection: the first read or write reports it
+    m_socket.non_blocking(true, ignored);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void TcpStream::start(Hooks hooks)
+{
+    m_hooks = std::make_shared<Hooks>(std::move(hooks));
+    waitReadable();
+}
+
+void TcpStream::waitReadable()
+{
+    if (m_isWaitingRead || m_isPaused || !isOpen()) {
+        return;
+    }
+    m_isWaitingRead = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &error) {
+        self->m_isWaitingRead = false;
+        if (error != asio::error::operation_aborted && !self->m_isPaused) {
+            self->readAll();
+        }
+    });
+}
+
+void TcpStream::readAll()
+{
+    static thread_local std::array<char, scratchBytes> scratch;
+    const auto self = shared_from_this(); // a hook may drop the last other reference
+    while (isOpen() && !m_isPaused) {
+        asio::error_code error;
+        const std::size_t size = m_socket.read_some(asio::buffer(scratch), error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            break;
+        }
+        if (error) {
+            end(error == asio::error::eof ? StreamEnd::Finished : StreamEnd::Broken);
+            return;
+        }
+        const auto hooks = m_hooks;
+        if (!m_isDiscarding) {
+            hooks->onBytes({scratch.data(), size});
+        }
+        if (size < scratch.size()) {
+            break; // the next wait reports whatever follows
+        }
+    }
+    waitReadable();
+}
+
+void TcpStream::poll()
+{
+    if (isOpen() && !m_isPaused) {
+        readAll();
+    }
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (!isOpen()) {
+        return;
+    }
+    m_out.append(bytes);
+    if (!m_isWaitingWrite) {
+        flush();
+    }
+}
+
+void TcpStream::flush()
+{
+    const auto self = shared_from_this();
+    while (pending() > 0) {
+        asio::error_code error;
+        const std::size_t size = m_socket.write_some(asio::buffer(m_out.data() + m_outUsed, pending()), error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            waitWritable();
+            return;
+        }
+        if (error) {
+            m_out.clear();
+            m_outUsed = 0;
+            // Reported from the loop: callers of `write` do not expect to be ended in the middle of it. Answer bytes
+            // that wait to be read go first.
+            m_isPaused = false;
+            waitReadable();
+            return;
+        }
+        m_outUsed += size;
+        m_sent += size;
+    }
+    m_out.clear();
+    m_outUsed = 0;
+    if (m_closesWhenDrained) {
+        finishSending();
+        return;
+    }
+    const auto hooks = m_hooks;
+    if (hooks && hooks->onDrained) {
+        hooks->onDrained();
+    }
+}
+
+void TcpStream::waitWritable()
+{
+    if (m_isWaitingWrite || !isOpen()) {
+        return;
+    }
+    m_isWaitingWrite = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const asio::error_code &error) {
+        self->m_isWaitingWrite = false;
+        if (error != asio::error::operation_aborted && self->isOpen()) {
+            self->flush();
+        }
+    });
+}
+
+void TcpStream::pauseReading(bool isPaused)
+{
+    m_isPaused = isPaused;
+    if (!isPaused) {
+        waitReadable();
+    }
+}
+
+void TcpStream::close()
+{
+    asio::error_code ignored; // closing can only fail for a connection that is gone already
+    m_socket.close(ignored);
+    m_hooks.reset();
+}
+
+void TcpStream::reset()
+{
+    asio::error_code ignored; // without the option the peer sees a plain end, still in the middle of its message
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void TcpStream::closeWhenDrained()
+{
+    m_closesWhenDrained = true;
+    if (isOpen() && pending() == 0) {
+        finishSending();
+    }
+}
+
+/// Closing with unread bytes would reset the connection and destroy what the peer has not read yet.
+void TcpStream::finishSending()
+{
+    if (m_isDiscarding) {
+        return;
+    }
+    m_isDiscarding = true;
+    asio::error_code ignored; // a connection that is gone is closed by the next read
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    const auto timer = std::make_shared<DeadlineTimer>(m_socket.get_executor());
+    timer->expires_at(clockNow() + lingerFor);
+    timer->async_wait([self = shared_from_this(), timer](const asio::error_code &) { self->close(); });
+    pauseReading(false);
+}
+
+void TcpStream::end(StreamEnd how)
+{
+    const auto hooks = m_hooks;
+    close();
+    if (hooks && hooks->onEnd) {
+        hooks->onEnd(how);
+    }
+}
+
+std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    asio::error_code error;
+    const asio::ip::address address = asio::ip::make_address(text.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+} // namespace galenafold
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -369,7 +369,7 @@
         publishFigures();
         keepSnapshot(now);
     }
-    m_timer.expires_at(std::chrono::steady_clock::time_point(now + tickEvery));
+    m_timer.expires_at(now + tickEvery);
     m_timer.async_wait([this](const std::error_code &error) {
         if (!error) {
             tick();
--- a/shell/core.h
+++ b/shell/core.h
@@ -8,13 +8,13 @@
 
 #include "control/contracts.h"
 #include "control/router.h"
+#include "net/timer.h"
 #include "shell/beacons.h"
 #include "shell/metrics.h"
 #include "shell/peers.h"
 #include "shell/runner.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 namespace galenafold
 {
@@ -103,7 +103,7 @@
     BeaconPacer m_beaconPacer;
     asio::io_context m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    asio::steady_timer m_timer;
+    DeadlineTimer m_timer;
     BeaconSocket m_beacons;
     std::atomic<std::int64_t> m_beaconBytes{0};
     std::thread m_thread;
--- a/shell/desks.cpp
+++ b/shell/desks.cpp
@@ -1,7 +1,7 @@
 // Threads that work claim desks.
 #include "shell/desks.h"
 
-#include "platform/endpoint.h"
+#include "clients/endpoint.h"
 
 #include <glog/logging.h>
 
--- a/shell/desks.h
+++ b/shell/desks.h
@@ -1,8 +1,8 @@
 // Runs claim desks: a thread for each partition in use, which talks to the log.
 #pragma once
 
+#include "clients/log.h"
 #include "control/claims.h"
-#include "platform/log.h"
 
 #include <condition_variable>
 #include <mutex>
--- a/shell/exchange.h
+++ b/shell/exchange.h
@@ -4,8 +4,8 @@
 // take over at the relayed offset, and the caller sees one answer.
 #pragma once
 
+#include "clients/endpoint.h"
 #include "galenafold/galenafold.h"
-#include "platform/endpoint.h"
 
 #include <condition_variable>
 #include <mutex>
--- a/shell/followers.cpp
+++ b/shell/followers.cpp
@@ -1,7 +1,7 @@
 // Following the platform.
 #include "shell/followers.h"
 
-#include "platform/endpoint.h"
+#include "clients/endpoint.h"
 
 #include <algorithm>
 #include <glog/logging.h>
--- a/shell/peers.cpp
+++ b/shell/peers.cpp
@@ -3,7 +3,7 @@
 // Sections of this file: Conversions, Counting stream, Service, Loop, Peers.
 #include "shell/peers.h"
 
-#include "platform/endpoint.h"
+#include "clients/endpoint.h"
 #include "wire/peer.capnp.h"
 
 #include <capnp/message.h>
--- /dev/null
+++ b/shell/routernode.cpp
@@ -0,0 +1,372 @@
+// A daemon on the users' platform. Sections of this file: Settings, Following, Admin, Logs, Drain.
+#include "shell/routernode.h"
+
+#include "control/loadview.h"
+#include "platform/documents.h"
+#include "platform/headers.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace galenafold
+{
+
+constexpr auto flushAfter = std::chrono::milliseconds(200);
+constexpr auto expiryStep = std::chrono::milliseconds(250);
+constexpr auto drainCheck = std::chrono::milliseconds(100);
+constexpr auto balancerNotices = std::chrono::milliseconds(2500); // two missed questions, a second apart, and some
+constexpr auto drainReserve = std::chrono::milliseconds(400);     // before the platform kills
+constexpr double waitOfRevoke = 0.4;  // a proof is as old as the call that brought it; two calls must fit the bound
+constexpr double waitOfSettle = 0.55; // a silent connection is noticed within this part of the time to settle
+constexpr double pollOfLeave = 0.75;  // of the time in which a leaving endpoint must get no more work
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+// Settings
+
+static Span part(Span span, double share)
+{
+    return Span(static_cast<Span::rep>(static_cast<double>(span.count()) * share));
+}
+
+static TrafficSettings trafficSettings(const RouterSettings &settings)
+{
+    TrafficSettings traffic;
+    traffic.listenAddress = settings.callers;
+    traffic.dataCentre = settings.dataCentre;
+    traffic.revokeWithin = settings.revokeWithin;
+    traffic.board.loadBound = settings.loadBound;
+    traffic.retry.ratio = settings.retryRatio;
+    traffic.retry.floor = settings.retryFloor;
+    traffic.retry.window = settings.retryWindow;
+    traffic.retry.routers = settings.fleetAssumed;
+    traffic.seed = hashName(settings.name.text) ^ static_cast<std::uint64_t>(clockNow().time_since_epoch().count());
+    return traffic;
+}
+
+static TopicPace desiredPace(const RouterSettings &settings)
+{
+    TopicPace pace;
+    pace.wait = part(settings.settleWithin, waitOfSettle);
+    if (settings.revokeWithin > Span{}) {
+        pace.wait = std::min(pace.wait, part(settings.revokeWithin, waitOfRevoke));
+    }
+    return pace;
+}
+
+static TopicPace registryPace(const RouterSettings &settings)
+{
+    TopicPace pace;
+    pace.pause = part(settings.leaveWithin, pollOfLeave);
+    return pace;
+}
+
+RouterNode::RouterNode(const RouterSettings &settings)
+    : m_settings(settings)
+    , m_io(1)
+    , m_work(asio::make_work_guard(m_io))
+    , m_traffic(trafficSettings(settings), platformDialect(), m_log)
+    , m_directory(settings.rejoinWithin)
+    , m_desired(m_io, StoreTopic::DesiredState, settings.store, desiredPace(settings), desiredStateHooks(), m_log,
+                hashName(settings.name.text))
+    , m_registry(m_io, StoreTopic::Registry, settings.store, registryPace(settings), registryHooks(), m_log,
+                 hashName(settings.name.text) + 1)
+    , m_admin(m_io)
+    , m_flushTimer(m_io)
+    , m_expiryTimer(m_io)
+    , m_drainTimer(m_io)
+{
+    m_log.onFirst = [this] { asio::post(m_io, [this] { scheduleFlush(); }); };
+}
+
+RouterNode::~RouterNode()
+{
+    m_traffic.stop();
+    m_log.onFirst = nullptr;
+    m_log.flush();
+}
+
+// Following
+
+StoreFollowerHooks RouterNode::desiredStateHooks()
+{
+    StoreFollowerHooks hooks;
+    hooks.topic.onRecord = [this](const KeyedRecord &record) {
+        if (record.key == desiredStateKey && !record.value.empty()) {
+            applyDesiredState(record.value, record.offset);
+        }
+    };
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset) {
+        for (const KeyedRecord &record : records) {
+            if (record.key == desiredStateKey && !record.value.empty()) {
+                applyDesiredState(record.value, record.offset);
+            }
+        }
+    };
+    hooks.topic.onProof = [this](Instant provedAt) {
+        m_provedAt = std::max(m_provedAt, provedAt);
+        m_traffic.setProof(m_provedAt);
+    };
+    hooks.onLost = [](Instant) {};
+    hooks.onRegained = [this](Instant) {
+        LogLine line("store_regained");
+        line.number("topic", static_cast<int>(StoreTopic::DesiredState));
+        m_log.write(line, LogWeight::Notable);
+    };
+    return hooks;
+}
+
+void RouterNode::applyDesiredState(const std::string &json, LogOffset offset)
+{
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(table, decodeDesiredState(json));
+            LogLine line("desired_state");
+            line.number("version", table.version).number("before", m_version).number("offset", offset);
+            line.flag("applied", table.version > m_version);
+            m_log.write(line, LogWeight::Notable);
+            if (table.version > m_version) {
+                m_version = table.version;
+                m_traffic.setTable(std::make_shared<const RouteTable>(std::move(table)));
+            }
+            return {};
+        },
+        [&](const DocumentFault &fault) {
+            LogLine line("desired_state_unreadable");
+            line.number("offset", offset).text("why", fault.reason);
+            m_log.write(line, LogWeight::Notable);
+        },
+        [] {});
+}
+
+/// An entry that cannot be read names no replica to use.
+static RegistryUpdate registryUpdate(const KeyedRecord &record)
+{
+    RegistryUpdate update;
+    update.id.text = record.key;
+    update.offset = record.offset;
+    update.record = decodeReplica(update.id, record.value);
+    return update;
+}
+
+StoreFollowerHooks RouterNode::registryHooks()
+{
+    StoreFollowerHooks hooks;
+    hooks.topic.onRecord = [this](const KeyedRecord &record) {
+        if (m_directory.apply(clockNow(), registryUpdate(record))) {
+            publishReplicas();
+        }
+    };
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+        std::vector<RegistryUpdate> listing;
+        listing.reserve(records.size());
+        for (const KeyedRecord &record : records) {
+            listing.push_back(registryUpdate(record));
+        }
+        m_directory.applyListing(clockNow(), listing, begin);
+        publishReplicas();
+    };
+    hooks.topic.onProof = [this](Instant provedAt) { m_registryProvedAt = provedAt; };
+    hooks.onLost = [this](Instant) { m_directory.onStoreLost(); };
+    hooks.onRegained = [this](Instant now) {
+        m_directory.onStoreRegained(now);
+        scheduleExpiry();
+        LogLine line("store_regained");
+        line.number("topic", static_cast<int>(StoreTopic::Registry));
+        m_log.write(line, LogWeight::Notable);
+    };
+    return hooks;
+}
+
+void RouterNode::publishReplicas()
+{
+    std::vector<ReplicaRecord> usable = m_directory.usable();
+    LogLine line("replicas");
+    line.number("usable", static_cast<std::int64_t>(usable.size()));
+    line.number("known", static_cast<std::int64_t>(m_directory.size()));
+    m_log.write(line, LogWeight::Notable);
+    m_traffic.setReplicas(std::move(usable));
+}
+
+void RouterNode::scheduleExpiry()
+{
+    m_expiryTimer.expires_at(clockNow() + expiryStep);
+    m_expiryTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (m_directory.expire(clockNow())) {
+            publishReplicas();
+        }
+        if (m_directory.hasLapsed()) {
+            scheduleExpiry();
+        }
+    });
+}
+
+// Admin
+
+bool RouterNode::isReady() const
+{
+    const bool isKnown = m_version >= 0 && m_registryProvedAt != Instant{};
+    const bool isProved = m_settings.revokeWithin == Span{} || clockNow() < m_provedAt + m_settings.revokeWithin;
+    return isKnown && isProved && !m_isDraining;
+}
+
+bool RouterNode::listen()
+{
+    const auto address = parseAddress(m_settings.admin);
+    asio::error_code error;
+    if (!address) {
+        return false;
+    }
+    m_admin.open(address->protocol(), error);
+    m_admin.set_option(asio::socket_base::reuse_address(true), error);
+    m_admin.bind(*address, error);
+    if (error) {
+        return false;
+    }
+    m_admin.listen(asio::socket_base::max_listen_connections, error);
+    m_adminPort = m_admin.local_endpoint().port();
+    return !error;
+}
+
+bool RouterNode::start()
+{
+    m_adminHooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
+        onAdminRequest(caller, request);
+    };
+    m_adminHooks.onClosed = [](const std::shared_ptr<Caller> &) {};
+    m_adminHooks.onRejected = [](int, const char *) {};
+    m_adminHooks.limits = [] { return CallerLimits(); };
+    m_adminHooks.isDraining = [] { return false; };
+    if (!listen() || !m_traffic.start()) {
+        return false;
+    }
+    LogLine line("start");
+    line.text("name", m_settings.name.text).text("callers", m_settings.callers).text("version", GALENAFOLD_VERSION);
+    m_log.write(line, LogWeight::Notable);
+    acceptAdmin();
+    m_desired.start();
+    m_registry.start();
+    return true;
+}
+
+void RouterNode::acceptAdmin()
+{
+    m_admin.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            std::make_shared<Caller>(m_io, std::move(socket), m_adminHooks)->start();
+        }
+        acceptAdmin();
+    });
+}
+
+void RouterNode::onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request)
+{
+    if (request.head.target == readinessPath) {
+        caller->answer(isReady() ? statusOk : statusUnavailable, {}, "");
+    } else if (request.head.target == "/metrics") {
+        caller->answer(statusOk, {{"Content-Type", "text/plain"}}, metrics());
+    } else {
+        caller->answer(statusNotFound, {}, "");
+    }
+}
+
+std::string RouterNode::metrics() const
+{
+    const TrafficCounts &counts = m_traffic.counts();
+    std::string out;
+    const auto add = [&out](const char *name, std::int64_t value) {
+        out += std::string("galenafold_") + name + ' ' + std::to_string(value) + '\n';
+    };
+    add("callers", counts.callers);
+    add("calls_in_progress", counts.inProgress);
+    add("calls_served_total", counts.answered);
+    add("calls_refused_total", counts.refused);
+    add("calls_failed_total", counts.failed);
+    add("store_calls_total", m_desired.calls() + m_registry.calls());
+    add("desired_state_version", m_version);
+    add("log_lines_left_out_total", m_log.dropped());
+    return out;
+}
+
+// Logs
+
+void RouterNode::scheduleFlush()
+{
+    m_flushTimer.expires_at(clockNow() + flushAfter);
+    m_flushTimer.async_wait([this](const asio::error_code &error) {
+        if (!error && m_log.flush()) {
+            scheduleFlush();
+        }
+    });
+}
+
+// Drain
+
+void RouterNode::run()
+{
+    m_io.run();
+}
+
+void RouterNode::beginDrain()
+{
+    asio::post(m_io, [this] {
+        if (m_isDraining) {
+            return;
+        }
+        m_isDraining = true;
+        m_drainBegan = clockNow();
+        LogLine line("drain");
+        line.number("in_progress", m_traffic.counts().inProgress);
+        m_log.write(line, LogWeight::Notable);
+        m_traffic.beginDrain();
+        drainStep();
+    });
+}
+
+/// Late calls are still served until the balancer has noticed; then idle connections go, then the process.
+void RouterNode::drainStep()
+{
+    const Instant now = clockNow();
+    const bool isNoticed = now >= m_drainBegan + balancerNotices;
+    const bool mustEnd = now >= m_drainBegan + m_settings.drainWithin - drainReserve;
+    if (isNoticed && m_traffic.counts().inProgress == 0) {
+        if (m_hasClosedIdle || m_traffic.counts().callers == 0) {
+            m_io.stop();
+            return;
+        }
+        m_hasClosedIdle = true;
+        m_traffic.closeIdle();
+    }
+    if (mustEnd) {
+        LogLine line("stop");
+        line.number("in_progress", m_traffic.counts().inProgress);
+        m_log.write(line, LogWeight::Notable);
+        m_io.stop();
+        return;
+    }
+    m_drainTimer.expires_at(now + drainCheck);
+    m_drainTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            drainStep();
+        }
+    });
+}
+
+void RouterNode::reload(const RouterSettings &settings)
+{
+    asio::post(m_io, [this, settings] {
+        m_settings.drainWithin = settings.drainWithin;
+        LogLine line("reload");
+        line.text("name", settings.name.text);
+        m_log.write(line, LogWeight::Notable);
+    });
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/shell/routernode.h
@@ -0,0 +1,65 @@
+// A daemon on the users' platform: the control thread, which follows the store, tells readiness and drains.
+#pragma once
+
+#include "control/directory.h"
+#include "galenafold/galenafold.h"
+#include "shell/storefollower.h"
+#include "traffic/traffic.h"
+
+namespace galenafold
+{
+
+class RouterNode
+{
+public:
+    explicit RouterNode(const RouterSettings &settings);
+    ~RouterNode();
+    RouterNode(const RouterNode &) = delete;
+    RouterNode &operator=(const RouterNode &) = delete;
+
+    bool start();      ///< Binds and begins to follow the store. @return false: an address is taken
+    void run();        ///< Runs the control thread here, until the drain has ended.
+    void beginDrain(); ///< Any thread. Not ready from now on; ends once nothing is in progress.
+    void reload(const RouterSettings &settings); ///< Any thread. Settings that need no restart are taken over.
+
+    int callersPort() const { return m_traffic.port(); }
+    int adminPort() const { return m_adminPort; }
+    bool isReady() const;
+
+private:
+    StoreFollowerHooks desiredStateHooks();
+    StoreFollowerHooks registryHooks();
+    void applyDesiredState(const std::string &json, LogOffset offset);
+    void publishReplicas();
+    bool listen();
+    void acceptAdmin();
+    void onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request);
+    std::string metrics() const;
+    void scheduleFlush();
+    void scheduleExpiry();
+    void drainStep();
+
+    RouterSettings m_settings;
+    EventLog m_log;
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    Traffic m_traffic;
+    Directory m_directory;
+    StoreFollower m_desired;
+    StoreFollower m_registry;
+    asio::ip::tcp::acceptor m_admin;
+    CallerHooks m_adminHooks;
+    DeadlineTimer m_flushTimer;
+    DeadlineTimer m_expiryTimer;
+    DeadlineTimer m_drainTimer;
+    DesiredVersion m_version = -1;
+    Instant m_provedAt{};
+    Instant m_registryProvedAt{};
+    std::atomic<bool> m_isReady{false};
+    Instant m_drainBegan{};
+    bool m_isDraining = false;
+    bool m_hasClosedIdle = false;
+    int m_adminPort = 0;
+};
+
+} // namespace galenafold
--- a/shell/runner.h
+++ b/shell/runner.h
@@ -1,9 +1,9 @@
 // Carries attempts out: one blocking HTTP request on a pump thread each, its answer checked and piped to the caller.
 #pragma once
 
+#include "clients/endpoint.h"
+#include "clients/http.h"
 #include "control/router.h"
-#include "platform/endpoint.h"
-#include "platform/http.h"
 #include "shell/exchange.h"
 #include "shell/trace.h"
 
--- a/shell/trace.cpp
+++ b/shell/trace.cpp
@@ -77,7 +77,7 @@
 
 static std::string unixNanos(Instant moment)
 {
-    const auto back = std::chrono::steady_clock::now() - moment;
+    const auto back = clockNow() - moment;
     const auto wall = std::chrono::system_clock::now() - std::chrono::duration_cast<std::chrono::nanoseconds>(back);
     return std::to_string(std::chrono::duration_cast<std::chrono::nanoseconds>(wall.time_since_epoch()).count());
 }
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -1,6 +1,6 @@
 // Daemons together, over loopback: contracts through an outage, leaving, drains, owners that die.
 #include "fakes/fleet.h"
-#include "platform/endpoint.h"
+#include "clients/endpoint.h"
 
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -1,7 +1,7 @@
 // A real daemon on loopback: bad input from callers, and endpoints that misbehave. A clear error each, nothing crossed.
 #include "shell/front.h"
+#include "clients/endpoint.h"
 #include "fakes/fleet.h"
-#include "platform/endpoint.h"
 
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/traffic/requestflow.cpp
@@ -0,0 +1,503 @@
+// One request on its way. Sections of this file: Reasons, Deciding, Attempting, Answering.
+#include "traffic/requestflow.h"
+
+#include "control/loadview.h"
+
+#include <algorithm>
+
+namespace galenafold
+{
+
+constexpr int statusOk = 200;
+constexpr int firstStatusOfErrors = 300;
+constexpr int firstStatusOfServerErrors = 500;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+constexpr auto defaultPatience = std::chrono::seconds(30); // of a caller that does not say
+constexpr auto leastWorthSending = std::chrono::milliseconds(10);
+constexpr auto retrySoon = std::chrono::milliseconds(250);
+constexpr auto retryWhenProved = std::chrono::milliseconds(1000);
+constexpr std::size_t mostUnreadBytes = 256 << 10; // by a slow caller, before the replica is paused
+constexpr double silenceOfObjective = 1.5;         // an attempt without a head for this many objectives is tried again
+constexpr auto leastSilence = std::chrono::milliseconds(250);
+
+// Reasons
+
+const char *text(EndReason reason)
+{
+    switch (reason) {
+    case EndReason::NoDesiredState:
+        return "no_desired_state";
+    case EndReason::NoRoute:
+        return "no_route";
+    case EndReason::UnknownKey:
+        return "unknown_key";
+    case EndReason::StaleKeys:
+        return "stale_keys";
+    case EndReason::NoReplica:
+        return "no_replica";
+    case EndReason::Expired:
+        return "expired";
+    case EndReason::AllRefused:
+        return "all_refused";
+    case EndReason::Unreachable:
+        return "unreachable";
+    case EndReason::BrokenAnswer:
+        return "broken_answer";
+    case EndReason::CallerGone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
+// Deciding
+
+RequestFlow::RequestFlow(TrafficState &state, std::shared_ptr<Caller> caller, CallerRequest &&request)
+    : m_state(state)
+    , m_caller(std::move(caller))
+    , m_request(std::move(request))
+    , m_table(state.table)
+    , m_timer(state.io)
+{
+    ++m_state.counts.inProgress;
+}
+
+RequestFlow::~RequestFlow()
+{
+    --m_state.counts.inProgress;
+}
+
+void RequestFlow::begin()
+{
+    const Instant now = clockNow();
+    m_fields = m_state.dialect.decodeCall(m_request.head.fields);
+    if (!findRoute(now) || !checkKey(now)) {
+        return;
+    }
+    m_end = m_request.arrival + std::min<Span>(m_fields.patience.value_or(defaultPatience), m_route->timeout);
+    m_attempts.isRepeatable = m_route->isRepeatable();
+    m_attempts.isResumable = m_route->isResumable;
+    m_attempts.maxAttempts = m_route->maxAttempts;
+    m_place.service = drawService();
+    if (m_route->hasAffinity) {
+        m_place.affinity = affinityOf(m_fields.promptParts);
+    }
+    m_events.skipUpTo(m_fields.resumeAfter);
+    m_caller->onGone = [self = shared_from_this()] { self->onCallerGone(); };
+    armTimer();
+    m_state.budget.onFirst(now, m_place.service);
+    place(now);
+}
+
+bool RequestFlow::findRoute(Instant)
+{
+    if (!m_table) {
+        refuse(statusUnavailable, EndReason::NoDesiredState, retrySoon);
+        return false;
+    }
+    const std::string &target = m_request.head.target;
+    const std::string_view path = std::string_view(target).substr(0, target.find('?'));
+    std::string_view host = *findField(m_request.head.fields, "host");
+    host = host.substr(0, host.find(':'));
+    m_route = m_table->find(host, path);
+    if (!m_route || m_route->targets.empty()) {
+        refuse(statusNotFound, EndReason::NoRoute, Span{});
+        return false;
+    }
+    return true;
+}
+
+bool RequestFlow::checkKey(Instant now)
+{
+    if (!m_table->needsKeys || m_route->isPublic) {
+        return true;
+    }
+    if (!m_state.isProved(now)) {
+        refuse(statusUnavailable, EndReason::StaleKeys, retryWhenProved);
+        return false;
+    }
+    m_account = m_table->account(m_fields.apiKey);
+    if (!m_account) {
+        refuse(statusUnauthorized, EndReason::UnknownKey, Span{});
+        return false;
+    }
+    return true;
+}
+
+/// The same request id draws the same target, so that repeats inside the router stay with their service.
+const ServiceId &RequestFlow::drawService() const
+{
+    double sum = 0;
+    for (const RouteTarget &target : m_route->targets) {
+        sum += target.weight;
+    }
+    constexpr std::uint64_t steps = 1U << 20U;
+    double point = sum * static_cast<double>(hashName(m_fields.request.text) % steps) / static_cast<double>(steps);
+    for (const RouteTarget &target : m_route->targets) {
+        if (point < target.weight) {
+            return target.service;
+        }
+        point -= target.weight;
+    }
+    return m_route->targets.back().service;
+}
+
+void RequestFlow::place(Instant now)
+{
+    const EndpointState *endpoint = m_state.board.choose(now, m_place);
+    if (!endpoint && !m_place.excluded.empty()) {
+        m_place.excluded.clear(); // every replica was tried: the least bad one again
+        endpoint = m_state.board.choose(now, m_place);
+    }
+    if (!endpoint) {
+        giveUp(EndReason::NoReplica);
+        return;
+    }
+    attempt(now, *endpoint);
+}
+
+// Attempting
+
+/// Keys are checked again here: a request may have waited for an attempt that failed, or the VM may have slept.
+void RequestFlow::attempt(Instant now, const EndpointState &endpoint)
+{
+    if (m_end - now < leastWorthSending) {
+        giveUp(EndReason::Expired);
+        return;
+    }
+    if (m_account && (!m_state.isProved(now) || !m_state.table->account(m_fields.apiKey))) {
+        giveUp(EndReason::StaleKeys);
+        return;
+    }
+    const auto address = parseAddress(endpoint.record.address);
+    m_endpoint = endpoint.record.id;
+    m_hasHead = false;
+    m_body.clear();
+    m_events.restart();
+    m_sentAt = now;
+    ++m_attempts.sent;
+    bool isNew = false;
+    m_link = m_state.links.take(now, m_endpoint, !m_route->isRepeatable(), isNew);
+    LinkHooks hooks;
+    const auto self = shared_from_this();
+    hooks.onHead = [self](ResponseHead &head, const AnswerFields &answer) { self->onHead(head, answer); };
+    hooks.onBody = [self](std::string &body) { self->onBody(body); };
+    hooks.onDone = [self] { self->onDone(); };
+    hooks.onFailed = [self](LinkState how) { self->onFailed(how); };
+    const bool expectsNoBody = m_request.head.method == "HEAD";
+    m_state.board.onSent(m_endpoint);
+    m_answerBy = answerBy(now);
+    m_link->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
+    if (isNew) {
+        m_link->connect(*address, m_end);
+    }
+    armTimer();
+}
+
+std::string RequestFlow::encodeRequest(Instant now, const EndpointState &endpoint) const
+{
+    const RequestHead &head = m_request.head;
+    std::string bytes = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    for (const HttpField &field : head.fields) {
+        if (!isHopField(head.fields, field.name) && !m_state.dialect.isOwnField(field.name)) {
+            appendField(bytes, field.name, field.value);
+        }
+    }
+    AttemptFields attempt;
+    attempt.left = m_end - now;
+    attempt.expected = endpoint.record.id;
+    attempt.resumeAfter = m_events.lastId();
+    if (m_account) {
+        attempt.account = m_account->id;
+    }
+    m_state.dialect.encodeAttempt(bytes, attempt);
+    const bool hasBody = !m_request.body.empty() || (head.method != "GET" && head.method != "HEAD");
+    if (hasBody) {
+        appendField(bytes, "Content-Length", std::to_string(m_request.body.size()));
+    }
+    bytes += "\r\n";
+    bytes += m_request.body;
+    return bytes;
+}
+
+/// An attempt that may be repeated is given up early enough for another one.
+Instant RequestFlow::answerBy(Instant now) const
+{
+    const bool mayRepeat = m_attempts.isRepeatable && m_attempts.ran + 1 < m_attempts.maxAttempts;
+    if (!mayRepeat || m_attempts.isStreaming) {
+        return m_end;
+    }
+    const auto silence = std::chrono::duration_cast<Span>(m_route->objective * silenceOfObjective);
+    return std::min(m_end, now + std::max<Span>(silence, leastSilence));
+}
+
+void RequestFlow::armTimer()
+{
+    const bool waitsForHead = m_link && !m_hasHead;
+    m_timer.expires_at(waitsForHead ? std::min(m_answerBy, m_end) : m_end);
+    m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error && !self->m_isEnded) {
+            self->onTimer();
+        }
+    });
+}
+
+void RequestFlow::onTimer()
+{
+    const Instant now = clockNow();
+    if (now < m_end) {
+        const bool isSilent = m_link && !m_hasHead && now >= m_answerBy;
+        if (!isSilent) {
+            armTimer();
+            return;
+        }
+        m_answerBy = m_end;
+        if (!m_state.budget.take(now, m_place.service)) {
+            armTimer();
+            return;
+        }
+        m_link->cancel();
+        ++m_attempts.ran;
+        m_attempts.mayHaveRun = true;
+        endAttempt(AttemptEnd::Failed);
+        m_place.excluded.insert(m_endpoint);
+        place(now);
+        return;
+    }
+    if (m_link) {
+        m_link->cancel();
+        m_attempts.mayHaveRun = true;
+        endAttempt(m_hasHead ? AttemptEnd::Abandoned : AttemptEnd::Failed);
+    }
+    giveUp(EndReason::Expired);
+}
+
+void RequestFlow::onHead(ResponseHead &head, const AnswerFields &answer)
+{
+    m_hasHead = true;
+    m_head = std::move(head);
+    m_answer = answer;
+    if (answer.load) {
+        m_state.board.onLoad(clockNow(), m_endpoint, *answer.load);
+    }
+}
+
+void RequestFlow::onBody(std::string &body)
+{
+    const bool isEventStream =
+        m_route->kind == CallKind::Stream && m_head.status == statusOk && m_answer.isSealed && !m_answer.isEncoded;
+    if (isEventStream) {
+        relayEvents(body);
+    } else {
+        m_body += body;
+    }
+    body.clear();
+}
+
+void RequestFlow::endAttempt(AttemptEnd end)
+{
+    m_state.board.onEnded(clockNow(), m_endpoint, end);
+    m_link.reset();
+}
+
+bool RequestFlow::isWholeStream() const
+{
+    return !m_events.hasRest() && !m_events.hasGap();
+}
+
+void RequestFlow::onDone()
+{
+    const Instant now = clockNow();
+    m_state.links.give(m_endpoint, m_link);
+    if (m_answer.saysNotRun) {
+        endAttempt(AttemptEnd::Refused);
+        afterFailure(EndReason::AllRefused);
+        return;
+    }
+    ++m_attempts.ran;
+    m_attempts.mayHaveRun = true;
+    const bool isGood = m_head.status < firstStatusOfErrors;
+    const bool isTrusted = m_answer.isSealed && !(isGood && m_answer.isEncoded);
+    if (m_attempts.isStreaming) {
+        endAttempt(isWholeStream() ? AttemptEnd::Good : AttemptEnd::Failed);
+        if (!isWholeStream() || !isTrusted || m_head.status != statusOk) {
+            afterFailure(EndReason::BrokenAnswer);
+            return;
+        }
+        m_caller->endStream();
+        finish("served", m_head.status, nullptr);
+        return;
+    }
+    if (!isTrusted) {
+        endAttempt(AttemptEnd::Failed);
+        afterFailure(EndReason::BrokenAnswer);
+        return;
+    }
+    const bool isError = m_head.status >= firstStatusOfServerErrors;
+    endAttempt(isError ? AttemptEnd::Error : AttemptEnd::Good);
+    const auto allowExtra = [this, now] { return m_state.budget.take(now, m_place.service); };
+    if (isError && m_attempts.isRepeatable && followUp(m_attempts, allowExtra) == FollowUp::Again) {
+        m_place.excluded.insert(m_endpoint);
+        place(now);
+        return;
+    }
+    forwardAnswer();
+}
+
+void RequestFlow::onFailed(LinkState how)
+{
+    const bool mayHaveRun = how != LinkState::NotSent && !(m_hasHead && m_answer.saysNotRun);
+    if (mayHaveRun) {
+        ++m_attempts.ran;
+        m_attempts.mayHaveRun = true;
+    }
+    endAttempt(how == LinkState::NotSent ? AttemptEnd::Unreachable : AttemptEnd::Failed);
+    afterFailure(mayHaveRun ? EndReason::BrokenAnswer : EndReason::Unreachable);
+}
+
+void RequestFlow::afterFailure(EndReason reason)
+{
+    const Instant now = clockNow();
+    const auto allowExtra = [this, now] { return m_state.budget.take(now, m_place.service); };
+    m_place.excluded.insert(m_endpoint);
+    if (followUp(m_attempts, allowExtra) == FollowUp::Fail) {
+        giveUp(reason);
+        return;
+    }
+    LogLine line("retried");
+    line.text("request", m_fields.request.text).text("reason", text(reason)).text("replica", m_endpoint.text);
+    line.number("sent", m_attempts.sent).number("ran", m_attempts.ran);
+    m_state.log.write(line, LogWeight::Notable);
+    place(now);
+}
+
+// Answering
+
+/// @return the fields of a replica's answer that its caller gets
+static HttpFields passedOn(const HttpFields &fields)
+{
+    HttpFields passed;
+    for (const HttpField &field : fields) {
+        if (!isHopField(fields, field.name)) {
+            passed.push_back(field);
+        }
+    }
+    return passed;
+}
+
+void RequestFlow::relayEvents(std::string &body)
+{
+    const std::string events = m_events.take(body);
+    if (events.empty() || m_events.hasGap()) {
+        return; // a gap is dealt with at the end of the attempt
+    }
+    if (!m_attempts.isStreaming) {
+        m_attempts.isStreaming = true;
+        m_firstAt = clockNow();
+        m_caller->beginStream(m_head.status, passedOn(m_head.fields));
+        m_caller->onDrained = [self = shared_from_this()] {
+            if (self->m_link) {
+                self->m_link->pauseReading(false);
+            }
+        };
+    }
+    m_caller->streamBytes(events);
+    if (m_caller->pending() > mostUnreadBytes && m_link) {
+        m_link->pauseReading(true);
+    }
+}
+
+void RequestFlow::forwardAnswer()
+{
+    const int status = m_head.status;
+    m_firstAt = clockNow();
+    m_caller->answer(status, passedOn(m_head.fields), m_body);
+    finish("served", status, nullptr);
+}
+
+static std::string seconds(Span span)
+{
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    std::string fraction = std::to_string(millis % 1000);
+    fraction.insert(0, 3 - fraction.size(), '0');
+    return std::to_string(millis / 1000) + '.' + fraction;
+}
+
+void RequestFlow::refuse(int status, EndReason reason, Span retryAfter)
+{
+    HttpFields fields;
+    if (retryAfter > Span{}) {
+        fields.push_back({"Retry-After", seconds(retryAfter)});
+    }
+    m_caller->answer(status, fields, "");
+    finish("refused", status, &reason);
+}
+
+/// No attempt follows. What the caller is told depends on what may have run, not on what failed last.
+void RequestFlow::giveUp(EndReason reason)
+{
+    if (m_attempts.isStreaming) {
+        breakOff(reason);
+        return;
+    }
+    if (!m_attempts.mayHaveRun) {
+        refuse(statusUnavailable, reason, reason == EndReason::StaleKeys ? retryWhenProved : retrySoon);
+        return;
+    }
+    const int status = reason == EndReason::Expired ? statusGatewayTimeout : statusBadGateway;
+    m_caller->answer(status, {}, "");
+    finish("failed", status, &reason);
+}
+
+void RequestFlow::breakOff(EndReason reason)
+{
+    m_caller->breakOff();
+    finish("broken", m_head.status, &reason);
+}
+
+/// A request that runs once at most is left to end, so that its connection can be kept; all others stop at once.
+void RequestFlow::onCallerGone()
+{
+    if (m_isEnded) {
+        return;
+    }
+    const EndReason reason = EndReason::CallerGone;
+    if (m_link) {
+        m_link->cancel();
+        endAttempt(AttemptEnd::Abandoned);
+    }
+    finish("gone", 0, &reason);
+}
+
+void RequestFlow::finish(std::string_view outcome, int status, EndReason const *reason)
+{
+    const auto self = shared_from_this();
+    m_isEnded = true;
+    m_timer.cancel();
+    const bool isServed = outcome == "served";
+    (isServed ? m_state.counts.answered : m_attempts.mayHaveRun ? m_state.counts.failed : m_state.counts.refused)++;
+    const Instant now = clockNow();
+    LogLine line(outcome);
+    line.text("request", m_fields.request.text).number("status", status);
+    if (reason) {
+        line.text("reason", text(*reason)).flag("may_have_run", m_attempts.mayHaveRun);
+    }
+    if (m_route) {
+        line.text("route", m_route->id.text).text("service", m_place.service.text);
+    }
+    line.text("replica", m_endpoint.text).number("sent", m_attempts.sent).number("ran", m_attempts.ran);
+    line.millis("took_ms", now - m_request.arrival);
+    if (m_firstAt != Instant{}) {
+        line.millis("first_ms", m_firstAt - m_request.arrival);
+    }
+    if (m_table) {
+        line.number("version", m_table->version).millis("proof_age_ms", now - m_state.provedAt);
+    }
+    m_state.log.write(line, isServed ? LogWeight::Routine : LogWeight::Notable);
+    m_caller->onGone = nullptr;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/traffic/requestflow.h
@@ -0,0 +1,97 @@
+// One request on its way: from a caller's whole request to the caller's whole answer, over one attempt or more.
+#pragma once
+
+#include "filters/events.h"
+#include "traffic/traffic.h"
+
+namespace galenafold
+{
+
+/// Why the router itself ends a request.
+enum class EndReason : std::uint8_t {
+    NoDesiredState, // nothing is known yet
+    NoRoute,        // no host and path prefix fits
+    UnknownKey,     // no client account holds the key
+    StaleKeys,      // the desired state is not proved young enough to honour keys
+    NoReplica,      // nobody serves the service
+    Expired,        // the request's time is over
+    AllRefused,     // every replica that was asked did not run it
+    Unreachable,    // no replica could be reached
+    BrokenAnswer,   // an attempt may have run, and its answer is lost or wrong
+    CallerGone,     // the caller left
+};
+
+const char *text(EndReason reason);
+
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>
+{
+public:
+    RequestFlow(TrafficState &state, std::shared_ptr<Caller> caller, CallerRequest &&request);
+    ~RequestFlow();
+    RequestFlow(const RequestFlow &) = delete;
+    RequestFlow &operator=(const RequestFlow &) = delete;
+
+    void begin();
+
+private:
+    // Deciding.
+
+    bool findRoute(Instant now);
+    bool checkKey(Instant now);
+    const ServiceId &drawService() const;
+    void place(Instant now);
+
+    // Attempting.
+
+    void attempt(Instant now, const EndpointState &endpoint);
+    std::string encodeRequest(Instant now, const EndpointState &endpoint) const;
+    void armTimer();
+    void onTimer();
+    Instant answerBy(Instant now) const;
+    void onHead(ResponseHead &head, const AnswerFields &answer);
+    void onBody(std::string &body);
+    void onDone();
+    void onFailed(LinkState how);
+    void endAttempt(AttemptEnd end);
+    void afterFailure(EndReason reason);
+    bool isWholeStream() const;
+
+    // Answering.
+
+    void relayEvents(std::string &body);
+    void forwardAnswer();
+    void refuse(int status, EndReason reason, Span retryAfter);
+    void giveUp(EndReason reason);
+    void breakOff(EndReason reason);
+    void onCallerGone();
+    void finish(std::string_view outcome, int status, EndReason const *reason);
+
+    TrafficState &m_state;
+    std::shared_ptr<Caller> m_caller;
+    CallerRequest m_request;
+    CallFields m_fields;
+    std::shared_ptr<const RouteTable> m_table;
+    const Route *m_route = nullptr;
+    const ClientAccount *m_account = nullptr;
+    PlaceRequest m_place;
+    Instant m_end{};      // final answer at the latest
+    Instant m_answerBy{}; // the attempt at hand is given up without a head by then
+    DeadlineTimer m_timer;
+    AttemptsSoFar m_attempts;
+
+    // The attempt at hand.
+
+    std::shared_ptr<EndpointLink> m_link;
+    EndpointId m_endpoint;
+    Instant m_sentAt{};
+    bool m_hasHead = false;
+    ResponseHead m_head;
+    AnswerFields m_answer;
+    std::string m_body;
+
+    EventCutter m_events;
+    Instant m_firstAt{}; // first bytes to the caller
+    bool m_isEnded = false;
+};
+
+} // namespace galenafold
--- /dev/null
+++ b/traffic/traffic.cpp
@@ -0,0 +1,161 @@
+// The traffic thread.
+#include "traffic/traffic.h"
+
+#include "traffic/requestflow.h"
+
+#include <asio/post.hpp>
+
+namespace galenafold
+{
+
+constexpr auto sweepEvery = std::chrono::seconds(1);
+constexpr auto proofMargin = std::chrono::milliseconds(300); // for the way to a replica and coarse timers
+
+TrafficState::TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, Dialect theDialect,
+                           EventLog &theLog)
+    : io(theIo)
+    , settings(theSettings)
+    , dialect(std::move(theDialect))
+    , log(theLog)
+    , board(theSettings.board, theSettings.dataCentre, theSettings.seed)
+    , budget(theSettings.retry)
+    , links(theIo, dialect)
+{
+}
+
+bool TrafficState::isProved(Instant now) const
+{
+    return settings.revokeWithin == Span{} || now < provedAt + settings.revokeWithin - proofMargin;
+}
+
+Traffic::Traffic(const TrafficSettings &settings, Dialect dialect, EventLog &log)
+    : m_settings(settings)
+    , m_io(1)
+    , m_work(asio::make_work_guard(m_io))
+    , m_state(m_io, settings, std::move(dialect), log)
+    , m_acceptor(m_io)
+    , m_sweepTimer(m_io)
+{
+    m_callerHooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
+        onRequest(caller, std::move(request));
+    };
+    m_callerHooks.onClosed = [this](const std::shared_ptr<Caller> &caller) {
+        m_callers.erase(caller);
+        m_state.counts.callers = static_cast<int>(m_callers.size());
+    };
+    m_callerHooks.onRejected = [this](int status, const char *why) {
+        LogLine line("rejected");
+        line.number("status", status).text("why", why);
+        m_state.log.write(line, LogWeight::Notable);
+    };
+    m_callerHooks.limits = [this] { return m_state.table ? m_state.table->limits : CallerLimits(); };
+    m_callerHooks.isDraining = [this] { return m_state.isDraining; };
+}
+
+Traffic::~Traffic()
+{
+    stop();
+}
+
+bool Traffic::start()
+{
+    const auto address = parseAddress(m_settings.listenAddress);
+    asio::error_code error;
+    if (!address) {
+        return false;
+    }
+    m_acceptor.open(address->protocol(), error);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(*address, error);
+    if (error) {
+        return false;
+    }
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return false;
+    }
+    m_port = m_acceptor.local_endpoint().port();
+    accept();
+    sweep();
+    m_thread = std::thread([this] { m_io.run(); });
+    return true;
+}
+
+void Traffic::stop()
+{
+    m_io.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void Traffic::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            const auto caller = std::make_shared<Caller>(m_io, std::move(socket), m_callerHooks);
+            m_callers.insert(caller);
+            m_state.counts.callers = static_cast<int>(m_callers.size());
+            caller->start();
+        }
+        accept();
+    });
+}
+
+void Traffic::onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request)
+{
+    const auto flow = std::make_shared<RequestFlow>(m_state, caller, std::move(request));
+    flow->begin();
+}
+
+void Traffic::sweep()
+{
+    m_state.links.closeOld(clockNow());
+    m_sweepTimer.expires_at(clockNow() + sweepEvery);
+    m_sweepTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            sweep();
+        }
+    });
+}
+
+// From the control thread
+
+void Traffic::setTable(std::shared_ptr<const RouteTable> table)
+{
+    asio::post(m_io, [this, table = std::move(table)] { m_state.table = table; });
+}
+
+void Traffic::setReplicas(std::vector<ReplicaRecord> replicas)
+{
+    asio::post(m_io, [this, replicas = std::move(replicas)] {
+        for (const EndpointId &id : m_state.board.setRecords(replicas)) {
+            m_state.links.drop(id);
+        }
+    });
+}
+
+void Traffic::setProof(Instant provedAt)
+{
+    asio::post(m_io, [this, provedAt] { m_state.provedAt = std::max(m_state.provedAt, provedAt); });
+}
+
+void Traffic::beginDrain()
+{
+    asio::post(m_io, [this] { m_state.isDraining = true; });
+}
+
+void Traffic::closeIdle()
+{
+    asio::post(m_io, [this] {
+        const auto callers = m_callers; // closing changes the set
+        for (const auto &caller : callers) {
+            caller->closeIfIdle();
+        }
+    });
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/traffic/traffic.h
@@ -0,0 +1,106 @@
+// The traffic thread: one event loop that owns the callers, the links to replicas and all decisions about requests.
+//
+// Sections of this file: Settings, State, Traffic.
+//
+// It shares nothing with the control thread but what is posted to it: a new desired state, a new set of replicas, and a
+// moment up to which that desired state is proved to be the newest.
+#pragma once
+
+#include "filters/board.h"
+#include "filters/followup.h"
+#include "shell/eventlog.h"
+#include "traffic/caller.h"
+#include "traffic/endpointlink.h"
+
+#include <asio/ip/tcp.hpp>
+#include <atomic>
+#include <set>
+#include <thread>
+
+namespace galenafold
+{
+
+// Settings
+
+struct TrafficSettings {
+    std::string listenAddress; // IP:PORT for callers
+    DataCentreId dataCentre;
+    Span revokeWithin{}; // a key may serve for this long after it was taken away; 0: not bounded
+    BoardSettings board;
+    RetryBudgetSettings retry;
+    std::uint64_t seed = 1;
+};
+
+// State
+
+/// Counts that other threads may read.
+struct TrafficCounts {
+    std::atomic<int> callers{0};
+    std::atomic<int> inProgress{0};
+    std::atomic<std::int64_t> answered{0}; // with the replica's own answer
+    std::atomic<std::int64_t> refused{0};  // not run
+    std::atomic<std::int64_t> failed{0};   // may have run
+};
+
+class RequestFlow;
+
+/// What the calls of one loop share.
+struct TrafficState {
+    TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, Dialect theDialect, EventLog &theLog);
+
+    /// @return true if a key may serve: the desired state is proved young enough
+    bool isProved(Instant now) const;
+
+    asio::io_context &io;
+    const TrafficSettings settings;
+    const Dialect dialect;
+    EventLog &log;
+    std::shared_ptr<const RouteTable> table; // nothing until a desired state is known
+    Instant provedAt{};                      // the table was the newest then
+    bool isDraining = false;
+    EndpointBoard board;
+    RetryBudget budget;
+    LinkPool links;
+    TrafficCounts counts;
+};
+
+// Traffic
+
+class Traffic
+{
+public:
+    Traffic(const TrafficSettings &settings, Dialect dialect, EventLog &log);
+    ~Traffic();
+
+    bool start(); ///< @return false: the address is taken
+    void stop();
+
+    // From the control thread.
+
+    void setTable(std::shared_ptr<const RouteTable> table);
+    void setReplicas(std::vector<ReplicaRecord> replicas);
+    void setProof(Instant provedAt);
+    void beginDrain(); ///< Answers end their connections from now on.
+    void closeIdle();  ///< Closes callers' connections that have no request.
+
+    const TrafficCounts &counts() const { return m_state.counts; }
+    int port() const { return m_port; }
+
+private:
+    void accept();
+    void onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
+    void sweep();
+
+    TrafficSettings m_settings;
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    TrafficState m_state;
+    asio::ip::tcp::acceptor m_acceptor;
+    DeadlineTimer m_sweepTimer;
+    CallerHooks m_callerHooks;
+    std::set<std::shared_ptr<Caller>> m_callers;
+    std::thread m_thread;
+    int m_port = 0;
+};
+
+} // namespace galenafold
