--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -330,21 +330,17 @@
     });
 }
 
-/// Late calls are still served until the balancer has noticed; then idle connections go, then the process.
+/// Late calls are still served until the balancer has noticed. A call taken after that might not end in time.
 void RouterNode::drainStep()
 {
     const Instant now = clockNow();
     const bool isNoticed = now >= m_drainBegan + balancerNotices;
     const bool mustEnd = now >= m_drainBegan + m_settings.drainWithin - drainReserve;
-    if (isNoticed && m_traffic.counts().inProgress == 0) {
-        if (m_hasClosedIdle || m_traffic.counts().callers == 0) {
-            m_io.stop();
-            return;
-        }
-        m_hasClosedIdle = true;
-        m_traffic.closeIdle();
+    if (isNoticed) {
+        m_traffic.stopTaking(); // again at each step: a connection is idle only between two of them
     }
-    if (mustEnd) {
+    const bool isQuiet = isNoticed && m_traffic.counts().callers == 0;
+    if (isQuiet || mustEnd) {
         LogLine line("stop");
         line.number("in_progress", m_traffic.counts().inProgress);
         m_log.write(line, LogWeight::Notable);
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -58,7 +58,6 @@
     std::atomic<bool> m_isReady{false};
     Instant m_drainBegan{};
     bool m_isDraining = false;
-    bool m_hasClosedIdle = false;
     int m_adminPort = 0;
 };
 
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -148,9 +148,11 @@
     asio::post(m_io, [this] { m_state.isDraining = true; });
 }
 
-void Traffic::closeIdle()
+void Traffic::stopTaking()
 {
     asio::post(m_io, [this] {
+        asio::error_code ignored; // closed at an earlier step
+        m_acceptor.close(ignored);
         const auto callers = m_callers; // closing changes the set
         for (const auto &caller : callers) {
             caller->closeIfIdle();
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -81,7 +81,7 @@
     void setReplicas(std::vector<ReplicaRecord> replicas);
     void setProof(Instant provedAt);
     void beginDrain(); ///< Answers end their connections from now on.
-    void closeIdle();  ///< Closes callers' connections that have no request.
+    void stopTaking(); ///< Takes no new connections, and closes those that have no request.
 
     const TrafficCounts &counts() const { return m_state.counts; }
     int port() const { return m_port; }
