--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -1,7 +1,6 @@
 // Which replicas may be used.
 #include "control/directory.h"
 
-#include <algorithm>
 #include <set>
 
 namespace galenafold
@@ -109,10 +108,16 @@
     return hasChanged;
 }
 
-bool Directory::hasLapsed() const
+std::optional<Instant> Directory::nextExpiry() const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(),
-                       [](const auto &entry) { return entry.second.dropAt.has_value(); });
+    std::optional<Instant> next;
+    for (const auto &[id, entry] : m_entries) {
+        const bool isSet = entry.dropAt && *entry.dropAt != Instant::max();
+        if (isSet && (!next || *entry.dropAt < *next)) {
+            next = entry.dropAt;
+        }
+    }
+    return next;
 }
 
 std::vector<ReplicaRecord> Directory::usable() const
--- a/control/directory.h
+++ b/control/directory.h
@@ -63,7 +63,9 @@
     /// @return replicas that may get new work
     std::vector<ReplicaRecord> usable() const;
 
-    bool hasLapsed() const; ///< @return true while replicas are kept although their entries lapsed
+    /// @return when `expire` has something to do, if it ever has
+    std::optional<Instant> nextExpiry() const;
+
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr auto flushAfter = std::chrono::milliseconds(200);
-constexpr auto expiryStep = std::chrono::milliseconds(250);
 constexpr auto drainCheck = std::chrono::milliseconds(100);
 constexpr auto balancerNotices = std::chrono::milliseconds(2500); // two missed questions, a second apart, and some
 constexpr auto drainReserve = std::chrono::milliseconds(400);     // before the platform kills
@@ -154,9 +153,7 @@
 {
     StoreFollowerHooks hooks;
     hooks.topic.onRecord = [this](const KeyedRecord &record) {
-        if (m_directory.apply(clockNow(), registryUpdate(record))) {
-            publishReplicas();
-        }
+        m_hasRegistryChanged = m_directory.apply(clockNow(), registryUpdate(record)) || m_hasRegistryChanged;
     };
     hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
         std::vector<RegistryUpdate> listing;
@@ -164,14 +161,16 @@
         for (const KeyedRecord &record : records) {
             listing.push_back(registryUpdate(record));
         }
-        m_directory.applyListing(clockNow(), listing, begin);
-        publishReplicas();
+        m_hasRegistryChanged = m_directory.applyListing(clockNow(), listing, begin) || m_hasRegistryChanged;
+    };
+    hooks.topic.onProof = [this](Instant provedAt) {
+        m_registryProvedAt = provedAt;
+        afterRegistryRead();
     };
-    hooks.topic.onProof = [this](Instant provedAt) { m_registryProvedAt = provedAt; };
     hooks.onLost = [this](Instant) { m_directory.onStoreLost(); };
     hooks.onRegained = [this](Instant now) {
         m_directory.onStoreRegained(now);
-        scheduleExpiry();
+        afterRegistryRead();
         LogLine line("store_regained");
         line.number("topic", static_cast<int>(StoreTopic::Registry));
         m_log.write(line, LogWeight::Notable);
@@ -189,18 +188,22 @@
     m_traffic.setReplicas(std::move(usable));
 }
 
-void RouterNode::scheduleExpiry()
+/// Tells the traffic thread once a whole read was applied, and sets the timer for entries that lapsed.
+void RouterNode::afterRegistryRead()
 {
-    m_expiryTimer.expires_at(clockNow() + expiryStep);
+    if (m_hasRegistryChanged) {
+        m_hasRegistryChanged = false;
+        publishReplicas();
+    }
+    const auto next = m_directory.nextExpiry();
+    if (!next) {
+        return;
+    }
+    m_expiryTimer.expires_at(*next);
     m_expiryTimer.async_wait([this](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        if (m_directory.expire(clockNow())) {
-            publishReplicas();
-        }
-        if (m_directory.hasLapsed()) {
-            scheduleExpiry();
+        if (!error) {
+            m_hasRegistryChanged = m_directory.expire(clockNow()) || m_hasRegistryChanged;
+            afterRegistryRead();
         }
     });
 }
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -36,7 +36,7 @@
     void onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request);
     std::string metrics() const;
     void scheduleFlush();
-    void scheduleExpiry();
+    void afterRegistryRead();
     void drainStep();
 
     RouterSettings m_settings;
@@ -57,6 +57,7 @@
     Instant m_registryProvedAt{};
     std::atomic<bool> m_isReady{false};
     Instant m_drainBegan{};
+    bool m_hasRegistryChanged = false; // since the replicas were last published
     bool m_isDraining = false;
     int m_adminPort = 0;
 };
