Enforce the time to a request's head; test the data path's decisions and a real daemon against stand-ins

Cause: a connection's timer was set for the idle timeout and moved only later, so a head that never ended was refused after 15 s instead of the declared time. Replicas without address and start time got no rank (tests only). Change: the timer moves to an earlier deadline at once. Stand-ins of the store (pages, waits, cut history, refusals, silence) and of a replica that a test scripts byte by byte.

--- /dev/null
+++ b/fakes/keyedstore.cpp
@@ -0,0 +1,166 @@
+// A small stand-in for the platform's store.
+#include "fakes/keyedstore.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace galenafold
+{
+
+using Json = nlohmann::json;
+
+constexpr int statusUnavailable = 503;
+constexpr int statusGone = 410;
+
+static ServerLimits storeLimits()
+{
+    ServerLimits limits;
+    limits.threads = 64;
+    return limits;
+}
+
+FakeKeyedStore::FakeKeyedStore()
+    : m_server(storeLimits())
+{
+    m_server.http().Get("/-/log-read", [this](const auto &request, auto &response) { read(request, response); });
+    m_server.http().Get("/-/log-newest", [this](const auto &request, auto &response) { list(request, response); });
+}
+
+FakeKeyedStore::~FakeKeyedStore()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notify_all();
+    m_server.stop();
+}
+
+bool FakeKeyedStore::start()
+{
+    return m_server.start("127.0.0.1", 0);
+}
+
+std::string FakeKeyedStore::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_server.port());
+}
+
+std::int64_t FakeKeyedStore::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<Record> &records = m_topics[topic].records;
+    records.push_back({key, value});
+    m_changed.notify_all();
+    return static_cast<std::int64_t>(records.size()) - 1;
+}
+
+void FakeKeyedStore::setTrouble(StoreTrouble trouble)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_trouble = trouble;
+    m_changed.notify_all();
+}
+
+void FakeKeyedStore::cutHistory(const std::string &topic)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_topics[topic].firstRetained = m_topics[topic].records.size();
+}
+
+/// @return true if the call was dealt with
+bool FakeKeyedStore::isTroubled(httplib::Response &response)
+{
+    ++m_calls;
+    std::unique_lock<std::mutex> lock(m_mutex);
+    const StoreTrouble trouble = m_trouble;
+    if (trouble == StoreTrouble::None) {
+        return false;
+    }
+    if (trouble == StoreTrouble::Busy) {
+        response.status = statusUnavailable;
+        return true;
+    }
+    if (trouble == StoreTrouble::Silent) {
+        m_changed.wait(lock, [this] { return m_isStopping || m_trouble != StoreTrouble::Silent; });
+    }
+    // A content provider that fails ends the connection in the middle of the answer.
+    response.set_content_provider(1, "text/plain", [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
+    return true;
+}
+
+static void appendNumber(std::string &out, std::uint64_t number, std::size_t size)
+{
+    for (std::size_t i = size; i > 0; --i) {
+        out += static_cast<char>(number >> (8 * (i - 1)) & 0xffU);
+    }
+}
+
+void FakeKeyedStore::read(const httplib::Request &request, httplib::Response &response)
+{
+    if (isTroubled(response)) {
+        return;
+    }
+    const auto from = static_cast<std::size_t>(std::stoll(request.get_param_value("from")));
+    const std::string wait = request.get_param_value("waitMs");
+    const auto until = clockNow() + std::chrono::milliseconds(wait.empty() ? 0 : std::stoi(wait));
+    std::unique_lock<std::mutex> lock(m_mutex);
+    Topic &topic = m_topics[request.get_param_value("topic")];
+    m_changed.wait_until(
+        lock, until, [&] { return m_isStopping || m_trouble != StoreTrouble::None || topic.records.size() > from; });
+    if (from < topic.firstRetained) {
+        response.status = statusGone;
+        response.set_content(Json{{"first", topic.firstRetained}}.dump(), "application/json");
+        return;
+    }
+    std::string body;
+    appendNumber(body, topic.records.size(), 8);
+    appendNumber(body, topic.firstRetained, 8);
+    for (std::size_t i = from; i < topic.records.size(); ++i) {
+        const Record &record = topic.records[i];
+        appendNumber(body, 1 + record.key.size() + record.value.size(), 4);
+        appendNumber(body, record.key.size(), 1);
+        body += record.key + record.value;
+    }
+    response.set_content(body, "application/octet-stream");
+}
+
+static std::string encodeBase64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                        reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+void FakeKeyedStore::list(const httplib::Request &request, httplib::Response &response)
+{
+    if (isTroubled(response)) {
+        return;
+    }
+    const std::string after = request.get_param_value("after");
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const Topic &topic = m_topics[request.get_param_value("topic")];
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t i = 0; i < topic.records.size(); ++i) {
+        newest[topic.records[i].key] = i;
+    }
+    Json items = Json::array();
+    bool isTruncated = false;
+    for (const auto &[key, offset] : newest) {
+        if (key <= after || topic.records[offset].value.empty()) {
+            continue;
+        }
+        if (items.size() == m_pageSize) {
+            isTruncated = true;
+            break;
+        }
+        items.push_back({{"key", key}, {"value", encodeBase64(topic.records[offset].value)}, {"offset", offset}});
+    }
+    const Json page{{"items", items}, {"truncated", isTruncated}, {"end", topic.records.size()}};
+    response.set_content(page.dump(), "application/json");
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/fakes/replica.cpp
@@ -0,0 +1,194 @@
+// A stand-in for one replica of the users' services.
+#include "fakes/replica.h"
+
+#include "net/timer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace galenafold
+{
+
+std::string ReplicaRequest::field(const std::string &name) const
+{
+    const std::string *found = findField(head.fields, name);
+    return found ? *found : "";
+}
+
+// Reply
+
+ReplicaReply::ReplicaReply(std::shared_ptr<TcpStream> stream, asio::io_context &io)
+    : m_stream(std::move(stream))
+    , m_io(io)
+{
+}
+
+void ReplicaReply::send(const std::string &bytes)
+{
+    m_stream->write(bytes);
+}
+
+static std::string sealedHead(const ReplicaRequest &request, int status)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+    appendField(head, "X-Galenafold-Attempt-Id", request.field("X-Galenafold-Attempt-Id"));
+    appendField(head, "X-Galenafold-Response-Seal", "sealed");
+    return head;
+}
+
+void ReplicaReply::answer(const ReplicaRequest &request, int status, const std::string &body)
+{
+    std::string bytes = sealedHead(request, status);
+    appendField(bytes, "Content-Length", std::to_string(body.size()));
+    send(bytes + "\r\n" + body);
+    m_isFinished = true;
+}
+
+void ReplicaReply::beginStream(const ReplicaRequest &request)
+{
+    std::string bytes = sealedHead(request, 200);
+    appendField(bytes, "Content-Type", "text/event-stream");
+    appendField(bytes, "Transfer-Encoding", "chunked");
+    send(bytes + "\r\n");
+}
+
+void ReplicaReply::event(int id, const std::string &data)
+{
+    std::string bytes;
+    appendChunk(bytes, "id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+    send(bytes);
+}
+
+void ReplicaReply::endStream()
+{
+    send(std::string(lastChunk));
+    m_isFinished = true;
+}
+
+void ReplicaReply::end()
+{
+    m_stream->closeWhenDrained();
+}
+
+void ReplicaReply::reset()
+{
+    m_stream->reset();
+}
+
+void ReplicaReply::after(std::chrono::milliseconds delay, std::function<void()> act)
+{
+    const auto timer = std::make_shared<DeadlineTimer>(m_io);
+    timer->expires_at(clockNow() + delay);
+    timer->async_wait([timer, act = std::move(act)](const asio::error_code &error) {
+        if (!error) {
+            act();
+        }
+    });
+}
+
+// Replica
+
+/// One connection: requests one after the other, each given to the script.
+struct FakeReplica::Connection : std::enable_shared_from_this<Connection> {
+    FakeReplica *replica = nullptr;
+    std::shared_ptr<TcpStream> stream;
+    std::unique_ptr<MessageParser> parser;
+    int number = 0;
+    std::shared_ptr<ReplicaReply> reply; // to the last request
+
+    void start()
+    {
+        TcpStream::Hooks hooks;
+        hooks.onBytes = [self = shared_from_this()](std::string_view bytes) { self->onBytes(bytes); };
+        hooks.onEnd = [self = shared_from_this()](StreamEnd) { self->onEnd(); };
+        stream->start(std::move(hooks));
+    }
+
+    void onEnd()
+    {
+        if (reply && !reply->isFinished()) {
+            ++replica->m_abandoned;
+        }
+    }
+
+    void onBytes(std::string_view bytes)
+    {
+        while (!bytes.empty() && stream->isOpen()) {
+            if (!parser) {
+                parser = std::make_unique<MessageParser>(MessageParser::Kind::Request, ParseLimits());
+            }
+            bytes.remove_prefix(parser->feed(bytes));
+            if (!parser->isDone()) {
+                return;
+            }
+            ReplicaRequest request{std::move(parser->request()), std::move(parser->body()), number};
+            parser.reset();
+            reply = std::make_shared<ReplicaReply>(stream, replica->m_io);
+            {
+                const std::lock_guard<std::mutex> lock(replica->m_mutex);
+                replica->m_requests.push_back(request);
+            }
+            replica->m_script(request, reply);
+        }
+    }
+};
+
+FakeReplica::FakeReplica(std::string id, std::string service, ReplicaScript script)
+    : m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_script(std::move(script))
+    , m_work(asio::make_work_guard(m_io))
+    , m_acceptor(m_io)
+{
+}
+
+FakeReplica::~FakeReplica()
+{
+    m_io.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool FakeReplica::start()
+{
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), 0);
+    m_acceptor.open(address.protocol());
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+    m_port = m_acceptor.local_endpoint().port();
+    accept();
+    m_thread = std::thread([this] { m_io.run(); });
+    return true;
+}
+
+void FakeReplica::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        const auto connection = std::make_shared<Connection>();
+        connection->replica = this;
+        connection->stream = std::make_shared<TcpStream>(std::move(socket));
+        connection->number = ++m_connections;
+        connection->start();
+        accept();
+    });
+}
+
+std::string FakeReplica::entry(const std::string &state, std::int64_t born) const
+{
+    const nlohmann::json json{{"service", m_service}, {"address", "127.0.0.1:" + std::to_string(m_port)},
+                              {"zone", "here"},       {"state", state},
+                              {"slots", 8},           {"coldLeftMs", 0},
+                              {"seqNo", 1},           {"born", born}};
+    return json.dump();
+}
+
+std::vector<ReplicaRequest> FakeReplica::requests() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_requests;
+}
+
+} // namespace galenafold
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -41,8 +41,10 @@
     std::set<EndpointId> kept;
     for (const ReplicaRecord &record : records) {
         kept.insert(record.id);
-        EndpointState &state = m_endpoints[record.id];
-        const bool isOtherLife = state.record.started != record.started || state.record.address != record.address;
+        const auto [entry, isNew] = m_endpoints.try_emplace(record.id);
+        EndpointState &state = entry->second;
+        const bool isOtherLife =
+            isNew || state.record.started != record.started || state.record.address != record.address;
         if (isOtherLife) {
             const int own = state.own;
             state = EndpointState();
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -61,8 +61,9 @@
     return pace;
 }
 
-RouterNode::RouterNode(const RouterSettings &settings)
+RouterNode::RouterNode(const RouterSettings &settings, const EventLogSettings &log)
     : m_settings(settings)
+    , m_log(log)
     , m_io(1)
     , m_work(asio::make_work_guard(m_io))
     , m_traffic(trafficSettings(settings), platformDialect(), m_log)
@@ -92,12 +93,14 @@
 {
     StoreFollowerHooks hooks;
     hooks.topic.onRecord = [this](const KeyedRecord &record) {
+        ++m_storeRecords;
         if (record.key == desiredStateKey && !record.value.empty()) {
             applyDesiredState(record.value, record.offset);
         }
     };
     hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset) {
         for (const KeyedRecord &record : records) {
+            ++m_storeRecords;
             if (record.key == desiredStateKey && !record.value.empty()) {
                 applyDesiredState(record.value, record.offset);
             }
@@ -107,8 +110,9 @@
         m_provedAt = std::max(m_provedAt, provedAt);
         m_traffic.setProof(m_provedAt);
     };
-    hooks.onLost = [](Instant) {};
+    hooks.onLost = [this](Instant) { m_isDesiredLost = true; };
     hooks.onRegained = [this](Instant) {
+        m_isDesiredLost = false;
         LogLine line("store_regained");
         line.number("topic", static_cast<int>(StoreTopic::DesiredState));
         m_log.write(line, LogWeight::Notable);
@@ -167,8 +171,12 @@
         m_registryProvedAt = provedAt;
         afterRegistryRead();
     };
-    hooks.onLost = [this](Instant) { m_directory.onStoreLost(); };
+    hooks.onLost = [this](Instant) {
+        m_isRegistryLost = true;
+        m_directory.onStoreLost();
+    };
     hooks.onRegained = [this](Instant now) {
+        m_isRegistryLost = false;
         m_directory.onStoreRegained(now);
         afterRegistryRead();
         LogLine line("store_regained");
@@ -293,7 +301,12 @@
     add("calls_refused_total", counts.refused);
     add("calls_failed_total", counts.failed);
     add("store_calls_total", m_desired.calls() + m_registry.calls());
+    add("calls_streaming", counts.streaming);
+    add("store_records_total", m_storeRecords);
+    add("store_lost", (m_isDesiredLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
+    add("replicas_usable", counts.replicas);
     add("desired_state_version", m_version);
+    add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_provedAt).count());
     add("log_lines_left_out_total", m_log.dropped());
     return out;
 }
@@ -317,6 +330,11 @@
     m_io.run();
 }
 
+void RouterNode::stop()
+{
+    m_io.stop();
+}
+
 void RouterNode::beginDrain()
 {
     asio::post(m_io, [this] {
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -12,7 +12,7 @@
 class RouterNode
 {
 public:
-    explicit RouterNode(const RouterSettings &settings);
+    explicit RouterNode(const RouterSettings &settings, const EventLogSettings &log = EventLogSettings());
     ~RouterNode();
     RouterNode(const RouterNode &) = delete;
     RouterNode &operator=(const RouterNode &) = delete;
@@ -20,6 +20,7 @@
     bool start();      ///< Binds and begins to follow the store. @return false: an address is taken
     void run();        ///< Runs the control thread here, until the drain has ended.
     void beginDrain(); ///< Any thread. Not ready from now on; ends once nothing is in progress.
+    void stop();       ///< Any thread. Ends at once; calls in progress are cut off.
     void reload(const RouterSettings &settings); ///< Any thread. Settings that need no restart are taken over.
 
     int callersPort() const { return m_traffic.port(); }
@@ -53,6 +54,9 @@
     DeadlineTimer m_expiryTimer;
     DeadlineTimer m_drainTimer;
     DesiredVersion m_version = -1;
+    std::int64_t m_storeRecords = 0; // read of the desired state's topic
+    bool m_isDesiredLost = false;
+    bool m_isRegistryLost = false;
     Instant m_provedAt{};
     Instant m_registryProvedAt{};
     std::atomic<bool> m_isReady{false};
--- /dev/null
+++ b/tests/node.cpp
@@ -0,0 +1,658 @@
+// A real daemon against stand-ins of the platform's store and of replicas: what callers are told, and what replicas
+// see.
+#include "fakes/keyedstore.h"
+#include "fakes/replica.h"
+#include "shell/routernode.h"
+
+#include <CppUTest/TestHarness.h>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+
+using namespace galenafold;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto patience = seconds(20); // for events that must come; no verdict rests on how soon they do
+
+// Caller
+
+/// A blocking caller that sends raw bytes and reads whole answers.
+class RawCaller
+{
+public:
+    explicit RawCaller(int port)
+        : m_socket(m_io)
+    {
+        m_socket.connect({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)});
+    }
+    void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes), m_error); }
+    void close() { m_socket.close(); }
+
+    /// Reads until the answer is whole or the connection ends. @return true when it is whole
+    bool read()
+    {
+        m_parser = std::make_unique<MessageParser>(MessageParser::Kind::Response, ParseLimits());
+        while (!m_parser->isDone() && m_parser->fault() == ParseFault::None) {
+            if (!m_held.empty()) {
+                const std::size_t used = m_parser->feed(m_held);
+                m_held.erase(0, used);
+                continue;
+            }
+            pollfd entry{m_socket.native_handle(), POLLIN, 0};
+            if (::poll(&entry, 1, static_cast<int>(milliseconds(patience).count())) != 1) {
+                return false;
+            }
+            char bytes[4096];
+            const std::size_t size = m_socket.read_some(asio::buffer(bytes), m_error);
+            if (m_error) {
+                return false;
+            }
+            m_held.assign(bytes, size);
+        }
+        return m_parser->isDone();
+    }
+    int status() { return m_parser->response().status; }
+    std::string body() { return m_parser->body(); }
+    std::string field(const std::string &name)
+    {
+        const std::string *found = findField(m_parser->response().fields, name);
+        return found ? *found : "";
+    }
+
+private:
+    asio::io_context m_io;
+    asio::ip::tcp::socket m_socket;
+    asio::error_code m_error;
+    std::unique_ptr<MessageParser> m_parser;
+    std::string m_held;
+};
+
+static std::string request(const std::string &path, const std::string &id, const std::string &key = "k1",
+                           int deadline = 20000, const std::string &more = "", const std::string &body = "hello")
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: app.example\r\nX-Galenafold-Attempt-Id: " + id + "\r\nX-Api-Key: " + key
+        + "\r\nX-Galenafold-Deadline-Ms: " + std::to_string(deadline) + "\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Site
+
+static Json route(const std::string &name, const std::string &kind, int attempts, bool isResumable, int timeout = 20000)
+{
+    return {{"name", name},
+            {"host", "app.example"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeoutMs", timeout},
+            {"targetLatencyMs", 8000},
+            {"service", "svc"},
+            {"maxAttempts", attempts},
+            {"public", false},
+            {"sessionAffinity", false},
+            {"streamResume", isResumable}};
+}
+
+static Json desiredState(int version, const std::vector<std::string> &keys = {"k1"})
+{
+    const Json routes = Json::array({route("once", "non_idempotent", 1, false), route("any", "idempotent", 2, false),
+                                     route("live", "streaming", 2, true), route("frail", "streaming", 1, false),
+                                     route("brief", "idempotent", 1, false, 300)});
+    const Json limits{
+        {"maxHeaderBytes", 2000}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 300}, {"idleTimeoutMs", 60000}};
+    return {{"version", version},
+            {"routes", routes},
+            {"services", Json::array({{{"name", "svc"}, {"healthPath", "/health"}}})},
+            {"limits", limits},
+            {"tenants", Json::array({{{"name", "acme"}, {"apiKeys", keys}}})}};
+}
+
+static bool waitFor(const std::function<bool()> &condition)
+{
+    const Instant giveUpAt = clockNow() + patience;
+    while (!condition() && clockNow() < giveUpAt) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return condition();
+}
+
+/// One daemon, one store, replicas as a test adds them.
+struct Site {
+    explicit Site(Span revokeWithin = Span{})
+    {
+        store.start();
+        settings.name.text = "r1";
+        settings.dataCentre.text = "here";
+        settings.callers = "127.0.0.1:0";
+        settings.admin = "127.0.0.1:0";
+        settings.store = store.address();
+        settings.revokeWithin = revokeWithin;
+        settings.leaveWithin = milliseconds(40);
+        settings.retryFloor = 1000;
+        settings.fleetAssumed = 1;
+    }
+    ~Site()
+    {
+        if (thread.joinable()) {
+            node->stop();
+            thread.join();
+        }
+    }
+    FakeReplica &add(const std::string &id, ReplicaScript script)
+    {
+        replicas.push_back(std::make_unique<FakeReplica>(id, "svc", std::move(script)));
+        replicas.back()->start();
+        store.put("keyed.servers", id, replicas.back()->entry());
+        return *replicas.back();
+    }
+    void start()
+    {
+        EventLogSettings log;
+        log.fd = open("/dev/null", O_WRONLY | O_CLOEXEC);
+        node = std::make_unique<RouterNode>(settings, log);
+        CHECK(node->start());
+        thread = std::thread([this] { node->run(); });
+    }
+    void startReady()
+    {
+        store.put("keyed.op", "config", desiredState(1).dump());
+        start();
+        CHECK(waitFor([this] { return readiness() == 200; }));
+        CHECK(waitFor([this] { return metric("replicas_usable") == static_cast<int>(replicas.size()); }));
+    }
+    int readiness() { return get("/-/readiness"); }
+    int get(const std::string &path)
+    {
+        RawCaller caller(node->adminPort());
+        caller.send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        if (!caller.read()) {
+            return 0;
+        }
+        lastBody = caller.body();
+        return caller.status();
+    }
+    int metric(const std::string &name)
+    {
+        get("/metrics");
+        const std::string key = "galenafold_" + name + ' ';
+        const std::size_t at = lastBody.find('\n' + key);
+        return at == std::string::npos ? -1 : std::stoi(lastBody.substr(at + 1 + key.size()));
+    }
+    std::unique_ptr<RawCaller> send(const std::string &bytes) const
+    {
+        auto caller = std::make_unique<RawCaller>(node->callersPort());
+        caller->send(bytes);
+        return caller;
+    }
+
+    FakeKeyedStore store;
+    RouterSettings settings;
+    std::vector<std::unique_ptr<FakeReplica>> replicas;
+    std::unique_ptr<RouterNode> node;
+    std::thread thread;
+    std::string lastBody;
+};
+
+static const ReplicaScript answersWell = [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+    reply->answer(got, 200, "done:" + got.body);
+};
+
+static std::string notRun(const ReplicaRequest &got)
+{
+    return "HTTP/1.1 503 Busy\r\nX-Galenafold-Not-Executed: 1\r\nX-Galenafold-Attempt-Id: "
+        + got.field("X-Galenafold-Attempt-Id") + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Path
+
+TEST_GROUP(NodePath)
+{
+    Site site;
+};
+
+TEST(NodePath, CarriesARequestAndReplacesWhatIsOursToSet)
+{
+    FakeReplica &replica = site.add("a", answersWell);
+    site.startReady();
+    const auto caller =
+        site.send(request("/once/x?q=1", "id-1", "k1", 5000,
+                          "X-Galenafold-Tenant: forged\r\nX-Galenafold-Hold: 7\r\nKv-From: 1.2.3.4:1/2\r\n"
+                          "X-Galenafold-Pin-Ms: 9\r\nX-Galenafold-Kv-Backup: 1.2.3.4:1\r\nX-Own: kept\r\n"));
+    CHECK(caller->read());
+    LONGS_EQUAL(200, caller->status());
+    STRCMP_EQUAL("done:hello", caller->body().c_str());
+    STRCMP_EQUAL("sealed", caller->field("X-Galenafold-Response-Seal").c_str());
+    const ReplicaRequest got = replica.requests().at(0);
+    STRCMP_EQUAL("/once/x?q=1", got.head.target.c_str());
+    STRCMP_EQUAL("acme", got.field("X-Galenafold-Tenant").c_str());
+    STRCMP_EQUAL("a", got.field("X-Galenafold-Expect-Instance").c_str());
+    STRCMP_EQUAL("kept", got.field("X-Own").c_str());
+    CHECK(std::stoi(got.field("X-Galenafold-Deadline-Ms")) <= 5000);
+    for (const char *name :
+         {"X-Api-Key", "X-Galenafold-Hold", "Kv-From", "X-Galenafold-Pin-Ms", "X-Galenafold-Kv-Backup"}) {
+        STRCMP_EQUAL("", got.field(name).c_str());
+    }
+}
+
+TEST(NodePath, RefusesBadInputAndNothingReachesAReplica)
+{
+    FakeReplica &replica = site.add("a", answersWell);
+    site.startReady();
+    const std::string head = "POST /once/ HTTP/1.1\r\nHost: app.example\r\nX-Api-Key: k1\r\n";
+    const std::pair<std::string, int> cases[] = {
+        {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+        {head + "Host: other\r\nContent-Length: 0\r\n\r\n", 400},
+        {head + "Content-Length: 10001\r\n\r\n", 413},
+        {head + "A: " + std::string(3000, 'x') + "\r\n\r\n", 431},
+        {head + "A: unfinished", 408},
+        {request("/once/x", "i", "nobody"), 401},
+        {request("/nowhere/x", "i"), 404},
+    };
+    for (const auto &[bytes, status] : cases) {
+        const auto caller = site.send(bytes);
+        CHECK(caller->read());
+        LONGS_EQUAL(status, caller->status());
+    }
+    LONGS_EQUAL(0, replica.requests().size());
+}
+
+TEST(NodePath, AnswersManyRequestsOfOneConnectionInOrder)
+{
+    site.add("a", answersWell);
+    site.startReady();
+    std::string bytes;
+    for (int i = 0; i < 20; ++i) {
+        bytes += request("/any/x", "id-" + std::to_string(i), "k1", 20000, "", "b" + std::to_string(i));
+    }
+    const auto caller = site.send(bytes);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(caller->read());
+        STRCMP_EQUAL(("done:b" + std::to_string(i)).c_str(), caller->body().c_str());
+    }
+}
+
+TEST(NodePath, WithoutAStoreItSaysNotReadyAndRefusesAtOnce)
+{
+    site.store.setTrouble(StoreTrouble::Silent);
+    site.start();
+    LONGS_EQUAL(503, site.readiness());
+    const auto caller = site.send(request("/once/x", "i"));
+    CHECK(caller->read());
+    LONGS_EQUAL(503, caller->status());
+    CHECK(!caller->field("Retry-After").empty());
+    site.store.setTrouble(StoreTrouble::None);
+}
+
+// Trap 5: what "not run" means
+
+TEST_GROUP(NodeNotRun)
+{
+    Site site;
+};
+
+TEST(NodeNotRun, ARequestThatMayHaveRunIsNotSentTwiceNorCalledNotRun)
+{
+    FakeReplica &a = site.add("a", [](const auto &, const auto &reply) { reply->reset(); });
+    FakeReplica &b = site.add("b", [](const auto &, const auto &reply) { reply->reset(); });
+    site.startReady();
+    const auto caller = site.send(request("/once/x", "i"));
+    CHECK(caller->read());
+    LONGS_EQUAL(502, caller->status());
+    LONGS_EQUAL(1, a.requests().size() + b.requests().size());
+}
+
+TEST(NodeNotRun, ARefusalByTheReplicaMayGoToAnother)
+{
+    site.add("a", [](const ReplicaRequest &got, const auto &reply) { reply->send(notRun(got)); });
+    site.add("b", answersWell);
+    site.startReady();
+    for (int i = 0; i < 8; ++i) {
+        const auto caller = site.send(request("/once/x", "i" + std::to_string(i)));
+        CHECK(caller->read());
+        LONGS_EQUAL(200, caller->status());
+    }
+}
+
+TEST(NodeNotRun, WhereAllRefuseTheCallerIsToldSoTruly)
+{
+    site.add("a", [](const ReplicaRequest &got, const auto &reply) { reply->send(notRun(got)); });
+    site.startReady();
+    const auto caller = site.send(request("/once/x", "i"));
+    CHECK(caller->read());
+    LONGS_EQUAL(503, caller->status());
+    CHECK(!caller->field("Retry-After").empty());
+}
+
+TEST(NodeNotRun, ARepeatableOneGoesElsewhere)
+{
+    site.add("a", [](const auto &, const auto &reply) { reply->reset(); });
+    site.add("b", answersWell);
+    site.startReady();
+    for (int i = 0; i < 6; ++i) {
+        const auto caller = site.send(request("/any/x", "i" + std::to_string(i)));
+        CHECK(caller->read());
+        LONGS_EQUAL(200, caller->status());
+    }
+}
+
+TEST(NodeNotRun, AKeptConnectionThatHasEndedIsNotUsedForWorkThatRunsOnce)
+{
+    FakeReplica &replica = site.add("a", [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->answer(got, 200, "x");
+        reply->end(); // without having said so
+    });
+    site.startReady();
+    for (int i = 0; i < 5; ++i) {
+        const auto caller = site.send(request("/once/x", "i" + std::to_string(i)));
+        CHECK(caller->read());
+        LONGS_EQUAL(200, caller->status());
+    }
+    LONGS_EQUAL(5, replica.connections());
+}
+
+// Trap 6: whole, or visibly broken
+
+TEST_GROUP(NodeWhole)
+{
+    Site site;
+
+    /// @return the status that a caller of a once-only route gets for a scripted answer; 0: none that is whole
+    int statusFor(const ReplicaScript &script)
+    {
+        site.add("a", script);
+        site.startReady();
+        const auto caller = site.send(request("/once/x", "id-1"));
+        return caller->read() ? caller->status() : 0;
+    }
+};
+
+TEST(NodeWhole, ASuccessWithoutItsChecksumIsNoSuccess)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const auto &reply) {
+                    reply->send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nContent-Length: 2\r\n\r\nhi");
+                }));
+}
+
+TEST(NodeWhole, ACutBodyIsNoSuccess)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const auto &reply) {
+                    reply->send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nX-Galenafold-Response-Seal: s\r\n"
+                                "Content-Length: 20\r\n\r\nhi");
+                    reply->end();
+                }));
+}
+
+TEST(NodeWhole, ABodyWithoutLengthThatIsResetIsNoSuccess)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const std::shared_ptr<ReplicaReply> &reply) {
+                    reply->send(
+                        "HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nX-Galenafold-Response-Seal: s\r\n\r\nhi");
+                    reply->after(milliseconds(50), [reply] { reply->reset(); });
+                }));
+}
+
+TEST(NodeWhole, BytesThatAreNoAnswerAreNotPassedOn)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const auto &reply) { reply->send("rubbish\r\n\r\n"); }));
+}
+
+TEST(NodeWhole, AnotherRequestsLateAnswerIsSkippedAndTheOwnOneFollows)
+{
+    LONGS_EQUAL(201, statusFor([](const ReplicaRequest &got, const auto &reply) {
+                    reply->send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: other\r\nX-Galenafold-Response-Seal: s\r\n"
+                                "Content-Length: 3\r\n\r\nbad");
+                    reply->answer(got, 201, "good");
+                }));
+}
+
+TEST(NodeWhole, AfterExtraBytesTheConnectionIsNotUsedAgain)
+{
+    FakeReplica &replica = site.add("a", [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->answer(got, 200, got.body);
+        reply->answer(got, 200, "again");
+    });
+    site.startReady();
+    for (int i = 0; i < 4; ++i) {
+        const std::string body = "b" + std::to_string(i);
+        const auto caller = site.send(request("/any/x", "same-id", "k1", 20000, "", body));
+        CHECK(caller->read());
+        STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+    }
+    LONGS_EQUAL(4, replica.connections());
+}
+
+TEST(NodeWhole, AFailureOfTheReplicaIsPassedOnAsItIs)
+{
+    LONGS_EQUAL(500, statusFor([](const ReplicaRequest &got, const auto &reply) { reply->answer(got, 500, "why"); }));
+}
+
+// Trap 7: streams
+
+TEST_GROUP(NodeStreams)
+{
+    Site site;
+};
+
+TEST(NodeStreams, GoesOnElsewhereAfterABreakWithoutGapOrRepeat)
+{
+    const ReplicaScript script = [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        const std::string last = got.field("Last-Event-Id");
+        const int first = last.empty() ? 0 : std::stoi(last) + 1;
+        reply->beginStream(got);
+        if (last.empty()) {
+            reply->event(0, "a");
+            reply->event(1, "b");
+            reply->send("c\r\nid: 2\ndata: \r\n"); // half an event
+            reply->after(milliseconds(30), [reply] { reply->reset(); });
+            return;
+        }
+        for (int i = first; i < 5; ++i) {
+            reply->event(i, std::string(1, static_cast<char>('a' + i)));
+        }
+        reply->endStream();
+    };
+    site.add("a", script);
+    site.add("b", script);
+    site.startReady();
+    const auto caller = site.send(request("/live/x", "i"));
+    CHECK(caller->read());
+    std::string expected;
+    for (int i = 0; i < 5; ++i) {
+        expected += "id: " + std::to_string(i) + "\ndata: " + std::string(1, static_cast<char>('a' + i)) + "\n\n";
+    }
+    STRCMP_EQUAL(expected.c_str(), caller->body().c_str());
+}
+
+TEST(NodeStreams, OneThatMayNotBeResumedIsBrokenVisibly)
+{
+    const ReplicaScript script = [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->beginStream(got);
+        reply->event(0, "a");
+        reply->after(milliseconds(30), [reply] { reply->reset(); });
+    };
+    FakeReplica &a = site.add("a", script);
+    FakeReplica &b = site.add("b", script);
+    site.startReady();
+    const auto caller = site.send(request("/frail/x", "i"));
+    CHECK(!caller->read());
+    LONGS_EQUAL(200, caller->status());
+    LONGS_EQUAL(1, a.requests().size() + b.requests().size());
+}
+
+TEST(NodeStreams, EventsArePassedOnAsTheyCome)
+{
+    std::atomic<bool> mayGoOn{false};
+    site.add("a", [&mayGoOn](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->beginStream(got);
+        reply->event(0, "a");
+        const auto poll = std::make_shared<std::function<void()>>();
+        *poll = [poll, reply, &mayGoOn] {
+            if (!mayGoOn) {
+                reply->after(milliseconds(5), *poll);
+                return;
+            }
+            reply->event(1, "b");
+            reply->endStream();
+        };
+        (*poll)();
+    });
+    site.startReady();
+    RawCaller caller(site.node->callersPort());
+    caller.send(request("/live/x", "i"));
+    CHECK(waitFor([this] { return site.metric("calls_streaming") == 1; })); // the first event went out alone
+    mayGoOn = true;
+    CHECK(caller.read());
+}
+
+// Trap 8: the caller leaves, time runs out
+
+TEST_GROUP(NodeTime)
+{
+    Site site;
+};
+
+TEST(NodeTime, ACallerThatLeavesEndsTheWork)
+{
+    FakeReplica &replica = site.add("a", [](const auto &, const auto &) {});
+    site.startReady();
+    const auto caller = site.send(request("/any/x", "i"));
+    CHECK(waitFor([&] { return replica.requests().size() == 1; }));
+    caller->close();
+    CHECK(waitFor([&] { return replica.abandoned() == 1; }));
+    CHECK(waitFor([&] { return site.metric("calls_in_progress") == 0; }));
+}
+
+TEST(NodeTime, TheRoutesTimeoutEndsTheWaitAndTheWork)
+{
+    FakeReplica &replica = site.add("a", [](const auto &, const auto &) {});
+    site.startReady();
+    const auto caller = site.send(request("/brief/x", "i"));
+    CHECK(caller->read());
+    LONGS_EQUAL(504, caller->status());
+    CHECK(waitFor([&] { return replica.abandoned() == 1; }));
+    CHECK(std::stoi(replica.requests()[0].field("X-Galenafold-Deadline-Ms")) <= 300);
+}
+
+// Keys
+
+TEST_GROUP(NodeKeys){};
+
+TEST(NodeKeys, ATakenKeyIsRefusedOnceTheNewVersionIsRead)
+{
+    Site site;
+    site.add("a", answersWell);
+    site.startReady();
+    site.store.put("keyed.op", "config", desiredState(7, {"k2"}).dump());
+    site.store.put("keyed.op", "config", desiredState(6, {"k1"}).dump()); // late: versions never go back
+    CHECK(waitFor([&] {
+        const auto caller = site.send(request("/once/x", "i", "k1"));
+        return caller->read() && caller->status() == 401;
+    }));
+    CHECK(waitFor([&] { return site.metric("store_records_total") >= 3; }));
+    const auto caller = site.send(request("/once/x", "i", "k1"));
+    CHECK(caller->read());
+    LONGS_EQUAL(401, caller->status());
+}
+
+TEST(NodeKeys, WithoutAYoungProofKeysAreRefusedAsNotRunAndServedAgainAfterwards)
+{
+    Site site(milliseconds(1200));
+    FakeReplica &replica = site.add("a", answersWell);
+    site.startReady();
+    site.store.setTrouble(StoreTrouble::Silent);
+    CHECK(waitFor([&] {
+        const auto caller = site.send(request("/once/x", "i"));
+        return caller->read() && caller->status() == 503;
+    }));
+    const std::size_t reached = replica.requests().size();
+    CHECK(waitFor([&] { return site.readiness() == 503; })); // new callers go elsewhere
+    site.store.put("keyed.op", "config", desiredState(2, {"k2"}).dump());
+    const auto caller = site.send(request("/once/x", "i"));
+    CHECK(caller->read());
+    LONGS_EQUAL(503, caller->status());
+    LONGS_EQUAL(reached, replica.requests().size());
+    site.store.setTrouble(StoreTrouble::None);
+    CHECK(waitFor([&] {
+        const auto again = site.send(request("/once/x", "i", "k2"));
+        return again->read() && again->status() == 200;
+    }));
+    const auto taken = site.send(request("/once/x", "i", "k1"));
+    CHECK(taken->read());
+    LONGS_EQUAL(401, taken->status());
+}
+
+TEST(NodeKeys, FollowsOnAfterTheHistoryIsCut)
+{
+    Site site;
+    site.store.setPageSize(1);
+    site.add("a", answersWell);
+    site.add("b", answersWell);
+    site.startReady();
+    site.store.setTrouble(StoreTrouble::Busy);
+    CHECK(waitFor([&] { return site.metric("store_lost") > 0; }));
+    site.store.put("keyed.op", "config", desiredState(2, {"k2"}).dump());
+    site.store.cutHistory("keyed.op");
+    site.store.cutHistory("keyed.servers");
+    site.store.setTrouble(StoreTrouble::None);
+    CHECK(waitFor([&] {
+        const auto caller = site.send(request("/once/x", "i", "k2"));
+        return caller->read() && caller->status() == 200;
+    }));
+}
+
+// Leaving
+
+TEST_GROUP(NodeLeaving)
+{
+    Site site;
+};
+
+TEST(NodeLeaving, ALeavingReplicaGetsNoNewWork)
+{
+    FakeReplica &a = site.add("a", answersWell);
+    FakeReplica &b = site.add("b", answersWell);
+    site.startReady();
+    site.store.put("keyed.servers", "a", a.entry("draining"));
+    CHECK(waitFor([&] { return site.metric("replicas_usable") == 1; }));
+    const std::size_t before = a.requests().size();
+    for (int i = 0; i < 10; ++i) {
+        const auto caller = site.send(request("/once/x", "i" + std::to_string(i)));
+        CHECK(caller->read());
+        LONGS_EQUAL(200, caller->status());
+    }
+    LONGS_EQUAL(before, a.requests().size());
+    CHECK(b.requests().size() >= 10);
+}
+
+TEST(NodeLeaving, ADrainEndsWhatIsInProgressAndTakesNothingLate)
+{
+    std::atomic<bool> mayAnswer{false};
+    FakeReplica &replica =
+        site.add("a", [&mayAnswer](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+            const auto poll = std::make_shared<std::function<void()>>();
+            *poll = [poll, got, reply, &mayAnswer] {
+                if (mayAnswer) {
+                    reply->answer(got, 200, "late");
+                } else {
+                    reply->after(milliseconds(5), *poll);
+                }
+            };
+            (*poll)();
+        });
+    site.startReady();
+    const auto idle = site.send("");
+    const auto busy = site.send(request("/once/x", "i"));
+    CHECK(waitFor([&] { return replica.requests().size() == 1; }));
+    site.node->beginDrain();
+    CHECK(waitFor([&] { return site.readiness() == 503; }));
+    CHECK(!idle->read()); // closed once the balancer has noticed, though work is in progress
+    mayAnswer = true;
+    CHECK(busy->read());
+    STRCMP_EQUAL("late", busy->body().c_str());
+    STRCMP_EQUAL("close", busy->field("Connection").c_str());
+    site.thread.join();
+    LONGS_EQUAL(1, replica.requests().size());
+}
--- a/traffic/caller.cpp
+++ b/traffic/caller.cpp
@@ -65,6 +65,9 @@
         m_arrival = clockNow();
         m_limits = m_hooks.limits();
         m_readBy = m_arrival + m_limits.headTimeout;
+        if (m_readBy < m_timer.expiry()) {
+            armTimer();
+        }
         m_isHeadSeen = false;
         ParseLimits limits;
         limits.headBytes = m_limits.headBytes;
@@ -133,7 +136,7 @@
     answer(status, {}, "");
 }
 
-// Timing. The timer is moved lazily: it fires, looks at the deadline of now, and is set again.
+// Timing. The timer is moved to an earlier deadline at once, to a later one lazily: it fires, looks and is set again.
 
 void Caller::armTimer()
 {
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -68,6 +68,7 @@
 RequestFlow::~RequestFlow()
 {
     --m_state.counts.inProgress;
+    m_state.counts.streaming -= m_attempts.isStreaming ? 1 : 0;
 }
 
 void RequestFlow::begin()
@@ -396,6 +397,7 @@
     }
     if (!m_attempts.isStreaming) {
         m_attempts.isStreaming = true;
+        ++m_state.counts.streaming;
         m_firstAt = clockNow();
         m_caller->beginStream(m_head.status, passedOn(m_head.fields));
         m_caller->onDrained = [self = shared_from_this()] {
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -135,6 +135,7 @@
         for (const EndpointId &id : m_state.board.setRecords(replicas)) {
             m_state.links.drop(id);
         }
+        m_state.counts.replicas = static_cast<int>(replicas.size());
     });
 }
 
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -37,6 +37,8 @@
 struct TrafficCounts {
     std::atomic<int> callers{0};
     std::atomic<int> inProgress{0};
+    std::atomic<int> streaming{0};         // calls whose caller has at least one event
+    std::atomic<int> replicas{0};          // that may get new work
     std::atomic<std::int64_t> answered{0}; // with the replica's own answer
     std::atomic<std::int64_t> refused{0};  // not run
     std::atomic<std::int64_t> failed{0};   // may have run
