Keep prompts at home: places for engines, and a mean load over seconds

Traced by prompt from our logs: (1) each replaced engine moved prompts twice, away from the leaver and to the newcomer from all; (2) the mean load counted engines not heard of for 1.5 s as idle, so a home with a fresh report looked over the bound. Change: (1) prompts are ranked over places; a newcomer takes the place of the next engine that leaves; (2) the bound uses each engine's load smoothed over eight seconds. Tests fail without each. A router that starts in the middle of a release ranks the replaced engines otherwise.

--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr auto loadLifetime = std::chrono::milliseconds(1500); // typical length of a generation
+constexpr auto usualLifetime = std::chrono::seconds(8); // a demand that swings within seconds is followed in time
+constexpr double usualWeight = 0.3;                     // of the newest report in the smoothed load
 constexpr auto firstAvoid = std::chrono::milliseconds(500);
 constexpr int mostAvoidDoublings = 3;
 constexpr double failureWeight = 0.2;    // of the newest attempt in the smoothed rate
@@ -36,7 +38,7 @@
 {
 }
 
-std::vector<EndpointId> EndpointBoard::setRecords(const std::vector<ReplicaRecord> &records)
+std::vector<EndpointId> EndpointBoard::setRecords(Instant now, const std::vector<ReplicaRecord> &records)
 {
     std::set<EndpointId> kept;
     for (const ReplicaRecord &record : records) {
@@ -49,7 +51,6 @@
             const int own = state.own;
             state = EndpointState();
             state.own = own;
-            state.hash = hashName(record.id.text);
         }
         state.record = record;
     }
@@ -62,9 +63,38 @@
     for (const EndpointId &id : dropped) {
         m_endpoints.erase(id);
     }
+    m_places.update(now, records);
+    takePlaces();
     return dropped;
 }
 
+void EndpointBoard::takePlaces()
+{
+    for (auto &[id, state] : m_endpoints) {
+        state.place = m_places.place(id);
+    }
+}
+
+void EndpointBoard::settle(Instant now)
+{
+    struct Sum {
+        double load = 0;
+        int engines = 0;
+        int slots = 0;
+    };
+    std::map<ServiceId, Sum> sums;
+    for (const auto &[id, state] : m_endpoints) {
+        Sum &sum = sums[state.record.service];
+        sum.load += state.load(now);
+        sum.slots = std::max(sum.slots, state.record.slots);
+        ++sum.engines;
+    }
+    for (const auto &[service, sum] : sums) {
+        m_places.settle(service, sum.load / sum.engines, sum.slots);
+    }
+    takePlaces();
+}
+
 const EndpointState *EndpointBoard::choose(Instant now, const PlaceRequest &request)
 {
     std::vector<EndpointState *> sound;
@@ -85,19 +115,36 @@
     return chooseLeastLoaded(now, candidates);
 }
 
+/// The mean over a few seconds. A router hears of each engine only now and then: a mean of what it knows this moment
+/// counts all others as idle, and prompts leave their home without need.
+double EndpointBoard::usualLoad(Instant now, const std::vector<EndpointState *> &endpoints)
+{
+    double usual = 0;
+    double current = 0;
+    int known = 0;
+    for (const EndpointState *state : endpoints) {
+        current += state->load(now);
+        if (now < state->usualUntil) {
+            usual += state->usual;
+            ++known;
+        }
+    }
+    const double mean = current / static_cast<double>(endpoints.size());
+    return known == 0 ? mean : std::max(mean, usual / known);
+}
+
 const EndpointState *EndpointBoard::chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates,
                                                      std::uint64_t key)
 {
-    double sum = 0;
+    const double bound = m_settings.loadBound * usualLoad(now, candidates) + m_settings.loadAllowance;
+    std::vector<std::pair<std::uint64_t, const EndpointState *>> ranked;
     for (const EndpointState *state : candidates) {
-        sum += state->load(now);
+        if (state->place) {
+            ranked.emplace_back(rendezvousScore(key, *state->place), state);
+        }
     }
-    const double mean = sum / static_cast<double>(candidates.size());
-    const double bound = m_settings.loadBound * mean + m_settings.loadAllowance;
-    std::sort(candidates.begin(), candidates.end(), [key](const EndpointState *a, const EndpointState *b) {
-        return rendezvousScore(key, a->hash) > rendezvousScore(key, b->hash);
-    });
-    for (const EndpointState *state : candidates) {
+    std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    for (const auto &[score, state] : ranked) {
         if (state->load(now) + 1 <= bound) {
             return state;
         }
@@ -168,6 +215,9 @@
     EndpointState &state = found->second;
     state.others = std::max(0, sample.running + sample.waiting - state.own);
     state.slowdown = sample.slowdown;
+    const double total = sample.running + sample.waiting;
+    state.usual = now < state.usualUntil ? state.usual + usualWeight * (total - state.usual) : total;
+    state.usualUntil = now + usualLifetime;
     state.loadUntil = now + loadLifetime;
 }
 
--- a/filters/board.h
+++ b/filters/board.h
@@ -7,7 +7,7 @@
 // Sections of this file: State, Request, Board.
 #pragma once
 
-#include "control/directory.h"
+#include "filters/places.h"
 #include "traffic/dialect.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -36,11 +36,13 @@
 /// One replica as this router sees it.
 struct EndpointState {
     ReplicaRecord record;
-    std::uint64_t hash = 0; // of its name, for rendezvous
-    int own = 0;            // requests in progress from this router
-    double others = 0;      // requests in progress from other routers, when last reported
-    double slowdown = 1;    // how long work takes there, against its usual time
-    Instant loadUntil{};    // the report counts until then
+    std::optional<std::uint64_t> place; // its share of the prompts; nothing: what spills over
+    int own = 0;                        // requests in progress from this router
+    double others = 0;                  // requests in progress from other routers, when last reported
+    double slowdown = 1;                // how long work takes there, against its usual time
+    Instant loadUntil{};                // the report counts until then
+    double usual = 0;                   // smoothed requests in progress, all routers'
+    Instant usualUntil{};               // the smoothed figure counts until then
     int failuresInRow = 0;
     double failureRate = 0; // smoothed, 0 to 1
     Instant avoidUntil{};   // no new work before, while others can take it
@@ -67,7 +69,9 @@
     EndpointBoard(const BoardSettings &settings, DataCentreId here, std::uint64_t seed);
 
     /// Sets which replicas may get new work. @return those that may no longer
-    std::vector<EndpointId> setRecords(const std::vector<ReplicaRecord> &records);
+    std::vector<EndpointId> setRecords(Instant now, const std::vector<ReplicaRecord> &records);
+
+    void settle(Instant now); ///< Gives newcomers shares of the prompts where the others are busy. Call now and then.
 
     /// @return the replica to send to, or nothing when none serves
     const EndpointState *choose(Instant now, const PlaceRequest &request);
@@ -81,12 +85,15 @@
     std::size_t size() const { return m_endpoints.size(); }
 
 private:
+    void takePlaces();
+    static double usualLoad(Instant now, const std::vector<EndpointState *> &endpoints);
     const EndpointState *chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates, std::uint64_t key);
     const EndpointState *chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
 
     BoardSettings m_settings;
     DataCentreId m_here;
     boost::random::mt19937_64 m_random;
+    PlaceBook m_places;
     std::map<EndpointId, EndpointState> m_endpoints;
 };
 
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -336,8 +336,8 @@
 TEST(PlacingByPrompt, EveryRouterPicksTheSameEngineAndFewMoveWhenOneLeaves)
 {
     EndpointBoard other{BoardSettings(), {"there"}, 99};
-    board.setRecords(engines(12));
-    other.setRecords(engines(11)); // the last one has left, or is not seen yet
+    board.setRecords(at(0), engines(12));
+    other.setRecords(at(0), engines(11)); // the last one has left, or is not seen yet
     int moved = 0;
     for (std::uint64_t prompt = 0; prompt < 600; ++prompt) {
         const std::string one = board.choose(at(0), forPrompt(prompt * 7919))->record.id.text;
@@ -351,7 +351,7 @@
 
 TEST(PlacingByPrompt, AHotPromptStaysWithinTheBoundOnLoad)
 {
-    board.setRecords(engines(12));
+    board.setRecords(at(0), engines(12));
     std::map<EndpointId, int> placed;
     for (int i = 0; i < 120; ++i) {
         const EndpointState *endpoint = board.choose(at(0), forPrompt(42));
@@ -365,7 +365,7 @@
 
 TEST(PlacingByPrompt, LeavesAFailingEngineAndComesBackLater)
 {
-    board.setRecords(engines(3));
+    board.setRecords(at(0), engines(3));
     const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
     board.onSent(home);
     board.onEnded(at(0), home, AttemptEnd::Unreachable);
@@ -375,7 +375,7 @@
 
 TEST(PlacingByPrompt, WithEveryEngineFailingSomeEngineIsStillTried)
 {
-    board.setRecords(engines(2));
+    board.setRecords(at(0), engines(2));
     for (const char *id : {"e0", "e1"}) {
         board.onSent({id});
         board.onEnded(at(0), {id}, AttemptEnd::Unreachable);
@@ -391,7 +391,7 @@
     std::vector<std::unique_ptr<EndpointBoard>> fleet;
     for (int i = 0; i < routers; ++i) {
         fleet.push_back(std::make_unique<EndpointBoard>(BoardSettings(), DataCentreId{"here"}, i));
-        fleet.back()->setRecords(engines(12));
+        fleet.back()->setRecords(at(0), engines(12));
     }
     boost::random::mt19937_64 random(7);
     std::set<std::pair<std::uint64_t, std::string>> reads;
@@ -415,6 +415,79 @@
     CHECK(affinityOf({{1, 10}, {2, 20}, {3, 5}}) != affinityOf({{1, 10}, {5, 20}, {3, 5}}));
 }
 
+static std::vector<ReplicaRecord> engineList(std::vector<std::string> names)
+{
+    std::vector<ReplicaRecord> records;
+    for (const std::string &name : names) {
+        ReplicaRecord record;
+        record.id.text = name;
+        record.service.text = "llm";
+        record.slots = 64;
+        records.push_back(record);
+    }
+    return records;
+}
+
+/// @return the home of each of many prompts
+static std::vector<std::string> homes(EndpointBoard &board, Instant now)
+{
+    std::vector<std::string> found;
+    for (std::uint64_t prompt = 0; prompt < 300; ++prompt) {
+        found.push_back(board.choose(now, forPrompt(prompt * 7919))->record.id.text);
+    }
+    return found;
+}
+
+TEST(PlacingByPrompt, AReplacementTakesOverTheLeaversPromptsAndNoOthers)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c", "d"}));
+    const auto before = homes(board, at(0));
+    board.setRecords(at(20), engineList({"a", "b", "c", "d", "e"})); // the new one starts first
+    CHECK(homes(board, at(20)) == before);
+    board.setRecords(at(21), engineList({"a", "b", "d", "e"})); // then an old one drains
+    auto expected = before;
+    std::replace(expected.begin(), expected.end(), std::string("c"), std::string("e"));
+    CHECK(homes(board, at(21)) == expected);
+}
+
+TEST(PlacingByPrompt, EnginesNotHeardOfForAMomentDoNotCountAsIdle)
+{
+    board.setRecords(at(0), engines(12));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    for (int i = 0; i < 12; ++i) {
+        board.onLoad(at(0), {"e" + std::to_string(i)}, {6, 0, 64, 1});
+    }
+    board.onLoad(at(3), home, {7, 0, 64, 1}); // all other reports are old
+    CHECK(board.choose(at(3), forPrompt(42))->record.id == home);
+    board.onLoad(at(3), home, {16, 0, 64, 1}); // over twice the mean, and three
+    CHECK(board.choose(at(3), forPrompt(42))->record.id != home);
+}
+
+TEST(PlacingByPrompt, AnEngineThatReturnsUnderItsNameFindsItsPromptsAgain)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c"}));
+    const auto before = homes(board, at(0));
+    board.setRecords(at(20), engineList({"a", "b"}));
+    CHECK(homes(board, at(20)) != before);
+    board.setRecords(at(24), engineList({"a", "b", "c"}));
+    CHECK(homes(board, at(24)) == before);
+}
+
+TEST(PlacingByPrompt, NewcomersGetPromptsOfTheirOwnOnceTheOthersAreBusy)
+{
+    board.setRecords(at(0), engineList({"a", "b"}));
+    board.setRecords(at(20), engineList({"a", "b", "c"}));
+    const auto before = homes(board, at(20));
+    board.settle(at(20));
+    CHECK(homes(board, at(20)) == before);
+    for (const char *id : {"a", "b"}) {
+        board.onLoad(at(21), {id}, {40, 0, 64, 1});
+    }
+    board.settle(at(21));
+    const auto after = homes(board, at(30)); // the reports are old by then
+    CHECK(std::count(after.begin(), after.end(), "c") > 50);
+}
+
 // Retries
 
 TEST_GROUP(FollowUps){};
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -24,6 +24,8 @@
 constexpr double silenceOfObjective = 1.5;         // an attempt without a head for this many objectives is tried again
 constexpr auto leastSilence = std::chrono::milliseconds(250);
 
+constexpr std::uint64_t shownPrompts = 1000000; // enough digits in a log line to tell prompts apart
+
 // Reasons
 
 const char *text(EndReason reason)
@@ -491,6 +493,9 @@
         line.text("route", m_route->id.text).text("service", m_place.service.text);
     }
     line.text("replica", m_endpoint.text).number("sent", m_attempts.sent).number("ran", m_attempts.ran);
+    if (m_place.affinity) {
+        line.number("prompt", static_cast<std::int64_t>(*m_place.affinity % shownPrompts));
+    }
     line.millis("took_ms", now - m_request.arrival);
     if (m_firstAt != Instant{}) {
         line.millis("first_ms", m_firstAt - m_request.arrival);
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -114,6 +114,7 @@
 void Traffic::sweep()
 {
     m_state.links.closeOld(clockNow());
+    m_state.board.settle(clockNow());
     m_sweepTimer.expires_at(clockNow() + sweepEvery);
     m_sweepTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
@@ -132,7 +133,7 @@
 void Traffic::setReplicas(std::vector<ReplicaRecord> replicas)
 {
     asio::post(m_io, [this, replicas = std::move(replicas)] {
-        for (const EndpointId &id : m_state.board.setRecords(replicas)) {
+        for (const EndpointId &id : m_state.board.setRecords(clockNow(), replicas)) {
             m_state.links.drop(id);
         }
         m_state.counts.replicas = static_cast<int>(replicas.size());
