Tell peers of calls in progress by datagrams, so that the bound on load is kept when demand falls

Change: routers find each other by seeds and beacons, and tell their own counts every 150 ms under 7,000 bytes a second; sums of peers go before replicas' own reports but for 100 ms; without peers the mean over seconds serves. The share of the retry budget's floor follows the routers heard.

--- a/control/gossip.h
+++ b/control/gossip.h
@@ -70,6 +70,7 @@
     std::uint32_t number = 0; // rises; an older beacon is ignored
     bool isStart = false;     // only `start` is set
     StartNotice start;
+    std::vector<std::uint32_t> peers; // IPv4 numbers of routers that the sender hears
     std::vector<PeerLoad> loads; // endpoints where the sender has calls that last; brief ones are told as starts only
 };
 
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr auto loadLifetime = std::chrono::milliseconds(1500); // typical length of a generation
+constexpr auto freshLifetime = std::chrono::milliseconds(100); // peers tell about as often
+constexpr auto peerLifetime = std::chrono::seconds(2);         // of counts from a peer that falls silent
 constexpr auto usualLifetime = std::chrono::seconds(8); // a demand that swings within seconds is followed in time
 constexpr double usualWeight = 0.3;                     // of the newest report in the smoothed load
 constexpr auto firstAvoid = std::chrono::milliseconds(500);
@@ -51,6 +53,7 @@
             const int own = state.own;
             state = EndpointState();
             state.own = own;
+            state.nameHash = endpointHash({record.id.text});
         }
         state.record = record;
     }
@@ -85,7 +88,7 @@
     std::map<ServiceId, Sum> sums;
     for (const auto &[id, state] : m_endpoints) {
         Sum &sum = sums[state.record.service];
-        sum.load += state.load(now);
+        sum.load += load(now, state);
         sum.slots = std::max(sum.slots, state.record.slots);
         ++sum.engines;
     }
@@ -115,28 +118,28 @@
     return chooseLeastLoaded(now, candidates);
 }
 
-/// The mean over a few seconds. A router hears of each engine only now and then: a mean of what it knows this moment
-/// counts all others as idle, and prompts leave their home without need.
-double EndpointBoard::usualLoad(Instant now, const std::vector<EndpointState *> &endpoints)
+/// With peers heard, the mean of this moment. Else the mean over a few seconds: a router alone hears of each engine
+/// only now and then, and a mean of what it knows would count all others as idle, so prompts leave home without need.
+double EndpointBoard::meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const
 {
     double usual = 0;
     double current = 0;
     int known = 0;
     for (const EndpointState *state : endpoints) {
-        current += state->load(now);
+        current += load(now, *state);
         if (now < state->usualUntil) {
             usual += state->usual;
             ++known;
         }
     }
     const double mean = current / static_cast<double>(endpoints.size());
-    return known == 0 ? mean : std::max(mean, usual / known);
+    return known == 0 || m_arePeersHeard ? mean : std::max(mean, usual / known);
 }
 
 const EndpointState *EndpointBoard::chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates,
                                                      std::uint64_t key)
 {
-    const double bound = m_settings.loadBound * usualLoad(now, candidates) + m_settings.loadAllowance;
+    const double bound = m_settings.loadBound * meanLoad(now, candidates) + m_settings.loadAllowance;
     std::vector<std::pair<std::uint64_t, const EndpointState *>> ranked;
     for (const EndpointState *state : candidates) {
         if (state->place) {
@@ -145,7 +148,7 @@
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
     for (const auto &[score, state] : ranked) {
-        if (state->load(now) + 1 <= bound) {
+        if (load(now, *state) + 1 <= bound) {
             return state;
         }
     }
@@ -160,7 +163,7 @@
     double bestCost = 0;
     int ties = 0;
     for (const EndpointState *state : candidates) {
-        const double cost = state->load(now) + (state->record.dataCentre == m_here ? 0 : farCost);
+        const double cost = load(now, *state) + (state->record.dataCentre == m_here ? 0 : farCost);
         if (!best || cost < bestCost) {
             best = state;
             bestCost = cost;
@@ -218,9 +221,54 @@
     const double total = sample.running + sample.waiting;
     state.usual = now < state.usualUntil ? state.usual + usualWeight * (total - state.usual) : total;
     state.usualUntil = now + usualLifetime;
+    state.freshUntil = now + freshLifetime;
     state.loadUntil = now + loadLifetime;
 }
 
+double EndpointBoard::load(Instant now, const EndpointState &state) const
+{
+    if (now < state.freshUntil || !m_arePeersHeard) {
+        return state.own + (now < state.loadUntil ? state.others : 0);
+    }
+    return state.own + state.peers;
+}
+
+void EndpointBoard::onPeerLoads(Instant now, std::uint32_t peer, const std::vector<PeerLoad> &loads)
+{
+    m_peerCounts[peer] = {now + peerLifetime, loads};
+    sumPeers(now);
+}
+
+void EndpointBoard::sumPeers(Instant now)
+{
+    std::unordered_map<std::uint32_t, int> sums;
+    for (auto peer = m_peerCounts.begin(); peer != m_peerCounts.end();) {
+        if (now >= peer->second.until) {
+            peer = m_peerCounts.erase(peer);
+            continue;
+        }
+        for (const PeerLoad &load : peer->second.loads) {
+            sums[load.endpointHash] += load.total;
+        }
+        ++peer;
+    }
+    for (auto &[id, state] : m_endpoints) {
+        const auto sum = sums.find(state.nameHash);
+        state.peers = sum == sums.end() ? 0 : sum->second;
+    }
+}
+
+std::vector<PeerLoad> EndpointBoard::ownLoads() const
+{
+    std::vector<PeerLoad> loads;
+    for (const auto &[id, state] : m_endpoints) {
+        if (state.own > 0) {
+            loads.push_back({state.nameHash, static_cast<std::uint16_t>(state.own), 0});
+        }
+    }
+    return loads;
+}
+
 const EndpointState *EndpointBoard::find(const EndpointId &id) const
 {
     const auto found = m_endpoints.find(id);
--- a/filters/board.h
+++ b/filters/board.h
@@ -7,6 +7,7 @@
 // Sections of this file: State, Request, Board.
 #pragma once
 
+#include "control/gossip.h"
 #include "filters/places.h"
 #include "traffic/dialect.h"
 
@@ -37,17 +38,18 @@
 struct EndpointState {
     ReplicaRecord record;
     std::optional<std::uint64_t> place; // its share of the prompts; nothing: what spills over
+    std::uint32_t nameHash = 0;         // stands for it between routers
     int own = 0;                        // requests in progress from this router
     double others = 0;                  // requests in progress from other routers, when last reported
+    double peers = 0;                   // the same, as the other routers themselves tell
     double slowdown = 1;                // how long work takes there, against its usual time
     Instant loadUntil{};                // the report counts until then
+    Instant freshUntil{};               // the report goes before what peers tell
     double usual = 0;                   // smoothed requests in progress, all routers'
     Instant usualUntil{};               // the smoothed figure counts until then
     int failuresInRow = 0;
     double failureRate = 0; // smoothed, 0 to 1
     Instant avoidUntil{};   // no new work before, while others can take it
-
-    double load(Instant now) const { return own + (now < loadUntil ? others : 0); }
 };
 
 // Request
@@ -80,20 +82,37 @@
     void onEnded(Instant now, const EndpointId &id, AttemptEnd end);
     void onLoad(Instant now, const EndpointId &id, const LoadSample &sample);
 
+    /// Takes another router's own calls in progress. What it told before no longer counts.
+    void onPeerLoads(Instant now, std::uint32_t peer, const std::vector<PeerLoad> &loads);
+
+    /// @param areHeard whether other routers are heard at all; else replicas' own reports serve
+    void setPeersHeard(bool areHeard) { m_arePeersHeard = areHeard; }
+
+    std::vector<PeerLoad> ownLoads() const; ///< @return replicas where this router has calls, for its peers
+
+    double load(Instant now, const EndpointState &state) const; ///< @return requests in progress there, as best known
     const EndpointState *find(const EndpointId &id) const;
     bool serves(const ServiceId &service) const;
     std::size_t size() const { return m_endpoints.size(); }
 
 private:
     void takePlaces();
-    static double usualLoad(Instant now, const std::vector<EndpointState *> &endpoints);
+    double meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const;
+    void sumPeers(Instant now);
     const EndpointState *chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates, std::uint64_t key);
     const EndpointState *chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
 
     BoardSettings m_settings;
     DataCentreId m_here;
     boost::random::mt19937_64 m_random;
+    struct PeerCounts {
+        Instant until{};
+        std::vector<PeerLoad> loads;
+    };
+
     PlaceBook m_places;
+    std::map<std::uint32_t, PeerCounts> m_peerCounts; // by peer
+    bool m_arePeersHeard = false;
     std::map<EndpointId, EndpointState> m_endpoints;
 };
 
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -286,10 +286,12 @@
 struct RouterSettings {
     VmId name;
     DataCentreId dataCentre;
-    std::string callers; // IP:PORT for callers
-    std::string admin;   // IP:PORT for readiness and metrics
-    std::string store;   // IP:PORT of the platform's store
-    Span revokeWithin{}; // a key may serve this long after it was taken away; 0: not bounded
+    std::string callers;            // IP:PORT for callers
+    std::string admin;              // IP:PORT for readiness and metrics
+    std::string store;              // IP:PORT of the platform's store
+    std::string peers;              // IP:PORT for beacons between routers; "" none
+    std::vector<std::string> seeds; // IP:PORT of a few routers, for beacons
+    Span revokeWithin{};            // a key may serve this long after it was taken away; 0: not bounded
     Span applyWithin = std::chrono::milliseconds(2000);  // a new desired state is in force
     Span leaveWithin = std::chrono::milliseconds(2000);  // a leaving endpoint gets no new work
     Span settleWithin = std::chrono::milliseconds(3000); // after a fault of the VM, promises hold again
--- a/galenafold/ini.cpp
+++ b/galenafold/ini.cpp
@@ -117,7 +117,7 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-IniSetter listField(std::vector<PoolId> &target)
+IniSetter textListField(std::vector<std::string> &target)
 {
     return [&target](const std::string &value) -> std::optional<std::string> {
         std::istringstream in(value);
@@ -127,7 +127,22 @@
             if (trimmed(item).empty()) {
                 return "names parted by commas are allowed";
             }
-            target.push_back({trimmed(item)});
+            target.push_back(trimmed(item));
+        }
+        return std::nullopt;
+    };
+}
+
+IniSetter listField(std::vector<PoolId> &target)
+{
+    return [&target](const std::string &value) -> std::optional<std::string> {
+        std::vector<std::string> names;
+        if (const auto fault = textListField(names)(value)) {
+            return fault;
+        }
+        target.clear();
+        for (const std::string &name : names) {
+            target.push_back({name});
         }
         return std::nullopt;
     };
--- a/galenafold/ini.h
+++ b/galenafold/ini.h
@@ -41,6 +41,7 @@
 IniSetter flagField(bool &target);
 IniSetter millisField(Span &target, int least, int most);
 IniSetter secondsField(Span &target, double least, double most);
+IniSetter textListField(std::vector<std::string> &target); ///< Parted by commas; may be empty.
 IniSetter listField(std::vector<PoolId> &target);
 IniSetter policyField(Policy &target);
 
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -106,6 +106,8 @@
         {"router", "data_centre", textField(settings.dataCentre.text), true},
         {"listen", "callers", textField(settings.callers), true},
         {"listen", "admin", textField(settings.admin), true},
+        {"listen", "peers", textField(settings.peers)},
+        {"peers", "seeds", textListField(settings.seeds)},
         {"store", "address", textField(settings.store), true},
         {"promises", "revoke_within_ms", millisField(settings.revokeWithin, 0, dayMillis)},
         {"promises", "apply_within_ms", millisField(settings.applyWithin, 1, dayMillis)},
--- a/shell/beacons.cpp
+++ b/shell/beacons.cpp
@@ -14,6 +14,7 @@
 
 constexpr int datagramHeadBytes = 28; // IP and UDP
 constexpr std::size_t mostLoads = 256;
+constexpr std::size_t mostPeers = 64;
 constexpr std::uint64_t mostWords = 2048; // that a decoded beacon may make us read
 
 static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
@@ -30,6 +31,11 @@
     auto endpoints = root.initEndpoints(count);
     auto totals = root.initTotals(count);
     auto longLanes = root.initLongLanes(count);
+    const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), mostPeers));
+    auto peerList = root.initPeers(peers);
+    for (unsigned i = 0; i < peers; ++i) {
+        peerList.set(i, beacon.peers[i]);
+    }
     for (unsigned i = 0; i < count; ++i) {
         endpoints.set(i, beacon.loads[i].endpointHash);
         totals.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].total, 255)));
@@ -66,6 +72,10 @@
     for (unsigned i = 0; i < count; ++i) {
         beacon.loads.push_back({endpoints[i], totals[i], longLanes[i]});
     }
+    const auto peers = root.getPeers();
+    for (unsigned i = 0; i < std::min<unsigned>(peers.size(), mostPeers); ++i) {
+        beacon.peers.push_back(peers[i]);
+    }
 }
 
 bool decodeBeacon(const std::string &bytes, LoadBeacon &beacon)
@@ -79,7 +89,7 @@
     return static_cast<int>(payload.size()) + datagramHeadBytes;
 }
 
-BeaconSocket::BeaconSocket(asio::io_context &io, std::function<void(const LoadBeacon &)> onBeacon)
+BeaconSocket::BeaconSocket(asio::io_context &io, BeaconHook onBeacon)
     : m_socket(io)
     , m_onBeacon(std::move(onBeacon))
 {
@@ -98,6 +108,7 @@
     if (error) {
         return false;
     }
+    m_socket.non_blocking(true, error); // a full link drops beacons rather than holding calls up
     receive();
     return true;
 }
@@ -121,7 +132,7 @@
                                     }
                                     LoadBeacon beacon;
                                     if (!error && decodeBeacon(std::string(m_buffer.data(), size), beacon)) {
-                                        m_onBeacon(beacon);
+                                        m_onBeacon(beacon, m_sender);
                                     }
                                     receive();
                                 });
--- a/shell/beacons.h
+++ b/shell/beacons.h
@@ -1,4 +1,4 @@
-// Beacons between daemons: small datagrams on the control thread. Where Cap'n Proto RPC does not fit (one-way, lossy,
+// Beacons between daemons: small datagrams. Where Cap'n Proto RPC does not fit (one-way, lossy,
 // the newest counts), its packed messages still do.
 #pragma once
 
@@ -19,11 +19,15 @@
 /// @return bytes that a datagram takes on the wire
 int datagramBytes(const std::string &payload);
 
-/// Sends and receives on one port. All on the control thread.
+/// @see BeaconSocket
+using BeaconHook = std::function<void(const LoadBeacon &, const asio::ip::udp::endpoint &)>;
+
+/// Sends and receives on one port. All on one thread.
 class BeaconSocket
 {
 public:
-    BeaconSocket(asio::io_context &io, std::function<void(const LoadBeacon &)> onBeacon);
+    /// @param onBeacon the beacon, and the address that it came from
+    BeaconSocket(asio::io_context &io, BeaconHook onBeacon);
 
     bool open(const std::string &address, int port); ///< @return false: the port is taken
     void send(const std::string &payload, const std::string &address, int port);
@@ -35,7 +39,7 @@
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
     std::array<char, 2048> m_buffer{};
-    std::function<void(const LoadBeacon &)> m_onBeacon;
+    BeaconHook m_onBeacon;
     std::int64_t m_bytesSent = 0;
 };
 
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -32,7 +32,7 @@
     , m_beaconPacer(settings.gossip)
     , m_work(asio::make_work_guard(m_io))
     , m_timer(m_io)
-    , m_beacons(m_io, [this](const LoadBeacon &beacon) { m_router.onBeacon(clockNow(), beacon); })
+    , m_beacons(m_io, [this](const LoadBeacon &beacon, const auto &) { m_router.onBeacon(clockNow(), beacon); })
 {
     publish();
 }
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -40,6 +40,9 @@
     traffic.retry.floor = settings.retryFloor;
     traffic.retry.window = settings.retryWindow;
     traffic.retry.routers = settings.fleetAssumed;
+    traffic.peers.name = settings.name;
+    traffic.peers.address = settings.peers;
+    traffic.peers.seeds = settings.seeds;
     traffic.seed = hashName(settings.name.text) ^ static_cast<std::uint64_t>(clockNow().time_since_epoch().count());
     return traffic;
 }
@@ -305,6 +308,8 @@
     add("store_records_total", m_storeRecords);
     add("store_lost", (m_isDesiredLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
     add("replicas_usable", counts.replicas);
+    add("peers_heard", counts.peers);
+    add("peer_bytes_total", counts.peerBytes);
     add("desired_state_version", m_version);
     add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_provedAt).count());
     add("log_lines_left_out_total", m_log.dropped());
--- /dev/null
+++ b/traffic/peers.cpp
@@ -0,0 +1,122 @@
+// What routers tell each other of their calls in progress.
+#include "traffic/peers.h"
+
+#include "control/loadview.h"
+#include "net/stream.h"
+
+namespace galenafold
+{
+
+constexpr auto beaconEvery = std::chrono::milliseconds(150); // starts unheard meanwhile are fewer than the bound allows
+constexpr auto listEvery = std::chrono::seconds(1);
+constexpr auto forgetAfter = std::chrono::seconds(10); // a peer not heard; it may be cut off for that long
+constexpr auto heardWithin = std::chrono::seconds(2);
+
+PeerLink::PeerLink(asio::io_context &io, const PeerSettings &settings, EndpointBoard &board)
+    : m_settings(settings)
+    , m_board(board)
+    , m_socket(io, [this](const LoadBeacon &beacon, const auto &sender) { onBeacon(beacon, sender); })
+    , m_pacer(GossipSettings{settings.bytesPerSecond})
+    , m_timer(io)
+{
+}
+
+bool PeerLink::start()
+{
+    if (m_settings.address.empty()) {
+        return true;
+    }
+    const auto own = parseAddress(m_settings.address);
+    if (!own || !own->address().is_v4() || !m_socket.open(own->address().to_string(), own->port())) {
+        return false;
+    }
+    m_own = own->address().to_v4().to_uint();
+    m_port = own->port();
+    for (const std::string &seed : m_settings.seeds) {
+        const auto address = parseAddress(seed);
+        const bool isOther = address && address->address().is_v4() && address->address().to_v4().to_uint() != m_own;
+        if (isOther) {
+            m_peers[address->address().to_v4().to_uint()].heardAt = clockNow(); // forgotten if it stays silent
+        }
+    }
+    tick();
+    return true;
+}
+
+/// Datagrams can be late, doubled or forged; only the newest of a known port counts, and only for placement.
+void PeerLink::onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender)
+{
+    if (!sender.address().is_v4() || sender.port() != m_port) {
+        return;
+    }
+    const std::uint32_t from = sender.address().to_v4().to_uint();
+    if (from == m_own) {
+        return;
+    }
+    const Instant now = clockNow();
+    Peer &peer = m_peers[from];
+    const bool isRestarted = now >= peer.heardAt + heardWithin;
+    if (beacon.number <= peer.number && !isRestarted) {
+        return;
+    }
+    peer.number = beacon.number;
+    peer.heardAt = now;
+    for (const std::uint32_t other : beacon.peers) {
+        if (other != m_own) {
+            m_peers.try_emplace(other, Peer{now, 0}); // told from now on; forgotten if it stays silent
+        }
+    }
+    m_board.onPeerLoads(now, from, beacon.loads);
+}
+
+void PeerLink::tick()
+{
+    const Instant now = clockNow();
+    int heard = 0;
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        heard += peer->second.number > 0 && now < peer->second.heardAt + heardWithin ? 1 : 0;
+        peer = now >= peer->second.heardAt + forgetAfter ? m_peers.erase(peer) : std::next(peer);
+    }
+    m_mostHeard = std::max(m_mostHeard, heard);
+    m_board.setPeersHeard(heard > 0);
+    send(now);
+    m_timer.expires_at(now + beaconEvery);
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void PeerLink::send(Instant now)
+{
+    LoadBeacon beacon;
+    beacon.loads = m_board.ownLoads();
+    const auto isSame = [](const PeerLoad &a, const PeerLoad &b) {
+        return a.endpointHash == b.endpointHash && a.total == b.total;
+    };
+    const bool hasChanged =
+        !std::equal(beacon.loads.begin(), beacon.loads.end(), m_lastSent.begin(), m_lastSent.end(), isSame);
+    const int bytes = m_beaconBytes * static_cast<int>(m_peers.size());
+    if (m_peers.empty() || !m_pacer.take(now, bytes, hasChanged)) {
+        return;
+    }
+    beacon.from = m_own;
+    beacon.number = ++m_number;
+    if (now >= m_listAt) {
+        m_listAt = now + listEvery;
+        for (const auto &[address, peer] : m_peers) {
+            if (peer.number > 0) {
+                beacon.peers.push_back(address);
+            }
+        }
+    }
+    const std::string payload = encodeBeacon(beacon);
+    m_beaconBytes = datagramBytes(payload);
+    m_lastSent = beacon.loads;
+    for (const auto &[address, peer] : m_peers) {
+        m_socket.send(payload, asio::ip::address_v4(address).to_string(), m_port);
+    }
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/traffic/peers.h
@@ -0,0 +1,60 @@
+// What routers tell each other of their calls in progress: small datagrams to all peers, under a byte budget.
+//
+// Load pattern: fifteen routers each see a sliver of the requests to a dozen engines, and must keep every engine within
+// a multiple of a mean that swings within seconds. Sums of all routers' own counts are exact but for a fraction of a
+// second; without them each router goes by what engines said in their last answers. In a fleet too large for the budget
+// peers are told more seldom, are then not heard in time, and the engines' own reports serve.
+//
+// Peers are found by a few seed addresses and by the lists that beacons carry; nothing else rests on them.
+#pragma once
+
+#include "control/gossip.h"
+#include "filters/board.h"
+#include "net/timer.h"
+#include "shell/beacons.h"
+
+namespace galenafold
+{
+
+struct PeerSettings {
+    VmId name;
+    std::string address;            // IP:PORT of this router's beacons; empty: tells and hears nothing
+    std::vector<std::string> seeds; // IP:PORT of a few routers, this one maybe among them
+    int bytesPerSecond = 7000;      // that this router may send
+};
+
+class PeerLink
+{
+public:
+    PeerLink(asio::io_context &io, const PeerSettings &settings, EndpointBoard &board);
+
+    bool start();                                 ///< @return false: the address is taken
+    int mostHeard() const { return m_mostHeard; } ///< @return most peers that were heard at one time
+    std::int64_t bytesSent() const { return m_socket.bytesSent(); }
+
+private:
+    struct Peer {
+        Instant heardAt{};
+        std::uint32_t number = 0; // of the last beacon
+    };
+
+    void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
+    void tick();
+    void send(Instant now);
+
+    PeerSettings m_settings;
+    EndpointBoard &m_board;
+    BeaconSocket m_socket;
+    BeaconPacer m_pacer;
+    DeadlineTimer m_timer;
+    std::map<std::uint32_t, Peer> m_peers; // by IPv4 number; seeds and named ones not heard yet included
+    std::uint32_t m_own = 0;               // IPv4 number of this router
+    std::uint32_t m_number = 0;
+    std::vector<PeerLoad> m_lastSent;
+    Instant m_listAt{}; // when the list of peers goes with a beacon again
+    int m_port = 0;
+    int m_beaconBytes = 100; // of the last one
+    int m_mostHeard = 0;
+};
+
+} // namespace galenafold
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -8,6 +8,7 @@
 namespace galenafold
 {
 
+constexpr auto countPeersAfter = std::chrono::seconds(5); // by then beacons have named every router
 constexpr auto sweepEvery = std::chrono::seconds(1);
 constexpr auto proofMargin = std::chrono::milliseconds(300); // for the way to a replica and coarse timers
 
@@ -33,6 +34,7 @@
     , m_io(1)
     , m_work(asio::make_work_guard(m_io))
     , m_state(m_io, settings, std::move(dialect), log)
+    , m_peers(m_io, settings.peers, m_state.board)
     , m_acceptor(m_io)
     , m_sweepTimer(m_io)
 {
@@ -61,7 +63,7 @@
 {
     const auto address = parseAddress(m_settings.listenAddress);
     asio::error_code error;
-    if (!address) {
+    if (!address || !m_peers.start()) {
         return false;
     }
     m_acceptor.open(address->protocol(), error);
@@ -75,6 +77,7 @@
         return false;
     }
     m_port = m_acceptor.local_endpoint().port();
+    m_startedAt = clockNow();
     accept();
     sweep();
     m_thread = std::thread([this] { m_io.run(); });
@@ -115,6 +118,11 @@
 {
     m_state.links.closeOld(clockNow());
     m_state.board.settle(clockNow());
+    m_state.counts.peers = m_peers.mostHeard();
+    m_state.counts.peerBytes = m_peers.bytesSent();
+    if (clockNow() >= m_startedAt + countPeersAfter) {
+        m_state.budget.setRouters(std::min(m_settings.retry.routers, m_peers.mostHeard() + 1));
+    }
     m_sweepTimer.expires_at(clockNow() + sweepEvery);
     m_sweepTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -11,6 +11,7 @@
 #include "shell/eventlog.h"
 #include "traffic/caller.h"
 #include "traffic/endpointlink.h"
+#include "traffic/peers.h"
 
 #include <asio/ip/tcp.hpp>
 #include <atomic>
@@ -28,6 +29,7 @@
     Span revokeWithin{}; // a key may serve for this long after it was taken away; 0: not bounded
     BoardSettings board;
     RetryBudgetSettings retry;
+    PeerSettings peers;
     std::uint64_t seed = 1;
 };
 
@@ -37,8 +39,10 @@
 struct TrafficCounts {
     std::atomic<int> callers{0};
     std::atomic<int> inProgress{0};
-    std::atomic<int> streaming{0};         // calls whose caller has at least one event
-    std::atomic<int> replicas{0};          // that may get new work
+    std::atomic<int> streaming{0}; // calls whose caller has at least one event
+    std::atomic<int> replicas{0};  // that may get new work
+    std::atomic<int> peers{0};     // most routers heard at one time
+    std::atomic<std::int64_t> peerBytes{0};
     std::atomic<std::int64_t> answered{0}; // with the replica's own answer
     std::atomic<std::int64_t> refused{0};  // not run
     std::atomic<std::int64_t> failed{0};   // may have run
@@ -97,11 +101,13 @@
     asio::io_context m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     TrafficState m_state;
+    PeerLink m_peers;
     asio::ip::tcp::acceptor m_acceptor;
     DeadlineTimer m_sweepTimer;
     CallerHooks m_callerHooks;
     std::set<std::shared_ptr<Caller>> m_callers;
     std::thread m_thread;
+    Instant m_startedAt{};
     int m_port = 0;
 };
 
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -14,6 +14,7 @@
   startedAt @5 :UInt32;    # hash of the endpoint where a call has just started; 0: this is no start
   lastsMillis @6 :UInt16;
   isLong @7 :Bool;
+  peers @8 :List(UInt32);  # IPv4 numbers of routers that the sender hears, so that newcomers find all
 }
 
 struct ReportDigest {
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -362,6 +362,9 @@
 
   inline bool getIsLong() const;
 
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -429,6 +432,14 @@
   inline bool getIsLong();
   inline void setIsLong(bool value);
 
+  inline bool hasPeers();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPeers(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPeers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2187,6 +2198,44 @@
       ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadBeacon::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadBeacon::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadBeacon::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadBeacon::Builder::setPeers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void LoadBeacon::Builder::setPeers(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadBeacon::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadBeacon::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t ReportDigest::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
