--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -148,7 +148,7 @@
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
     for (const auto &[score, state] : ranked) {
-        if (load(now, *state) + 1 <= bound) {
+        if (load(now, *state) <= bound) {
             return state;
         }
     }
