Copy cached prompt parts between engines instead of reading them again

Change: each attempt with shared parts names that engine as the source of a copy, unless it fails at the moment.

--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -225,6 +225,27 @@
     state.loadUntil = now + loadLifetime;
 }
 
+/// In rank order the first engine but the chosen one: a prompt's home when it spills over, and the engine that stood in
+/// for its home when that comes back or is new.
+const EndpointState *EndpointBoard::cacheSource(Instant now, const PlaceRequest &request,
+                                                const EndpointId &chosen) const
+{
+    const EndpointState *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const auto &[id, state] : m_endpoints) {
+        const bool isCandidate = state.place && id != chosen && state.record.service == request.service;
+        if (!request.affinity || !isCandidate) {
+            continue;
+        }
+        const std::uint64_t score = rendezvousScore(*request.affinity, *state.place);
+        if (!best || score > bestScore) {
+            best = &state;
+            bestScore = score;
+        }
+    }
+    return best && now >= best->avoidUntil ? best : nullptr;
+}
+
 double EndpointBoard::load(Instant now, const EndpointState &state) const
 {
     if (now < state.freshUntil || !m_arePeersHeard) {
--- a/filters/board.h
+++ b/filters/board.h
@@ -90,6 +90,9 @@
 
     std::vector<PeerLoad> ownLoads() const; ///< @return replicas where this router has calls, for its peers
 
+    /// @return the engine that most likely holds a prompt's shared parts besides the one chosen; nothing when none does
+    const EndpointState *cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const;
+
     double load(Instant now, const EndpointState &state) const; ///< @return requests in progress there, as best known
     const EndpointState *find(const EndpointId &id) const;
     bool serves(const ServiceId &service) const;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -217,10 +217,10 @@
 {
     FakeReplica &replica = site.add("a", answersWell);
     site.startReady();
-    const auto caller =
-        site.send(request("/once/x?q=1", "id-1", "k1", 5000,
-                          "X-Galenafold-Tenant: forged\r\nX-Galenafold-Hold: 7\r\nKv-From: 1.2.3.4:1/2\r\n"
-                          "X-Galenafold-Pin-Ms: 9\r\nX-Galenafold-Kv-Backup: 1.2.3.4:1\r\nX-Own: kept\r\n"));
+    const auto caller = site.send(request(
+        "/once/x?q=1", "id-1", "k1", 5000,
+        "X-Galenafold-Tenant: forged\r\nX-Galenafold-Hold: 7\r\nKv-From: 1.2.3.4:1/2\r\n"
+        "X-Galenafold-Pin-Ms: 9\r\nX-Galenafold-Kv-Backup: 1.2.3.4:1\r\nKv-Fetch: 1.2.3.4:1\r\nX-Own: kept\r\n"));
     CHECK(caller->read());
     LONGS_EQUAL(200, caller->status());
     STRCMP_EQUAL("done:hello", caller->body().c_str());
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -480,6 +480,30 @@
     LONGS_EQUAL(1, board.ownLoads().size());
 }
 
+TEST(PlacingByPrompt, ACopyComesFromTheHomeOrFromTheOneThatStoodInForIt)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c"}));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    const EndpointId standIn = board.cacheSource(at(0), forPrompt(42), home)->record.id;
+    CHECK(standIn != home);
+    std::vector<std::string> others;
+    for (const char *id : {"a", "b", "c"}) {
+        if (home.text != id) {
+            others.emplace_back(id);
+        }
+    }
+    board.setRecords(at(20), engineList(others));
+    CHECK(board.choose(at(20), forPrompt(42))->record.id == standIn); // it reads the prompt while the home is away
+    board.setRecords(at(30), engineList({"a", "b", "c"}));
+    STRCMP_EQUAL(home.text.c_str(), board.cacheSource(at(30), forPrompt(42), standIn)->record.id.text.c_str());
+    board.onSent(home);
+    board.onEnded(at(30), home, AttemptEnd::Unreachable);
+    POINTERS_EQUAL(nullptr, board.cacheSource(at(30), forPrompt(42), standIn)); // never wait for a failing one
+    PlaceRequest plain = forPrompt(42);
+    plain.affinity.reset();
+    POINTERS_EQUAL(nullptr, board.cacheSource(at(30), plain, standIn));
+}
+
 TEST(PlacingByPrompt, AnEngineThatReturnsUnderItsNameFindsItsPromptsAgain)
 {
     board.setRecords(at(0), engineList({"a", "b", "c"}));
--- a/traffic/dialect.h
+++ b/traffic/dialect.h
@@ -38,6 +38,7 @@
     AccountId account;                       // empty: none
     std::optional<std::int64_t> resumeAfter; // event after which a stream goes on
     std::optional<int> urgency;              // 0 first, 9 last
+    std::string cacheSource;                 // IP:PORT of a replica that may hold the shared prompt parts; empty: none
 };
 
 // Answer
