--- a/daemons/galenafold.cpp
+++ b/daemons/galenafold.cpp
@@ -5,6 +5,7 @@
 #include "clients/log.h"
 #include "control/contracts.h"
 #include "filters/authenticate.h"
+#include "shell/story.h"
 
 #include <fstream>
 #include <getopt.h>
@@ -32,38 +33,51 @@
     std::string operand;
     std::string log;
     std::string vmList;
+    std::string logs;    // file of daemons' output; "-" is standard input
+    bool isJson = false; // one object a line
     std::int64_t base = -1;
 };
 
 static void printHelp()
 {
-    std::cout << "usage: galenafold COMMAND [OPTIONS]\n"
-                 "\n"
-                 "  lint FILE                        check a contract\n"
-                 "  publish FILE --log HOST:PORT     put a new customer's contract in force\n"
-                 "  amend FILE --base VERSION --log HOST:PORT\n"
-                 "                                   replace a contract; VERSION is the one it was made from\n"
-                 "  show CUSTOMER --log HOST:PORT    print the contract in force and its version\n"
-                 "  status --vms HOST:PORT           print what every entry VM has in force\n"
-                 "  explain REQUEST --vms HOST:PORT  print one request's path, from the trace that a VM kept\n"
-                 "  hash-key                         read an API key from standard input, print its hash\n"
-                 "\n"
-                 "Exit status: 0 done, 1 failed, 2 usage or faulty contract, 3 another amendment came first.\n";
+    std::cout
+        << "usage: galenafold COMMAND [OPTIONS]\n"
+           "\n"
+           "  lint FILE                        check a contract\n"
+           "  publish FILE --log HOST:PORT     put a new customer's contract in force\n"
+           "  amend FILE --base VERSION --log HOST:PORT\n"
+           "                                   replace a contract; VERSION is the one it was made from\n"
+           "  show CUSTOMER --log HOST:PORT    print the contract in force and its version\n"
+           "  status --vms HOST:PORT           print what every entry VM has in force\n"
+           "  explain REQUEST --vms HOST:PORT  print one request's path, from the trace that a VM kept\n"
+           "  explain REQUEST --logs FILE      tell one request's story from daemons' output; - is standard input\n"
+           "  hash-key                         read an API key from standard input, print its hash\n"
+           "\n"
+           "explain --logs takes --json: one object a line.\n"
+           "Exit status: 0 done, 1 failed, 2 usage or faulty contract, 3 another amendment came first.\n";
 }
 
 static bool parseArguments(int argc, char **argv, Arguments &arguments)
 {
     static const option options[] = {{"log", required_argument, nullptr, 'l'},
+                                     {"logs", required_argument, nullptr, 's'},
+                                     {"json", no_argument, nullptr, 'j'},
                                      {"vms", required_argument, nullptr, 'm'},
                                      {"base", required_argument, nullptr, 'b'},
                                      {"help", no_argument, nullptr, 'h'},
                                      {nullptr, 0, nullptr, 0}};
     int letter = 0;
-    while ((letter = getopt_long(argc, argv, "l:m:b:h", options, nullptr)) != -1) {
+    while ((letter = getopt_long(argc, argv, "l:s:jm:b:h", options, nullptr)) != -1) {
         switch (letter) {
         case 'l':
             arguments.log = optarg;
             break;
+        case 's':
+            arguments.logs = optarg;
+            break;
+        case 'j':
+            arguments.isJson = true;
+            break;
         case 'm':
             arguments.vmList = optarg;
             break;
@@ -263,6 +277,35 @@
     std::cout << '\n';
 }
 
+static int explainFromLogs(const Arguments &arguments)
+{
+    std::ifstream file;
+    if (arguments.logs != "-") {
+        file.open(arguments.logs);
+        if (!file) {
+            std::cerr << arguments.logs << ": cannot be read\n";
+            return statusUsage;
+        }
+    }
+    const auto story = storyOf({arguments.operand}, arguments.logs == "-" ? std::cin : file);
+    if (story.empty()) {
+        std::cerr << arguments.operand << ": the logs do not name it\n";
+        return statusFailed;
+    }
+    for (const StoryLine &line : story) {
+        if (arguments.isJson) {
+            std::cout << Json{{"t", line.time.count()},
+                              {"daemon", line.daemon},
+                              {"event", line.event},
+                              {"text", line.sentence}}
+                      << '\n';
+        } else {
+            std::cout << line.time.count() << ' ' << line.daemon << ": " << line.sentence << '\n';
+        }
+    }
+    return statusOk;
+}
+
 static int explain(const Arguments &arguments)
 {
     std::vector<VmRecord> list;
@@ -331,6 +374,9 @@
     if (command == "explain" && hasOperand && !arguments.vmList.empty()) {
         return explain(arguments);
     }
+    if (command == "explain" && hasOperand && !arguments.logs.empty()) {
+        return explainFromLogs(arguments);
+    }
     if (command == "hash-key") {
         return hashKey();
     }
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -183,20 +183,20 @@
     }
 }
 
-void EndpointBoard::onEnded(Instant now, const EndpointId &id, AttemptEnd end)
+bool EndpointBoard::onEnded(Instant now, const EndpointId &id, AttemptEnd end)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
-        return;
+        return false;
     }
     EndpointState &state = found->second;
     state.own = std::max(0, state.own - 1);
     if (end == AttemptEnd::Abandoned) {
-        return;
+        return false;
     }
     if (end == AttemptEnd::Refused) {
         state.avoidUntil = std::max<Instant>(state.avoidUntil, now + avoidFull);
-        return;
+        return false;
     }
     const bool isGood = end == AttemptEnd::Good;
     state.failureRate += failureWeight * ((isGood ? 0.0 : 1.0) - state.failureRate);
@@ -207,6 +207,7 @@
     } else if (!isGood && state.failureRate > failureRateLimit) {
         state.avoidUntil = now + avoidFailing;
     }
+    return now < state.avoidUntil && !isGood;
 }
 
 void EndpointBoard::onLoad(Instant now, const EndpointId &id, const LoadSample &sample)
--- a/filters/board.h
+++ b/filters/board.h
@@ -79,7 +79,8 @@
     const EndpointState *choose(Instant now, const PlaceRequest &request);
 
     void onSent(const EndpointId &id);
-    void onEnded(Instant now, const EndpointId &id, AttemptEnd end);
+    /// @return true if the replica is to be avoided from now on
+    bool onEnded(Instant now, const EndpointId &id, AttemptEnd end);
     void onLoad(Instant now, const EndpointId &id, const LoadSample &sample);
 
     /// Takes another router's own calls in progress. What it told before no longer counts.
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -117,7 +117,7 @@
     hooks.onRegained = [this](Instant) {
         m_isDesiredLost = false;
         LogLine line("store_regained");
-        line.number("topic", static_cast<int>(StoreTopic::DesiredState));
+        line.text("topic", text(StoreTopic::DesiredState));
         m_log.write(line, LogWeight::Notable);
     };
     return hooks;
@@ -156,11 +156,28 @@
     return update;
 }
 
+void RouterNode::logReplica(const RegistryUpdate &update)
+{
+    LogLine line("replica");
+    line.text("replica", update.id.text).number("offset", update.offset);
+    if (update.record) {
+        line.text("service", update.record->service.text).text("address", update.record->address);
+        line.text("state", update.record->isDraining ? "leaving" : "ready");
+    } else {
+        line.text("state", "gone");
+    }
+    m_log.write(line, LogWeight::Notable);
+}
+
 StoreFollowerHooks RouterNode::registryHooks()
 {
     StoreFollowerHooks hooks;
     hooks.topic.onRecord = [this](const KeyedRecord &record) {
-        m_hasRegistryChanged = m_directory.apply(clockNow(), registryUpdate(record)) || m_hasRegistryChanged;
+        const RegistryUpdate update = registryUpdate(record);
+        if (m_directory.apply(clockNow(), update)) {
+            m_hasRegistryChanged = true;
+            logReplica(update);
+        }
     };
     hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
         std::vector<RegistryUpdate> listing;
@@ -183,7 +200,7 @@
         m_directory.onStoreRegained(now);
         afterRegistryRead();
         LogLine line("store_regained");
-        line.number("topic", static_cast<int>(StoreTopic::Registry));
+        line.text("topic", text(StoreTopic::Registry));
         m_log.write(line, LogWeight::Notable);
     };
     return hooks;
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -31,6 +31,7 @@
     StoreFollowerHooks desiredStateHooks();
     StoreFollowerHooks registryHooks();
     void applyDesiredState(const std::string &json, LogOffset offset);
+    void logReplica(const RegistryUpdate &update);
     void publishReplicas();
     bool listen();
     void acceptAdmin();
--- a/shell/storefollower.cpp
+++ b/shell/storefollower.cpp
@@ -116,7 +116,7 @@
     }
     if (status == statusGone) {
         LogLine line("history_cut");
-        line.number("topic", static_cast<int>(m_topic)).number("from", m_step.from);
+        line.text("topic", text(m_topic)).number("from", m_step.from);
         m_log.write(line, LogWeight::Notable);
         m_follow.onHistoryCut();
     } else if (status != statusOk) {
@@ -155,7 +155,7 @@
     if (!m_isLost) {
         m_isLost = true;
         LogLine line("store_lost");
-        line.number("topic", static_cast<int>(m_topic)).text("why", why).millis("after_ms", now - m_sentAt);
+        line.text("topic", text(m_topic)).text("why", why).millis("after_ms", now - m_sentAt);
         m_log.write(line, LogWeight::Notable);
         m_hooks.onLost(now);
     }
--- a/traffic/endpointlink.cpp
+++ b/traffic/endpointlink.cpp
@@ -18,8 +18,7 @@
 // Link
 
 EndpointLink::EndpointLink(asio::io_context &io, const Dialect &dialect)
-    : m_io(io)
-    , m_dialect(dialect)
+    : m_dialect(dialect)
     , m_connecting(io)
     , m_timer(io)
 {
--- a/traffic/endpointlink.h
+++ b/traffic/endpointlink.h
@@ -65,7 +65,6 @@
     void fail(LinkState state);
     void resetParser();
 
-    asio::io_context &m_io;
     const Dialect &m_dialect;
     std::shared_ptr<TcpStream> m_stream;
     asio::ip::tcp::socket m_connecting;
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -193,6 +193,7 @@
     const bool expectsNoBody = m_request.head.method == "HEAD";
     m_state.board.onSent(m_endpoint);
     m_answerBy = answerBy(now);
+    logSent(now, endpoint, isNew);
     m_link->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
     if (isNew) {
         m_link->connect(*address, m_end);
@@ -200,6 +201,17 @@
     armTimer();
 }
 
+void RequestFlow::logSent(Instant now, const EndpointState &endpoint, bool isNewConnection) const
+{
+    LogLine line("sent");
+    line.text("request", m_fields.request.text).text("replica", endpoint.record.id.text);
+    line.text("service", m_place.service.text).number("try", m_attempts.sent).millis("left_ms", m_end - now);
+    line.number("load", static_cast<std::int64_t>(m_state.board.load(now, endpoint)));
+    line.flag("new_connection", isNewConnection).number("version", m_table->version);
+    line.millis("proof_age_ms", now - m_state.provedAt);
+    m_state.log.write(line, LogWeight::Routine);
+}
+
 std::string RequestFlow::encodeRequest(Instant now, const EndpointState &endpoint) const
 {
     const RequestHead &head = m_request.head;
@@ -306,7 +318,11 @@
 
 void RequestFlow::endAttempt(AttemptEnd end)
 {
-    m_state.board.onEnded(clockNow(), m_endpoint, end);
+    if (m_state.board.onEnded(clockNow(), m_endpoint, end)) {
+        LogLine line("replica_avoided");
+        line.text("replica", m_endpoint.text).text("after_request", m_fields.request.text);
+        m_state.log.write(line, LogWeight::Notable);
+    }
     m_link.reset();
 }
 
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -45,6 +45,7 @@
 
     void attempt(Instant now, const EndpointState &endpoint);
     std::string encodeRequest(Instant now, const EndpointState &endpoint) const;
+    void logSent(Instant now, const EndpointState &endpoint, bool isNewConnection) const;
     void armTimer();
     void onTimer();
     Instant answerBy(Instant now) const;
