Resume a stream elsewhere when its replica stands still

Cause: a replica that goes dark midway held a resumable stream until the route's timeout; callers leave after about three seconds of silence. A connect in progress at the deadline was counted as maybe run. Change: no event for four times the route's aim for pauses (1.2 s at least) cancels the attempt and resumes elsewhere, within the retry budget; bytes that waited through a suspension are read before a verdict; what was not sent is not counted as run.

--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -88,7 +88,7 @@
             {"pathPrefix", "/" + name + "/"},
             {"kind", kind},
             {"timeoutMs", timeout},
-            {"targetLatencyMs", 8000},
+            {"targetLatencyMs", 20000},
             {"service", "svc"},
             {"maxAttempts", attempts},
             {"public", false},
@@ -466,6 +466,25 @@
     STRCMP_EQUAL(expected.c_str(), caller->body().c_str());
 }
 
+TEST(NodeStreams, GoesOnElsewhereWhenItStandsStill)
+{
+    const ReplicaScript script = [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        const bool isResumed = !got.field("Last-Event-Id").empty();
+        reply->beginStream(got);
+        reply->event(isResumed ? 1 : 0, "x");
+        if (isResumed) {
+            reply->endStream();
+        }
+    };
+    FakeReplica &a = site.add("a", script);
+    FakeReplica &b = site.add("b", script);
+    site.startReady();
+    const auto caller = site.send(request("/live/x", "i"));
+    CHECK(caller->read());
+    STRCMP_EQUAL("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", caller->body().c_str());
+    CHECK(waitFor([&] { return a.abandoned() + b.abandoned() == 1; })); // never two at work for long
+}
+
 TEST(NodeStreams, OneThatMayNotBeResumedIsBrokenVisibly)
 {
     const ReplicaScript script = [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
--- a/traffic/endpointlink.cpp
+++ b/traffic/endpointlink.cpp
@@ -102,6 +102,19 @@
     }
 }
 
+void EndpointLink::poll()
+{
+    if (m_stream) {
+        const auto self = shared_from_this();
+        m_stream->poll();
+    }
+}
+
+bool EndpointLink::mayHaveSent() const
+{
+    return m_stream && m_stream->sent() > m_sentBefore;
+}
+
 bool EndpointLink::isSound() const
 {
     return m_stream && m_stream->isOpen() && !m_isBusy && !m_isPoisoned && !m_isClosing && m_stream->pending() == 0;
--- a/traffic/endpointlink.h
+++ b/traffic/endpointlink.h
@@ -46,6 +46,8 @@
     void cancel();
 
     void pauseReading(bool isPaused);
+    void poll();              ///< Reads what has already arrived.
+    bool mayHaveSent() const; ///< @return true if a byte of the request may have reached the replica
 
     bool isBusy() const { return m_isBusy; }
     bool isSound() const; ///< @return true if the link may carry another request: open, idle, nothing unexpected read
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t mostUnreadBytes = 256 << 10; // by a slow caller, before the replica is paused
 constexpr double silenceOfObjective = 1.5;         // an attempt without a head for this many objectives is tried again
 constexpr auto leastSilence = std::chrono::milliseconds(250);
+constexpr int silenceOfGap = 4; // pauses within the objective that make a stream count as silent
+constexpr auto leastPause = std::chrono::milliseconds(1200);
 
 constexpr std::uint64_t shownPrompts = 1000000; // enough digits in a log line to tell prompts apart
 
@@ -49,6 +51,8 @@
         return "unreachable";
     case EndReason::BrokenAnswer:
         return "broken_answer";
+    case EndReason::Silent:
+        return "silent";
     case EndReason::CallerGone:
         return "caller_gone";
     }
@@ -192,7 +196,6 @@
     hooks.onFailed = [self](LinkState how) { self->onFailed(how); };
     const bool expectsNoBody = m_request.head.method == "HEAD";
     m_state.board.onSent(m_endpoint);
-    m_answerBy = answerBy(now);
     logSent(now, endpoint, isNew);
     m_link->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
     if (isNew) {
@@ -242,21 +245,25 @@
     return bytes;
 }
 
-/// An attempt that may be repeated is given up early enough for another one.
-Instant RequestFlow::answerBy(Instant now) const
+/// When the attempt at hand counts as silent. Only one that may be repeated is given up early enough for another one; a
+/// stream that has begun goes on elsewhere after a long pause, as callers leave a stream that stands still.
+Instant RequestFlow::progressBy() const
 {
     const bool mayRepeat = m_attempts.isRepeatable && m_attempts.ran + 1 < m_attempts.maxAttempts;
-    if (!mayRepeat || m_attempts.isStreaming) {
+    if (!m_link || !mayRepeat) {
         return m_end;
     }
-    const auto silence = std::chrono::duration_cast<Span>(m_route->objective * silenceOfObjective);
-    return std::min(m_end, now + std::max<Span>(silence, leastSilence));
+    const bool isFlowing = m_lastEventAt >= m_sentAt;
+    const Span aim = isFlowing ? m_route->gapObjective * silenceOfGap
+                               : std::chrono::duration_cast<Span>(m_route->objective * silenceOfObjective);
+    const Span silence = std::max<Span>(aim, isFlowing ? leastPause : leastSilence);
+    return std::min(m_end, std::max((isFlowing ? m_lastEventAt : m_sentAt) + silence, m_patientUntil));
 }
 
+/// Moved to an earlier deadline at once, to a later one when it fires.
 void RequestFlow::armTimer()
 {
-    const bool waitsForHead = m_link && !m_hasHead;
-    m_timer.expires_at(waitsForHead ? std::min(m_answerBy, m_end) : m_end);
+    m_timer.expires_at(progressBy());
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
         if (!error && !self->m_isEnded) {
             self->onTimer();
@@ -266,32 +273,44 @@
 
 void RequestFlow::onTimer()
 {
+    if (m_link) {
+        m_link->poll(); // after a suspension, bytes may have waited as long as the timer
+    }
     const Instant now = clockNow();
-    if (now < m_end) {
-        const bool isSilent = m_link && !m_hasHead && now >= m_answerBy;
-        if (!isSilent) {
-            armTimer();
-            return;
-        }
-        m_answerBy = m_end;
-        if (!m_state.budget.take(now, m_place.service)) {
-            armTimer();
-            return;
-        }
-        m_link->cancel();
-        ++m_attempts.ran;
-        m_attempts.mayHaveRun = true;
-        endAttempt(AttemptEnd::Failed);
-        m_place.excluded.insert(m_endpoint);
-        place(now);
+    if (m_isEnded) {
         return;
     }
-    if (m_link) {
-        m_link->cancel();
-        m_attempts.mayHaveRun = true;
-        endAttempt(m_hasHead ? AttemptEnd::Abandoned : AttemptEnd::Failed);
+    if (now >= m_end) {
+        abandonAttempt(m_hasHead ? AttemptEnd::Abandoned : AttemptEnd::Failed);
+        giveUp(EndReason::Expired);
+        return;
+    }
+    if (now < progressBy()) {
+        armTimer();
+        return;
     }
-    giveUp(EndReason::Expired);
+    if (!m_state.budget.take(now, m_place.service)) {
+        m_patientUntil = now + retrySoon;
+        armTimer();
+        return;
+    }
+    logRetry(EndReason::Silent);
+    m_place.excluded.insert(m_endpoint);
+    abandonAttempt(AttemptEnd::Failed);
+    place(now);
+}
+
+/// Ends the attempt at hand. The replica stops working when its connection closes.
+void RequestFlow::abandonAttempt(AttemptEnd end)
+{
+    if (!m_link) {
+        return;
+    }
+    const bool mayHaveRun = m_link->mayHaveSent() && !(m_hasHead && m_answer.saysNotRun);
+    m_attempts.ran += mayHaveRun ? 1 : 0;
+    m_attempts.mayHaveRun = m_attempts.mayHaveRun || mayHaveRun;
+    m_link->cancel();
+    endAttempt(mayHaveRun ? end : AttemptEnd::Unreachable);
 }
 
 void RequestFlow::onHead(ResponseHead &head, const AnswerFields &answer)
@@ -390,11 +409,16 @@
         giveUp(reason);
         return;
     }
+    logRetry(reason);
+    place(now);
+}
+
+void RequestFlow::logRetry(EndReason reason) const
+{
     LogLine line("retried");
     line.text("request", m_fields.request.text).text("reason", text(reason)).text("replica", m_endpoint.text);
     line.number("sent", m_attempts.sent).number("ran", m_attempts.ran);
     m_state.log.write(line, LogWeight::Notable);
-    place(now);
 }
 
 // Answering
@@ -414,6 +438,10 @@
 void RequestFlow::relayEvents(std::string &body)
 {
     const std::string events = m_events.take(body);
+    m_lastEventAt = clockNow();
+    if (progressBy() < m_timer.expiry()) {
+        armTimer();
+    }
     if (events.empty() || m_events.hasGap()) {
         return; // a gap is dealt with at the end of the attempt
     }
@@ -482,17 +510,14 @@
     finish("broken", m_head.status, &reason);
 }
 
-/// A request that runs once at most is left to end, so that its connection can be kept; all others stop at once.
+/// Nobody waits for the answer any more: the replica is told by the end of its connection.
 void RequestFlow::onCallerGone()
 {
     if (m_isEnded) {
         return;
     }
     const EndReason reason = EndReason::CallerGone;
-    if (m_link) {
-        m_link->cancel();
-        endAttempt(AttemptEnd::Abandoned);
-    }
+    abandonAttempt(AttemptEnd::Abandoned);
     finish("gone", 0, &reason);
 }
 
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -18,6 +18,7 @@
     AllRefused,     // every replica that was asked did not run it
     Unreachable,    // no replica could be reached
     BrokenAnswer,   // an attempt may have run, and its answer is lost or wrong
+    Silent,         // an attempt made no progress
     CallerGone,     // the caller left
 };
 
@@ -48,7 +49,9 @@
     void logSent(Instant now, const EndpointState &endpoint, bool isNewConnection) const;
     void armTimer();
     void onTimer();
-    Instant answerBy(Instant now) const;
+    Instant progressBy() const;
+    void abandonAttempt(AttemptEnd end);
+    void logRetry(EndReason reason) const;
     void onHead(ResponseHead &head, const AnswerFields &answer);
     void onBody(std::string &body);
     void onDone();
@@ -75,8 +78,8 @@
     const Route *m_route = nullptr;
     const ClientAccount *m_account = nullptr;
     PlaceRequest m_place;
-    Instant m_end{};      // final answer at the latest
-    Instant m_answerBy{}; // the attempt at hand is given up without a head by then
+    Instant m_end{};          // final answer at the latest
+    Instant m_patientUntil{}; // no retry for silence before
     DeadlineTimer m_timer;
     AttemptsSoFar m_attempts;
 
@@ -85,6 +88,7 @@
     std::shared_ptr<EndpointLink> m_link;
     EndpointId m_endpoint;
     Instant m_sentAt{};
+    Instant m_lastEventAt{}; // bytes of a stream, from any attempt
     bool m_hasHead = false;
     ResponseHead m_head;
     AnswerFields m_answer;
