--- a/daemons/galenafoldd.cpp
+++ b/daemons/galenafoldd.cpp
@@ -20,7 +20,7 @@
 {
     std::cout << "usage: galenafoldd --config FILE [--check-config] [--version] [--help]\n"
                  "\n"
-                 "  --config FILE    settings, INI; see docs/OPERATING.md\n"
+                 "  --config FILE    settings, INI; see docs/OPERATIONS.md\n"
                  "  --check-config   read and check the settings, then exit\n"
                  "  --version        print the version, then exit\n"
                  "\n"
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -71,6 +71,7 @@
     , m_work(asio::make_work_guard(m_io))
     , m_traffic(trafficSettings(settings), platformDialect(), m_log)
     , m_directory(settings.rejoinWithin)
+    , m_proof(settings.revokeWithin)
     , m_desired(m_io, StoreTopic::DesiredState, settings.store, desiredPace(settings), desiredStateHooks(), m_log,
                 hashName(settings.name.text))
     , m_registry(m_io, StoreTopic::Registry, settings.store, registryPace(settings), registryHooks(), m_log,
@@ -110,8 +111,8 @@
         }
     };
     hooks.topic.onProof = [this](Instant provedAt) {
-        m_provedAt = std::max(m_provedAt, provedAt);
-        m_traffic.setProof(m_provedAt);
+        m_proof.renew(provedAt);
+        m_traffic.setProof(provedAt);
     };
     hooks.onLost = [this](Instant) { m_isDesiredLost = true; };
     hooks.onRegained = [this](Instant) {
@@ -241,8 +242,7 @@
 bool RouterNode::isReady() const
 {
     const bool isKnown = m_version >= 0 && m_registryProvedAt != Instant{};
-    const bool isProved = m_settings.revokeWithin == Span{} || clockNow() < m_provedAt + m_settings.revokeWithin;
-    return isKnown && isProved && !m_isDraining;
+    return isKnown && m_proof.holds(clockNow()) && !m_isDraining;
 }
 
 bool RouterNode::listen()
@@ -328,7 +328,7 @@
     add("peers_heard", counts.peers);
     add("peer_bytes_total", counts.peerBytes);
     add("desired_state_version", m_version);
-    add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_provedAt).count());
+    add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_proof.provedAt()).count());
     add("log_lines_left_out_total", m_log.dropped());
     return out;
 }
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/directory.h"
+#include "control/freshness.h"
 #include "galenafold/galenafold.h"
 #include "shell/storefollower.h"
 #include "traffic/traffic.h"
@@ -47,6 +48,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     Traffic m_traffic;
     Directory m_directory;
+    FreshnessProof m_proof; // of the desired state
     StoreFollower m_desired;
     StoreFollower m_registry;
     asio::ip::tcp::acceptor m_admin;
@@ -58,7 +60,6 @@
     std::int64_t m_storeRecords = 0; // read of the desired state's topic
     bool m_isDesiredLost = false;
     bool m_isRegistryLost = false;
-    Instant m_provedAt{};
     Instant m_registryProvedAt{};
     std::atomic<bool> m_isReady{false};
     Instant m_drainBegan{};
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -122,7 +122,7 @@
     if (!m_table->needsKeys || m_route->isPublic) {
         return true;
     }
-    if (!m_state.isProved(now)) {
+    if (!m_state.proof.holds(now)) {
         refuse(statusUnavailable, EndReason::StaleKeys, retryWhenProved);
         return false;
     }
@@ -175,7 +175,7 @@
         giveUp(EndReason::Expired);
         return;
     }
-    if (m_account && (!m_state.isProved(now) || !m_state.table->account(m_fields.apiKey))) {
+    if (m_account && (!m_state.proof.holds(now) || !m_state.table->account(m_fields.apiKey))) {
         giveUp(EndReason::StaleKeys);
         return;
     }
@@ -211,7 +211,7 @@
     line.text("service", m_place.service.text).number("try", m_attempts.sent).millis("left_ms", m_end - now);
     line.number("load", static_cast<std::int64_t>(m_state.board.load(now, endpoint)));
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
-    line.millis("proof_age_ms", now - m_state.provedAt);
+    line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogWeight::Routine);
 }
 
@@ -546,7 +546,7 @@
         line.millis("first_ms", m_firstAt - m_request.arrival);
     }
     if (m_table) {
-        line.number("version", m_table->version).millis("proof_age_ms", now - m_state.provedAt);
+        line.number("version", m_table->version).millis("proof_age_ms", now - m_state.proof.provedAt());
     }
     m_state.log.write(line, isServed ? LogWeight::Routine : LogWeight::Notable);
     m_caller->onGone = nullptr;
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -10,7 +10,6 @@
 
 constexpr auto countPeersAfter = std::chrono::seconds(5); // by then beacons have named every router
 constexpr auto sweepEvery = std::chrono::seconds(1);
-constexpr auto proofMargin = std::chrono::milliseconds(300); // for the way to a replica and coarse timers
 
 TrafficState::TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, Dialect theDialect,
                            EventLog &theLog)
@@ -18,17 +17,13 @@
     , settings(theSettings)
     , dialect(std::move(theDialect))
     , log(theLog)
+    , proof(theSettings.revokeWithin)
     , board(theSettings.board, theSettings.dataCentre, theSettings.seed)
     , budget(theSettings.retry)
     , links(theIo, dialect)
 {
 }
 
-bool TrafficState::isProved(Instant now) const
-{
-    return settings.revokeWithin == Span{} || now < provedAt + settings.revokeWithin - proofMargin;
-}
-
 Traffic::Traffic(const TrafficSettings &settings, Dialect dialect, EventLog &log)
     : m_settings(settings)
     , m_io(1)
@@ -150,7 +145,7 @@
 
 void Traffic::setProof(Instant provedAt)
 {
-    asio::post(m_io, [this, provedAt] { m_state.provedAt = std::max(m_state.provedAt, provedAt); });
+    asio::post(m_io, [this, provedAt] { m_state.proof.renew(provedAt); });
 }
 
 void Traffic::beginDrain()
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -6,6 +6,7 @@
 // moment up to which that desired state is proved to be the newest.
 #pragma once
 
+#include "control/freshness.h"
 #include "filters/board.h"
 #include "filters/followup.h"
 #include "shell/eventlog.h"
@@ -54,15 +55,12 @@
 struct TrafficState {
     TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, Dialect theDialect, EventLog &theLog);
 
-    /// @return true if a key may serve: the desired state is proved young enough
-    bool isProved(Instant now) const;
-
     asio::io_context &io;
     const TrafficSettings settings;
     const Dialect dialect;
     EventLog &log;
     std::shared_ptr<const RouteTable> table; // nothing until a desired state is known
-    Instant provedAt{};                      // the table was the newest then
+    FreshnessProof proof;                    // of the table
     bool isDraining = false;
     EndpointBoard board;
     RetryBudget budget;
