Use room below the load bound in proportion to the fleet's demand

Change: with less room than the fleet is about to send there within 0.2 s (own demand times peers), a request goes on down the rank by chance, as the room is to what is wanted.

--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr auto loadLifetime = std::chrono::milliseconds(1500); // typical length of a generation
+constexpr double unheardSeconds = 0.2; // until a start at a peer is known here: a beacon's interval, and its way
+constexpr double demandSeconds = 1;    // over which the demand for an engine is smoothed
 constexpr auto freshLifetime = std::chrono::milliseconds(100); // peers tell about as often
 constexpr auto peerLifetime = std::chrono::seconds(2);         // of counts from a peer that falls silent
 constexpr auto usualLifetime = std::chrono::seconds(8); // a demand that swings within seconds is followed in time
@@ -133,22 +135,38 @@
         }
     }
     const double mean = current / static_cast<double>(endpoints.size());
-    return known == 0 || m_arePeersHeard ? mean : std::max(mean, usual / known);
+    return known == 0 || m_peersHeard > 0 ? mean : std::max(mean, usual / known);
+}
+
+/// Other routers that see the same room use it too, before anyone hears of it. So each uses its part: with less room
+/// than the fleet is about to send there, a request goes on down the rank by chance, as the room is to what is wanted.
+bool EndpointBoard::hasRoom(Instant now, EndpointState &state, double bound)
+{
+    const double elapsed = std::chrono::duration<double>(now - state.demandAt).count();
+    state.demand = state.demand * std::exp(-elapsed / demandSeconds) + 1 / demandSeconds;
+    state.demandAt = now;
+    const double room = bound - load(now, state);
+    const double wanted = state.demand * m_peersHeard * unheardSeconds;
+    if (room >= wanted) {
+        return room >= 0;
+    }
+    constexpr double steps = 1 << 20;
+    return room > 0 && static_cast<double>(m_random() % (1U << 20U)) / steps * wanted < room;
 }
 
 const EndpointState *EndpointBoard::chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates,
                                                      std::uint64_t key)
 {
     const double bound = m_settings.loadBound * meanLoad(now, candidates) + m_settings.loadAllowance;
-    std::vector<std::pair<std::uint64_t, const EndpointState *>> ranked;
-    for (const EndpointState *state : candidates) {
+    std::vector<std::pair<std::uint64_t, EndpointState *>> ranked;
+    for (EndpointState *state : candidates) {
         if (state->place) {
             ranked.emplace_back(rendezvousScore(key, *state->place), state);
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
     for (const auto &[score, state] : ranked) {
-        if (load(now, *state) <= bound) {
+        if (hasRoom(now, *state, bound)) {
             return state;
         }
     }
@@ -249,7 +267,7 @@
 
 double EndpointBoard::load(Instant now, const EndpointState &state) const
 {
-    if (now < state.freshUntil || !m_arePeersHeard) {
+    if (now < state.freshUntil || m_peersHeard == 0) {
         return state.own + (now < state.loadUntil ? state.others : 0);
     }
     return state.own + state.peers;
--- a/filters/board.h
+++ b/filters/board.h
@@ -47,6 +47,8 @@
     Instant freshUntil{};               // the report goes before what peers tell
     double usual = 0;                   // smoothed requests in progress, all routers'
     Instant usualUntil{};               // the smoothed figure counts until then
+    double demand = 0;                  // requests a second that this router would send there
+    Instant demandAt{};                 // of the last one
     int failuresInRow = 0;
     double failureRate = 0; // smoothed, 0 to 1
     Instant avoidUntil{};   // no new work before, while others can take it
@@ -86,8 +88,8 @@
     /// Takes another router's own calls in progress. What it told before no longer counts.
     void onPeerLoads(Instant now, std::uint32_t peer, const std::vector<PeerLoad> &loads);
 
-    /// @param areHeard whether other routers are heard at all; else replicas' own reports serve
-    void setPeersHeard(bool areHeard) { m_arePeersHeard = areHeard; }
+    /// @param peers other routers that are heard; with none, replicas' own reports serve
+    void setPeersHeard(int peers) { m_peersHeard = peers; }
 
     std::vector<PeerLoad> ownLoads() const; ///< @return replicas where this router has calls, for its peers
 
@@ -103,6 +105,7 @@
     void takePlaces();
     double meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const;
     void sumPeers(Instant now);
+    bool hasRoom(Instant now, EndpointState &state, double bound);
     const EndpointState *chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates, std::uint64_t key);
     const EndpointState *chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
 
@@ -116,7 +119,7 @@
 
     PlaceBook m_places;
     std::map<std::uint32_t, PeerCounts> m_peerCounts; // by peer
-    bool m_arePeersHeard = false;
+    int m_peersHeard = 0;
     std::map<EndpointId, EndpointState> m_endpoints;
 };
 
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -10,6 +10,8 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
 
 using namespace galenafold;
 using std::chrono::milliseconds;
@@ -467,7 +469,7 @@
 {
     board.setRecords(at(0), engines(12));
     const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
-    board.setPeersHeard(true);
+    board.setPeersHeard(1);
     board.onLoad(at(0), home, {30, 0, 64, 1});
     CHECK(board.choose(at(0.05), forPrompt(42))->record.id != home); // the report is young
     CHECK(board.choose(at(0.5), forPrompt(42))->record.id == home);  // nobody has calls there now
@@ -504,6 +506,96 @@
     POINTERS_EQUAL(nullptr, board.cacheSource(at(30), plain, standIn));
 }
 
+/// Fifteen routers before twelve engines, hot prompts, demand that swings; routers tell each other every 150 ms.
+struct SwingDay {
+    explicit SwingDay(std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::uint64_t i = 0; i < routers; ++i) {
+            fleet.push_back(std::make_unique<EndpointBoard>(BoardSettings(), DataCentreId{"here"}, i));
+            fleet.back()->setRecords(at(0), engines(12));
+        }
+    }
+    double uniform() { return boost::random::uniform_real_distribution<double>(0, 1)(random); }
+
+    void tellPeers(double now)
+    {
+        for (std::size_t from = 0; from < routers; ++from) {
+            for (std::size_t to = 0; to < routers; ++to) {
+                fleet[to]->setPeersHeard(routers - 1);
+                if (from != to) {
+                    fleet[to]->onPeerLoads(at(now), static_cast<std::uint32_t>(from), fleet[from]->ownLoads());
+                }
+            }
+        }
+    }
+
+    void end(double now)
+    {
+        while (!running.empty() && running.begin()->first <= now) {
+            const auto [router, id] = running.begin()->second;
+            running.erase(running.begin());
+            --held[id];
+            fleet[router]->onEnded(at(now), id, AttemptEnd::Good);
+        }
+    }
+
+    void arrive(double now)
+    {
+        const auto router = static_cast<std::size_t>(uniform() * routers);
+        const double skewed = std::pow(uniform(), 4); // a few prompts get most of the traffic
+        const auto prompt = static_cast<std::uint64_t>(skewed * 60);
+        const EndpointId id = fleet[router]->choose(at(now), forPrompt(prompt * 7919))->record.id;
+        const double mean = static_cast<double>(running.size()) / 12;
+        ++arrivals;
+        over += held[id] > 2 * mean + 3 ? 1 : 0;
+        ++held[id];
+        fleet[router]->onSent(id);
+        running.emplace(now + 0.2 + uniform(), std::make_pair(router, id));
+    }
+
+    /// @return worst share, in any five seconds, of requests that reach an engine over the bound
+    double run()
+    {
+        double worst = 0;
+        for (double now = 0, next = 0, told = 0, window = 5; now < 40; now += 0.002) {
+            end(now);
+            if (now >= told) {
+                tellPeers(now);
+                told += 0.15;
+            }
+            const double rate = std::fmod(now, 15) < 7 ? 140 : 30;
+            while (next <= now) {
+                arrive(now);
+                next += -std::log(1 - uniform()) / rate;
+            }
+            if (now >= window) {
+                worst = std::max(worst, static_cast<double>(over) / arrivals);
+                over = 0;
+                arrivals = 0;
+                window += 5;
+            }
+        }
+        return worst;
+    }
+
+    static constexpr std::size_t routers = 15;
+    boost::random::mt19937_64 random;
+    std::vector<std::unique_ptr<EndpointBoard>> fleet;
+    std::multimap<double, std::pair<std::size_t, EndpointId>> running; // by their end
+    std::map<EndpointId, int> held;
+    int arrivals = 0;
+    int over = 0;
+};
+
+TEST(PlacingByPrompt, TheFleetKeepsTheBoundWhileDemandSwings)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const double worst = SwingDay(seed).run();
+        CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
+    }
+}
+
 TEST(PlacingByPrompt, AnEngineThatReturnsUnderItsNameFindsItsPromptsAgain)
 {
     board.setRecords(at(0), engineList({"a", "b", "c"}));
--- a/traffic/peers.cpp
+++ b/traffic/peers.cpp
@@ -78,7 +78,7 @@
         peer = now >= peer->second.heardAt + forgetAfter ? m_peers.erase(peer) : std::next(peer);
     }
     m_mostHeard = std::max(m_mostHeard, heard);
-    m_board.setPeersHeard(heard > 0);
+    m_board.setPeersHeard(heard);
     send(now);
     m_timer.expires_at(now + beaconEvery);
     m_timer.async_wait([this](const asio::error_code &error) {
