--- a/benchmarks/decision.cpp
+++ b/benchmarks/decision.cpp
@@ -6,7 +6,7 @@
 #include "fakes/fleet.h"
 #include "filters/limit.h"
 #include "filters/place.h"
-#include "shell/beacons.h"
+#include "net/beacons.h"
 #include "shell/peers.h"
 
 #include <benchmark/benchmark.h>
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -55,6 +55,7 @@
     bool start();
     std::string entry(const std::string &state = "ready", std::int64_t born = 1) const; ///< @return its registry entry
     const std::string &id() const { return m_id; }
+    int port() const { return m_port; }
 
     std::vector<ReplicaRequest> requests() const; ///< @return all that reached it, whole
     int connections() const { return m_connections; }
--- a/filters/board.h
+++ b/filters/board.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "control/gossip.h"
+#include "filters/fields.h"
 #include "filters/places.h"
-#include "traffic/dialect.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <set>
--- a/shell/eventlog.cpp
+++ b/galenafold/eventlog.cpp
@@ -1,5 +1,5 @@
 // Structured log lines on standard output.
-#include "shell/eventlog.h"
+#include "galenafold/eventlog.h"
 
 #include <cerrno>
 #include <climits>
--- a/shell/beacons.cpp
+++ b/net/beacons.cpp
@@ -1,5 +1,5 @@
 // The packed form of beacons, and the socket that carries them.
-#include "shell/beacons.h"
+#include "net/beacons.h"
 
 #include "wire/peer.capnp.h"
 
--- a/shell/core.h
+++ b/shell/core.h
@@ -8,8 +8,8 @@
 
 #include "control/contracts.h"
 #include "control/router.h"
+#include "net/beacons.h"
 #include "net/timer.h"
-#include "shell/beacons.h"
 #include "shell/metrics.h"
 #include "shell/peers.h"
 #include "shell/runner.h"
--- a/shell/storefollower.h
+++ b/shell/storefollower.h
@@ -1,11 +1,11 @@
 // Carries the calls of one followed topic out: one connection to the platform's store, one call at a time.
 #pragma once
 
+#include "galenafold/eventlog.h"
 #include "net/message.h"
 #include "net/stream.h"
 #include "net/timer.h"
 #include "platform/store.h"
-#include "shell/eventlog.h"
 
 namespace galenafold
 {
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -1,6 +1,6 @@
 // Decisions under load, against their naive versions: shares of limits, lanes and turns, placement, slowness.
 #include "control/router.h"
-#include "shell/beacons.h"
+#include "net/beacons.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
--- a/tests/logs.cpp
+++ b/tests/logs.cpp
@@ -1,6 +1,6 @@
 // Structured log lines: what they look like, what is left out under load, that they never block, and the story they
 // tell.
-#include "shell/eventlog.h"
+#include "galenafold/eventlog.h"
 #include "shell/story.h"
 
 #include <CppUTest/TestHarness.h>
--- a/traffic/peers.h
+++ b/traffic/peers.h
@@ -10,8 +10,8 @@
 
 #include "control/gossip.h"
 #include "filters/board.h"
+#include "net/beacons.h"
 #include "net/timer.h"
-#include "shell/beacons.h"
 
 namespace galenafold
 {
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -9,7 +9,7 @@
 #include "control/freshness.h"
 #include "filters/board.h"
 #include "filters/followup.h"
-#include "shell/eventlog.h"
+#include "galenafold/eventlog.h"
 #include "traffic/caller.h"
 #include "traffic/endpointlink.h"
 #include "traffic/peers.h"
