--- a/net/stream.cpp
+++ b/net/stream.cpp
@@ -186,6 +186,23 @@
     }
 }
 
+bool listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &text)
+{
+    const auto address = parseAddress(text);
+    if (!address) {
+        return false;
+    }
+    asio::error_code error;
+    acceptor.open(address->protocol(), error);
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(*address, error);
+    if (error) {
+        return false;
+    }
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+    return !error;
+}
+
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
--- a/net/stream.h
+++ b/net/stream.h
@@ -62,6 +62,9 @@
     bool m_isDiscarding = false; // all was sent; what still comes is not wanted
 };
 
+/// Binds a listener. @param address IP:PORT @return false: no such address, or it is taken
+bool listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address);
+
 /// "IP:PORT" as an endpoint of TCP. @return nothing where the text is no such thing
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text);
 
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -2,6 +2,7 @@
 #include "shell/routernode.h"
 
 #include "control/loadview.h"
+#include "net/status.h"
 #include "platform/documents.h"
 #include "platform/headers.h"
 
@@ -18,9 +19,6 @@
 constexpr double waitOfRevoke = 0.4;  // a proof is as old as the call that brought it; two calls must fit the bound
 constexpr double waitOfSettle = 0.55; // a silent connection is noticed within this part of the time to settle
 constexpr double pollOfLeave = 0.75;  // of the time in which a leaving endpoint must get no more work
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 
 // Settings
 
@@ -245,24 +243,6 @@
     return isKnown && m_proof.holds(clockNow()) && !m_isDraining;
 }
 
-bool RouterNode::listen()
-{
-    const auto address = parseAddress(m_settings.admin);
-    asio::error_code error;
-    if (!address) {
-        return false;
-    }
-    m_admin.open(address->protocol(), error);
-    m_admin.set_option(asio::socket_base::reuse_address(true), error);
-    m_admin.bind(*address, error);
-    if (error) {
-        return false;
-    }
-    m_admin.listen(asio::socket_base::max_listen_connections, error);
-    m_adminPort = m_admin.local_endpoint().port();
-    return !error;
-}
-
 bool RouterNode::start()
 {
     m_adminHooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
@@ -272,9 +252,10 @@
     m_adminHooks.onRejected = [](int, const char *) {};
     m_adminHooks.limits = [] { return CallerLimits(); };
     m_adminHooks.isDraining = [] { return false; };
-    if (!listen() || !m_traffic.start()) {
+    if (!listenOn(m_admin, m_settings.admin) || !m_traffic.start()) {
         return false;
     }
+    m_adminPort = m_admin.local_endpoint().port();
     LogLine line("start");
     line.text("name", m_settings.name.text).text("callers", m_settings.callers).text("version", GALENAFOLD_VERSION);
     m_log.write(line, LogWeight::Notable);
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -34,7 +34,6 @@
     void applyDesiredState(const std::string &json, LogOffset offset);
     void logReplica(const RegistryUpdate &update);
     void publishReplicas();
-    bool listen();
     void acceptAdmin();
     void onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request);
     std::string metrics() const;
--- a/shell/storefollower.cpp
+++ b/shell/storefollower.cpp
@@ -1,13 +1,13 @@
 // Carries the calls of one followed topic out.
 #include "shell/storefollower.h"
 
+#include "net/status.h"
+
 namespace galenafold
 {
 
 constexpr auto answerWithin = std::chrono::milliseconds(700); // beyond the time that the store was asked to wait
 constexpr std::uint64_t mostAnswerBytes = 32U << 20U;
-constexpr int statusOk = 200;
-constexpr int statusGone = 410;
 
 StoreFollower::StoreFollower(asio::io_context &io, StoreTopic topic, const std::string &address, const TopicPace &pace,
                              StoreFollowerHooks hooks, EventLog &log, std::uint64_t seed)
--- /dev/null
+++ b/tests/placing.cpp
@@ -0,0 +1,327 @@
+// Which engine gets a request: homes of prompts, the bound on load, peers' counts; against the naive policy.
+#include "filters/board.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
+
+using namespace galenafold;
+
+static Instant at(double value)
+{
+    return Instant(std::chrono::duration_cast<Span>(std::chrono::duration<double>(value + 1000)));
+}
+
+static std::vector<ReplicaRecord> engines(int count)
+{
+    std::vector<ReplicaRecord> records;
+    for (int i = 0; i < count; ++i) {
+        ReplicaRecord record;
+        record.id.text = "e" + std::to_string(i);
+        record.service.text = "llm";
+        record.dataCentre.text = i % 2 == 0 ? "here" : "there";
+        records.push_back(record);
+    }
+    return records;
+}
+
+static PlaceRequest forPrompt(std::uint64_t prompt)
+{
+    PlaceRequest request;
+    request.service.text = "llm";
+    request.affinity = prompt;
+    return request;
+}
+
+TEST_GROUP(PlacingByPrompt)
+{
+    EndpointBoard board{BoardSettings(), {"here"}, 1};
+};
+
+TEST(PlacingByPrompt, EveryRouterPicksTheSameEngineAndFewMoveWhenOneLeaves)
+{
+    EndpointBoard other{BoardSettings(), {"there"}, 99};
+    board.setRecords(at(0), engines(12));
+    other.setRecords(at(0), engines(11)); // the last one has left, or is not seen yet
+    int moved = 0;
+    for (std::uint64_t prompt = 0; prompt < 600; ++prompt) {
+        const std::string one = board.choose(at(0), forPrompt(prompt * 7919))->record.id.text;
+        const std::string two = other.choose(at(0), forPrompt(prompt * 7919))->record.id.text;
+        moved += one != two ? 1 : 0;
+        CHECK(one == two || one == "e11");
+    }
+    CHECK(moved > 0);
+    CHECK(moved < 100); // a twelfth of 600, and chance
+}
+
+TEST(PlacingByPrompt, AHotPromptStaysWithinTheBoundOnLoad)
+{
+    board.setRecords(at(0), engines(12));
+    std::map<EndpointId, int> placed;
+    for (int i = 0; i < 120; ++i) {
+        const EndpointState *endpoint = board.choose(at(0), forPrompt(42));
+        const double mean = i / 12.0;
+        CHECK(placed[endpoint->record.id] <= 2 * mean + 3); // what it holds when the request arrives
+        ++placed[endpoint->record.id];
+        board.onSent(endpoint->record.id);
+    }
+    CHECK(placed.size() < 12); // yet it does not spread further than it must
+}
+
+TEST(PlacingByPrompt, LeavesAFailingEngineAndComesBackLater)
+{
+    board.setRecords(at(0), engines(3));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    board.onSent(home);
+    board.onEnded(at(0), home, AttemptEnd::Unreachable);
+    CHECK(board.choose(at(0.1), forPrompt(42))->record.id != home);
+    CHECK(board.choose(at(30), forPrompt(42))->record.id == home);
+}
+
+TEST(PlacingByPrompt, WithEveryEngineFailingSomeEngineIsStillTried)
+{
+    board.setRecords(at(0), engines(2));
+    for (const char *id : {"e0", "e1"}) {
+        board.onSent({id});
+        board.onEnded(at(0), {id}, AttemptEnd::Unreachable);
+    }
+    CHECK(board.choose(at(0.1), forPrompt(1)) != nullptr);
+}
+
+TEST(PlacingByPrompt, ReadsSharedPartsTenTimesLessOftenThanTheNaivePolicy)
+{
+    constexpr int routers = 15;
+    constexpr int prompts = 64;
+    constexpr int requests = 6000;
+    std::vector<std::unique_ptr<EndpointBoard>> fleet;
+    for (int i = 0; i < routers; ++i) {
+        fleet.push_back(std::make_unique<EndpointBoard>(BoardSettings(), DataCentreId{"here"}, i));
+        fleet.back()->setRecords(at(0), engines(12));
+    }
+    boost::random::mt19937_64 random(7);
+    std::set<std::pair<std::uint64_t, std::string>> reads;
+    std::set<std::pair<std::uint64_t, std::string>> naiveReads;
+    for (int i = 0; i < requests; ++i) {
+        EndpointBoard &router = *fleet[boost::random::uniform_int_distribution<std::size_t>(0, routers - 1)(random)];
+        const auto prompt = boost::random::uniform_int_distribution<std::uint64_t>(1, prompts)(random);
+        reads.insert({prompt, router.choose(at(i), forPrompt(prompt))->record.id.text});
+        PlaceRequest naive = forPrompt(prompt);
+        naive.affinity.reset();
+        naiveReads.insert({prompt, router.choose(at(i), naive)->record.id.text});
+    }
+    LONGS_EQUAL(prompts, reads.size());
+    CHECK(static_cast<double>(reads.size()) <= 0.2 * static_cast<double>(naiveReads.size()));
+}
+
+TEST(PlacingByPrompt, TheLastPartIsTheRequestsOwn)
+{
+    CHECK(!affinityOf({{1, 10}}));
+    CHECK(affinityOf({{1, 10}, {2, 20}, {3, 5}}) == affinityOf({{1, 10}, {2, 20}, {4, 7}}));
+    CHECK(affinityOf({{1, 10}, {2, 20}, {3, 5}}) != affinityOf({{1, 10}, {5, 20}, {3, 5}}));
+}
+
+static std::vector<ReplicaRecord> engineList(std::vector<std::string> names)
+{
+    std::vector<ReplicaRecord> records;
+    for (const std::string &name : names) {
+        ReplicaRecord record;
+        record.id.text = name;
+        record.service.text = "llm";
+        record.slots = 64;
+        records.push_back(record);
+    }
+    return records;
+}
+
+/// @return the home of each of many prompts
+static std::vector<std::string> homes(EndpointBoard &board, Instant now)
+{
+    std::vector<std::string> found;
+    for (std::uint64_t prompt = 0; prompt < 300; ++prompt) {
+        found.push_back(board.choose(now, forPrompt(prompt * 7919))->record.id.text);
+    }
+    return found;
+}
+
+TEST(PlacingByPrompt, AReplacementTakesOverTheLeaversPromptsAndNoOthers)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c", "d"}));
+    const auto before = homes(board, at(0));
+    board.setRecords(at(20), engineList({"a", "b", "c", "d", "e"})); // the new one starts first
+    CHECK(homes(board, at(20)) == before);
+    board.setRecords(at(21), engineList({"a", "b", "d", "e"})); // then an old one drains
+    auto expected = before;
+    std::replace(expected.begin(), expected.end(), std::string("c"), std::string("e"));
+    CHECK(homes(board, at(21)) == expected);
+}
+
+TEST(PlacingByPrompt, EnginesNotHeardOfForAMomentDoNotCountAsIdle)
+{
+    board.setRecords(at(0), engines(12));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    for (int i = 0; i < 12; ++i) {
+        board.onLoad(at(0), {"e" + std::to_string(i)}, {6, 0, 64, 1});
+    }
+    board.onLoad(at(3), home, {7, 0, 64, 1}); // all other reports are old
+    CHECK(board.choose(at(3), forPrompt(42))->record.id == home);
+    board.onLoad(at(3), home, {16, 0, 64, 1}); // over twice the mean, and three
+    CHECK(board.choose(at(3), forPrompt(42))->record.id != home);
+}
+
+TEST(PlacingByPrompt, PeersCountsGoBeforeOldReports)
+{
+    board.setRecords(at(0), engines(12));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    board.setPeersHeard(1);
+    board.onLoad(at(0), home, {30, 0, 64, 1});
+    CHECK(board.choose(at(0.05), forPrompt(42))->record.id != home); // the report is young
+    CHECK(board.choose(at(0.5), forPrompt(42))->record.id == home);  // nobody has calls there now
+    board.onPeerLoads(at(0.5), 1, {{endpointHash({home.text}), 9, 0}});
+    CHECK(board.choose(at(0.5), forPrompt(42))->record.id != home);
+    board.onPeerLoads(at(0.7), 1, {}); // the newest of a peer replaces what it said before
+    CHECK(board.choose(at(0.7), forPrompt(42))->record.id == home);
+    LONGS_EQUAL(0, board.ownLoads().size());
+    board.onSent(home);
+    LONGS_EQUAL(1, board.ownLoads().size());
+}
+
+TEST(PlacingByPrompt, ACopyComesFromTheHomeOrFromTheOneThatStoodInForIt)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c"}));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    const EndpointId standIn = board.cacheSource(at(0), forPrompt(42), home)->record.id;
+    CHECK(standIn != home);
+    std::vector<std::string> others;
+    for (const char *id : {"a", "b", "c"}) {
+        if (home.text != id) {
+            others.emplace_back(id);
+        }
+    }
+    board.setRecords(at(20), engineList(others));
+    CHECK(board.choose(at(20), forPrompt(42))->record.id == standIn); // it reads the prompt while the home is away
+    board.setRecords(at(30), engineList({"a", "b", "c"}));
+    STRCMP_EQUAL(home.text.c_str(), board.cacheSource(at(30), forPrompt(42), standIn)->record.id.text.c_str());
+    board.onSent(home);
+    board.onEnded(at(30), home, AttemptEnd::Unreachable);
+    POINTERS_EQUAL(nullptr, board.cacheSource(at(30), forPrompt(42), standIn)); // never wait for a failing one
+    PlaceRequest plain = forPrompt(42);
+    plain.affinity.reset();
+    POINTERS_EQUAL(nullptr, board.cacheSource(at(30), plain, standIn));
+}
+
+/// Fifteen routers before twelve engines, hot prompts, demand that swings; routers tell each other every 150 ms.
+struct SwingDay {
+    explicit SwingDay(std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::uint64_t i = 0; i < routers; ++i) {
+            fleet.push_back(std::make_unique<EndpointBoard>(BoardSettings(), DataCentreId{"here"}, i));
+            fleet.back()->setRecords(at(0), engines(12));
+        }
+    }
+    double uniform() { return boost::random::uniform_real_distribution<double>(0, 1)(random); }
+
+    void tellPeers(double now)
+    {
+        for (std::size_t from = 0; from < routers; ++from) {
+            for (std::size_t to = 0; to < routers; ++to) {
+                fleet[to]->setPeersHeard(routers - 1);
+                if (from != to) {
+                    fleet[to]->onPeerLoads(at(now), static_cast<std::uint32_t>(from), fleet[from]->ownLoads());
+                }
+            }
+        }
+    }
+
+    void end(double now)
+    {
+        while (!running.empty() && running.begin()->first <= now) {
+            const auto [router, id] = running.begin()->second;
+            running.erase(running.begin());
+            --held[id];
+            fleet[router]->onEnded(at(now), id, AttemptEnd::Good);
+        }
+    }
+
+    void arrive(double now)
+    {
+        const auto router = static_cast<std::size_t>(uniform() * routers);
+        const double skewed = std::pow(uniform(), 4); // a few prompts get most of the traffic
+        const auto prompt = static_cast<std::uint64_t>(skewed * 60);
+        const EndpointId id = fleet[router]->choose(at(now), forPrompt(prompt * 7919))->record.id;
+        const double mean = static_cast<double>(running.size()) / 12;
+        ++arrivals;
+        over += held[id] > 2 * mean + 3 ? 1 : 0;
+        ++held[id];
+        fleet[router]->onSent(id);
+        running.emplace(now + 0.2 + uniform(), std::make_pair(router, id));
+    }
+
+    /// @return worst share, in any five seconds, of requests that reach an engine over the bound
+    double run()
+    {
+        double worst = 0;
+        for (double now = 0, next = 0, told = 0, window = 5; now < 40; now += 0.002) {
+            end(now);
+            if (now >= told) {
+                tellPeers(now);
+                told += 0.15;
+            }
+            const double rate = std::fmod(now, 15) < 7 ? 140 : 30;
+            while (next <= now) {
+                arrive(now);
+                next += -std::log(1 - uniform()) / rate;
+            }
+            if (now >= window) {
+                worst = std::max(worst, static_cast<double>(over) / arrivals);
+                over = 0;
+                arrivals = 0;
+                window += 5;
+            }
+        }
+        return worst;
+    }
+
+    static constexpr std::size_t routers = 15;
+    boost::random::mt19937_64 random;
+    std::vector<std::unique_ptr<EndpointBoard>> fleet;
+    std::multimap<double, std::pair<std::size_t, EndpointId>> running; // by their end
+    std::map<EndpointId, int> held;
+    int arrivals = 0;
+    int over = 0;
+};
+
+TEST(PlacingByPrompt, TheFleetKeepsTheBoundWhileDemandSwings)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const double worst = SwingDay(seed).run();
+        CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
+    }
+}
+
+TEST(PlacingByPrompt, AnEngineThatReturnsUnderItsNameFindsItsPromptsAgain)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c"}));
+    const auto before = homes(board, at(0));
+    board.setRecords(at(20), engineList({"a", "b"}));
+    CHECK(homes(board, at(20)) != before);
+    board.setRecords(at(24), engineList({"a", "b", "c"}));
+    CHECK(homes(board, at(24)) == before);
+}
+
+TEST(PlacingByPrompt, NewcomersGetPromptsOfTheirOwnOnceTheOthersAreBusy)
+{
+    board.setRecords(at(0), engineList({"a", "b"}));
+    board.setRecords(at(20), engineList({"a", "b", "c"}));
+    const auto before = homes(board, at(20));
+    board.settle(at(20));
+    CHECK(homes(board, at(20)) == before);
+    for (const char *id : {"a", "b"}) {
+        board.onLoad(at(21), {id}, {40, 0, 64, 1});
+    }
+    board.settle(at(21));
+    const auto after = homes(board, at(30)); // the reports are old by then
+    CHECK(std::count(after.begin(), after.end(), "c") > 50);
+}
--- /dev/null
+++ b/tests/platform.cpp
@@ -0,0 +1,113 @@
+// The platform's wire, decoded: documents, headers, store calls; and what other writers put there.
+#include "platform/documents.h"
+#include "platform/headers.h"
+#include "platform/store.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenafold;
+
+TEST_GROUP(PlatformWire){static std::string entry(const std::string &more){
+    return R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":1700000000000)" + more
+    + "}";
+}
+static std::optional<RouteTable> table(const std::string &json)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<RouteTable>> {
+            BOOST_LEAF_AUTO(decoded, decodeDesiredState(json));
+            return std::optional<RouteTable>(std::move(decoded));
+        },
+        [] { return std::optional<RouteTable>(); });
+}
+}
+;
+
+TEST(PlatformWire, AnEntryOfAnotherWriterNamesNoReplica)
+{
+    CHECK(decodeReplica({"a"}, entry("")).has_value());
+    LONGS_EQUAL(1700000000000, decodeReplica({"a"}, entry(""))->started.count());
+    CHECK(!decodeReplica({"a"}, "\xff\x01 not json"));
+    CHECK(!decodeReplica({"a"}, "[]"));
+    CHECK(!decodeReplica({"a"}, ""));
+    CHECK(!decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80"})"));
+    CHECK(!decodeReplica({"a"}, R"({"service":7,"address":"10.0.0.1:80","state":"ready"})"));
+    CHECK(!decodeReplica({"a"}, R"({"service":"s","address":"here","state":"ready"})"));
+    CHECK(!decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"odd"})"));
+    CHECK(decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"draining"})")->isDraining);
+}
+
+TEST(PlatformWire, ADesiredStateThatCannotBeReadIsAnErrorValue)
+{
+    CHECK(!table("{"));
+    CHECK(!table(R"({"version":1})"));
+    CHECK(!table(R"({"version":"x","routes":[]})"));
+    const auto decoded = table(
+        R"({"version":9,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"streaming","streamResume":true,)"
+        R"("timeoutMs":1500.5,"trafficSplit":[{"service":"x","weight":90},{"service":"y","weight":10}],"maxAttempts":2}],)"
+        R"("tenants":[{"name":"t","apiKeys":["k"],"priority":1}]})");
+    CHECK(decoded.has_value());
+    const Route *route = decoded->find("h", "/a/b");
+    CHECK(route->isRepeatable());
+    LONGS_EQUAL(1500500, route->timeout.count());
+    LONGS_EQUAL(2, route->targets.size());
+    STRCMP_EQUAL("t", decoded->account("k")->id.text.c_str());
+    POINTERS_EQUAL(nullptr, decoded->account("l"));
+}
+
+TEST(PlatformWire, HeadersAreReadStrictlyAndAffinityIsOnlyASaving)
+{
+    const Dialect dialect = platformDialect();
+    const CallFields call = dialect.decodeCall({{"x-galenafold-prompt-prefix", "5c1e07a2:800, 91bd3f06:410"},
+                                                {"X-Galenafold-Token-Count", "1460,80"},
+                                                {"X-Galenafold-Deadline-Ms", "1500"},
+                                                {"Last-Event-Id", "12"}});
+    LONGS_EQUAL(2, call.promptParts.size());
+    CHECK(call.promptParts[0].id == 0x5c1e07a2);
+    LONGS_EQUAL(1460, static_cast<int>(call.promptTokens));
+    LONGS_EQUAL(12, *call.resumeAfter);
+    CHECK(*call.patience == std::chrono::milliseconds(1500));
+    const CallFields odd =
+        dialect.decodeCall({{"X-Galenafold-Prompt-Prefix", "zz:1,5:x"}, {"X-Galenafold-Deadline-Ms", "soon"}});
+    CHECK(odd.promptParts.empty());
+    CHECK(!odd.patience);
+}
+
+TEST(PlatformWire, AnswersTellLoadAndWhatHasNotRun)
+{
+    const Dialect dialect = platformDialect();
+    ResponseHead head;
+    head.status = 421;
+    CHECK(dialect.decodeAnswer(head).saysNotRun);
+    head.status = 503;
+    CHECK(!dialect.decodeAnswer(head).saysNotRun);
+    head.fields = {
+        {"X-Galenafold-Not-Executed", "1"}, {"X-Galenafold-Replica-Load", "3,1,8,250"}, {"Keep-Alive", "timeout=5"}};
+    const AnswerFields answer = dialect.decodeAnswer(head);
+    CHECK(answer.saysNotRun);
+    LONGS_EQUAL(3, answer.load->running);
+    DOUBLES_EQUAL(2.5, answer.load->slowdown, 0.001);
+    CHECK(*answer.idleLifetime == std::chrono::seconds(5));
+    head.fields = {{"X-Galenafold-Replica-Load", "3,one"}};
+    CHECK(!dialect.decodeAnswer(head).load);
+}
+
+TEST(PlatformWire, StoreAnswersThatAreCutAreNotTakenForEmptyOnes)
+{
+    const std::string end(7, '\0');
+    const std::string whole = end + "\x02" + end + std::string(1, '\0') + std::string("\0\0\0\x04\x02kkv", 8);
+    const auto read = decodeRead(whole, 1);
+    CHECK(read.has_value());
+    LONGS_EQUAL(2, read->end);
+    STRCMP_EQUAL("kk", read->records.at(0).key.c_str());
+    STRCMP_EQUAL("v", read->records.at(0).value.c_str());
+    LONGS_EQUAL(1, read->records.at(0).offset);
+    for (const std::size_t size : {0, 5, 15, 18, 22}) {
+        CHECK(!decodeRead(whole.substr(0, size), 1));
+    }
+    CHECK(!decodePage("{}"));
+    CHECK(!decodePage(R"({"items":[{"key":"a","value":"!!!!","offset":1}],"end":2})"));
+    const auto page = decodePage(R"({"items":[{"key":"a","value":"aGk=","offset":1}],"truncated":true,"end":2})");
+    STRCMP_EQUAL("hi", page->records.at(0).value.c_str());
+    CHECK(page->isTruncated);
+}
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -74,3 +74,33 @@
     LONGS_EQUAL(1, contractFaults(goodContract + "[class.x]\ntask = x\n"));
     LONGS_EQUAL(1, contractFaults("[contract]\ncustomer = a\nrate = 1\nconcurrency = 1\n"));
 }
+
+static std::vector<std::string> routerFaultsOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::vector<std::string>> {
+            BOOST_LEAF_CHECK(parseRouterSettings("router.ini", text));
+            return std::vector<std::string>();
+        },
+        [](const SettingsFaults &faults) {
+            std::vector<std::string> messages;
+            for (const IniFault &fault : faults.faults) {
+                messages.push_back(fault.message());
+            }
+            return messages;
+        },
+        [] { return std::vector<std::string>{"another error"}; });
+}
+
+TEST(Settings, OfTheUsersPlatformAreCheckedWhole)
+{
+    const std::string good =
+        "[router]\nname = a\ndata_centre = z\n[listen]\ncallers = 10.0.0.1:1\nadmin = 10.0.0.1:2\n"
+        "peers = 10.0.0.1:3\n[peers]\nseeds = 10.0.0.2:3,10.0.0.3:3\n[store]\naddress = 10.0.0.9:4\n"
+        "[promises]\nrevoke_within_ms = 5000\ndrain_within_s = 7.5\n";
+    LONGS_EQUAL(0, routerFaultsOf(good).size());
+    CHECK(namesStore(good));
+    CHECK(!namesStore("[platform]\nlog = x\n"));
+    const auto faults = routerFaultsOf("[router]\nname = a\n[promises]\nrevoke_within_ms = soon\nodd = 1\n");
+    CHECK(faults.size() >= 6); // all at once: five missing keys, a value and an unknown key
+}
--- a/traffic/caller.cpp
+++ b/traffic/caller.cpp
@@ -1,19 +1,14 @@
 // One caller's connection.
 #include "traffic/caller.h"
 
+#include "net/status.h"
+
 #include <algorithm>
 
 namespace galenafold
 {
 
 constexpr std::size_t mostHeldBytes = 65536; // sent ahead of the answer at hand; more is left in the socket
-constexpr int statusBadRequest = 400;
-constexpr int statusRequestTimeout = 408;
-constexpr int statusBodyTooLarge = 413;
-constexpr int statusHeadTooLarge = 431;
-constexpr int firstStatusWithBody = 200;
-constexpr int statusNoContent = 204;
-constexpr int statusNotModified = 304;
 
 Caller::Caller(asio::io_context &io, asio::ip::tcp::socket socket, const CallerHooks &hooks)
     : m_io(io)
@@ -193,7 +188,7 @@
     }
     std::string bytes;
     appendHead(bytes, status, fields);
-    const bool mayHaveBody = status >= firstStatusWithBody && status != statusNoContent && status != statusNotModified;
+    const bool mayHaveBody = status >= firstFinalStatus && status != statusNoContent && status != statusNotModified;
     if (mayHaveBody && !m_isHeadRequest) {
         appendField(bytes, "Content-Length", std::to_string(body.size()));
     }
--- a/traffic/endpointlink.cpp
+++ b/traffic/endpointlink.cpp
@@ -1,6 +1,8 @@
 // Connections to replicas.
 #include "traffic/endpointlink.h"
 
+#include "net/status.h"
+
 #include <algorithm>
 
 namespace galenafold
@@ -13,7 +15,6 @@
 constexpr std::size_t mostIdleLinks = 8; // kept for one replica
 constexpr std::uint64_t mostAnswerBytes = 64U << 20U;
 constexpr std::uint32_t mostAnswerHeadBytes = 32768;
-constexpr int firstFinalStatus = 200; // lower ones are interim answers
 
 // Link
 
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -2,20 +2,13 @@
 #include "traffic/requestflow.h"
 
 #include "control/loadview.h"
+#include "net/status.h"
 
 #include <algorithm>
 
 namespace galenafold
 {
 
-constexpr int statusOk = 200;
-constexpr int firstStatusOfErrors = 300;
-constexpr int firstStatusOfServerErrors = 500;
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusGatewayTimeout = 504;
 constexpr auto defaultPatience = std::chrono::seconds(30); // of a caller that does not say
 constexpr auto leastWorthSending = std::chrono::milliseconds(10);
 constexpr auto retrySoon = std::chrono::milliseconds(250);
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -56,19 +56,7 @@
 
 bool Traffic::start()
 {
-    const auto address = parseAddress(m_settings.listenAddress);
-    asio::error_code error;
-    if (!address || !m_peers.start()) {
-        return false;
-    }
-    m_acceptor.open(address->protocol(), error);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    m_acceptor.bind(*address, error);
-    if (error) {
-        return false;
-    }
-    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
+    if (!listenOn(m_acceptor, m_settings.listenAddress) || !m_peers.start()) {
         return false;
     }
     m_port = m_acceptor.local_endpoint().port();
