--- a/benchmarks/relay.cpp
+++ b/benchmarks/relay.cpp
@@ -17,20 +17,12 @@
 #include <cstdio>
 #include <fcntl.h>
 #include <malloc.h>
-#include <nlohmann/json.hpp>
 #include <sys/resource.h>
 
 namespace galenafold
 {
 
-using Json = nlohmann::json;
-
-static std::string request(const std::string &path, int number)
-{
-    const std::string id = "r" + std::to_string(number);
-    return "POST " + path + " HTTP/1.1\r\nHost: app.example\r\nX-Galenafold-Attempt-Id: " + id
-        + "\r\nX-Galenafold-Deadline-Ms: 60000\r\nContent-Length: 2\r\n\r\nhi";
-}
+constexpr int patienceMs = 60000; // longer than any run
 
 static double processSeconds()
 {
@@ -73,7 +65,7 @@
     std::vector<double> micros;
     for (int i = 0; i < requests; ++i) {
         const Instant begin = clockNow();
-        connection.send(request("/any/x", i));
+        connection.send(callerRequest("/any/x", "r" + std::to_string(i), "", patienceMs));
         connection.readUntil("the-end");
         micros.push_back(static_cast<double>((clockNow() - begin).count()));
     }
@@ -93,7 +85,7 @@
     std::vector<std::unique_ptr<Connection>> open;
     for (int i = 0; i < streams; ++i) {
         open.push_back(std::make_unique<Connection>(port));
-        open.back()->send(request("/live/x", i));
+        open.back()->send(callerRequest("/live/x", "r" + std::to_string(i), "", patienceMs));
     }
     for (const auto &connection : open) {
         connection->readUntil("event-" + std::to_string(events / 2));
@@ -118,13 +110,6 @@
     reply->after(pace, [reply, next, events] { stream(reply, next + 1, events); });
 }
 
-static Json route(const std::string &name, const std::string &kind)
-{
-    return {{"name", name},     {"host", "app.example"}, {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},     {"timeoutMs", 60000},    {"service", "svc"},
-            {"maxAttempts", 2}, {"public", true}};
-}
-
 static int run(int requests, int streams, int events)
 {
     FakeReplica replica("a", "svc", [events](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
@@ -139,8 +124,7 @@
     replica.start();
     store.start();
     store.put("keyed.servers", "a", replica.entry());
-    const Json state{{"version", 1}, {"routes", Json::array({route("any", "idempotent"), route("live", "streaming")})}};
-    store.put("keyed.op", "config", state.dump());
+    store.put("keyed.op", "config", sampleDesiredState(1, {{"any"}, {"live", "streaming", 1, false, patienceMs}}, {}));
     RouterSettings settings;
     settings.name.text = "r1";
     settings.callers = "127.0.0.1:0";
--- a/control/routes.cpp
+++ b/control/routes.cpp
@@ -17,9 +17,9 @@
 void RouteTable::addRoute(Route route)
 {
     std::vector<Route> &routes = m_hosts[lowerCase(route.host)];
-    const auto isSame = [&route](const Route &other) { return other.pathPrefix == route.pathPrefix; };
+    const auto isSame = [&route](const Route &other) { return other.prefix == route.prefix; };
     routes.erase(std::remove_if(routes.begin(), routes.end(), isSame), routes.end());
-    const auto isShorter = [](const Route &a, const Route &b) { return a.pathPrefix.size() > b.pathPrefix.size(); };
+    const auto isShorter = [](const Route &a, const Route &b) { return a.prefix.size() > b.prefix.size(); };
     routes.insert(std::upper_bound(routes.begin(), routes.end(), route, isShorter), std::move(route));
 }
 
@@ -30,7 +30,7 @@
         return nullptr;
     }
     for (const Route &route : found->second) {
-        if (path.compare(0, route.pathPrefix.size(), route.pathPrefix) == 0) {
+        if (path.compare(0, route.prefix.size(), route.prefix) == 0) {
             return &route;
         }
     }
--- a/control/routes.h
+++ b/control/routes.h
@@ -35,7 +35,7 @@
 struct Route {
     RouteId id;
     std::string host;
-    std::string pathPrefix; // begins and ends with a slash
+    std::string prefix; // begins and ends with a slash
     CallKind kind = CallKind::NonIdempotent;
     Span timeout = std::chrono::seconds(30);  // longest that a caller is kept waiting
     Span objective = std::chrono::seconds(1); // an answer (of a stream: its first event) is on time within this
--- a/fakes/keyedstore.cpp
+++ b/fakes/keyedstore.cpp
@@ -12,6 +12,33 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusGone = 410;
 
+std::string sampleDesiredState(int version, const std::vector<SampleRoute> &routes,
+                               const std::vector<std::string> &keys)
+{
+    Json list = Json::array();
+    for (const SampleRoute &route : routes) {
+        list.push_back({{"name", route.name},
+                        {"host", "app.example"},
+                        {"pathPrefix", "/" + route.name + "/"},
+                        {"kind", route.kind},
+                        {"timeoutMs", route.timeoutMs},
+                        {"targetLatencyMs", 20000},
+                        {"service", "svc"},
+                        {"maxAttempts", route.attempts},
+                        {"public", keys.empty()},
+                        {"sessionAffinity", false},
+                        {"streamResume", route.isResumable}});
+    }
+    const Json limits{
+        {"maxHeaderBytes", 2000}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 300}, {"idleTimeoutMs", 60000}};
+    return Json{{"version", version},
+                {"routes", list},
+                {"services", Json::array({{{"name", "svc"}, {"healthPath", "/health"}}})},
+                {"limits", limits},
+                {"tenants", Json::array({{{"name", "acme"}, {"apiKeys", keys}}})}}
+        .dump();
+}
+
 static ServerLimits storeLimits()
 {
     ServerLimits limits;
--- a/fakes/keyedstore.h
+++ b/fakes/keyedstore.h
@@ -19,6 +19,20 @@
     Silent, // accepts, and never answers while it lasts
 };
 
+/// A route of a sample desired state; its host is app.example, its prefix its name, its service "svc".
+struct SampleRoute {
+    std::string name;
+    std::string kind = "idempotent";
+    int attempts = 1;
+    bool isResumable = false;
+    int timeoutMs = 20000;
+};
+
+/// @param keys of the one client account, "acme"; none: all routes are public @return a desired state, as the store
+/// holds it
+std::string sampleDesiredState(int version, const std::vector<SampleRoute> &routes,
+                               const std::vector<std::string> &keys);
+
 class FakeKeyedStore
 {
 public:
--- a/fakes/replica.cpp
+++ b/fakes/replica.cpp
@@ -14,6 +14,14 @@
     return found ? *found : "";
 }
 
+std::string callerRequest(const std::string &path, const std::string &id, const std::string &key, int patienceMs,
+                          const std::string &more, const std::string &body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: app.example\r\nX-Galenafold-Attempt-Id: " + id + "\r\nX-Api-Key: " + key
+        + "\r\nX-Galenafold-Deadline-Ms: " + std::to_string(patienceMs) + "\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 // Reply
 
 ReplicaReply::ReplicaReply(std::shared_ptr<TcpStream> stream, asio::io_context &io)
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -21,6 +21,10 @@
     std::string field(const std::string &name) const; ///< @return "" when absent
 };
 
+/// @param more header lines, each with its end @return a caller's request, as it goes over the wire
+std::string callerRequest(const std::string &path, const std::string &id, const std::string &key = "k1",
+                          int patienceMs = 20000, const std::string &more = "", const std::string &body = "hello");
+
 /// What a script does with one request. Its calls may come at once or later, on the replica's thread.
 class ReplicaReply
 {
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -26,7 +26,7 @@
 {
     FakeReplica &replica = site.add("a", answersWell);
     site.startReady();
-    const auto caller = site.send(request(
+    const auto caller = site.send(callerRequest(
         "/once/x?q=1", "id-1", "k1", 5000,
         "X-Galenafold-Tenant: forged\r\nX-Galenafold-Hold: 7\r\nKv-From: 1.2.3.4:1/2\r\n"
         "X-Galenafold-Pin-Ms: 9\r\nX-Galenafold-Kv-Backup: 1.2.3.4:1\r\nKv-Fetch: 1.2.3.4:1\r\nX-Own: kept\r\n"));
@@ -57,8 +57,8 @@
         {head + "Content-Length: 10001\r\n\r\n", 413},
         {head + "A: " + std::string(3000, 'x') + "\r\n\r\n", 431},
         {head + "A: unfinished", 408},
-        {request("/once/x", "i", "nobody"), 401},
-        {request("/nowhere/x", "i"), 404},
+        {callerRequest("/once/x", "i", "nobody"), 401},
+        {callerRequest("/nowhere/x", "i"), 404},
     };
     for (const auto &[bytes, status] : cases) {
         const auto caller = site.send(bytes);
@@ -74,7 +74,7 @@
     site.startReady();
     std::string bytes;
     for (int i = 0; i < 20; ++i) {
-        bytes += request("/any/x", "id-" + std::to_string(i), "k1", 20000, "", "b" + std::to_string(i));
+        bytes += callerRequest("/any/x", "id-" + std::to_string(i), "k1", 20000, "", "b" + std::to_string(i));
     }
     const auto caller = site.send(bytes);
     for (int i = 0; i < 20; ++i) {
@@ -88,7 +88,7 @@
     site.store.setTrouble(StoreTrouble::Silent);
     site.start();
     LONGS_EQUAL(503, site.readiness());
-    const auto caller = site.send(request("/once/x", "i"));
+    const auto caller = site.send(callerRequest("/once/x", "i"));
     CHECK(caller->read());
     LONGS_EQUAL(503, caller->status());
     CHECK(!caller->field("Retry-After").empty());
@@ -107,7 +107,7 @@
     FakeReplica &a = site.add("a", [](const auto &, const auto &reply) { reply->reset(); });
     FakeReplica &b = site.add("b", [](const auto &, const auto &reply) { reply->reset(); });
     site.startReady();
-    const auto caller = site.send(request("/once/x", "i"));
+    const auto caller = site.send(callerRequest("/once/x", "i"));
     CHECK(caller->read());
     LONGS_EQUAL(502, caller->status());
     LONGS_EQUAL(1, a.requests().size() + b.requests().size());
@@ -119,7 +119,7 @@
     site.add("b", answersWell);
     site.startReady();
     for (int i = 0; i < 8; ++i) {
-        const auto caller = site.send(request("/once/x", "i" + std::to_string(i)));
+        const auto caller = site.send(callerRequest("/once/x", "i" + std::to_string(i)));
         CHECK(caller->read());
         LONGS_EQUAL(200, caller->status());
     }
@@ -129,7 +129,7 @@
 {
     site.add("a", [](const ReplicaRequest &got, const auto &reply) { reply->send(notRun(got)); });
     site.startReady();
-    const auto caller = site.send(request("/once/x", "i"));
+    const auto caller = site.send(callerRequest("/once/x", "i"));
     CHECK(caller->read());
     LONGS_EQUAL(503, caller->status());
     CHECK(!caller->field("Retry-After").empty());
@@ -141,7 +141,7 @@
     site.add("b", answersWell);
     site.startReady();
     for (int i = 0; i < 6; ++i) {
-        const auto caller = site.send(request("/any/x", "i" + std::to_string(i)));
+        const auto caller = site.send(callerRequest("/any/x", "i" + std::to_string(i)));
         CHECK(caller->read());
         LONGS_EQUAL(200, caller->status());
     }
@@ -155,7 +155,7 @@
     });
     site.startReady();
     for (int i = 0; i < 5; ++i) {
-        const auto caller = site.send(request("/once/x", "i" + std::to_string(i)));
+        const auto caller = site.send(callerRequest("/once/x", "i" + std::to_string(i)));
         CHECK(caller->read());
         LONGS_EQUAL(200, caller->status());
     }
@@ -173,7 +173,7 @@
     {
         site.add("a", script);
         site.startReady();
-        const auto caller = site.send(request("/once/x", "id-1"));
+        const auto caller = site.send(callerRequest("/once/x", "id-1"));
         return caller->read() ? caller->status() : 0;
     }
 };
@@ -226,7 +226,7 @@
     site.startReady();
     for (int i = 0; i < 4; ++i) {
         const std::string body = "b" + std::to_string(i);
-        const auto caller = site.send(request("/any/x", "same-id", "k1", 20000, "", body));
+        const auto caller = site.send(callerRequest("/any/x", "same-id", "k1", 20000, "", body));
         CHECK(caller->read());
         STRCMP_EQUAL(body.c_str(), caller->body().c_str());
     }
@@ -266,7 +266,7 @@
     site.add("a", script);
     site.add("b", script);
     site.startReady();
-    const auto caller = site.send(request("/live/x", "i"));
+    const auto caller = site.send(callerRequest("/live/x", "i"));
     CHECK(caller->read());
     std::string expected;
     for (int i = 0; i < 5; ++i) {
@@ -288,7 +288,7 @@
     FakeReplica &a = site.add("a", script);
     FakeReplica &b = site.add("b", script);
     site.startReady();
-    const auto caller = site.send(request("/live/x", "i"));
+    const auto caller = site.send(callerRequest("/live/x", "i"));
     CHECK(caller->read());
     STRCMP_EQUAL("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", caller->body().c_str());
     CHECK(waitFor([&] { return a.abandoned() + b.abandoned() == 1; })); // never two at work for long
@@ -304,7 +304,7 @@
     FakeReplica &a = site.add("a", script);
     FakeReplica &b = site.add("b", script);
     site.startReady();
-    const auto caller = site.send(request("/frail/x", "i"));
+    const auto caller = site.send(callerRequest("/frail/x", "i"));
     CHECK(!caller->read());
     LONGS_EQUAL(200, caller->status());
     LONGS_EQUAL(1, a.requests().size() + b.requests().size());
@@ -329,7 +329,7 @@
     });
     site.startReady();
     RawCaller caller(site.node->callersPort());
-    caller.send(request("/live/x", "i"));
+    caller.send(callerRequest("/live/x", "i"));
     CHECK(waitFor([this] { return site.metric("calls_streaming") == 1; })); // the first event went out alone
     mayGoOn = true;
     CHECK(caller.read());
@@ -346,7 +346,7 @@
 {
     FakeReplica &replica = site.add("a", [](const auto &, const auto &) {});
     site.startReady();
-    const auto caller = site.send(request("/any/x", "i"));
+    const auto caller = site.send(callerRequest("/any/x", "i"));
     CHECK(waitFor([&] { return replica.requests().size() == 1; }));
     caller->close();
     CHECK(waitFor([&] { return replica.abandoned() == 1; }));
@@ -357,7 +357,7 @@
 {
     FakeReplica &replica = site.add("a", [](const auto &, const auto &) {});
     site.startReady();
-    const auto caller = site.send(request("/brief/x", "i"));
+    const auto caller = site.send(callerRequest("/brief/x", "i"));
     CHECK(caller->read());
     LONGS_EQUAL(504, caller->status());
     CHECK(waitFor([&] { return replica.abandoned() == 1; }));
@@ -373,14 +373,14 @@
     Site site;
     site.add("a", answersWell);
     site.startReady();
-    site.store.put("keyed.op", "config", desiredState(7, {"k2"}).dump());
-    site.store.put("keyed.op", "config", desiredState(6, {"k1"}).dump()); // late: versions never go back
+    site.store.put("keyed.op", "config", desiredState(7, {"k2"}));
+    site.store.put("keyed.op", "config", desiredState(6, {"k1"})); // late: versions never go back
     CHECK(waitFor([&] {
-        const auto caller = site.send(request("/once/x", "i", "k1"));
+        const auto caller = site.send(callerRequest("/once/x", "i", "k1"));
         return caller->read() && caller->status() == 401;
     }));
     CHECK(waitFor([&] { return site.metric("store_records_total") >= 3; }));
-    const auto caller = site.send(request("/once/x", "i", "k1"));
+    const auto caller = site.send(callerRequest("/once/x", "i", "k1"));
     CHECK(caller->read());
     LONGS_EQUAL(401, caller->status());
 }
@@ -392,22 +392,22 @@
     site.startReady();
     site.store.setTrouble(StoreTrouble::Silent);
     CHECK(waitFor([&] {
-        const auto caller = site.send(request("/once/x", "i"));
+        const auto caller = site.send(callerRequest("/once/x", "i"));
         return caller->read() && caller->status() == 503;
     }));
     const std::size_t reached = replica.requests().size();
     CHECK(waitFor([&] { return site.readiness() == 503; })); // new callers go elsewhere
-    site.store.put("keyed.op", "config", desiredState(2, {"k2"}).dump());
-    const auto caller = site.send(request("/once/x", "i"));
+    site.store.put("keyed.op", "config", desiredState(2, {"k2"}));
+    const auto caller = site.send(callerRequest("/once/x", "i"));
     CHECK(caller->read());
     LONGS_EQUAL(503, caller->status());
     LONGS_EQUAL(reached, replica.requests().size());
     site.store.setTrouble(StoreTrouble::None);
     CHECK(waitFor([&] {
-        const auto again = site.send(request("/once/x", "i", "k2"));
+        const auto again = site.send(callerRequest("/once/x", "i", "k2"));
         return again->read() && again->status() == 200;
     }));
-    const auto taken = site.send(request("/once/x", "i", "k1"));
+    const auto taken = site.send(callerRequest("/once/x", "i", "k1"));
     CHECK(taken->read());
     LONGS_EQUAL(401, taken->status());
 }
@@ -421,12 +421,12 @@
     site.startReady();
     site.store.setTrouble(StoreTrouble::Busy);
     CHECK(waitFor([&] { return site.metric("store_lost") > 0; }));
-    site.store.put("keyed.op", "config", desiredState(2, {"k2"}).dump());
+    site.store.put("keyed.op", "config", desiredState(2, {"k2"}));
     site.store.cutHistory("keyed.op");
     site.store.cutHistory("keyed.servers");
     site.store.setTrouble(StoreTrouble::None);
     CHECK(waitFor([&] {
-        const auto caller = site.send(request("/once/x", "i", "k2"));
+        const auto caller = site.send(callerRequest("/once/x", "i", "k2"));
         return caller->read() && caller->status() == 200;
     }));
 }
@@ -447,7 +447,7 @@
     CHECK(waitFor([&] { return site.metric("replicas_usable") == 1; }));
     const std::size_t before = a.requests().size();
     for (int i = 0; i < 10; ++i) {
-        const auto caller = site.send(request("/once/x", "i" + std::to_string(i)));
+        const auto caller = site.send(callerRequest("/once/x", "i" + std::to_string(i)));
         CHECK(caller->read());
         LONGS_EQUAL(200, caller->status());
     }
@@ -472,7 +472,7 @@
         });
     site.startReady();
     const auto idle = site.send("");
-    const auto busy = site.send(request("/once/x", "i"));
+    const auto busy = site.send(callerRequest("/once/x", "i"));
     CHECK(waitFor([&] { return replica.requests().size() == 1; }));
     site.node->beginDrain();
     CHECK(waitFor([&] { return site.readiness() == 503; }));
--- a/tests/routing.cpp
+++ b/tests/routing.cpp
@@ -135,7 +135,7 @@
         Route route;
         route.id.text = prefix;
         route.host = "One.example";
-        route.pathPrefix = prefix;
+        route.prefix = prefix;
         table.addRoute(route);
     }
     STRCMP_EQUAL("/a/b/", table.find("one.example", "/a/b/c")->id.text.c_str());
--- a/tests/schedules.cpp
+++ b/tests/schedules.cpp
@@ -310,8 +310,8 @@
 
 TEST_GROUP(TruthSchedules){
     /// @return what was told wrongly; empty: nothing
-    static std::string checkOne(TruthSite & site, const std::string &route,
-                                const std::string &id){const auto caller = site.send(request("/" + route + "/x", id));
+    static std::string checkOne(TruthSite & site, const std::string &route, const std::string &id){
+        const auto caller = site.send(callerRequest("/" + route + "/x", id));
 const bool isWhole = caller->read();
 const int status = caller->status();
 const int ran = site.runsOf(id);
--- a/tests/site.h
+++ b/tests/site.h
@@ -10,14 +10,11 @@
 #include <CppUTest/TestHarness.h>
 #include <asio/write.hpp>
 #include <fcntl.h>
-#include <nlohmann/json.hpp>
 #include <poll.h>
 
 namespace galenafold
 {
 
-using Json = nlohmann::json;
-
 constexpr auto sitePatience =
     std::chrono::seconds(20); // for events that must come; no verdict rests on how soon they do
 
@@ -74,43 +71,18 @@
     std::string m_held;
 };
 
-inline std::string request(const std::string &path, const std::string &id, const std::string &key = "k1",
-                           int deadline = 20000, const std::string &more = "", const std::string &body = "hello")
-{
-    return "POST " + path + " HTTP/1.1\r\nHost: app.example\r\nX-Galenafold-Attempt-Id: " + id + "\r\nX-Api-Key: " + key
-        + "\r\nX-Galenafold-Deadline-Ms: " + std::to_string(deadline) + "\r\n" + more
-        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 // Site
 
-inline Json route(const std::string &name, const std::string &kind, int attempts, bool isResumable, int timeout = 20000)
-{
-    return {{"name", name},
-            {"host", "app.example"},
-            {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},
-            {"timeoutMs", timeout},
-            {"targetLatencyMs", 20000},
-            {"service", "svc"},
-            {"maxAttempts", attempts},
-            {"public", false},
-            {"sessionAffinity", false},
-            {"streamResume", isResumable}};
-}
-
-inline Json desiredState(int version, const std::vector<std::string> &keys = {"k1"})
+/// @return the desired state that sites start from, with these keys
+inline std::string desiredState(int version, const std::vector<std::string> &keys = {"k1"})
 {
-    const Json routes = Json::array({route("once", "non_idempotent", 1, false), route("any", "idempotent", 2, false),
-                                     route("live", "streaming", 2, true), route("frail", "streaming", 1, false),
-                                     route("brief", "idempotent", 1, false, 300)});
-    const Json limits{
-        {"maxHeaderBytes", 2000}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 300}, {"idleTimeoutMs", 60000}};
-    return {{"version", version},
-            {"routes", routes},
-            {"services", Json::array({{{"name", "svc"}, {"healthPath", "/health"}}})},
-            {"limits", limits},
-            {"tenants", Json::array({{{"name", "acme"}, {"apiKeys", keys}}})}};
+    return sampleDesiredState(version,
+                              {{"once", "non_idempotent"},
+                               {"any", "idempotent", 2},
+                               {"live", "streaming", 2, true},
+                               {"frail", "streaming"},
+                               {"brief", "idempotent", 1, false, 300}},
+                              keys);
 }
 
 inline bool waitFor(const std::function<bool()> &condition)
@@ -161,7 +133,7 @@
     }
     void startReady()
     {
-        store.put("keyed.op", "config", desiredState(1).dump());
+        store.put("keyed.op", "config", desiredState(1));
         start();
         CHECK(waitFor([this] { return readiness() == 200; }));
         CHECK(waitFor([this] { return metric("replicas_usable") == static_cast<int>(replicas.size()); }));
