--- a/daemons/fakes.cpp
+++ b/daemons/fakes.cpp
@@ -2,13 +2,17 @@
 //
 // Prints where the log and the VM list listen, then runs until SIGTERM or SIGINT.
 #include "fakes/engine.h"
+#include "fakes/keyedstore.h"
 #include "fakes/platform.h"
+#include "fakes/replica.h"
 #include "fakes/service.h"
 
 #include <csignal>
 #include <getopt.h>
 #include <glog/logging.h>
 #include <iostream>
+#include <iterator>
+#include <sstream>
 
 namespace galenafold
 {
@@ -18,13 +22,16 @@
 struct Arguments {
     int engines = 2;
     std::vector<VmRecord> entries;
+    bool isPlatform = false;
 };
 
 static void printHelp()
 {
     std::cout << "usage: galenafold-fakes [--engines N] --entry NAME:HTTP_PORT:PEER_PORT [--entry ...]\n"
+                 "       galenafold-fakes --platform\n"
                  "\n"
-                 "Engines serve model tea-large, one service serves ledger; all on 127.0.0.1.\n";
+                 "With --platform: a store with keyed topics and two replicas, for daemons on the users' platform.\n"
+                 "Else: engines serve model tea-large, one service serves ledger; all on 127.0.0.1.\n";
 }
 
 /// Reads "NAME:HTTP_PORT:PEER_PORT". @return false when it is not of that form
@@ -43,14 +50,17 @@
 
 static bool parseArguments(int argc, char **argv, Arguments &arguments)
 {
-    static const option options[] = {{"engines", required_argument, nullptr, 'n'},
+    static const option options[] = {{"platform", no_argument, nullptr, 'p'},
+                                     {"engines", required_argument, nullptr, 'n'},
                                      {"entry", required_argument, nullptr, 'e'},
                                      {"help", no_argument, nullptr, 'h'},
                                      {nullptr, 0, nullptr, 0}};
     int letter = 0;
-    while ((letter = getopt_long(argc, argv, "n:e:h", options, nullptr)) != -1) {
+    while ((letter = getopt_long(argc, argv, "pn:e:h", options, nullptr)) != -1) {
         VmRecord entry;
-        if (letter == 'n') {
+        if (letter == 'p') {
+            arguments.isPlatform = true;
+        } else if (letter == 'n') {
             arguments.engines = std::atoi(optarg);
         } else if (letter == 'e' && parseEntry(optarg, entry)) {
             arguments.entries.push_back(entry);
@@ -58,7 +68,46 @@
             return false;
         }
     }
-    return optind == argc && !arguments.entries.empty() && arguments.engines > 0;
+    const bool isFleet = !arguments.entries.empty() && arguments.engines > 0;
+    return optind == argc && (arguments.isPlatform || isFleet);
+}
+
+static void answer(const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply)
+{
+    constexpr int events = 3;
+    if (request.head.target.find("/live/") != 0) {
+        reply->answer(request, 200, "done:" + request.body);
+        return;
+    }
+    reply->beginStream(request);
+    for (int i = 0; i < events; ++i) {
+        reply->event(i, "x");
+    }
+    reply->endStream();
+}
+
+/// A store and two replicas. Each line of standard input is a list of API keys, parted by spaces: the next version.
+static int runPlatform()
+{
+    FakeKeyedStore store;
+    FakeReplica one("i-1", "svc", answer);
+    FakeReplica two("i-2", "svc", answer);
+    store.start();
+    one.start();
+    two.start();
+    store.put("keyed.servers", one.id(), one.entry());
+    store.put("keyed.servers", two.id(), two.entry());
+    std::cout << "store = " << store.address() << std::endl;
+    int version = 0;
+    std::string line;
+    while (std::getline(std::cin, line)) {
+        std::istringstream in(line);
+        const std::vector<std::string> keys{std::istream_iterator<std::string>(in), {}};
+        store.put("keyed.op", "config",
+                  sampleDesiredState(++version, {{"once", "non_idempotent"}, {"live", "streaming"}}, keys));
+        std::cout << "version = " << version << std::endl;
+    }
+    return 0;
 }
 
 static int run(int argc, char **argv)
@@ -68,6 +117,9 @@
         printHelp();
         return statusUsage;
     }
+    if (arguments.isPlatform) {
+        return runPlatform();
+    }
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
--- a/daemons/galenafold.cpp
+++ b/daemons/galenafold.cpp
@@ -300,7 +300,8 @@
                               {"text", line.sentence}}
                       << '\n';
         } else {
-            std::cout << line.time.count() << ' ' << line.daemon << ": " << line.sentence << '\n';
+            std::cout << line.time.count() << ' ' << line.daemon << (line.daemon.empty() ? "" : ": ") << line.sentence
+                      << '\n';
         }
     }
     return statusOk;
