Refuse unknown routes as not run while the desired state may be old; drop a setting that nothing read

Cause: a VM that is cut off from the store denied routes (404) that may have been added meanwhile. apply_within_ms was checked and never used. The test of keys without a young proof asks for such a route too; it failed before (404).

--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -292,7 +292,6 @@
     std::string peers;              // IP:PORT for beacons between routers; "" none
     std::vector<std::string> seeds; // IP:PORT of a few routers, for beacons
     Span revokeWithin{};            // a key may serve this long after it was taken away; 0: not bounded
-    Span applyWithin = std::chrono::milliseconds(2000);  // a new desired state is in force
     Span leaveWithin = std::chrono::milliseconds(2000);  // a leaving endpoint gets no new work
     Span settleWithin = std::chrono::milliseconds(3000); // after a fault of the VM, promises hold again
     Span drainWithin = std::chrono::seconds(8);          // from SIGTERM to the end
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -110,7 +110,6 @@
         {"peers", "seeds", textListField(settings.seeds)},
         {"store", "address", textField(settings.store), true},
         {"promises", "revoke_within_ms", millisField(settings.revokeWithin, 0, dayMillis)},
-        {"promises", "apply_within_ms", millisField(settings.applyWithin, 1, dayMillis)},
         {"promises", "leave_within_ms", millisField(settings.leaveWithin, 1, dayMillis)},
         {"promises", "settle_within_ms", millisField(settings.settleWithin, 1, dayMillis)},
         {"promises", "drain_within_s", secondsField(settings.drainWithin, 1, daySeconds)},
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -402,6 +402,9 @@
     CHECK(caller->read());
     LONGS_EQUAL(503, caller->status());
     LONGS_EQUAL(reached, replica.requests().size());
+    const auto unknown = site.send(callerRequest("/perhaps-new/x", "i"));
+    CHECK(unknown->read());
+    LONGS_EQUAL(503, unknown->status()); // the route may have been added meanwhile
     site.store.setTrouble(StoreTrouble::None);
     CHECK(waitFor([&] {
         const auto again = site.send(callerRequest("/once/x", "i", "k2"));
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -92,7 +92,8 @@
     place(now);
 }
 
-bool RequestFlow::findRoute(Instant)
+/// Without a young proof an unknown route may be a new one: it is refused as not run, not denied.
+bool RequestFlow::findRoute(Instant now)
 {
     if (!m_table) {
         refuse(statusUnavailable, EndReason::NoDesiredState, retrySoon);
@@ -103,11 +104,15 @@
     std::string_view host = *findField(m_request.head.fields, "host");
     host = host.substr(0, host.find(':'));
     m_route = m_table->find(host, path);
-    if (!m_route || m_route->targets.empty()) {
+    if (m_route && !m_route->targets.empty()) {
+        return true;
+    }
+    if (m_state.proof.holds(now)) {
         refuse(statusNotFound, EndReason::NoRoute, Span{});
-        return false;
+    } else {
+        refuse(statusUnavailable, EndReason::NoRoute, retryWhenProved);
     }
-    return true;
+    return false;
 }
 
 bool RequestFlow::checkKey(Instant now)
