Drop what nothing calls on the new data path

Read through as a whole: accessors and fields that no code reads (a link's idle time, the pool's count, the board's find, serves and size, the events' count, a topic's listed flag, a caller's idle flag, a field of the follow-up, a peer's name). Behaviour and tests are unchanged.

--- a/control/keyedtopic.h
+++ b/control/keyedtopic.h
@@ -73,8 +73,6 @@
     void onHistoryCut();         ///< What was to be read next is deleted: list again.
     void onFailure(Instant now); ///< Lost, late, refused or unreadable.
 
-    bool isListed() const { return !m_isListing; }
-
 private:
     TopicPace m_pace;
     TopicHooks m_hooks;
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -309,16 +309,4 @@
     return loads;
 }
 
-const EndpointState *EndpointBoard::find(const EndpointId &id) const
-{
-    const auto found = m_endpoints.find(id);
-    return found == m_endpoints.end() ? nullptr : &found->second;
-}
-
-bool EndpointBoard::serves(const ServiceId &service) const
-{
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(),
-                       [&service](const auto &entry) { return entry.second.record.service == service; });
-}
-
 } // namespace galenafold
--- a/filters/board.h
+++ b/filters/board.h
@@ -97,9 +97,6 @@
     const EndpointState *cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const;
 
     double load(Instant now, const EndpointState &state) const; ///< @return requests in progress there, as best known
-    const EndpointState *find(const EndpointId &id) const;
-    bool serves(const ServiceId &service) const;
-    std::size_t size() const { return m_endpoints.size(); }
 
 private:
     void takePlaces();
--- a/filters/events.cpp
+++ b/filters/events.cpp
@@ -56,7 +56,6 @@
         if (id) {
             m_lastId = id;
         }
-        ++m_events;
         whole.append(event);
     }
     m_rest.erase(0, from);
--- a/filters/events.h
+++ b/filters/events.h
@@ -22,13 +22,11 @@
     std::optional<std::int64_t> lastId() const { return m_lastId; } ///< @return id of the last whole event
     bool hasRest() const { return !m_rest.empty(); }                ///< @return true within an event
     bool hasGap() const { return m_hasGap; }                        ///< @return true if an id was skipped or repeated
-    int events() const { return m_events; }                         ///< @return whole events taken
 
 private:
     std::string m_rest;
     std::optional<std::int64_t> m_lastId;
     bool m_hasGap = false;
-    int m_events = 0;
 };
 
 } // namespace galenafold
--- a/filters/followup.h
+++ b/filters/followup.h
@@ -53,7 +53,6 @@
     bool isStreaming = false;  // part of a stream went to the caller
     bool isResumable = false;  // a stream may go on elsewhere
     bool mayHaveRun = false;   // by any attempt, the last one included
-    bool hasRunHere = false;   // the last attempt may have run
     int ran = 0;               // attempts that may have run
     int sent = 0;              // attempts in all
     int maxAttempts = 1;       // that may run
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -38,7 +38,6 @@
     traffic.retry.floor = settings.retryFloor;
     traffic.retry.window = settings.retryWindow;
     traffic.retry.routers = settings.fleetAssumed;
-    traffic.peers.name = settings.name;
     traffic.peers.address = settings.peers;
     traffic.peers.seeds = settings.seeds;
     traffic.seed = hashName(settings.name.text) ^ static_cast<std::uint64_t>(clockNow().time_since_epoch().count());
--- a/traffic/caller.h
+++ b/traffic/caller.h
@@ -43,7 +43,6 @@
 
     std::size_t pending() const { return m_stream->pending(); } ///< @return bytes that the caller has not taken yet
     void closeIfIdle();                                         ///< Closes between requests only.
-    bool isIdle() const { return m_state == State::Idle; }
 
     std::function<void()> onGone;    // the caller left while its request was in progress
     std::function<void()> onDrained; // the caller took all that was written
--- a/traffic/endpointlink.cpp
+++ b/traffic/endpointlink.cpp
@@ -219,9 +219,8 @@
 {
     const auto self = shared_from_this();
     m_isBusy = false;
-    m_idleSince = clockNow();
     const Span life = std::min<Span>(m_answer.idleLifetime.value_or(defaultIdleLife), mostIdleLife);
-    m_useBy = m_idleSince + std::max<Span>(life - idleMargin, life / 2);
+    m_useBy = clockNow() + std::max<Span>(life - idleMargin, life / 2);
     const LinkHooks hooks = std::move(m_hooks);
     m_hooks = LinkHooks();
     if (!isSound() && m_stream) {
@@ -314,13 +313,4 @@
     }
 }
 
-std::size_t LinkPool::idle() const
-{
-    std::size_t count = 0;
-    for (const auto &[endpoint, links] : m_idle) {
-        count += links.size();
-    }
-    return count;
-}
-
 } // namespace galenafold
--- a/traffic/endpointlink.h
+++ b/traffic/endpointlink.h
@@ -52,7 +52,6 @@
     bool isBusy() const { return m_isBusy; }
     bool isSound() const; ///< @return true if the link may carry another request: open, idle, nothing unexpected read
     bool checkIdle();     ///< Looks for an end that the event loop has not seen yet. @return true if still sound
-    Instant idleSince() const { return m_idleSince; }
     Instant useBy() const { return m_useBy; } ///< @return when the replica may close the idle connection
 
     std::function<void()> onIdle; // the link was returned sound, or has ended
@@ -82,7 +81,6 @@
     bool m_expectsNoBody = false;
     bool m_isPoisoned = false; // bytes came that belong to no request
     bool m_isClosing = false;  // the replica will close after this answer
-    Instant m_idleSince{};
     Instant m_useBy = Instant::max();
 };
 
@@ -103,7 +101,6 @@
 
     void drop(const EndpointId &endpoint); ///< Closes the idle links of a replica that has gone.
     void closeOld(Instant now);            ///< Closes links that were idle for too long.
-    std::size_t idle() const;
 
 private:
     asio::io_context &m_io;
--- a/traffic/peers.h
+++ b/traffic/peers.h
@@ -17,7 +17,6 @@
 {
 
 struct PeerSettings {
-    VmId name;
     std::string address;            // IP:PORT of this router's beacons; empty: tells and hears nothing
     std::vector<std::string> seeds; // IP:PORT of a few routers, this one maybe among them
     int bytesPerSecond = 7000;      // that this router may send
