--- a/benchmarks/overhead.cpp
+++ b/benchmarks/overhead.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <fstream>
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 namespace galenafold
 {
@@ -82,12 +83,22 @@
     return 0;
 }
 
+/// @return processor time of the whole process so far
+static double processorMicros()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto micros = [](const timeval &time) { return static_cast<double>(time.tv_sec) * 1e6 + time.tv_usec; };
+    return micros(usage.ru_utime) + micros(usage.ru_stime);
+}
+
 static void measureStreams(int port, const char *what)
 {
     std::mutex mutex;
     std::vector<double> late; // ms, against the pace from each stream's first token
     std::atomic<int> whole{0};
     const double before = residentMegabytes();
+    const double processorBefore = processorMicros();
     double during = 0;
     std::vector<std::thread> callers;
     for (int i = 0; i < streams; ++i) {
@@ -129,10 +140,12 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
+    const double perEvent = (processorMicros() - processorBefore) / (streams * static_cast<double>(streamTokens));
     const double p50 = quantile(late, 0.5); // sorts
-    std::printf("streams %s: %d of %d whole, token late p50 %.2f ms p99 %.2f ms max %.2f ms, memory %.0f KB a stream\n",
-                what, whole.load(), streams, p50, quantile(late, 0.99), late.back(),
-                (during - before) * 1024 / streams);
+    std::printf("streams %s: %d of %d whole, token late p50 %.2f ms p99 %.2f ms max %.2f ms, memory %.0f KB a stream, "
+                "processor %.1f us an event\n",
+                what, whole.load(), streams, p50, quantile(late, 0.99), late.back(), (during - before) * 1024 / streams,
+                perEvent);
 }
 
 // Start
@@ -163,7 +176,9 @@
     Fleet paced(plan);
     paced.publish("kedai", sampleContract("kedai", key, 1e6, 1e6), 0);
     paced.start();
-    measureStreams(paced.engine(0).record({}, {}).port, "direct");
+    const int direct = paced.engine(0).record({}, {}).port;
+    measureStreams(direct, "direct, for warming up");
+    measureStreams(direct, "direct");
     measureStreams(paced.daemon(0).httpPort(), "routed");
     return 0;
 }
--- a/clients/endpoint.cpp
+++ b/clients/endpoint.cpp
@@ -1,4 +1,4 @@
-// Requests to endpoints over cpp-httplib.
+// What endpoints of our own interface speak. Sections of this file: Load, Request, Answer, Probes.
 #include "clients/endpoint.h"
 
 #include "clients/http.h"
@@ -13,10 +13,9 @@
 
 using Json = nlohmann::json;
 
-constexpr auto connectWithin = std::chrono::milliseconds(1000);
 constexpr auto probeWithin = std::chrono::milliseconds(1000);
-constexpr auto idleLife = std::chrono::seconds(10);
-constexpr std::size_t mostIdle = 256; // connections to one endpoint
+
+// Load
 
 bool parseLoad(const std::string &text, Instant now, LoadReport &report)
 {
@@ -46,135 +45,60 @@
     return true;
 }
 
-// Cancel
-
-void CancelToken::cancel()
-{
-    std::shared_ptr<httplib::Client> client;
-    m_isCancelled = true;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        client = m_client;
-    }
-    if (client) {
-        client->stop();
-    }
-}
-
-void CancelToken::attach(const std::shared_ptr<httplib::Client> &client)
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_client = client;
-}
-
-// Client
-
-static std::string poolKey(const VmRecord &endpoint)
-{
-    return endpoint.address + ':' + std::to_string(endpoint.port) + '#'
-        + std::to_string(static_cast<std::uint64_t>(endpoint.incarnation));
-}
+// Request
 
-std::shared_ptr<httplib::Client> EndpointClient::take(const EndpointRequest &request)
+std::string encodeEndpointRequest(const EndpointRequest &request)
 {
-    if (request.mayReuse) {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        std::vector<Idle> &idle = m_idle[poolKey(request.endpoint)];
-        while (!idle.empty()) {
-            const Idle last = idle.back();
-            idle.pop_back();
-            if (last.useBy > clockNow()) {
-                return last.client;
-            }
-        }
-    }
-    auto client = std::make_shared<httplib::Client>(request.endpoint.address, request.endpoint.port);
-    client->set_keep_alive(request.mayReuse);
-    return client;
-}
-
-void EndpointClient::giveBack(const EndpointRequest &request, const std::shared_ptr<httplib::Client> &client)
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    std::vector<Idle> &idle = m_idle[poolKey(request.endpoint)];
-    if (idle.size() < mostIdle) {
-        idle.push_back({client, clockNow() + idleLife});
-    }
-}
-
-static httplib::Headers headersOf(const EndpointRequest &request)
-{
-    httplib::Headers headers{{"Content-Type", "application/json"},
-                             {"X-Request-Id", request.request.text},
-                             {"X-Attempt", std::to_string(request.attempt)},
-                             {"X-Priority", std::to_string(request.priority)},
-                             {"X-Lane", request.isLong ? "long" : "short"}};
+    std::string bytes = "POST " + request.path + " HTTP/1.1\r\n";
+    appendField(bytes, "Host", request.host);
+    appendField(bytes, "Content-Type", "application/json");
+    appendField(bytes, "X-Request-Id", request.request.text);
+    appendField(bytes, "X-Attempt", std::to_string(request.attempt));
+    appendField(bytes, "X-Priority", std::to_string(request.priority));
+    appendField(bytes, "X-Lane", request.isLong ? "long" : "short");
     if (!request.chat.empty()) {
-        headers.emplace("X-Chat", request.chat);
+        appendField(bytes, "X-Chat", request.chat);
     }
     if (!request.traceparent.empty()) {
-        headers.emplace("traceparent", request.traceparent);
+        appendField(bytes, "traceparent", request.traceparent);
     }
     if (!request.operationKey.empty()) {
-        headers.emplace("Idempotency-Key", request.operationKey);
+        appendField(bytes, "Idempotency-Key", request.operationKey);
     }
     if (request.resumeFrom > 0) {
-        headers.emplace("X-Resume-From", std::to_string(static_cast<long>(request.resumeFrom)));
+        appendField(bytes, "X-Resume-From", std::to_string(static_cast<long>(request.resumeFrom)));
     }
-    return headers;
+    appendField(bytes, "Content-Length", std::to_string(request.body.size()));
+    return bytes + "\r\n" + request.body;
 }
 
-static EndpointHead headOf(const httplib::Response &response, const VmRecord &endpoint)
+// Answer
+
+static std::string fieldOf(const ResponseHead &head, std::string_view name)
+{
+    const std::string *found = findField(head.fields, name);
+    return found ? *found : std::string();
+}
+
+EndpointHead decodeEndpointHead(const ResponseHead &response, const VmRecord &endpoint, Instant now)
 {
     EndpointHead head;
     head.status = response.status;
-    head.contentType = response.get_header_value("Content-Type");
-    head.echoedRequest = response.get_header_value("X-Request-Id");
-    head.run = response.get_header_value("X-Request-Run");
-    head.isFramed = response.has_header("Content-Length") || response.has_header("Transfer-Encoding");
-    head.reusedPrompt = std::atof(response.get_header_value("X-Prompt-Reused").c_str());
+    head.contentType = fieldOf(response, "Content-Type");
+    head.echoedRequest = fieldOf(response, "X-Request-Id");
+    head.run = fieldOf(response, "X-Request-Run");
+    head.isFramed = !response.endsWithConnection;
+    head.reusedPrompt = std::atof(fieldOf(response, "X-Prompt-Reused").c_str());
     head.load.endpoint = endpoint.id;
     head.load.incarnation = endpoint.incarnation;
-    const std::string load = response.get_header_value("Engine-Load");
-    head.hasLoad = !load.empty() && parseLoad(load, clockNow(), head.load);
+    const std::string load = fieldOf(response, "Engine-Load");
+    head.hasLoad = !load.empty() && parseLoad(load, now, head.load);
     return head;
 }
 
-SendResult EndpointClient::send(const EndpointRequest &request, const EndpointEvents &events, CancelToken &token)
-{
-    const std::shared_ptr<httplib::Client> client = take(request);
-    token.attach(client);
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - clockNow());
-    if (token.isCancelled() || left.count() <= 0) {
-        token.attach(nullptr);
-        return SendResult::NotSent;
-    }
-    tuneClient(*client, connectWithin, left);
-    httplib::Request http;
-    http.method = "POST";
-    http.path = request.path;
-    http.headers = headersOf(request);
-    http.body = request.body;
-    http.response_handler = [&](const httplib::Response &response) {
-        return events.onHead(headOf(response, request.endpoint));
-    };
-    http.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return !token.isCancelled() && events.onData(data, size);
-    };
-    const httplib::Result result = client->send(http);
-    token.attach(nullptr);
-    if (!result) {
-        const bool isUnsent =
-            result.error() == httplib::Error::Connection || result.error() == httplib::Error::ConnectionTimeout;
-        return isUnsent ? SendResult::NotSent : SendResult::Broken;
-    }
-    if (request.mayReuse && !token.isCancelled()) {
-        giveBack(request, client);
-    }
-    return SendResult::Whole;
-}
+// Probes
 
-bool EndpointClient::readLoad(const VmRecord &endpoint, LoadReport &report)
+bool readLoad(const VmRecord &endpoint, LoadReport &report)
 {
     httplib::Client client(endpoint.address, endpoint.port);
     tuneClient(client, probeWithin, probeWithin);
@@ -184,7 +108,7 @@
     return response && response->status == 200 && parseLoad(response->body, clockNow(), report);
 }
 
-bool EndpointClient::readCacheEvents(const VmRecord &endpoint, std::int64_t &from, std::vector<ChatId> &dropped)
+bool readCacheEvents(const VmRecord &endpoint, std::int64_t &from, std::vector<ChatId> &dropped)
 {
     httplib::Client client(endpoint.address, endpoint.port);
     tuneClient(client, probeWithin, probeWithin);
--- a/clients/endpoint.h
+++ b/clients/endpoint.h
@@ -1,22 +1,10 @@
-// One HTTP request to an endpoint, with what can be known of its fate.
+// What endpoints of our own interface speak: the request that they get, the head of their answer, and their load.
 //
-// Sections of this file: Request, Events, Client.
-//
-// A connection is reused only after a whole, clean answer, and never for work that may not be repeated: on a fresh
-// connection a failed connect proves that nothing was sent.
+// Sections of this file: Request, Answer, Probes.
 #pragma once
 
 #include "filters/relay.h"
-
-#include <atomic>
-#include <map>
-#include <memory>
-#include <mutex>
-
-namespace httplib
-{
-class Client;
-}
+#include "net/message.h"
 
 namespace galenafold
 {
@@ -24,9 +12,9 @@
 // Request
 
 struct EndpointRequest {
-    VmRecord endpoint;
     RequestId request;
     int attempt = 1;
+    std::string host; // ADDRESS:PORT
     std::string path;
     std::string body;
     std::string traceparent;
@@ -34,63 +22,26 @@
     std::string operationKey; // idempotency key, passed on
     int priority = 5;
     bool isLong = false;
-    bool mayReuse = true; // false: a fresh connection
     Tokens resumeFrom = 0;
-    Instant deadline{}; // for the whole answer
 };
 
-// Events
+/// @return the whole request, as it goes over a connection
+std::string encodeEndpointRequest(const EndpointRequest &request);
 
-/// Called on the thread of `EndpointClient::send`.
-struct EndpointEvents {
-    std::function<bool(const EndpointHead &)> onHead;               // false: give up
-    std::function<bool(const char *data, std::size_t size)> onData; // false: give up
-};
+// Answer
+
+/// @param head of an answer of `endpoint`, as read `now`
+EndpointHead decodeEndpointHead(const ResponseHead &head, const VmRecord &endpoint, Instant now);
 
 /// Reads the header Engine-Load, "age_ms=.. slots=.. in_flight=.. long=.. leaving=..".
 bool parseLoad(const std::string &text, Instant now, LoadReport &report);
 
-// Client
-
-/// Lets another thread end a request. Safe at any moment of the request's life.
-class CancelToken
-{
-public:
-    void cancel();
-    bool isCancelled() const { return m_isCancelled; }
+// Probes; they block, and run on threads of their own.
 
-private:
-    friend class EndpointClient;
-    void attach(const std::shared_ptr<httplib::Client> &client);
+/// Asks an endpoint for its load. @return false when it did not answer.
+bool readLoad(const VmRecord &endpoint, LoadReport &report);
 
-    std::atomic<bool> m_isCancelled{false};
-    std::mutex m_mutex;
-    std::shared_ptr<httplib::Client> m_client;
-};
-
-class EndpointClient
-{
-public:
-    /// Sends and reads; blocks until the end.
-    SendResult send(const EndpointRequest &request, const EndpointEvents &events, CancelToken &token);
-
-    /// Asks an endpoint for its load. @return false when it did not answer.
-    static bool readLoad(const VmRecord &endpoint, LoadReport &report);
-
-    /// Reads chats whose context an engine dropped. @param from moves on. @return false when it did not answer.
-    static bool readCacheEvents(const VmRecord &endpoint, std::int64_t &from, std::vector<ChatId> &dropped);
-
-private:
-    struct Idle {
-        std::shared_ptr<httplib::Client> client;
-        Instant useBy{};
-    };
-
-    std::shared_ptr<httplib::Client> take(const EndpointRequest &request);
-    void giveBack(const EndpointRequest &request, const std::shared_ptr<httplib::Client> &client);
-
-    std::mutex m_mutex;
-    std::map<std::string, std::vector<Idle>> m_idle; // by address and port
-};
+/// Reads chats whose context an engine dropped. @param from moves on. @return false when it did not answer.
+bool readCacheEvents(const VmRecord &endpoint, std::int64_t &from, std::vector<ChatId> &dropped);
 
 } // namespace galenafold
--- a/control/claims.h
+++ b/control/claims.h
@@ -78,6 +78,8 @@
     ClaimOutcome outcome; // for Replay
 };
 
+using ClaimCallback = std::function<void(const ClaimAnswer &)>;
+
 /// One record of a claim stream.
 struct ClaimRecord {
     LogOffset offset = 0;
--- a/fakes/fleet.cpp
+++ b/fakes/fleet.cpp
@@ -100,6 +100,7 @@
     settings.dataCentre = {"dc-" + std::to_string(m_nextDaemon % 3 + 1)};
     settings.seed = m_plan.settings.seed + static_cast<std::uint64_t>(m_nextDaemon);
     settings.logAddress = m_log.address();
+    settings.logDescriptor = -1;
     settings.vmListAddress = m_nextDaemon % 2 == 0 ? m_otherList.address() : m_vmList.address();
     ++m_nextDaemon;
     m_daemons.push_back({settings.name, std::make_unique<Daemon>(settings)});
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -39,8 +39,9 @@
     void end();   ///< Closes in good order.
     void reset(); ///< Resets the connection.
     void after(std::chrono::milliseconds delay, std::function<void()> act);
-    bool isGone() const { return !m_stream->isOpen(); } ///< @return true once the router closed it
-    bool isFinished() const { return m_isFinished; }    ///< @return true once the answer is complete
+    std::size_t untaken() const { return m_stream->pending(); } ///< @return bytes that the router has not taken yet
+    bool isGone() const { return !m_stream->isOpen(); }         ///< @return true once the router closed it
+    bool isFinished() const { return m_isFinished; }            ///< @return true once the answer is complete
 
 private:
     std::shared_ptr<TcpStream> m_stream;
--- a/galenafold/eventlog.cpp
+++ b/galenafold/eventlog.cpp
@@ -87,6 +87,9 @@
 
 void EventLog::write(LogLine &line, LogWeight weight)
 {
+    if (m_settings.fd < 0) {
+        return;
+    }
     std::string bytes = line.take();
     bool isFirst = false;
     {
--- a/galenafold/eventlog.h
+++ b/galenafold/eventlog.h
@@ -45,7 +45,7 @@
 struct EventLogSettings {
     std::size_t mostBytes = 256 << 10; // waiting to be written
     double routineShare = 0.5;         // of that, for routine lines
-    int fd = 1;
+    int fd = 1;                        // -1: lines are dropped unseen
 };
 
 class EventLog
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -265,9 +265,10 @@
     VmId name;
     std::string address = "127.0.0.1";
     DataCentreId dataCentre;
-    int httpPort = 0;   // 0: any free port
-    int peerPort = 0;   // 0: any free port
-    int workers = 1200; // most connections served at once; a thread each
+    int httpPort = 0;        // 0: any free port
+    int peerPort = 0;        // 0: any free port
+    int connections = 10000; // most callers that are connected at once
+    int logDescriptor = 1;   // file descriptor of the structured log; -1: none is written
     std::size_t maxBodyBytes = 4 << 20;
     std::string logAddress;      // HOST:PORT of the platform's log
     std::string vmListAddress;   // HOST:PORT of the platform's list of VMs
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -7,7 +7,7 @@
 {
 
 constexpr int maxPort = 65535;
-constexpr int maxWorkers = 20000;
+constexpr int maxConnections = 20000;
 constexpr int dayMillis = 86400000;
 constexpr double daySeconds = 86400;
 
@@ -19,7 +19,7 @@
         {"daemon", "data_centre", textField(settings.dataCentre.text), true},
         {"daemon", "http_port", integerField(settings.httpPort, 0, maxPort), true},
         {"daemon", "peer_port", integerField(settings.peerPort, 0, maxPort), true},
-        {"daemon", "workers", integerField(settings.workers, 1, maxWorkers)},
+        {"daemon", "connections", integerField(settings.connections, 1, maxConnections)},
         {"daemon", "max_body_bytes", numberField(bodyBytes, 1024, 1 << 30)},
         {"platform", "log", textField(settings.logAddress), true},
         {"platform", "vm_list", textField(settings.vmListAddress), true},
--- a/net/message.cpp
+++ b/net/message.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <cstdio>
 
 namespace galenafold
@@ -71,6 +72,28 @@
     return false;
 }
 
+std::optional<std::chrono::seconds> idleLifetime(const HttpFields &fields)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::string *found = findField(fields, "Keep-Alive");
+    std::string_view list = found ? std::string_view(*found) : std::string_view();
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        const std::string_view piece = trimmed(list.substr(0, comma));
+        list.remove_prefix(std::min(comma + 1, list.size()));
+        int seconds = 0;
+        const char *end = piece.data() + piece.size();
+        if (piece.substr(0, key.size()) != key) {
+            continue;
+        }
+        const auto parsed = std::from_chars(piece.data() + key.size(), end, seconds);
+        if (parsed.ec == std::errc() && parsed.ptr == end && seconds >= 0) {
+            return std::chrono::seconds(seconds);
+        }
+    }
+    return std::nullopt;
+}
+
 // Parser
 
 class MessageParser::Impl
--- a/net/message.h
+++ b/net/message.h
@@ -6,6 +6,7 @@
 // lengths, a repeated length, any transfer coding but a single "chunked".
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
     bool endsWithConnection = false; // no length: the body ends where the connection does
 };
 
+/// @return how long the sender keeps an idle connection, where its field Keep-Alive says so
+std::optional<std::chrono::seconds> idleLifetime(const HttpFields &fields);
+
 // Parser
 
 enum class ParseFault : std::uint8_t { None, Malformed, HeadTooLarge, BodyTooLarge };
--- a/shell/core.cpp
+++ b/shell/core.cpp
@@ -2,7 +2,6 @@
 #include "shell/core.h"
 
 #include <asio/post.hpp>
-#include <future>
 #include <glog/logging.h>
 
 namespace galenafold
@@ -91,12 +90,9 @@
 
 // Calls
 
-Reason Core::admit(const Contract &contract)
+void Core::admit(const Contract &contract, std::function<void(Reason)> answer)
 {
-    auto answer = std::make_shared<std::promise<Reason>>();
-    std::future<Reason> future = answer->get_future();
-    post([this, contract, answer](Instant now) { answer->set_value(m_router.admit(now, contract)); });
-    return future.get();
+    post([this, contract, answer = std::move(answer)](Instant now) { answer(m_router.admit(now, contract)); });
 }
 
 void Core::unadmit(const CustomerId &customer)
@@ -104,12 +100,11 @@
     post([this, customer](Instant) { m_router.unadmit(customer); });
 }
 
-void Core::submit(const std::shared_ptr<CallContext> &context, double weight)
+void Core::submit(const Call &call, double weight)
 {
-    post([this, context, weight](Instant now) {
+    post([this, call, weight](Instant now) {
         Actions actions;
-        m_contexts[context->call.key] = context;
-        m_router.submit(now, context->call, weight, actions);
+        m_router.submit(now, call, weight, actions);
         carryOut(now, actions);
     });
 }
@@ -128,9 +123,6 @@
     post([this, report](Instant now) {
         Actions actions;
         m_router.onAttemptEnded(now, report, actions);
-        if (report.state == AttemptState::Complete) {
-            m_contexts.erase(report.call);
-        }
         carryOut(now, actions);
     });
 }
@@ -141,37 +133,14 @@
         Actions actions;
         m_router.onCallerGone(now, call, actions);
         carryOut(now, actions);
-        m_contexts.erase(call);
     });
 }
 
 void Core::carryOut(Instant now, const Actions &actions)
 {
-    for (const StartAttempt &start : actions.starts) {
-        const auto context = m_contexts.find(start.call);
-        if (context == m_contexts.end()) {
-            continue;
-        }
-        CallTrace &trace = context->second->trace;
-        if (start.attempt == 1) {
-            trace.add({"queue", context->second->call.arrival, now, {}});
-        }
-        trace.add({"place", now, now, {{"endpoint", start.endpoint.id.text}, {"by", text(start.placement.by)}}});
-        m_hooks.start(start, context->second);
-    }
-    for (const CancelAttempt &cancel : actions.cancels) {
-        const auto context = m_contexts.find(cancel.call);
-        if (context != m_contexts.end()) {
-            AttemptRunner::cancel(*context->second, cancel.attempt);
-        }
-    }
-    for (const Refusal &refusal : actions.refusals) {
-        const auto context = m_contexts.find(refusal.call);
-        if (context != m_contexts.end()) {
-            context->second->trace.markFault();
-            context->second->exchange.refuse({refusal.reason, refusal.run});
-            m_contexts.erase(context);
-        }
+    const bool isEmpty = actions.starts.empty() && actions.cancels.empty() && actions.refusals.empty();
+    if (!isEmpty) {
+        m_hooks.carryOut(actions);
     }
     sendBeacon(now);
 }
--- a/shell/core.h
+++ b/shell/core.h
@@ -12,7 +12,6 @@
 #include "net/timer.h"
 #include "shell/metrics.h"
 #include "shell/peers.h"
-#include "shell/runner.h"
 
 #include <asio/io_context.hpp>
 
@@ -37,7 +36,7 @@
 
 /// What the control thread asks of the rest of the daemon.
 struct CoreHooks {
-    std::function<void(const StartAttempt &, const std::shared_ptr<CallContext> &)> start;
+    std::function<void(const Actions &)> carryOut; // what was decided on calls
     std::function<void(const PeerAddress &, const GossipMessage &)> gossip;
     std::function<void(const PeerAddress &, LogOffset)> pull;
     std::function<void(const std::string &record)> appendSnapshot;
@@ -58,11 +57,12 @@
 
     std::shared_ptr<const ControlSnapshot> snapshot() const; ///< Any thread.
 
-    // Calls; from traffic threads.
+    // Calls; from the traffic thread. What is decided on them comes back by `carryOut`.
 
-    Reason admit(const Contract &contract); ///< Applies limits; waits for the control thread.
+    /// Applies limits. @param answer called on the control thread
+    void admit(const Contract &contract, std::function<void(Reason)> answer);
     void unadmit(const CustomerId &customer);
-    void submit(const std::shared_ptr<CallContext> &context, double weight);
+    void submit(const Call &call, double weight);
     void onFirstByte(CallKey call, int attempt, Tokens reused);
     void onAttemptEnded(const AttemptReport &report);
     void onCallerGone(CallKey call);
@@ -107,7 +107,6 @@
     BeaconSocket m_beacons;
     std::atomic<std::int64_t> m_beaconBytes{0};
     std::thread m_thread;
-    std::map<CallKey, std::shared_ptr<CallContext>> m_contexts;
     std::shared_ptr<const ControlSnapshot> m_snapshot; // by std::atomic_load and std::atomic_store
     std::atomic<LogOffset> m_contractsUpTo{0};
     std::atomic<LogOffset> m_nextToRead{0};
--- a/shell/daemon.cpp
+++ b/shell/daemon.cpp
@@ -1,7 +1,11 @@
-// One daemon: its parts, wired together; start, drain, stop.
+// One daemon on our own interface: its parts, wired together; start, drain, stop.
+//
+// Three threads own state: the control thread decides, the traffic thread carries callers and attempts, the peers'
+// thread runs Cap'n Proto. Followers and claim desks have threads of their own, which block on the log.
 #include "shell/followers.h"
 #include "shell/front.h"
 
+#include <asio/executor_work_guard.hpp>
 #include <glog/logging.h>
 
 namespace galenafold
@@ -11,6 +15,14 @@
 constexpr auto quietBeforeStop = std::chrono::milliseconds(1000); // no new call for this long: the balancer noticed
 constexpr auto reportDrainEvery = std::chrono::seconds(30);
 constexpr auto flushWithin = std::chrono::seconds(30);
+constexpr auto logFlushAfter = std::chrono::milliseconds(200);
+
+static EventLogSettings logSettings(const Settings &settings)
+{
+    EventLogSettings log;
+    log.fd = settings.logDescriptor;
+    return log;
+}
 
 class Daemon::Impl
 {
@@ -24,69 +36,73 @@
     Settings settings;
     Metrics metrics;
     Tracer tracer;
+    EventLog log;
+    asio::io_context io{1}; // of the traffic thread
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    DeadlineTimer flushTimer;
     Core core;
-    AttemptRunner runner;
     Desks desks;
     Peers peers;
     KeyedCalls keyed;
     Followers followers;
     Front front;
-    HttpServer server;
+    std::thread traffic;
     std::atomic<bool> isDraining{false};
-    std::atomic<bool> isStopped{false};
 
     bool isReady() const;
 
 private:
     CoreHooks coreHooks();
-    RunnerHooks runnerHooks();
     PeerHooks peerHooks();
     FrontHooks frontHooks();
-    ServerLimits serverLimits() const;
+    void scheduleFlush();
 };
 
 Daemon::Impl::Impl(const Settings &theSettings)
     : settings(theSettings)
     , tracer(settings)
+    , log(logSettings(settings))
+    , work(asio::make_work_guard(io))
+    , flushTimer(io)
     , core(settings, coreHooks(), metrics)
-    , runner(static_cast<std::size_t>(settings.workers), runnerHooks())
     , desks([this] { return makeHttpLogClient(settings.logAddress); })
     , peers(settings.name, peerHooks())
-    , keyed(settings, core, peers, desks)
+    , keyed(io, settings, core, peers, desks)
     , followers(settings, core)
-    , front(settings, core, keyed, metrics, tracer, frontHooks())
-    , server(serverLimits())
+    , front(io, settings, core, keyed, metrics, tracer, log, frontHooks())
 {
-    front.addRoutes(server.http());
+    log.onFirst = [this] { asio::post(io, [this] { scheduleFlush(); }); };
 }
 
 Daemon::Impl::~Impl()
 {
-    if (!isStopped) {
-        isDraining = true;
-        server.stop();
-    }
+    isDraining = true;
     followers.stop();
-    runner.stop();
     desks.stop();
     peers.stop();
     core.stop();
+    io.stop();
+    if (traffic.joinable()) {
+        traffic.join();
+    }
+    log.onFirst = nullptr;
+    log.flush();
 }
 
-ServerLimits Daemon::Impl::serverLimits() const
+void Daemon::Impl::scheduleFlush()
 {
-    ServerLimits limits;
-    limits.threads = static_cast<std::size_t>(settings.workers);
-    limits.bodyBytes = settings.maxBodyBytes;
-    return limits;
+    flushTimer.expires_at(clockNow() + logFlushAfter);
+    flushTimer.async_wait([this](const asio::error_code &error) {
+        if (!error && log.flush()) {
+            scheduleFlush();
+        }
+    });
 }
 
 CoreHooks Daemon::Impl::coreHooks()
 {
     CoreHooks hooks;
-    hooks.start = [this](const StartAttempt &start, const std::shared_ptr<CallContext> &context) {
-        runner.start(start, context);
-    };
+    hooks.carryOut = [this](const Actions &actions) { front.carryOut(actions); };
     hooks.gossip = [this](const PeerAddress &peer, const GossipMessage &message) { peers.gossip(peer, message); };
     hooks.pull = [this](const PeerAddress &peer, LogOffset offset) { peers.pull(peer, offset); };
     hooks.appendSnapshot = [this](const std::string &record) { followers.appendSnapshot(record); };
@@ -95,15 +111,6 @@
     return hooks;
 }
 
-RunnerHooks Daemon::Impl::runnerHooks()
-{
-    RunnerHooks hooks;
-    hooks.onFirstByte = [this](CallKey call, int attempt, Tokens reused) { core.onFirstByte(call, attempt, reused); };
-    hooks.onEnded = [this](const AttemptReport &report) { core.onAttemptEnded(report); };
-    hooks.onLoad = [this](const LoadReport &report) { core.onLoadReport(report); };
-    return hooks;
-}
-
 PeerHooks Daemon::Impl::peerHooks()
 {
     PeerHooks hooks;
@@ -143,15 +150,19 @@
     if (!peers.start(settings.address, settings.peerPort)) {
         return false;
     }
-    if (!server.start(settings.address, settings.httpPort)) {
+    if (!front.start()) {
         LOG(ERROR) << "front: cannot listen on " << settings.address << ':' << settings.httpPort;
         return false;
     }
     if (!core.start(peers.port())) {
         return false;
     }
+    traffic = std::thread([this] { io.run(); });
     followers.start();
-    LOG(INFO) << "daemon: '" << settings.name.text << "' listens on port " << server.port();
+    LogLine line("start");
+    line.text("name", settings.name.text).number("port", front.port()).text("version", GALENAFOLD_VERSION);
+    log.write(line, LogWeight::Notable);
+    LOG(INFO) << "daemon: '" << settings.name.text << "' listens on port " << front.port();
     return true;
 }
 
@@ -173,8 +184,7 @@
         }
         std::this_thread::sleep_for(readyPoll);
     }
-    server.stop();
-    isStopped = true;
+    front.stopTaking();
     LOG_IF(ERROR, !keyed.flush(clockNow() + flushWithin)) << "drain: some outcomes are not in the log";
     LOG(INFO) << "drain: '" << settings.name.text << "' has ended all calls";
 }
@@ -195,7 +205,7 @@
 
 int Daemon::httpPort() const
 {
-    return m_impl->server.port();
+    return m_impl->front.port();
 }
 
 int Daemon::peerPort() const
--- a/shell/desks.h
+++ b/shell/desks.h
@@ -11,7 +11,6 @@
 namespace galenafold
 {
 
-using ClaimCallback = std::function<void(const ClaimAnswer &)>;
 using LogClientMaker = std::function<std::unique_ptr<LogClient>()>;
 
 class Desks
--- a/shell/followers.cpp
+++ b/shell/followers.cpp
@@ -123,7 +123,7 @@
 void Followers::probe(const VmRecord &endpoint, bool withEvents)
 {
     LoadReport report;
-    if (!EndpointClient::readLoad(endpoint, report)) {
+    if (!readLoad(endpoint, report)) {
         return;
     }
     m_core.onLoadReport(report);
@@ -137,7 +137,7 @@
         from = m_cacheOffsets[key];
     }
     std::vector<ChatId> dropped;
-    if (EndpointClient::readCacheEvents(endpoint, from, dropped)) {
+    if (readCacheEvents(endpoint, from, dropped)) {
         m_core.onContextLost(endpoint.id, dropped);
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_cacheOffsets[key] = from;
--- a/shell/followers.h
+++ b/shell/followers.h
@@ -1,6 +1,7 @@
 // Threads that follow the platform: the contract stream, the list of VMs, endpoints' loads and cache events.
 #pragma once
 
+#include "clients/http.h"
 #include "clients/log.h"
 #include "shell/core.h"
 
--- a/shell/front.h
+++ b/shell/front.h
@@ -1,65 +1,57 @@
-// The HTTP front: what callers, the balancer and operators speak to.
+// What callers, the balancer and operators speak to, on our own interface: one event loop, the traffic thread.
 //
-// Parsing of requests and the shape of errors are in parse.h.
+// Reading of bodies and the shape of errors are in parse.h, one call's way in contractcall.h.
 #pragma once
 
-#include "filters/classify.h"
-#include "shell/core.h"
-#include "shell/keyed.h"
-#include "shell/metrics.h"
-#include "shell/parse.h"
-#include "shell/trace.h"
+#include "shell/contractcall.h"
+#include "traffic/listener.h"
+
+#include <thread>
 
 namespace galenafold
 {
 
-// Front
-
 struct FrontHooks {
     std::function<bool()> isReady;
     std::function<bool()> isDraining;
 };
 
+/// Other threads use `start`, `stop`, `stopTaking`, `carryOut` and the counts; all else runs on the loop.
 class Front
 {
 public:
-    Front(const Settings &settings, Core &core, KeyedCalls &keyed, Metrics &metrics, Tracer &tracer, FrontHooks hooks);
-
-    void addRoutes(httplib::Server &server);
-    int callsInProgress() const { return m_inProgress; }
-    Instant lastArrival() const { return Instant(Span(m_lastArrival)); }
+    Front(asio::io_context &io, const Settings &settings, Core &core, KeyedCalls &keyed, Metrics &metrics,
+          Tracer &tracer, EventLog &log, FrontHooks hooks);
 
-private:
-    struct Exchanged; // one request on its way
-
-    void chat(const httplib::Request &request, httplib::Response &response);
-    void service(const httplib::Request &request, httplib::Response &response);
-    void models(const httplib::Request &request, httplib::Response &response);
-    void status(const httplib::Request &request, httplib::Response &response);
-    void trace(const httplib::Request &request, httplib::Response &response);
-    void onLibraryError(httplib::Response &response);
+    bool start();                          ///< Listens, before the loop runs. @return false: the address is taken
+    void stopTaking();                     ///< Takes no new callers, and closes those that have no call in progress.
+    void carryOut(const Actions &actions); ///< What the control thread has decided.
 
-    bool open(const httplib::Request &request, httplib::Response &response, Exchanged &call);
-    bool classifyAndAdmit(const httplib::Request &request, httplib::Response &response, const CallShape &shape,
-                          Exchanged &call);
-    void answer(httplib::Response &response, const std::shared_ptr<Exchanged> &call);
-    void answerWhole(httplib::Response &response, Exchanged &call, const AnswerHead &head);
-    void answerStream(httplib::Response &response, const std::shared_ptr<Exchanged> &call, const AnswerHead &head);
-    bool claimKey(const httplib::Request &request, httplib::Response &response, Exchanged &call);
-    void settleKey(const Exchanged &call, const ClaimOutcome &outcome, Run run);
-    void refuse(httplib::Response &response, Exchanged &call, Reason reason, Run run, const std::string &message);
-    void finish(Exchanged &call, Reason reason, Run run);
-    void keepTrace(Exchanged &call, Reason reason, Run run);
+    int port() const { return m_listener.port(); }
+    int callsInProgress() const { return m_services.counts->inProgress; }
+    Instant lastArrival() const { return Instant(Span(m_services.counts->lastArrival)); }
 
+private:
+    void onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
+    void beginCall(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
+    bool answerOperator(const std::shared_ptr<Caller> &caller, const CallerRequest &request);
+    void answerTrace(const std::shared_ptr<Caller> &caller, std::string_view query);
+    std::string status() const;
+    void sweep();
+    void carryOutHere(const Actions &actions);
+    std::shared_ptr<ContractCall> find(CallKey key) const;
+
+    asio::io_context &m_io;
     Settings m_settings;
     Core &m_core;
-    KeyedCalls &m_keyed;
-    Metrics &m_metrics;
-    Tracer &m_tracer;
     FrontHooks m_hooks;
-    std::atomic<std::uint64_t> m_nextKey{1};
-    std::atomic<int> m_inProgress{0};
-    std::atomic<std::int64_t> m_lastArrival{0};
+    Dialect m_dialect;
+    LinkPool m_links;
+    CallServices m_services;
+    CallerListener m_listener;
+    DeadlineTimer m_sweepTimer;
+    std::map<CallKey, std::shared_ptr<ContractCall>> m_calls; // in progress
+    std::uint64_t m_nextKey = 1;
     std::string m_requestPrefix;
 };
 
--- a/shell/keyed.cpp
+++ b/shell/keyed.cpp
@@ -1,7 +1,7 @@
 // Claims and settlements of keyed calls.
 #include "shell/keyed.h"
 
-#include <future>
+#include <asio/post.hpp>
 #include <random>
 
 namespace galenafold
@@ -9,8 +9,25 @@
 
 constexpr int ownerShare = 2; // the owner gets one part in this many of the time for a claim
 
-KeyedCalls::KeyedCalls(const Settings &settings, const Core &core, Peers &peers, Desks &desks)
-    : m_settings(settings)
+struct KeyedCalls::Claim {
+    Claim(asio::io_context &io, const ClaimItem &theItem, Instant theEnd, ClaimCallback theCallback)
+        : item(theItem)
+        , answerBy(theEnd)
+        , callback(std::move(theCallback))
+        , timer(io)
+    {
+    }
+
+    const ClaimItem item;
+    const Instant answerBy;
+    ClaimCallback callback; // empty once it was called
+    DeadlineTimer timer;    // the owner's part of the time, then the end
+    bool isHere = false;    // the owner's answer no longer counts
+};
+
+KeyedCalls::KeyedCalls(asio::io_context &io, const Settings &settings, const Core &core, Peers &peers, Desks &desks)
+    : m_io(io)
+    , m_settings(settings)
     , m_core(core)
     , m_peers(peers)
     , m_desks(desks)
@@ -41,34 +58,70 @@
     return isOther;
 }
 
-ClaimAnswer KeyedCalls::claimHere(const ClaimItem &item, Instant answerBy)
+void KeyedCalls::claim(const ClaimItem &item, Instant answerBy, ClaimCallback callback)
 {
-    auto promise = std::make_shared<std::promise<ClaimAnswer>>();
-    std::future<ClaimAnswer> future = promise->get_future();
-    m_desks.claim(item, answerBy, [promise](const ClaimAnswer &answer) { promise->set_value(answer); });
-    if (future.wait_until(answerBy) != std::future_status::ready) {
-        return {};
+    const auto claim = std::make_shared<Claim>(m_io, item, answerBy, std::move(callback));
+    PeerAddress address;
+    if (owner(item.key, address)) {
+        askOwner(claim, address);
+    } else {
+        claimHere(claim);
     }
-    return future.get();
 }
 
-ClaimAnswer KeyedCalls::claim(const ClaimItem &item, Instant answerBy)
+void KeyedCalls::askOwner(const std::shared_ptr<Claim> &claim, const PeerAddress &owner)
 {
-    PeerAddress address;
-    ClaimAnswer answer;
-    if (owner(item.key, address)) {
-        const Instant now = clockNow();
-        answer = m_peers.claim(address, item, now + (answerBy - now) / ownerShare);
-    }
-    if (answer.result == ClaimResult::Unavailable) {
-        answer = claimHere(item, answerBy);
+    const Instant now = clockNow();
+    const Instant ownersEnd = now + (claim->answerBy - now) / ownerShare;
+    m_peers.claim(owner, claim->item, ownersEnd, [this, claim](const ClaimAnswer &answer) {
+        asio::post(m_io, [this, claim, answer] {
+            if (claim->isHere) {
+                return;
+            }
+            if (answer.result == ClaimResult::Unavailable) {
+                claimHere(claim);
+            } else {
+                end(claim, answer);
+            }
+        });
+    });
+    claim->timer.expires_at(ownersEnd);
+    claim->timer.async_wait([this, claim](const asio::error_code &error) {
+        if (!error && !claim->isHere) {
+            claimHere(claim);
+        }
+    });
+}
+
+void KeyedCalls::claimHere(const std::shared_ptr<Claim> &claim)
+{
+    claim->isHere = true;
+    m_desks.claim(claim->item, claim->answerBy, [this, claim](const ClaimAnswer &answer) {
+        asio::post(m_io, [this, claim, answer] { end(claim, answer); });
+    });
+    claim->timer.expires_at(claim->answerBy);
+    claim->timer.async_wait([this, claim](const asio::error_code &error) {
+        if (!error) {
+            end(claim, ClaimAnswer{});
+        }
+    });
+}
+
+void KeyedCalls::end(const std::shared_ptr<Claim> &claim, const ClaimAnswer &answer)
+{
+    if (!claim->callback) {
+        return; // it was given up before
     }
+    claim->isHere = true;
+    claim->timer.cancel();
     if (answer.result == ClaimResult::Unavailable) {
-        ClaimItem giveUp = item;
+        ClaimItem giveUp = claim->item;
         giveUp.kind = ClaimKind::Void;
         settle(giveUp);
     }
-    return answer;
+    const ClaimCallback callback = std::move(claim->callback);
+    claim->callback = nullptr;
+    callback(answer);
 }
 
 void KeyedCalls::settle(const ClaimItem &item)
--- a/shell/peers.cpp
+++ b/shell/peers.cpp
@@ -347,20 +347,18 @@
             [this, item] { m_peers.m_hooks.onSettled(item, false); });
     }
 
-    void claim(const PeerAddress &peer, const ClaimItem &item, Instant answerBy,
-               const std::shared_ptr<std::promise<ClaimAnswer>> &answer)
+    void claim(const PeerAddress &peer, const ClaimItem &item, Instant answerBy, const ClaimCallback &callback)
     {
         const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(answerBy - clockNow()).count();
         withPeer(
             peer,
-            [this, item, patience, answer](wire::Peer::Client &client) {
+            [this, item, patience, callback](wire::Peer::Client &client) {
                 auto request = client.claimRequest();
                 fill(request.initItem(), item, m_peers.m_self);
                 request.setPatienceMillis(static_cast<std::uint32_t>(std::max<std::int64_t>(0, patience)));
-                return request.send().then(
-                    [answer](auto &&response) { answer->set_value(read(response.getAnswer())); });
+                return request.send().then([callback](auto &&response) { callback(read(response.getAnswer())); });
             },
-            [answer] { answer->set_value(ClaimAnswer{}); });
+            [callback] { callback(ClaimAnswer{}); });
     }
 
 private:
@@ -502,15 +500,9 @@
     post([&](Loop &loop) { loop.settle(peer, item); });
 }
 
-ClaimAnswer Peers::claim(const PeerAddress &peer, const ClaimItem &item, Instant answerBy)
+void Peers::claim(const PeerAddress &peer, const ClaimItem &item, Instant answerBy, const ClaimCallback &callback)
 {
-    auto answer = std::make_shared<std::promise<ClaimAnswer>>();
-    std::future<ClaimAnswer> future = answer->get_future();
-    post([&](Loop &loop) { loop.claim(peer, item, answerBy, answer); });
-    if (future.wait_until(answerBy) != std::future_status::ready) {
-        return {};
-    }
-    return future.get();
+    post([&](Loop &loop) { loop.claim(peer, item, answerBy, callback); });
 }
 
 int Peers::sizeOf(const GossipMessage &message)
--- a/shell/peers.h
+++ b/shell/peers.h
@@ -31,7 +31,7 @@
     std::function<bool(const VmId &)> isKnown;                // is it an entry VM that the list named?
     std::function<LogOffset(const GossipMessage &)> onGossip; // @return how far our contracts are
     std::function<void(LogOffset, std::function<void(const PulledContracts &)>)> onPull;
-    std::function<void(const ClaimItem &, Instant answerBy, std::function<void(const ClaimAnswer &)>)> onClaim;
+    std::function<void(const ClaimItem &, Instant answerBy, ClaimCallback)> onClaim;
     std::function<void(const ClaimItem &, std::function<void()>)> onSettle; // second: once it is in the log
     std::function<void(const ClaimItem &, bool isInLog)> onSettled;         // answer to our own settle
     std::function<void(const PulledContracts &)> onPulled;                  // answer to our own pull
@@ -52,8 +52,9 @@
     void pull(const PeerAddress &peer, LogOffset offset);
     void settle(const PeerAddress &peer, const ClaimItem &item);
 
-    /// Claims at another VM; blocks. @return Unavailable when the peer did not answer in time.
-    ClaimAnswer claim(const PeerAddress &peer, const ClaimItem &item, Instant answerBy);
+    /// Claims at another VM. @param callback called on the peers' thread; Unavailable when the peer cannot be reached.
+    /// It may come late or, from a peer that stands still, not at all.
+    void claim(const PeerAddress &peer, const ClaimItem &item, Instant answerBy, const ClaimCallback &callback);
 
     std::int64_t bytesSent() const { return m_bytesSent; }
     std::int64_t refused() const { return m_refused; } ///< @return messages from VMs that the list never named
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -244,39 +244,20 @@
 
 bool RouterNode::start()
 {
-    m_adminHooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
+    m_admin.hooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
         onAdminRequest(caller, request);
     };
-    m_adminHooks.onClosed = [](const std::shared_ptr<Caller> &) {};
-    m_adminHooks.onRejected = [](int, const char *) {};
-    m_adminHooks.limits = [] { return CallerLimits(); };
-    m_adminHooks.isDraining = [] { return false; };
-    if (!listenOn(m_admin, m_settings.admin) || !m_traffic.start()) {
+    if (!m_admin.start(m_settings.admin) || !m_traffic.start()) {
         return false;
     }
-    m_adminPort = m_admin.local_endpoint().port();
     LogLine line("start");
     line.text("name", m_settings.name.text).text("callers", m_settings.callers).text("version", GALENAFOLD_VERSION);
     m_log.write(line, LogWeight::Notable);
-    acceptAdmin();
     m_desired.start();
     m_registry.start();
     return true;
 }
 
-void RouterNode::acceptAdmin()
-{
-    m_admin.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            std::make_shared<Caller>(m_io, std::move(socket), m_adminHooks)->start();
-        }
-        acceptAdmin();
-    });
-}
-
 void RouterNode::onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request)
 {
     if (request.head.target == readinessPath) {
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -25,7 +25,7 @@
     void reload(const RouterSettings &settings); ///< Any thread. Settings that need no restart are taken over.
 
     int callersPort() const { return m_traffic.port(); }
-    int adminPort() const { return m_adminPort; }
+    int adminPort() const { return m_admin.port(); }
     bool isReady() const;
 
 private:
@@ -34,7 +34,6 @@
     void applyDesiredState(const std::string &json, LogOffset offset);
     void logReplica(const RegistryUpdate &update);
     void publishReplicas();
-    void acceptAdmin();
     void onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request);
     std::string metrics() const;
     void scheduleFlush();
@@ -50,8 +49,7 @@
     FreshnessProof m_proof; // of the desired state
     StoreFollower m_desired;
     StoreFollower m_registry;
-    asio::ip::tcp::acceptor m_admin;
-    CallerHooks m_adminHooks;
+    CallerListener m_admin;
     DeadlineTimer m_flushTimer;
     DeadlineTimer m_expiryTimer;
     DeadlineTimer m_drainTimer;
@@ -60,11 +58,9 @@
     bool m_isDesiredLost = false;
     bool m_isRegistryLost = false;
     Instant m_registryProvedAt{};
-    std::atomic<bool> m_isReady{false};
     Instant m_drainBegan{};
     bool m_hasRegistryChanged = false; // since the replicas were last published
     bool m_isDraining = false;
-    int m_adminPort = 0;
 };
 
 } // namespace galenafold
--- a/shell/trace.cpp
+++ b/shell/trace.cpp
@@ -40,33 +40,19 @@
 
 void CallTrace::add(const SpanRecord &span)
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
     m_spans.push_back(span);
 }
 
 void CallTrace::markFault()
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
     m_hasFault = true;
 }
 
-bool CallTrace::hasFault() const
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_hasFault;
-}
-
 std::string CallTrace::traceparent() const
 {
     return "00-" + m_traceId + '-' + m_spanId + "-01";
 }
 
-std::vector<SpanRecord> CallTrace::spans() const
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_spans;
-}
-
 Tracer::Tracer(const Settings &settings)
     : m_daemon(settings.name.text)
 {
--- a/shell/trace.h
+++ b/shell/trace.h
@@ -25,7 +25,7 @@
     std::vector<SpanAttribute> attributes; // why it was decided so
 };
 
-/// All spans of one call. Filled by several threads, one after the other.
+/// All spans of one call; lives on the traffic thread.
 class CallTrace
 {
 public:
@@ -38,15 +38,14 @@
     std::string traceparent() const; ///< @return for the next hop
     const RequestId &request() const { return m_request; }
     const std::string &traceId() const { return m_traceId; }
-    bool hasFault() const;
-    std::vector<SpanRecord> spans() const;
+    bool hasFault() const { return m_hasFault; }
+    const std::vector<SpanRecord> &spans() const { return m_spans; }
 
 private:
     RequestId m_request;
     std::string m_traceId;
     std::string m_parentId;
     std::string m_spanId;
-    mutable std::mutex m_mutex;
     std::vector<SpanRecord> m_spans;
     bool m_hasFault = false;
 };
--- a/tests/front.cpp
+++ b/tests/front.cpp
@@ -1,6 +1,5 @@
 // A real daemon on loopback: bad input from callers, and endpoints that misbehave. A clear error each, nothing crossed.
 #include "shell/front.h"
-#include "clients/endpoint.h"
 #include "fakes/fleet.h"
 
 #include <CppUTest/TestHarness.h>
@@ -145,6 +144,22 @@
     LONGS_EQUAL(0, small.fleet.engine(0).inFlight());
 }
 
+TEST(BadInput, oneCallerMoreThanTheLimitIsTurnedAway)
+{
+    FleetPlan plan = SmallFleet::plan();
+    plan.settings.connections = 1;
+    Fleet fleet(plan);
+    fleet.publish("kedai", sampleContract("kedai", apiKey, 1000, 1000), 0);
+    CHECK(fleet.start());
+    httplib::Client first("127.0.0.1", fleet.daemon(0).httpPort());
+    first.set_keep_alive(true);
+    const auto answer = first.Get("/livez");
+    CHECK(answer && answer->status == 200);
+    httplib::Client second("127.0.0.1", fleet.daemon(0).httpPort());
+    CHECK(!second.Get("/livez"));
+    CHECK(first.Get("/livez")->status == 200);
+}
+
 TEST_GROUP(BadEndpoint)
 {
     SmallFleet small;
@@ -253,22 +268,14 @@
     STRCMP_EQUAL(first->body.c_str(), replayed.c_str());
 }
 
-TEST(BadEndpoint, theHttpClientNeverSendsTwiceByItself)
+TEST(BadEndpoint, aCallThatRunsOnceIsSentOnceOverKeptConnectionsToo)
 {
+    CHECK(small.reserve("")->status == 200); // leaves a connection that is kept
     small.fleet.service(0).setFaultHook([](const RequestId &) { return ServiceFault::LoseAnswer; });
-    EndpointClient client;
     for (int i = 0; i < 5; ++i) {
-        EndpointRequest request;
-        request.endpoint = small.fleet.service(0).record({{"ledger"}}, {"dc"});
-        request.request = {"once-" + std::to_string(i)};
-        request.path = "/operations/reserve";
-        request.deadline = clockNow() + patience;
-        CancelToken token;
-        EndpointEvents events;
-        events.onHead = [](const EndpointHead &) { return true; };
-        events.onData = [](const char *, std::size_t) { return true; };
-        CHECK(client.send(request, events, token) == SendResult::Broken);
+        checkError(small.reserve(""), 502, "endpoint_failed", "unknown");
     }
+    LONGS_EQUAL(6, small.fleet.service(0).executionsByRequest().size());
     for (const auto &[request, count] : small.fleet.service(0).executionsByRequest()) {
         LONGS_EQUAL(1, count);
     }
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -335,6 +335,42 @@
     CHECK(caller.read());
 }
 
+TEST(NodeStreams, ASlowReaderBlocksOnlyItself)
+{
+    constexpr int events = 2000;
+    constexpr std::size_t eventBytes = 16384;
+    std::atomic<std::size_t> untaken{0};
+    std::atomic<int> steady{0}; // looks in a row that found as many bytes as before
+    site.add("a", [&untaken, &steady](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        if (got.field("X-Galenafold-Attempt-Id") != "slow") {
+            reply->answer(got, 200, "done");
+            return;
+        }
+        reply->beginStream(got);
+        for (int id = 0; id < events; ++id) {
+            reply->event(id, std::string(eventBytes, 'x'));
+        }
+        const auto look = std::make_shared<std::function<void()>>();
+        *look = [look, reply, &untaken, &steady] {
+            steady = untaken == reply->untaken() ? steady + 1 : 0;
+            untaken = reply->untaken();
+            reply->after(milliseconds(5), *look);
+        };
+        (*look)();
+    });
+    site.startReady();
+    RawCaller slow(site.node->callersPort());
+    slow.send(callerRequest("/live/x", "slow"));
+    CHECK(waitFor([this] { return site.metric("calls_streaming") == 1; }));
+    for (int i = 0; i < 50; ++i) {
+        const auto other = site.send(callerRequest("/any/x", "id-" + std::to_string(i)));
+        CHECK(other->read());
+        LONGS_EQUAL(200, other->status());
+    }
+    CHECK(waitFor([&steady] { return steady >= 40; }));
+    CHECK(untaken > events * eventBytes / 2); // it waits at the replica, not in the router
+}
+
 // Trap 8: the caller leaves, time runs out
 
 TEST_GROUP(NodeTime)
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -115,7 +115,7 @@
             }
             view.isGone = true;
             ++view.finals;
-            view.exchange.abandon();
+            view.race.close();
             Actions gone;
             m_router.onCallerGone(m_now, key, gone);
             carryOut(gone);
@@ -127,8 +127,8 @@
 {
     for (const Refusal &refusal : actions.refusals) {
         CallerView &caller = *m_callers.at(refusal.call);
-        caller.exchange.refuse({refusal.reason, refusal.run});
-        collect(caller);
+        caller.finals += caller.race.hasWinner() ? 1 : 0; // refused while an attempt answers: two outcomes
+        caller.race.close();
         if (!caller.isGone) {
             ++caller.finals;
             caller.isRefused = true;
@@ -174,9 +174,9 @@
     plan.isStream = caller.isStream;
     plan.isModel = caller.call.pool.text == "tea";
     RelayHooks hooks;
-    hooks.win = [this, &caller, weak = std::weak_ptr<Flight>(flight)](const AnswerHead &answer) {
+    hooks.win = [this, &caller, weak = std::weak_ptr<Flight>(flight)](const AnswerHead &) {
         const auto held = weak.lock();
-        const bool hasWon = caller.exchange.offerHead(held->start.attempt, answer, held->start.resumeFrom);
+        const bool hasWon = caller.race.offer(held->start.attempt, held->start.resumeFrom);
         if (hasWon) {
             post(held, [this, held] {
                 Actions actions;
@@ -187,16 +187,19 @@
         return hasWon;
     };
     const int attempt = start.attempt;
-    hooks.push = [this, &caller, attempt](const std::string &bytes, Tokens relayed) {
-        const bool isTaken = caller.exchange.push(attempt, bytes, relayed);
-        collect(caller);
+    hooks.push = [&caller, attempt](const std::string &bytes, Tokens relayed) {
+        const bool isTaken = caller.race.relay(attempt, relayed);
+        caller.received += isTaken ? bytes : std::string();
         return isTaken;
     };
-    hooks.endWhole = [this, &caller, attempt] {
-        caller.exchange.endWhole(attempt);
-        collect(caller);
+    hooks.endWhole = [&caller, attempt] {
+        const bool wasWhole = caller.race.isWhole();
+        if (caller.race.endWhole(attempt) && !wasWhole) {
+            caller.isWhole = true;
+            ++caller.finals;
+        }
     };
-    hooks.lose = [&caller, attempt] { caller.exchange.loseAttempt(attempt); };
+    hooks.lose = [&caller, attempt] { caller.race.lose(attempt); };
     hooks.onLoad = [](const LoadReport &) {};
     flight->reader = std::make_shared<AnswerReader>(plan, hooks);
     m_flights[{start.call, start.attempt}] = flight;
@@ -342,22 +345,6 @@
     });
 }
 
-void World::collect(CallerView &caller)
-{
-    while (true) {
-        std::string bytes;
-        const Pulled pulled = caller.exchange.pull(bytes, Instant::min());
-        if (pulled == Pulled::Whole && !caller.isWhole && !caller.isGone) {
-            caller.isWhole = true;
-            ++caller.finals;
-        }
-        if (pulled != Pulled::Data) {
-            return;
-        }
-        caller.received += bytes;
-    }
-}
-
 static std::string wantedBody(const CallerView &caller)
 {
     const std::string id = caller.call.request.text;
--- a/tests/world.h
+++ b/tests/world.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "control/router.h"
+#include "filters/race.h"
 #include "filters/relay.h"
-#include "shell/exchange.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <functional>
@@ -44,7 +44,7 @@
 struct CallerView {
     Call call;
     bool isStream = false;
-    Exchange exchange;
+    AnswerRace race;
     std::string received;
     int executions = 0;
     int finals = 0; // final outcomes; must end as one
@@ -104,7 +104,6 @@
     void nextToken(const std::shared_ptr<Flight> &flight, int token);
     void wholeBody(const std::shared_ptr<Flight> &flight);
     void end(const std::shared_ptr<Flight> &flight, SendResult result, bool isCancelled);
-    void collect(CallerView &caller);
     std::string otherRequest(const CallerView &caller) const;
     CallerView &callerOf(const Flight &flight) { return *m_callers.at(flight.start.call); }
 
--- a/traffic/caller.cpp
+++ b/traffic/caller.cpp
@@ -128,7 +128,9 @@
     m_hooks.onRejected(status, why);
     m_state = State::Answering;
     m_keepsAlive = false;
-    answer(status, {}, "");
+    HttpFields fields;
+    const std::string body = m_hooks.describeRejection ? m_hooks.describeRejection(status, fields) : std::string();
+    answer(status, fields, body);
 }
 
 // Timing. The timer is moved to an earlier deadline at once, to a later one lazily: it fires, looks and is set again.
--- a/traffic/caller.h
+++ b/traffic/caller.h
@@ -22,8 +22,9 @@
     std::function<void(const std::shared_ptr<Caller> &, CallerRequest &&)> onRequest;
     std::function<void(const std::shared_ptr<Caller> &)> onClosed; // the connection has ended, for any reason
     std::function<void(int status, const char *why)> onRejected;   // a request was turned away before it was read whole
-    std::function<CallerLimits()> limits;                          // in force now
-    std::function<bool()> isDraining;                              // answers end the connection
+    std::function<std::string(int status, HttpFields &)> describeRejection; // @return the body that goes with it
+    std::function<CallerLimits()> limits;                                   // in force now
+    std::function<bool()> isDraining;                                       // answers end the connection
 };
 
 class Caller : public std::enable_shared_from_this<Caller>
--- a/traffic/endpointlink.cpp
+++ b/traffic/endpointlink.cpp
@@ -4,6 +4,7 @@
 #include "net/status.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 
 namespace galenafold
 {
@@ -83,8 +84,10 @@
     m_stream->write(bytes);
 }
 
+/// One of the hooks may be running just now, so they are let go of later.
 void EndpointLink::cancel()
 {
+    asio::post(m_connecting.get_executor(), [hooks = std::move(m_hooks)] {});
     m_hooks = LinkHooks();
     m_isBusy = false;
     m_isPoisoned = true;
@@ -252,6 +255,13 @@
 {
 }
 
+LinkPool::~LinkPool()
+{
+    while (!m_idle.empty()) {
+        drop(EndpointId(m_idle.begin()->first));
+    }
+}
+
 std::shared_ptr<EndpointLink> LinkPool::take(Instant now, const EndpointId &endpoint, bool mustBeProved, bool &isNew)
 {
     auto &idle = m_idle[endpoint];
--- a/traffic/endpointlink.h
+++ b/traffic/endpointlink.h
@@ -91,6 +91,9 @@
 {
 public:
     LinkPool(asio::io_context &io, const Dialect &dialect);
+    ~LinkPool(); ///< Closes all idle links, which hold themselves while they are open.
+    LinkPool(const LinkPool &) = delete;
+    LinkPool &operator=(const LinkPool &) = delete;
 
     /// @param mustBeProved only a link that is surely open will do
     /// @return an idle link to the replica, or a new one that has yet to connect. `isNew` tells which.
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -30,24 +30,22 @@
     , m_work(asio::make_work_guard(m_io))
     , m_state(m_io, settings, std::move(dialect), log)
     , m_peers(m_io, settings.peers, m_state.board)
-    , m_acceptor(m_io)
+    , m_listener(m_io)
     , m_sweepTimer(m_io)
 {
     m_state.onStart = [this] { m_peers.tellStart(); };
-    m_callerHooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
+    CallerHooks &hooks = m_listener.hooks;
+    hooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
         onRequest(caller, std::move(request));
     };
-    m_callerHooks.onClosed = [this](const std::shared_ptr<Caller> &caller) {
-        m_callers.erase(caller);
-        m_state.counts.callers = static_cast<int>(m_callers.size());
-    };
-    m_callerHooks.onRejected = [this](int status, const char *why) {
+    hooks.onRejected = [this](int status, const char *why) {
         LogLine line("rejected");
         line.number("status", status).text("why", why);
         m_state.log.write(line, LogWeight::Notable);
     };
-    m_callerHooks.limits = [this] { return m_state.table ? m_state.table->limits : CallerLimits(); };
-    m_callerHooks.isDraining = [this] { return m_state.isDraining; };
+    hooks.limits = [this] { return m_state.table ? m_state.table->limits : CallerLimits(); };
+    hooks.isDraining = [this] { return m_state.isDraining; };
+    m_listener.onCount = [this] { m_state.counts.callers = static_cast<int>(m_listener.count()); };
 }
 
 Traffic::~Traffic()
@@ -57,12 +55,10 @@
 
 bool Traffic::start()
 {
-    if (!listenOn(m_acceptor, m_settings.listenAddress) || !m_peers.start()) {
+    if (!m_listener.start(m_settings.listenAddress) || !m_peers.start()) {
         return false;
     }
-    m_port = m_acceptor.local_endpoint().port();
     m_startedAt = clockNow();
-    accept();
     sweep();
     m_thread = std::thread([this] { m_io.run(); });
     return true;
@@ -76,22 +72,6 @@
     }
 }
 
-void Traffic::accept()
-{
-    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (!error) {
-            const auto caller = std::make_shared<Caller>(m_io, std::move(socket), m_callerHooks);
-            m_callers.insert(caller);
-            m_state.counts.callers = static_cast<int>(m_callers.size());
-            caller->start();
-        }
-        accept();
-    });
-}
-
 void Traffic::onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request)
 {
     const auto flow = std::make_shared<RequestFlow>(m_state, caller, std::move(request));
@@ -144,14 +124,7 @@
 
 void Traffic::stopTaking()
 {
-    asio::post(m_io, [this] {
-        asio::error_code ignored; // closed at an earlier step
-        m_acceptor.close(ignored);
-        const auto callers = m_callers; // closing changes the set
-        for (const auto &caller : callers) {
-            caller->closeIfIdle();
-        }
-    });
+    asio::post(m_io, [this] { m_listener.stopTaking(); });
 }
 
 } // namespace galenafold
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -10,13 +10,11 @@
 #include "filters/board.h"
 #include "filters/followup.h"
 #include "galenafold/eventlog.h"
-#include "traffic/caller.h"
 #include "traffic/endpointlink.h"
+#include "traffic/listener.h"
 #include "traffic/peers.h"
 
-#include <asio/ip/tcp.hpp>
 #include <atomic>
-#include <set>
 #include <thread>
 
 namespace galenafold
@@ -89,10 +87,9 @@
     void stopTaking(); ///< Takes no new connections, and closes those that have no request.
 
     const TrafficCounts &counts() const { return m_state.counts; }
-    int port() const { return m_port; }
+    int port() const { return m_listener.port(); }
 
 private:
-    void accept();
     void onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
     void sweep();
 
@@ -101,13 +98,10 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     TrafficState m_state;
     PeerLink m_peers;
-    asio::ip::tcp::acceptor m_acceptor;
+    CallerListener m_listener;
     DeadlineTimer m_sweepTimer;
-    CallerHooks m_callerHooks;
-    std::set<std::shared_ptr<Caller>> m_callers;
     std::thread m_thread;
     Instant m_startedAt{};
-    int m_port = 0;
 };
 
 } // namespace galenafold
