Tell in the log why an engine was chosen; one connection to the store for all calls

Cause: shared parts read again are the largest price, and the logs could not tell spills from disagreement; a writer to the store needs the connection that the followers hold. Change: choose() says how many engines of a prompt's rank were passed over as full or avoided, and 'sent' lines carry it; StoreConnection (one call at a time, a deadline, a new connection after a failure) is taken out of StoreFollower.

--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -101,7 +101,7 @@
     takePlaces();
 }
 
-const EndpointState *EndpointBoard::choose(Instant now, const PlaceRequest &request)
+BoardChoice EndpointBoard::choose(Instant now, const PlaceRequest &request)
 {
     std::vector<EndpointState *> sound;
     std::vector<EndpointState *> avoided;
@@ -111,14 +111,11 @@
         }
         (now < state.avoidUntil ? avoided : sound).push_back(&state);
     }
-    std::vector<EndpointState *> &candidates = sound.empty() ? avoided : sound;
-    if (candidates.empty()) {
-        return nullptr;
-    }
+    const std::vector<EndpointState *> &candidates = sound.empty() ? avoided : sound;
     if (request.affinity) {
-        return chooseByAffinity(now, candidates, *request.affinity);
+        return chooseByAffinity(now, request, candidates);
     }
-    return chooseLeastLoaded(now, candidates);
+    return {leastLoaded(now, candidates), 0, 0};
 }
 
 /// With peers heard, the mean of this moment. Else the mean over a few seconds: a router alone hears of each engine
@@ -156,28 +153,51 @@
     return room > 0 && static_cast<double>(m_random() % (1U << 20U)) / steps * wanted < room;
 }
 
-const EndpointState *EndpointBoard::chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates,
-                                                     std::uint64_t key)
+/// @return the engines of a service that have places, in a prompt's order
+std::vector<EndpointState *> EndpointBoard::rank(const ServiceId &service, std::uint64_t key)
 {
-    const double bound = m_settings.loadBound * meanLoad(now, candidates) + m_settings.loadAllowance;
-    std::vector<std::pair<std::uint64_t, EndpointState *>> ranked;
-    for (EndpointState *state : candidates) {
-        state->isEngine = true;
-        if (state->place) {
-            ranked.emplace_back(rendezvousScore(key, *state->place), state);
+    std::vector<std::pair<std::uint64_t, EndpointState *>> scored;
+    for (auto &[id, state] : m_endpoints) {
+        if (state.record.service == service && state.place) {
+            scored.emplace_back(rendezvousScore(key, *state.place), &state);
         }
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
-    for (const auto &[score, state] : ranked) {
-        if (hasRoom(now, *state, bound)) {
-            return state;
+    std::sort(scored.begin(), scored.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<EndpointState *> ranked;
+    ranked.reserve(scored.size());
+    for (const auto &[score, state] : scored) {
+        ranked.push_back(state);
+    }
+    return ranked;
+}
+
+BoardChoice EndpointBoard::chooseByAffinity(Instant now, const PlaceRequest &request,
+                                            const std::vector<EndpointState *> &sound)
+{
+    BoardChoice choice;
+    if (sound.empty()) {
+        return choice;
+    }
+    const double bound = m_settings.loadBound * meanLoad(now, sound) + m_settings.loadAllowance;
+    for (EndpointState *state : sound) {
+        state->isEngine = true;
+    }
+    for (EndpointState *state : rank(request.service, *request.affinity)) {
+        if (std::find(sound.begin(), sound.end(), state) == sound.end()) {
+            ++choice.avoided;
+        } else if (!hasRoom(now, *state, bound)) {
+            ++choice.full;
+        } else {
+            choice.endpoint = state;
+            return choice;
         }
     }
-    return chooseLeastLoaded(now, candidates);
+    choice.endpoint = leastLoaded(now, sound);
+    return choice;
 }
 
 /// Ties go to this router's own data centre, then by chance, so that routers do not herd.
-const EndpointState *EndpointBoard::chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates)
+const EndpointState *EndpointBoard::leastLoaded(Instant now, const std::vector<EndpointState *> &candidates)
 {
     constexpr double farCost = 0.75; // a request in progress weighs more than the way to another data centre
     const EndpointState *best = nullptr;
--- a/filters/board.h
+++ b/filters/board.h
@@ -63,6 +63,17 @@
     std::set<EndpointId> excluded;         // tried already
 };
 
+/// What was chosen, and which engines before it in a prompt's rank were passed over.
+struct BoardChoice {
+    const EndpointState *endpoint = nullptr; // none: no replica serves
+    int full = 0;                            // passed over at the bound on load
+    int avoided = 0;                         // passed over as failing, or asked already
+
+    explicit operator bool() const { return endpoint != nullptr; }
+    const EndpointState *operator->() const { return endpoint; }
+    const EndpointState &operator*() const { return *endpoint; }
+};
+
 /// @return hash of the parts that a request shares with others; nothing when it shares none
 std::optional<std::uint64_t> affinityOf(const std::vector<PromptPart> &parts);
 
@@ -78,8 +89,7 @@
 
     void settle(Instant now); ///< Gives newcomers shares of the prompts where the others are busy. Call now and then.
 
-    /// @return the replica to send to, or nothing when none serves
-    const EndpointState *choose(Instant now, const PlaceRequest &request);
+    BoardChoice choose(Instant now, const PlaceRequest &request); ///< @return the replica to send to
 
     void onSent(const EndpointId &id);
     /// @return true if the replica is to be avoided from now on
@@ -105,8 +115,9 @@
     double meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const;
     void sumPeers(Instant now);
     bool hasRoom(Instant now, EndpointState &state, double bound);
-    const EndpointState *chooseByAffinity(Instant now, std::vector<EndpointState *> &candidates, std::uint64_t key);
-    const EndpointState *chooseLeastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
+    std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
+    BoardChoice chooseByAffinity(Instant now, const PlaceRequest &request, const std::vector<EndpointState *> &sound);
+    const EndpointState *leastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
 
     BoardSettings m_settings;
     DataCentreId m_here;
--- /dev/null
+++ b/shell/storecall.cpp
@@ -0,0 +1,123 @@
+// One connection to the platform's store.
+#include "shell/storecall.h"
+
+namespace galenafold
+{
+
+constexpr std::uint64_t mostAnswerBytes = 32U << 20U;
+
+StoreConnection::StoreConnection(asio::io_context &io, std::string address)
+    : m_io(io)
+    , m_address(std::move(address))
+    , m_timer(io)
+{
+}
+
+void StoreConnection::call(std::string request, Instant deadline, StoreCallHooks hooks)
+{
+    const std::uint64_t generation = ++m_generation;
+    m_isCalling = true;
+    m_request = std::move(request);
+    m_hooks = std::move(hooks);
+    m_timer.expires_at(deadline);
+    m_timer.async_wait([this, generation](const asio::error_code &error) {
+        if (!error && generation == m_generation && m_isCalling) {
+            fail("timeout");
+        }
+    });
+    if (m_stream && m_stream->isOpen()) {
+        send();
+    } else {
+        connect();
+    }
+}
+
+void StoreConnection::connect()
+{
+    const auto address = parseAddress(m_address);
+    if (!address) {
+        fail("bad_address");
+        return;
+    }
+    m_connecting = std::make_shared<asio::ip::tcp::socket>(m_io);
+    const auto socket = m_connecting;
+    m_connecting->async_connect(*address, [this, generation = m_generation, socket](const asio::error_code &error) {
+        if (generation != m_generation || !m_isCalling) {
+            return;
+        }
+        if (error) {
+            fail("connect");
+            return;
+        }
+        m_stream = std::make_shared<TcpStream>(std::move(*socket));
+        TcpStream::Hooks hooks;
+        hooks.onBytes = [this](std::string_view bytes) { onBytes(bytes); };
+        hooks.onEnd = [this](StreamEnd) {
+            if (m_isCalling) {
+                fail("closed");
+            }
+        };
+        m_stream->start(std::move(hooks));
+        send();
+    });
+}
+
+void StoreConnection::send()
+{
+    ++m_calls;
+    ParseLimits limits;
+    limits.bodyBytes = mostAnswerBytes;
+    m_parser = std::make_unique<MessageParser>(MessageParser::Kind::Response, limits);
+    m_stream->write(m_request);
+}
+
+void StoreConnection::onBytes(std::string_view bytes)
+{
+    if (!m_isCalling) {
+        drop(); // nothing was asked
+        return;
+    }
+    const std::size_t used = m_parser->feed(bytes);
+    if (m_parser->fault() != ParseFault::None || used < bytes.size()) {
+        fail("malformed");
+    } else if (m_parser->isDone()) {
+        answer();
+    }
+}
+
+void StoreConnection::answer()
+{
+    m_isCalling = false;
+    m_timer.cancel();
+    const std::unique_ptr<MessageParser> parser = std::move(m_parser);
+    const StoreCallHooks hooks = std::move(m_hooks);
+    if (!parser->response().keepsAlive) {
+        drop();
+    }
+    hooks.onAnswer(parser->response().status, parser->body());
+}
+
+void StoreConnection::fail(const char *why)
+{
+    m_isCalling = false;
+    ++m_generation;
+    m_timer.cancel();
+    drop();
+    const StoreCallHooks hooks = std::move(m_hooks);
+    hooks.onFailure(why);
+}
+
+void StoreConnection::drop()
+{
+    if (m_connecting) {
+        asio::error_code ignored; // the pending connect is of no interest any more
+        m_connecting->close(ignored);
+        m_connecting.reset();
+    }
+    if (m_stream) {
+        m_stream->close();
+        m_stream.reset();
+    }
+}
+
+} // namespace galenafold
--- a/shell/storefollower.cpp
+++ b/shell/storefollower.cpp
@@ -7,13 +7,11 @@
 {
 
 constexpr auto answerWithin = std::chrono::milliseconds(700); // beyond the time that the store was asked to wait
-constexpr std::uint64_t mostAnswerBytes = 32U << 20U;
 
 StoreFollower::StoreFollower(asio::io_context &io, StoreTopic topic, const std::string &address, const TopicPace &pace,
                              StoreFollowerHooks hooks, EventLog &log, std::uint64_t seed)
-    : m_io(io)
-    , m_topic(topic)
-    , m_address(address)
+    : m_topic(topic)
+    , m_store(io, address)
     , m_follow(pace, hooks.topic, seed)
     , m_hooks(std::move(hooks))
     , m_log(log)
@@ -44,101 +42,48 @@
 
 void StoreFollower::call()
 {
-    const std::uint64_t generation = ++m_generation;
-    m_isCalling = true;
     m_sentAt = clockNow();
-    m_timer.expires_at(m_sentAt + m_step.wait + answerWithin);
-    m_timer.async_wait([this, generation](const asio::error_code &error) {
-        if (!error && generation == m_generation && m_isCalling) {
-            onFailure("timeout");
-        }
-    });
-    if (m_stream && m_stream->isOpen()) {
-        send();
-        return;
-    }
-    const auto address = parseAddress(m_address);
-    if (!address) {
-        onFailure("bad_address");
-        return;
-    }
-    m_connecting = std::make_shared<asio::ip::tcp::socket>(m_io);
-    m_connecting->async_connect(*address, [this, generation, socket = m_connecting](const asio::error_code &error) {
-        if (generation != m_generation || !m_isCalling) {
-            return;
-        }
-        if (error) {
-            onFailure("connect");
-            return;
-        }
-        m_stream = std::make_shared<TcpStream>(std::move(*socket));
-        TcpStream::Hooks hooks;
-        hooks.onBytes = [this](std::string_view bytes) { onBytes(bytes); };
-        hooks.onEnd = [this](StreamEnd) {
-            if (m_isCalling) {
-                onFailure("closed");
-            }
-        };
-        m_stream->start(std::move(hooks));
-        send();
-    });
-}
-
-void StoreFollower::send()
-{
-    ++m_calls;
-    ParseLimits limits;
-    limits.bodyBytes = mostAnswerBytes;
-    m_parser = std::make_unique<MessageParser>(MessageParser::Kind::Response, limits);
-    m_stream->write(encodeStep(m_step, m_topic, m_address));
+    StoreCallHooks hooks;
+    hooks.onAnswer = [this](int status, const std::string &body) { onAnswer(status, body); };
+    hooks.onFailure = [this](const char *why) { onFailure(why); };
+    m_store.call(encodeStep(m_step, m_topic, m_store.address()), m_sentAt + m_step.wait + answerWithin,
+                 std::move(hooks));
 }
 
-void StoreFollower::onBytes(std::string_view bytes)
+/// @return false: the body cannot be read
+bool StoreFollower::take(Instant now, const std::string &body)
 {
-    if (!m_isCalling) {
-        closeConnection(); // nothing was asked
-        return;
+    if (m_step.isListing) {
+        auto page = decodePage(body);
+        if (page) {
+            m_follow.onPage(m_sentAt, now, std::move(*page));
+        }
+        return page.has_value();
     }
-    const std::size_t used = m_parser->feed(bytes);
-    if (m_parser->fault() != ParseFault::None || used < bytes.size()) {
-        onFailure("malformed");
-    } else if (m_parser->isDone()) {
-        onAnswer();
+    const auto read = decodeRead(body, m_step.from);
+    if (read) {
+        m_follow.onRead(m_sentAt, now, *read);
     }
+    return read.has_value();
 }
 
-void StoreFollower::onAnswer()
+void StoreFollower::onAnswer(int status, const std::string &body)
 {
     const Instant now = clockNow();
-    const int status = m_parser->response().status;
-    if (!m_parser->response().keepsAlive) {
-        closeConnection();
-    }
     if (status == statusGone) {
         LogLine line("history_cut");
         line.text("topic", text(m_topic)).number("from", m_step.from);
         m_log.write(line, LogWeight::Notable);
         m_follow.onHistoryCut();
     } else if (status != statusOk) {
+        m_store.drop();
         onFailure(std::to_string(status).c_str());
         return;
-    } else if (m_step.isListing) {
-        auto page = decodePage(m_parser->body());
-        if (!page) {
-            onFailure("unreadable");
-            return;
-        }
-        m_follow.onPage(m_sentAt, now, std::move(*page));
-    } else {
-        const auto read = decodeRead(m_parser->body(), m_step.from);
-        if (!read) {
-            onFailure("unreadable");
-            return;
-        }
-        m_follow.onRead(m_sentAt, now, *read);
+    } else if (!take(now, body)) {
+        m_store.drop();
+        onFailure("unreadable");
+        return;
     }
-    m_isCalling = false;
-    m_parser.reset();
     if (m_isLost) {
         m_isLost = false;
         m_hooks.onRegained(now);
@@ -149,9 +94,6 @@
 void StoreFollower::onFailure(const char *why)
 {
     const Instant now = clockNow();
-    m_isCalling = false;
-    ++m_generation;
-    closeConnection();
     if (!m_isLost) {
         m_isLost = true;
         LogLine line("store_lost");
@@ -163,17 +105,4 @@
     schedule();
 }
 
-void StoreFollower::closeConnection()
-{
-    if (m_connecting) {
-        asio::error_code ignored; // the pending connect is of no interest any more
-        m_connecting->close(ignored);
-        m_connecting.reset();
-    }
-    if (m_stream) {
-        m_stream->close();
-        m_stream.reset();
-    }
-}
-
 } // namespace galenafold
--- a/tests/placing.cpp
+++ b/tests/placing.cpp
@@ -61,7 +61,7 @@
     board.setRecords(at(0), engines(12));
     std::map<EndpointId, int> placed;
     for (int i = 0; i < 120; ++i) {
-        const EndpointState *endpoint = board.choose(at(0), forPrompt(42));
+        const BoardChoice endpoint = board.choose(at(0), forPrompt(42));
         const double mean = i / 12.0;
         CHECK(placed[endpoint->record.id] <= 2 * mean + 3); // what it holds when the request arrives
         ++placed[endpoint->record.id];
@@ -87,7 +87,7 @@
         board.onSent({id});
         board.onEnded(at(0), {id}, AttemptEnd::Unreachable);
     }
-    CHECK(board.choose(at(0.1), forPrompt(1)) != nullptr);
+    CHECK(bool(board.choose(at(0.1), forPrompt(1))));
 }
 
 TEST(PlacingByPrompt, ReadsSharedPartsTenTimesLessOftenThanTheNaivePolicy)
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -152,23 +152,24 @@
 
 void RequestFlow::place(Instant now)
 {
-    const EndpointState *endpoint = m_state.board.choose(now, m_place);
-    if (!endpoint && !m_place.excluded.empty()) {
+    BoardChoice choice = m_state.board.choose(now, m_place);
+    if (!choice && !m_place.excluded.empty()) {
         m_place.excluded.clear(); // every replica was tried: the least bad one again
-        endpoint = m_state.board.choose(now, m_place);
+        choice = m_state.board.choose(now, m_place);
     }
-    if (!endpoint) {
+    if (!choice) {
         giveUp(EndReason::NoReplica);
         return;
     }
-    attempt(now, *endpoint);
+    attempt(now, choice);
 }
 
 // Attempting
 
 /// Keys are checked again here: a request may have waited for an attempt that failed, or the VM may have slept.
-void RequestFlow::attempt(Instant now, const EndpointState &endpoint)
+void RequestFlow::attempt(Instant now, const BoardChoice &choice)
 {
+    const EndpointState &endpoint = *choice;
     if (m_end - now < leastWorthSending) {
         giveUp(EndReason::Expired);
         return;
@@ -197,7 +198,7 @@
     if (m_place.affinity) {
         m_state.onStart();
     }
-    logSent(now, endpoint, isNew);
+    logSent(now, choice, isNew);
     m_link->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
     if (isNew) {
         m_link->connect(*address, m_end);
@@ -205,12 +206,14 @@
     armTimer();
 }
 
-void RequestFlow::logSent(Instant now, const EndpointState &endpoint, bool isNewConnection) const
+void RequestFlow::logSent(Instant now, const BoardChoice &choice, bool isNewConnection) const
 {
+    const EndpointState &endpoint = *choice;
     LogLine line("sent");
     line.text("request", m_fields.request.text).text("replica", endpoint.record.id.text);
     line.text("service", m_place.service.text).number("try", m_attempts.sent).millis("left_ms", m_end - now);
     line.number("load", static_cast<std::int64_t>(m_state.board.load(now, endpoint)));
+    line.number("passed_full", choice.full).number("passed_avoided", choice.avoided);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogWeight::Routine);
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -44,9 +44,9 @@
 
     // Attempting.
 
-    void attempt(Instant now, const EndpointState &endpoint);
+    void attempt(Instant now, const BoardChoice &choice);
     std::string encodeRequest(Instant now, const EndpointState &endpoint) const;
-    void logSent(Instant now, const EndpointState &endpoint, bool isNewConnection) const;
+    void logSent(Instant now, const BoardChoice &choice, bool isNewConnection) const;
     void armTimer();
     void onTimer();
     Instant progressBy() const;
