Keep which engine has which place in the platform's store; copy prompts from engines that leave

Cause: logs showed that a third of the prompts read at a second engine were read at routers that had restarted: they knew nothing of who took whose place, and routers that settled newcomers at different moments disagreed for good. A leaver's cache was not used though it serves on for seconds. Ruled out: routers not hearing each other (spills were told apart by the new fields); places learnt before the registry were dropped at first (found by the log, test made to fail first). Copies come from the engine that leaves while it serves.

--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -131,4 +131,15 @@
     return records;
 }
 
+std::vector<ReplicaRecord> Directory::leaving() const
+{
+    std::vector<ReplicaRecord> records;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.record && entry.record->isDraining) {
+            records.push_back(*entry.record);
+        }
+    }
+    return records;
+}
+
 } // namespace galenafold
--- a/control/directory.h
+++ b/control/directory.h
@@ -63,6 +63,9 @@
     /// @return replicas that may get new work
     std::vector<ReplicaRecord> usable() const;
 
+    /// @return replicas that drain: they end what they have
+    std::vector<ReplicaRecord> leaving() const;
+
     /// @return when `expire` has something to do, if it ever has
     std::optional<Instant> nextExpiry() const;
 
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -71,6 +71,8 @@
     bool isStart = false;     // only `start` is set
     StartNotice start;
     std::vector<std::uint32_t> peers; // IPv4 numbers of routers that the sender hears
+    bool hasList = false;             // `peers` and `placesUpTo` are told
+    std::uint32_t placesUpTo = 0;     // how far the sender has read the places in the store; 0: it cannot now
     std::vector<PeerLoad> loads; // endpoints where the sender has calls that last; brief ones are told as starts only
 };
 
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -17,6 +17,7 @@
 constexpr auto peerLifetime = std::chrono::seconds(2);         // of counts from a peer that falls silent
 constexpr auto usualLifetime = std::chrono::seconds(8); // a demand that swings within seconds is followed in time
 constexpr double usualWeight = 0.3;                     // of the newest report in the smoothed load
+constexpr auto leaverLife = std::chrono::seconds(4); // an engine that drains serves at least for so long
 constexpr auto firstAvoid = std::chrono::milliseconds(500);
 constexpr int mostAvoidDoublings = 3;
 constexpr double failureWeight = 0.2;    // of the newest attempt in the smoothed rate
@@ -43,8 +44,10 @@
 {
 }
 
-std::vector<EndpointId> EndpointBoard::setRecords(Instant now, const std::vector<ReplicaRecord> &records)
+std::vector<EndpointId> EndpointBoard::setRecords(Instant now, const std::vector<ReplicaRecord> &records,
+                                                  const std::vector<ReplicaRecord> &leaving)
 {
+    noteLeaving(now, leaving);
     std::set<EndpointId> kept;
     for (const ReplicaRecord &record : records) {
         kept.insert(record.id);
@@ -74,6 +77,26 @@
     return dropped;
 }
 
+/// An engine that drains still holds the prompts of its place, for whoever serves them next.
+void EndpointBoard::noteLeaving(Instant now, const std::vector<ReplicaRecord> &leaving)
+{
+    for (const ReplicaRecord &record : leaving) {
+        const auto state = m_endpoints.find(record.id);
+        if (state != m_endpoints.end() && state->second.place) {
+            m_leaving[record.id] = {*state->second.place, record.address, now + leaverLife};
+        }
+    }
+    for (auto entry = m_leaving.begin(); entry != m_leaving.end();) {
+        entry = now >= entry->second.until ? m_leaving.erase(entry) : std::next(entry);
+    }
+}
+
+void EndpointBoard::adoptPlaces(const std::vector<PlaceRecord> &agreed)
+{
+    m_places.adopt(agreed);
+    takePlaces();
+}
+
 void EndpointBoard::takePlaces()
 {
     for (auto &[id, state] : m_endpoints) {
@@ -267,25 +290,33 @@
     state.loadUntil = now + loadLifetime;
 }
 
-/// In rank order the first engine but the chosen one: a prompt's home when it spills over, and the engine that stood in
-/// for its home when that comes back or is new.
-const EndpointState *EndpointBoard::cacheSource(Instant now, const PlaceRequest &request,
-                                                const EndpointId &chosen) const
+/// In rank order the first engine but the chosen one: a prompt's home when it spills over, the engine that stood in for
+/// its home when that comes back, or the one that leaves and had the place before.
+std::string EndpointBoard::cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const
 {
-    const EndpointState *best = nullptr;
+    if (!request.affinity) {
+        return {};
+    }
+    std::string best;
     std::uint64_t bestScore = 0;
+    const auto offer = [&](std::uint64_t place, const std::string &address) {
+        const std::uint64_t score = rendezvousScore(*request.affinity, place);
+        if (score >= bestScore) {
+            best = address;
+            bestScore = score;
+        }
+    };
     for (const auto &[id, state] : m_endpoints) {
-        const bool isCandidate = state.place && id != chosen && state.record.service == request.service;
-        if (!request.affinity || !isCandidate) {
-            continue;
+        if (state.place && id != chosen && state.record.service == request.service) {
+            offer(*state.place, now >= state.avoidUntil ? state.record.address : std::string());
         }
-        const std::uint64_t score = rendezvousScore(*request.affinity, *state.place);
-        if (!best || score > bestScore) {
-            best = &state;
-            bestScore = score;
+    }
+    for (const auto &[id, leaver] : m_leaving) {
+        if (now < leaver.until) {
+            offer(leaver.place, leaver.address);
         }
     }
-    return best && now >= best->avoidUntil ? best : nullptr;
+    return best;
 }
 
 double EndpointBoard::load(Instant now, const EndpointState &state) const
--- a/filters/board.h
+++ b/filters/board.h
@@ -84,8 +84,19 @@
 public:
     EndpointBoard(const BoardSettings &settings, DataCentreId here, std::uint64_t seed);
 
-    /// Sets which replicas may get new work. @return those that may no longer
-    std::vector<EndpointId> setRecords(Instant now, const std::vector<ReplicaRecord> &records);
+    /// Sets which replicas may get new work. @param leaving replicas that end what they have, and still hold their caches
+    /// @return those that may get no more work
+    std::vector<EndpointId> setRecords(Instant now, const std::vector<ReplicaRecord> &records,
+                                       const std::vector<ReplicaRecord> &leaving = {});
+
+    /// Takes over which engine has which place, as the fleet has agreed on it.
+    void adoptPlaces(const std::vector<PlaceRecord> &agreed);
+
+    /// @return places that are not, or not so, in what the fleet has agreed on
+    std::vector<PlaceRecord> placeDifferences(const std::vector<PlaceRecord> &agreed) const
+    {
+        return m_places.differences(agreed);
+    }
 
     void settle(Instant now); ///< Gives newcomers shares of the prompts where the others are busy. Call now and then.
 
@@ -105,13 +116,15 @@
 
     std::vector<PeerLoad> ownLoads() const; ///< @return engines where this router has calls, for its peers
 
-    /// @return the engine that most likely holds a prompt's shared parts besides the one chosen; nothing when none does
-    const EndpointState *cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const;
+    /// @return IP:PORT of the engine that most likely holds a prompt's shared parts besides the one chosen; "" when none
+    /// does
+    std::string cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const;
 
     double load(Instant now, const EndpointState &state) const; ///< @return requests in progress there, as best known
 
 private:
     void takePlaces();
+    void noteLeaving(Instant now, const std::vector<ReplicaRecord> &leaving);
     double meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const;
     void sumPeers(Instant now);
     bool hasRoom(Instant now, EndpointState &state, double bound);
@@ -122,6 +135,11 @@
     BoardSettings m_settings;
     DataCentreId m_here;
     boost::random::mt19937_64 m_random;
+    struct LeavingEngine {
+        std::uint64_t place = 0; // that it had
+        std::string address;     // IP:PORT
+        Instant until{};         // it may have ended by then
+    };
     struct PeerCounts {
         Instant until{};
         std::vector<PeerLoad> loads;
@@ -132,6 +150,7 @@
     int m_peersHeard = 0;
     double m_unheardSeconds = 0; // until a start at a peer is known here
     std::map<EndpointId, EndpointState> m_endpoints;
+    std::map<EndpointId, LeavingEngine> m_leaving;
 };
 
 } // namespace galenafold
--- a/filters/places.cpp
+++ b/filters/places.cpp
@@ -58,18 +58,83 @@
         service.since = std::min(now, service.since);
     }
     for (auto &[id, service] : m_services) {
+        const bool isFirstSight = service.taken.empty() && service.vacant.empty() && service.waiting.empty();
         remove(service, present[id]);
         for (const EndpointId &endpoint : present[id]) {
             add(now, service, endpoint);
         }
-        while (!service.vacant.empty() && !service.waiting.empty()) {
-            service.taken[service.waiting.front()] = service.vacant.front();
-            service.waiting.pop_front();
-            service.vacant.pop_front();
+        const auto agreed = m_agreed.find(id);
+        if (isFirstSight && agreed != m_agreed.end()) {
+            adoptInto(service, agreed->second);
         }
+        fillVacant(service);
     }
 }
 
+void PlaceBook::fillVacant(Service &service)
+{
+    while (!service.vacant.empty() && !service.waiting.empty()) {
+        service.taken[service.waiting.front()] = service.vacant.front();
+        service.waiting.pop_front();
+        service.vacant.pop_front();
+    }
+}
+
+void PlaceBook::adoptInto(Service &service, const std::map<std::uint64_t, EndpointId> &agreed)
+{
+    std::deque<EndpointId> others = std::move(service.waiting); // newcomers, in their order
+    const auto before = std::move(service.taken);
+    service.taken.clear();
+    service.waiting.clear();
+    service.vacant.clear();
+    for (const auto &[engine, place] : before) {
+        others.push_back(engine);
+    }
+    for (const auto &[place, engine] : agreed) {
+        const auto found = std::find(others.begin(), others.end(), engine);
+        if (found == others.end()) {
+            service.vacant.push_back(place);
+            continue;
+        }
+        service.taken[engine] = place;
+        others.erase(found);
+    }
+    service.waiting = std::move(others);
+    fillVacant(service);
+}
+
+void PlaceBook::adopt(const std::vector<PlaceRecord> &agreed)
+{
+    m_agreed.clear();
+    for (const PlaceRecord &record : agreed) {
+        m_agreed[record.service][record.place] = record.engine;
+    }
+    for (const auto &[id, places] : m_agreed) {
+        const auto found = m_services.find(id);
+        if (found != m_services.end()) {
+            adoptInto(found->second, places);
+        }
+    }
+}
+
+std::vector<PlaceRecord> PlaceBook::differences(const std::vector<PlaceRecord> &agreed) const
+{
+    std::map<std::uint64_t, EndpointId> known;
+    for (const PlaceRecord &record : agreed) {
+        known[record.place] = record.engine;
+    }
+    std::vector<PlaceRecord> differences;
+    for (const auto &[id, service] : m_services) {
+        for (const auto &[engine, place] : service.taken) {
+            const auto found = known.find(place);
+            if (found == known.end() || found->second != engine) {
+                differences.push_back({id, place, engine});
+            }
+        }
+    }
+    return differences;
+}
+
 void PlaceBook::settle(const ServiceId &id, double meanLoad, int slots)
 {
     const auto found = m_services.find(id);
--- a/filters/places.h
+++ b/filters/places.h
@@ -6,8 +6,9 @@
 // places. A newcomer waits without a place, serves what spills over, and takes the place of the next engine that
 // leaves. Only when engines are busy does it get a place of its own.
 //
-// All routers read the same registry in the same order, so they agree but for a router that started in between; where
-// they differ, a prompt is read once more, nothing else.
+// All routers read the same registry in the same order, so they mostly agree. Who has which place is kept in the
+// platform's store too: a router that starts takes it over, and all follow what the first router of the fleet writes.
+// Where they differ, a prompt is read once more, nothing else.
 #pragma once
 
 #include "control/directory.h"
@@ -24,6 +25,13 @@
     double busyShare = 0.25;     // of an engine's slots; a mean above it gives newcomers places of their own
 };
 
+/// Who has a place, as routers tell it to each other.
+struct PlaceRecord {
+    ServiceId service;
+    std::uint64_t place = 0;
+    EndpointId engine;
+};
+
 class PlaceBook
 {
 public:
@@ -38,6 +46,13 @@
     /// @return the hash that stands for an engine's place; nothing while it has none
     std::optional<std::uint64_t> place(const EndpointId &id) const;
 
+    /// Takes over what the fleet has agreed on. Engines that it does not name wait; places of engines that have gone are
+    /// for them.
+    void adopt(const std::vector<PlaceRecord> &agreed);
+
+    /// @return places that are not, or not so, in what the fleet has agreed on
+    std::vector<PlaceRecord> differences(const std::vector<PlaceRecord> &agreed) const;
+
 private:
     struct Service {
         Instant since = Instant::max();            // its first engine was seen
@@ -46,11 +61,14 @@
         std::deque<EndpointId> waiting;            // newcomers, oldest first
     };
 
+    static void adoptInto(Service &service, const std::map<std::uint64_t, EndpointId> &agreed);
+    static void fillVacant(Service &service);
     static void remove(Service &service, const std::set<EndpointId> &present);
     void add(Instant now, Service &service, const EndpointId &id) const;
 
     PlaceSettings m_settings;
     std::map<ServiceId, Service> m_services;
+    std::map<ServiceId, std::map<std::uint64_t, EndpointId>> m_agreed; // by place; also of services not seen yet
 };
 
 } // namespace galenafold
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -33,6 +33,7 @@
     auto longLanes = root.initLongLanes(count);
     const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), mostPeers));
     auto peerList = root.initPeers(peers);
+    root.setPlacesUpTo(beacon.hasList ? beacon.placesUpTo + 1 : 0); // 0 on the wire: no list goes with this beacon
     for (unsigned i = 0; i < peers; ++i) {
         peerList.set(i, beacon.peers[i]);
     }
@@ -72,6 +73,8 @@
     for (unsigned i = 0; i < count; ++i) {
         beacon.loads.push_back({endpoints[i], totals[i], longLanes[i]});
     }
+    beacon.hasList = root.getPlacesUpTo() > 0;
+    beacon.placesUpTo = beacon.hasList ? root.getPlacesUpTo() - 1 : 0;
     const auto peers = root.getPeers();
     for (unsigned i = 0; i < std::min<unsigned>(peers.size(), mostPeers); ++i) {
         beacon.peers.push_back(peers[i]);
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -73,11 +73,22 @@
                 hashName(settings.name.text))
     , m_registry(m_io, StoreTopic::Registry, settings.store, registryPace(settings), registryHooks(), m_log,
                  hashName(settings.name.text) + 1)
+    , m_places(m_io, settings.store, m_log, hashName(settings.name.text) + 2)
     , m_admin(m_io)
     , m_flushTimer(m_io)
     , m_expiryTimer(m_io)
     , m_drainTimer(m_io)
 {
+    m_places.onRead = [this](const std::vector<PlaceRecord> &places, LogOffset end) {
+        LogLine line("places");
+        line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
+        m_log.write(line, LogWeight::Notable);
+        m_traffic.setPlaces(places, end);
+    };
+    m_traffic.onNewerPlaces = [this] { asio::post(m_io, [this] { m_places.readNow(); }); };
+    m_traffic.onPlacesToSave = [this](std::vector<PlaceRecord> places) {
+        asio::post(m_io, [this, places = std::move(places)] { m_places.save(places); });
+    };
     m_log.onFirst = [this] { asio::post(m_io, [this] { scheduleFlush(); }); };
 }
 
@@ -111,9 +122,13 @@
         m_proof.renew(provedAt);
         m_traffic.setProof(provedAt);
     };
-    hooks.onLost = [this](Instant) { m_isDesiredLost = true; };
+    hooks.onLost = [this](Instant) {
+        m_isDesiredLost = true;
+        m_traffic.setStoreLost();
+    };
     hooks.onRegained = [this](Instant) {
         m_isDesiredLost = false;
+        m_places.readNow();
         LogLine line("store_regained");
         line.text("topic", text(StoreTopic::DesiredState));
         m_log.write(line, LogWeight::Notable);
@@ -211,7 +226,7 @@
     line.number("usable", static_cast<std::int64_t>(usable.size()));
     line.number("known", static_cast<std::int64_t>(m_directory.size()));
     m_log.write(line, LogWeight::Notable);
-    m_traffic.setReplicas(std::move(usable));
+    m_traffic.setReplicas(std::move(usable), m_directory.leaving());
 }
 
 /// Tells the traffic thread once a whole read was applied, and sets the timer for entries that lapsed.
@@ -255,6 +270,7 @@
     m_log.write(line, LogWeight::Notable);
     m_desired.start();
     m_registry.start();
+    m_places.start();
     return true;
 }
 
@@ -281,7 +297,7 @@
     add("calls_served_total", counts.answered);
     add("calls_refused_total", counts.refused);
     add("calls_failed_total", counts.failed);
-    add("store_calls_total", m_desired.calls() + m_registry.calls());
+    add("store_calls_total", m_desired.calls() + m_registry.calls() + m_places.calls());
     add("calls_streaming", counts.streaming);
     add("store_records_total", m_storeRecords);
     add("store_lost", (m_isDesiredLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -4,7 +4,7 @@
 #include "control/directory.h"
 #include "control/freshness.h"
 #include "galenafold/galenafold.h"
-#include "shell/storefollower.h"
+#include "shell/placestore.h"
 #include "traffic/traffic.h"
 
 namespace galenafold
@@ -49,6 +49,7 @@
     FreshnessProof m_proof; // of the desired state
     StoreFollower m_desired;
     StoreFollower m_registry;
+    PlaceStore m_places;
     CallerListener m_admin;
     DeadlineTimer m_flushTimer;
     DeadlineTimer m_expiryTimer;
--- a/shell/storecall.h
+++ b/shell/storecall.h
@@ -24,6 +24,7 @@
 
     void drop(); ///< The next call goes over a new connection.
 
+    bool isCalling() const { return m_isCalling; }
     const std::string &address() const { return m_address; }
     std::int64_t calls() const { return m_calls; } ///< @return calls made since the start
 
--- a/shell/storefollower.cpp
+++ b/shell/storefollower.cpp
@@ -24,6 +24,15 @@
     schedule();
 }
 
+void StoreFollower::readNow()
+{
+    if (!m_store.isCalling()) {
+        m_timer.cancel();
+        m_step = m_follow.next(clockNow());
+        call();
+    }
+}
+
 void StoreFollower::schedule()
 {
     const Instant now = clockNow();
--- a/tests/placing.cpp
+++ b/tests/placing.cpp
@@ -128,6 +128,7 @@
     for (const std::string &name : names) {
         ReplicaRecord record;
         record.id.text = name;
+        record.address = name;
         record.service.text = "llm";
         record.slots = 64;
         records.push_back(record);
@@ -191,8 +192,8 @@
 {
     board.setRecords(at(0), engineList({"a", "b", "c"}));
     const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
-    const EndpointId standIn = board.cacheSource(at(0), forPrompt(42), home)->record.id;
-    CHECK(standIn != home);
+    const std::string standIn = board.cacheSource(at(0), forPrompt(42), home);
+    CHECK(!standIn.empty() && standIn != home.text);
     std::vector<std::string> others;
     for (const char *id : {"a", "b", "c"}) {
         if (home.text != id) {
@@ -200,15 +201,60 @@
         }
     }
     board.setRecords(at(20), engineList(others));
-    CHECK(board.choose(at(20), forPrompt(42))->record.id == standIn); // it reads the prompt while the home is away
+    STRCMP_EQUAL(standIn.c_str(), board.choose(at(20), forPrompt(42))->record.id.text.c_str()); // while the home is away
     board.setRecords(at(30), engineList({"a", "b", "c"}));
-    STRCMP_EQUAL(home.text.c_str(), board.cacheSource(at(30), forPrompt(42), standIn)->record.id.text.c_str());
+    STRCMP_EQUAL(home.text.c_str(), board.cacheSource(at(30), forPrompt(42), {standIn}).c_str());
     board.onSent(home);
     board.onEnded(at(30), home, AttemptEnd::Unreachable);
-    POINTERS_EQUAL(nullptr, board.cacheSource(at(30), forPrompt(42), standIn)); // never wait for a failing one
+    STRCMP_EQUAL("", board.cacheSource(at(30), forPrompt(42), {standIn}).c_str()); // never wait for a failing one
     PlaceRequest plain = forPrompt(42);
     plain.affinity.reset();
-    POINTERS_EQUAL(nullptr, board.cacheSource(at(30), plain, standIn));
+    STRCMP_EQUAL("", board.cacheSource(at(30), plain, {standIn}).c_str());
+}
+
+/// A release drains an engine whose place a newcomer takes: it still holds the prompts, for a few seconds.
+TEST(PlacingByPrompt, ACopyComesFromTheEngineThatLeaves)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c"}));
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    board.setRecords(at(20), engineList({"a", "b", "c", "new"}));
+    std::vector<std::string> staying{"new"};
+    for (const char *id : {"a", "b", "c"}) {
+        if (home.text != id) {
+            staying.emplace_back(id);
+        }
+    }
+    board.setRecords(at(21), engineList(staying), engineList({home.text}));
+    STRCMP_EQUAL("new", board.choose(at(21), forPrompt(42))->record.id.text.c_str());
+    STRCMP_EQUAL(home.text.c_str(), board.cacheSource(at(22), forPrompt(42), {"new"}).c_str());
+    board.setRecords(at(30), engineList(staying));
+    CHECK(board.cacheSource(at(30), forPrompt(42), {"new"}) != home.text); // it has ended by now
+}
+
+/// All routers stop at one moment; the engines, some of them replacements, live on with their caches.
+TEST(PlacingByPrompt, ARouterThatStartsTakesOverWhatTheFleetHasAgreedOn)
+{
+    board.setRecords(at(0), engineList({"a", "b", "c", "d"}));
+    board.setRecords(at(20), engineList({"a", "b", "c", "d", "e"}));
+    board.setRecords(at(21), engineList({"a", "b", "d", "e"})); // e has the place of c
+    const auto before = homes(board, at(21));
+    const auto saved = board.placeDifferences({});
+    LONGS_EQUAL(4, saved.size());
+    LONGS_EQUAL(0, board.placeDifferences(saved).size());
+
+    EndpointBoard started{BoardSettings(), {"there"}, 7};
+    started.setRecords(at(40), engineList({"a", "b", "d", "e"}));
+    CHECK(homes(started, at(40)) != before);
+    started.adoptPlaces(saved);
+    CHECK(homes(started, at(40)) == before);
+
+    EndpointBoard later{BoardSettings(), {"there"}, 8}; // d was replaced by f while no router ran
+    later.adoptPlaces(saved); // before the registry was read
+    later.setRecords(at(40), engineList({"a", "b", "e", "f"}));
+    auto expected = before;
+    std::replace(expected.begin(), expected.end(), std::string("d"), std::string("f"));
+    CHECK(homes(later, at(40)) == expected);
+    LONGS_EQUAL(1, later.placeDifferences(saved).size());
 }
 
 /// Routers before twelve engines, hot prompts, demand that swings. A start is told to all after a time, ends each 0.3
--- a/traffic/peers.cpp
+++ b/traffic/peers.cpp
@@ -68,7 +68,13 @@
     peer.heardAt = now;
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_own) {
-            m_peers.try_emplace(other, Peer{now, 0}); // told from now on; forgotten if it stays silent
+            m_peers.try_emplace(other, Peer{now, 0, 0}); // told from now on; forgotten if it stays silent
+        }
+    }
+    if (beacon.hasList) {
+        peer.placesUpTo = beacon.placesUpTo;
+        if (beacon.placesUpTo > m_placesUpTo && m_placesUpTo > 0 && onNewerPlaces) {
+            onNewerPlaces();
         }
     }
     m_board.onPeerLoads(now, from, beacon.loads);
@@ -110,6 +116,27 @@
     }
 }
 
+void PeerLink::setPlaces(std::uint32_t upTo)
+{
+    if (upTo != m_placesUpTo) {
+        m_placesUpTo = upTo;
+        m_listAt = Instant{}; // goes with the next beacon
+    }
+}
+
+bool PeerLink::isFirst() const
+{
+    const Instant now = clockNow();
+    const auto own = std::make_pair(m_placesUpTo == 0, m_own);
+    for (const auto &[address, peer] : m_peers) {
+        const bool isHeard = peer.number > 0 && now < peer.heardAt + heardWithin;
+        if (isHeard && std::make_pair(peer.placesUpTo == 0, address) < own) {
+            return false;
+        }
+    }
+    return true;
+}
+
 int PeerLink::bytesToAll() const
 {
     return static_cast<int>(m_beaconBytes * static_cast<double>(m_peers.size()));
@@ -143,6 +170,8 @@
     beacon.number = ++m_number;
     if (now >= m_listAt) {
         m_listAt = now + listEvery;
+        beacon.hasList = true;
+        beacon.placesUpTo = m_placesUpTo;
         for (const auto &[address, peer] : m_peers) {
             if (peer.number > 0) {
                 beacon.peers.push_back(address);
--- a/traffic/peers.h
+++ b/traffic/peers.h
@@ -32,12 +32,20 @@
     bool start();                                 ///< @return false: the address is taken
     void tellStart();                             ///< A call has just started here: peers are told at once.
     int mostHeard() const { return m_mostHeard; } ///< @return most peers that were heard at one time
+    /// Tells how far this router has read the places in the store. @param upTo 0: it does not reach the store now
+    void setPlaces(std::uint32_t upTo);
+
+    /// @return true if this router decides on places: those that reach the store go first, then the lowest address
+    bool isFirst() const;
+
+    std::function<void()> onNewerPlaces; // a peer has read on, or has written
     std::int64_t bytesSent() const { return m_socket.bytesSent(); }
 
 private:
     struct Peer {
         Instant heardAt{};
-        std::uint32_t number = 0; // of the last beacon
+        std::uint32_t number = 0;     // of the last beacon
+        std::uint32_t placesUpTo = 0; // as it told last
     };
 
     void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
@@ -60,6 +68,7 @@
     Instant m_sentAt{};             // the last beacon
     std::optional<Instant> m_since; // the oldest start that peers were not told of
     double m_untoldSeconds = 0;     // smoothed: how long a start is not told
+    std::uint32_t m_placesUpTo = 0;
     int m_port = 0;
     double m_beaconBytes = 100; // smoothed size of one
     int m_mostHeard = 0;
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -232,10 +232,7 @@
     attempt.left = m_end - now;
     attempt.expected = endpoint.record.id;
     attempt.resumeAfter = m_events.lastId();
-    const EndpointState *source = m_state.board.cacheSource(now, m_place, endpoint.record.id);
-    if (source) {
-        attempt.cacheSource = source->record.address;
-    }
+    attempt.cacheSource = m_state.board.cacheSource(now, m_place, endpoint.record.id);
     if (m_account) {
         attempt.account = m_account->id;
     }
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr auto countPeersAfter = std::chrono::seconds(5); // by then beacons have named every router
+constexpr auto savePlacesAfter = std::chrono::seconds(9); // engines of the start have their places by then
 constexpr auto sweepEvery = std::chrono::seconds(1);
 
 TrafficState::TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, Dialect theDialect,
@@ -33,6 +34,11 @@
     , m_listener(m_io)
     , m_sweepTimer(m_io)
 {
+    m_peers.onNewerPlaces = [this] {
+        if (onNewerPlaces) {
+            onNewerPlaces();
+        }
+    };
     m_state.onStart = [this] { m_peers.tellStart(); };
     CallerHooks &hooks = m_listener.hooks;
     hooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
@@ -81,12 +87,15 @@
 void Traffic::sweep()
 {
     m_state.links.closeOld(clockNow());
-    m_state.board.settle(clockNow());
+    if (m_peers.isFirst()) {
+        m_state.board.settle(clockNow());
+    }
     m_state.counts.peers = m_peers.mostHeard();
     m_state.counts.peerBytes = m_peers.bytesSent();
     if (clockNow() >= m_startedAt + countPeersAfter) {
         m_state.budget.setRouters(std::min(m_settings.retry.routers, m_peers.mostHeard() + 1));
     }
+    savePlaces(clockNow());
     m_sweepTimer.expires_at(clockNow() + sweepEvery);
     m_sweepTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
@@ -95,17 +104,46 @@
     });
 }
 
+void Traffic::savePlaces(Instant now) const
+{
+    const bool isDue = onPlacesToSave && m_agreedPlaces && now >= m_startedAt + savePlacesAfter && m_peers.isFirst();
+    if (!isDue) {
+        return;
+    }
+    std::vector<PlaceRecord> differences = m_state.board.placeDifferences(*m_agreedPlaces);
+    if (!differences.empty()) {
+        onPlacesToSave(std::move(differences));
+    }
+}
+
 // From the control thread
 
+void Traffic::setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo)
+{
+    asio::post(m_io, [this, agreed = std::move(agreed), upTo] {
+        m_state.board.adoptPlaces(agreed);
+        m_agreedPlaces = agreed;
+        m_peers.setPlaces(static_cast<std::uint32_t>(upTo) + 1);
+    });
+}
+
+void Traffic::setStoreLost()
+{
+    asio::post(m_io, [this] {
+        m_agreedPlaces.reset();
+        m_peers.setPlaces(0);
+    });
+}
+
 void Traffic::setTable(std::shared_ptr<const RouteTable> table)
 {
     asio::post(m_io, [this, table = std::move(table)] { m_state.table = table; });
 }
 
-void Traffic::setReplicas(std::vector<ReplicaRecord> replicas)
+void Traffic::setReplicas(std::vector<ReplicaRecord> replicas, std::vector<ReplicaRecord> leaving)
 {
-    asio::post(m_io, [this, replicas = std::move(replicas)] {
-        for (const EndpointId &id : m_state.board.setRecords(clockNow(), replicas)) {
+    asio::post(m_io, [this, replicas = std::move(replicas), leaving = std::move(leaving)] {
+        for (const EndpointId &id : m_state.board.setRecords(clockNow(), replicas, leaving)) {
             m_state.links.drop(id);
         }
         m_state.counts.replicas = static_cast<int>(replicas.size());
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -81,17 +81,29 @@
     // From the control thread.
 
     void setTable(std::shared_ptr<const RouteTable> table);
-    void setReplicas(std::vector<ReplicaRecord> replicas);
+    void setReplicas(std::vector<ReplicaRecord> replicas, std::vector<ReplicaRecord> leaving);
+
+    /// Which engine has which place, as the store holds it. @param upTo end of what was read
+    void setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo);
+    void setStoreLost(); ///< Others decide on places until they are set again.
     void setProof(Instant provedAt);
     void beginDrain(); ///< Answers end their connections from now on.
     void stopTaking(); ///< Takes no new connections, and closes those that have no request.
 
+    /// Called on the traffic thread, at most once a second, by the first router of the fleet: places that the store does
+    /// not hold, or not so. Set before `start`.
+    std::function<void(std::vector<PlaceRecord>)> onPlacesToSave;
+
+    /// Called on the traffic thread: a peer has read or written newer places. Set before `start`.
+    std::function<void()> onNewerPlaces;
+
     const TrafficCounts &counts() const { return m_state.counts; }
     int port() const { return m_listener.port(); }
 
 private:
     void onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
     void sweep();
+    void savePlaces(Instant now) const;
 
     TrafficSettings m_settings;
     asio::io_context m_io;
@@ -102,6 +114,7 @@
     DeadlineTimer m_sweepTimer;
     std::thread m_thread;
     Instant m_startedAt{};
+    std::optional<std::vector<PlaceRecord>> m_agreedPlaces; // nothing until the store's were read
 };
 
 } // namespace galenafold
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -365,6 +365,8 @@
   inline bool hasPeers() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPeers() const;
 
+  inline  ::uint32_t getPlacesUpTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -440,6 +442,9 @@
   inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPeers();
 
+  inline  ::uint32_t getPlacesUpTo();
+  inline void setPlacesUpTo( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2236,6 +2241,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t LoadBeacon::Reader::getPlacesUpTo() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadBeacon::Builder::getPlacesUpTo() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadBeacon::Builder::setPlacesUpTo( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ReportDigest::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
