Give a slow engine what it can carry

The load figure's fourth part was read and not used. Change: reports of slowness are smoothed, told to peers with the counts, and from 2.4 on divide the engine's bound.

--- a/benchmarks/decision.cpp
+++ b/benchmarks/decision.cpp
@@ -124,7 +124,7 @@
     LoadBeacon beacon;
     beacon.from = 7;
     for (int i = 0; i < loads; ++i) {
-        beacon.loads.push_back({static_cast<std::uint32_t>(i * 7919 + 1), 3, 1});
+        beacon.loads.push_back({static_cast<std::uint32_t>(i * 7919 + 1), 3, 1, 0});
     }
     return beacon;
 }
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -52,6 +52,7 @@
     std::uint32_t endpointHash = 0;
     std::uint16_t total = 0;
     std::uint16_t longLane = 0;
+    double slowdown = 0; // how long work takes there against its usual time, by a report not told before; 0: none
 };
 
 constexpr std::uint16_t briefCallMillis = 300; // a call expected to end before is told as a start only
--- a/control/routernews.cpp
+++ b/control/routernews.cpp
@@ -113,7 +113,7 @@
     beacon.number = ++m_beacons;
     for (const auto &[slot, count] : lasting) {
         const auto hash = static_cast<std::uint32_t>(m_view.at(slot).hash);
-        beacon.loads.push_back({hash, narrowed(count.total), narrowed(count.longLane)});
+        beacon.loads.push_back({hash, narrowed(count.total), narrowed(count.longLane), 0});
     }
     m_hasLoadChanged = false;
     return beacon;
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -11,13 +11,16 @@
 
 constexpr auto loadLifetime = std::chrono::milliseconds(1500); // typical length of a generation
 constexpr auto tellingDelay = std::chrono::milliseconds(10);   // of a datagram between busy routers
-constexpr double endedUntold = 0.1; // part of peers' calls that have ended, of which nobody has heard yet
-constexpr double demandSeconds = 1; // over which the demand for an engine is smoothed
+constexpr double endedUntold = 0.1;     // part of peers' calls that have ended, of which nobody has heard yet
+constexpr double slowdownWeight = 0.3;  // of the newest report in the smoothed slowdown
+constexpr double slowdownNoticed = 2.4; // below it neighbours on the same machine may be the cause
+constexpr auto slowdownLifetime = std::chrono::seconds(2);     // without a report
+constexpr double demandSeconds = 1;                            // over which the demand for an engine is smoothed
 constexpr auto freshLifetime = std::chrono::milliseconds(100); // peers tell about as often
 constexpr auto peerLifetime = std::chrono::seconds(2);         // of counts from a peer that falls silent
 constexpr auto usualLifetime = std::chrono::seconds(8); // a demand that swings within seconds is followed in time
 constexpr double usualWeight = 0.3;                     // of the newest report in the smoothed load
-constexpr auto leaverLife = std::chrono::seconds(4); // an engine that drains serves at least for so long
+constexpr auto leaverLife = std::chrono::seconds(4);    // an engine that drains serves at least for so long
 constexpr auto firstAvoid = std::chrono::milliseconds(500);
 constexpr int mostAvoidDoublings = 3;
 constexpr double failureWeight = 0.2;    // of the newest attempt in the smoothed rate
@@ -160,6 +163,14 @@
     return known == 0 || m_peersHeard > 0 ? mean : std::max(mean, usual / known);
 }
 
+/// Neighbours on its machine slow an engine for moments; only what lasts over a few reports counts.
+void EndpointBoard::noteSlowdown(Instant now, EndpointState &state, double slowdown)
+{
+    const double before = EndpointBoard::slowdown(now, state);
+    state.slowdown = before + slowdownWeight * (slowdown - before);
+    state.slowdownUntil = now + slowdownLifetime;
+}
+
 /// Other routers that see the same room use it too, before anyone hears of it. So each uses its part: with less room
 /// than the fleet is about to send there, a request goes on down the rank by chance, as the room is to what is wanted.
 bool EndpointBoard::hasRoom(Instant now, EndpointState &state, double bound)
@@ -167,7 +178,8 @@
     const double elapsed = std::chrono::duration<double>(now - state.demandAt).count();
     state.demand = state.demand * std::exp(-elapsed / demandSeconds) + 1 / demandSeconds;
     state.demandAt = now;
-    const double room = bound - load(now, state);
+    const double slow = slowdown(now, state);
+    const double room = (slow >= slowdownNoticed ? bound / slow : bound) - load(now, state);
     const double wanted = state.demand * m_peersHeard * m_unheardSeconds;
     if (room >= wanted) {
         return room >= 0;
@@ -282,7 +294,8 @@
     }
     EndpointState &state = found->second;
     state.others = std::max(0, sample.running + sample.waiting - state.own);
-    state.slowdown = sample.slowdown;
+    noteSlowdown(now, state, sample.slowdown);
+    state.untoldSlowdown = sample.slowdown;
     const double total = sample.running + sample.waiting;
     state.usual = now < state.usualUntil ? state.usual + usualWeight * (total - state.usual) : total;
     state.usualUntil = now + usualLifetime;
@@ -337,6 +350,13 @@
 {
     m_peerCounts[peer] = {now + peerLifetime, loads};
     sumPeers(now);
+    for (auto &[id, state] : m_endpoints) {
+        for (const PeerLoad &load : loads) {
+            if (load.endpointHash == state.nameHash && load.slowdown > 0) {
+                noteSlowdown(now, state, load.slowdown);
+            }
+        }
+    }
 }
 
 void EndpointBoard::sumPeers(Instant now)
@@ -363,8 +383,21 @@
     std::vector<PeerLoad> loads;
     for (const auto &[id, state] : m_endpoints) {
         if (state.own > 0 && state.isEngine) {
-            loads.push_back({state.nameHash, static_cast<std::uint16_t>(state.own), 0});
+            loads.push_back({state.nameHash, static_cast<std::uint16_t>(state.own), 0, 0});
+        }
+    }
+    return loads;
+}
+
+std::vector<PeerLoad> EndpointBoard::takeLoads()
+{
+    std::vector<PeerLoad> loads;
+    for (auto &[id, state] : m_endpoints) {
+        const bool isTold = state.isEngine && (state.own > 0 || state.untoldSlowdown > 0);
+        if (isTold) {
+            loads.push_back({state.nameHash, static_cast<std::uint16_t>(state.own), 0, state.untoldSlowdown});
         }
+        state.untoldSlowdown = 0;
     }
     return loads;
 }
--- a/filters/board.h
+++ b/filters/board.h
@@ -2,7 +2,8 @@
 //
 // Load pattern: a few dozen shared prompts, some of them hot, over a dozen engines that come and go, seen by many
 // routers of which each handles a sliver. Every router ranks the engines for a prompt alike (rendezvous hashing), so a
-// prompt is read once and not once a router; a full, failing or slow engine passes its requests to the next in rank.
+// prompt is read once and not once a router; a full or failing engine passes its requests to the next in rank. One that
+// works four times slower for some seconds fills up with its usual share; it is full at a quarter of the bound.
 //
 // Sections of this file: State, Request, Board.
 #pragma once
@@ -43,7 +44,9 @@
     int own = 0;                        // requests in progress from this router
     double others = 0;                  // requests in progress from other routers, when last reported
     double peers = 0;                   // the same, as the other routers themselves tell
-    double slowdown = 1;                // how long work takes there, against its usual time
+    double slowdown = 1;                // smoothed: how long work takes there, against its usual time
+    Instant slowdownUntil{};            // it counts until then
+    double untoldSlowdown = 0;          // of the newest report, which peers have not heard of; 0: they have
     Instant loadUntil{};                // the report counts until then
     Instant freshUntil{};               // the report goes before what peers tell
     double usual = 0;                   // smoothed requests in progress, all routers'
@@ -84,7 +87,8 @@
 public:
     EndpointBoard(const BoardSettings &settings, DataCentreId here, std::uint64_t seed);
 
-    /// Sets which replicas may get new work. @param leaving replicas that end what they have, and still hold their caches
+    /// Sets which replicas may get new work. @param leaving replicas that end what they have, and still hold their
+    /// caches
     /// @return those that may get no more work
     std::vector<EndpointId> setRecords(Instant now, const std::vector<ReplicaRecord> &records,
                                        const std::vector<ReplicaRecord> &leaving = {});
@@ -115,19 +119,27 @@
     void setPeersHeard(int peers, Span untold);
 
     std::vector<PeerLoad> ownLoads() const; ///< @return engines where this router has calls, for its peers
+    std::vector<PeerLoad> takeLoads();      ///< @return the same, with what new reports say; it then counts as told
 
-    /// @return IP:PORT of the engine that most likely holds a prompt's shared parts besides the one chosen; "" when none
-    /// does
+    /// @return IP:PORT of the engine that most likely holds a prompt's shared parts besides the one chosen; "" when
+    /// none does
     std::string cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const;
 
     double load(Instant now, const EndpointState &state) const; ///< @return requests in progress there, as best known
 
+    /// @return how long work takes there against its usual time, smoothed over the last reports
+    static double slowdown(Instant now, const EndpointState &state)
+    {
+        return now < state.slowdownUntil ? state.slowdown : 1;
+    }
+
 private:
     void takePlaces();
     void noteLeaving(Instant now, const std::vector<ReplicaRecord> &leaving);
     double meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const;
     void sumPeers(Instant now);
     bool hasRoom(Instant now, EndpointState &state, double bound);
+    static void noteSlowdown(Instant now, EndpointState &state, double slowdown);
     std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
     BoardChoice chooseByAffinity(Instant now, const PlaceRequest &request, const std::vector<EndpointState *> &sound);
     const EndpointState *leastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
--- a/filters/places.h
+++ b/filters/places.h
@@ -46,8 +46,8 @@
     /// @return the hash that stands for an engine's place; nothing while it has none
     std::optional<std::uint64_t> place(const EndpointId &id) const;
 
-    /// Takes over what the fleet has agreed on. Engines that it does not name wait; places of engines that have gone are
-    /// for them.
+    /// Takes over what the fleet has agreed on. Engines that it does not name wait; places of engines that have gone
+    /// are for them.
     void adopt(const std::vector<PlaceRecord> &agreed);
 
     /// @return places that are not, or not so, in what the fleet has agreed on
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -15,6 +15,7 @@
 constexpr int datagramHeadBytes = 28; // IP and UDP
 constexpr std::size_t mostLoads = 256;
 constexpr std::size_t mostPeers = 64;
+constexpr double slowdownSteps = 16;      // of a slowdown of one
 constexpr std::uint64_t mostWords = 2048; // that a decoded beacon may make us read
 
 static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
@@ -31,6 +32,9 @@
     auto endpoints = root.initEndpoints(count);
     auto totals = root.initTotals(count);
     auto longLanes = root.initLongLanes(count);
+    const auto hasSlowdown = [](const PeerLoad &load) { return load.slowdown > 0; };
+    const bool tellsSlowdowns = std::any_of(beacon.loads.begin(), beacon.loads.begin() + count, hasSlowdown);
+    auto slowdowns = root.initSlowdowns(tellsSlowdowns ? count : 0);
     const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), mostPeers));
     auto peerList = root.initPeers(peers);
     root.setPlacesUpTo(beacon.hasList ? beacon.placesUpTo + 1 : 0); // 0 on the wire: no list goes with this beacon
@@ -41,6 +45,9 @@
         endpoints.set(i, beacon.loads[i].endpointHash);
         totals.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].total, 255)));
         longLanes.set(i, static_cast<std::uint8_t>(std::min<int>(beacon.loads[i].longLane, 255)));
+        if (tellsSlowdowns) {
+            slowdowns.set(i, static_cast<std::uint8_t>(std::min(beacon.loads[i].slowdown * slowdownSteps, 255.0)));
+        }
     }
 }
 
@@ -65,13 +72,15 @@
     const auto endpoints = root.getEndpoints();
     const auto totals = root.getTotals();
     const auto longLanes = root.getLongLanes();
+    const auto slowdowns = root.getSlowdowns();
     const unsigned count = std::min({endpoints.size(), totals.size(), longLanes.size()});
     beacon.from = root.getFrom();
     beacon.number = root.getNumber();
     beacon.isStart = root.getStartedAt() != 0;
     beacon.start = {root.getStartedAt(), root.getLastsMillis(), root.getIsLong()};
     for (unsigned i = 0; i < count; ++i) {
-        beacon.loads.push_back({endpoints[i], totals[i], longLanes[i]});
+        const double slowdown = i < slowdowns.size() ? slowdowns[i] / slowdownSteps : 0;
+        beacon.loads.push_back({endpoints[i], totals[i], longLanes[i], slowdown});
     }
     beacon.hasList = root.getPlacesUpTo() > 0;
     beacon.placesUpTo = beacon.hasList ? root.getPlacesUpTo() - 1 : 0;
--- a/shell/storefollower.h
+++ b/shell/storefollower.h
@@ -21,7 +21,7 @@
                   StoreFollowerHooks hooks, EventLog &log, std::uint64_t seed);
 
     void start();
-    void readNow(); ///< Does not wait for the pause between two reads.
+    void readNow();                                        ///< Does not wait for the pause between two reads.
     std::int64_t calls() const { return m_store.calls(); } ///< @return calls made since the start
 
 private:
--- a/tests/placing.cpp
+++ b/tests/placing.cpp
@@ -179,7 +179,7 @@
     board.onLoad(at(0), home, {30, 0, 64, 1});
     CHECK(board.choose(at(0.05), forPrompt(42))->record.id != home); // the report is young
     CHECK(board.choose(at(0.5), forPrompt(42))->record.id == home);  // nobody has calls there now
-    board.onPeerLoads(at(0.5), 1, {{endpointHash({home.text}), 9, 0}});
+    board.onPeerLoads(at(0.5), 1, {{endpointHash({home.text}), 9, 0, 0}});
     CHECK(board.choose(at(0.5), forPrompt(42))->record.id != home);
     board.onPeerLoads(at(0.7), 1, {}); // the newest of a peer replaces what it said before
     CHECK(board.choose(at(0.7), forPrompt(42))->record.id == home);
@@ -201,7 +201,8 @@
         }
     }
     board.setRecords(at(20), engineList(others));
-    STRCMP_EQUAL(standIn.c_str(), board.choose(at(20), forPrompt(42))->record.id.text.c_str()); // while the home is away
+    STRCMP_EQUAL(standIn.c_str(),
+                 board.choose(at(20), forPrompt(42))->record.id.text.c_str()); // while the home is away
     board.setRecords(at(30), engineList({"a", "b", "c"}));
     STRCMP_EQUAL(home.text.c_str(), board.cacheSource(at(30), forPrompt(42), {standIn}).c_str());
     board.onSent(home);
@@ -249,7 +250,7 @@
     CHECK(homes(started, at(40)) == before);
 
     EndpointBoard later{BoardSettings(), {"there"}, 8}; // d was replaced by f while no router ran
-    later.adoptPlaces(saved); // before the registry was read
+    later.adoptPlaces(saved);                           // before the registry was read
     later.setRecords(at(40), engineList({"a", "b", "e", "f"}));
     auto expected = before;
     std::replace(expected.begin(), expected.end(), std::string("d"), std::string("f"));
@@ -358,6 +359,59 @@
     }
 }
 
+/// An engine works four times slower for ten seconds; all others are slowed by neighbours now and then. Its share of
+/// the requests falls to what it can carry, and comes back.
+TEST(PlacingByPrompt, ASlowEngineGetsWhatItCanCarry)
+{
+    constexpr std::size_t routers = 15;
+    constexpr double rate = 60;
+    boost::random::mt19937_64 random(11);
+    const auto uniform = [&random] { return boost::random::uniform_real_distribution<double>(0, 1)(random); };
+    std::vector<std::unique_ptr<EndpointBoard>> fleet;
+    for (std::size_t i = 0; i < routers; ++i) {
+        fleet.push_back(std::make_unique<EndpointBoard>(BoardSettings(), DataCentreId{"here"}, i));
+        fleet.back()->setRecords(at(0), engines(12));
+        fleet.back()->setPeersHeard(routers - 1, Span{});
+    }
+    struct Running {
+        std::size_t router;
+        EndpointId id;
+    };
+    std::multimap<double, Running> running; // by their end
+    int sent[3] = {};                       // to the slow engine: before, while it is slow, afterwards
+    int held = 0;                           // by the slow engine
+    int mostHeld = 0;                       // while it is slow, once that could be known
+    for (double now = 0; now < 30; now += -std::log(1 - uniform()) / rate) {
+        while (!running.empty() && running.begin()->first <= now) {
+            const Running ended = running.begin()->second;
+            fleet[ended.router]->onEnded(at(now), ended.id, AttemptEnd::Good);
+            held -= ended.id.text == "e3" ? 1 : 0;
+            running.erase(running.begin());
+        }
+        const auto router = static_cast<std::size_t>(uniform() * routers);
+        const EndpointId id =
+            fleet[router]->choose(at(now), forPrompt(static_cast<std::uint64_t>(uniform() * 200)))->record.id;
+        const bool isSlow = id.text == "e3" && now >= 10 && now < 20;
+        const double slowdown = isSlow ? 4 : uniform() < 0.15 ? 2.5 : 1;
+        fleet[router]->onSent(id);
+        running.emplace(now + (0.4 + 0.4 * uniform()) * slowdown, Running{router, id});
+        fleet[router]->onLoad(at(now), id, {4, 0, 64, slowdown});
+        const std::vector<PeerLoad> loads = fleet[router]->takeLoads();
+        for (std::size_t to = 0; to < routers; ++to) {
+            if (to != router) {
+                fleet[to]->onPeerLoads(at(now), static_cast<std::uint32_t>(router), loads);
+            }
+        }
+        sent[static_cast<int>(now / 10)] += id.text == "e3" ? 1 : 0;
+        held += id.text == "e3" ? 1 : 0;
+        mostHeld = now >= 11 && now < 20 ? std::max(mostHeld, held) : mostHeld;
+    }
+    CHECK(sent[0] > 20);
+    CHECK_TEXT(sent[1] * 2 < sent[0], std::to_string(sent[1]).c_str());
+    CHECK_TEXT(mostHeld <= 6, std::to_string(mostHeld).c_str());
+    CHECK(sent[2] * 3 > sent[0] * 2);
+}
+
 /// A fleet that grows cannot afford to tell all peers as often: more starts are unheard at any moment.
 TEST(PlacingByPrompt, ALargerFleetThatTellsMoreSeldomKeepsTheBoundToo)
 {
--- a/traffic/peers.cpp
+++ b/traffic/peers.cpp
@@ -165,7 +165,7 @@
 void PeerLink::send(Instant now)
 {
     LoadBeacon beacon;
-    beacon.loads = m_lastSent;
+    beacon.loads = m_board.takeLoads();
     beacon.from = m_own;
     beacon.number = ++m_number;
     if (now >= m_listAt) {
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -19,6 +19,7 @@
 constexpr int silenceOfGap = 4; // pauses within the objective that make a stream count as silent
 constexpr auto leastPause = std::chrono::milliseconds(1200);
 
+constexpr double percent = 100;
 constexpr std::uint64_t shownPrompts = 1000000; // enough digits in a log line to tell prompts apart
 
 // Reasons
@@ -213,6 +214,7 @@
     line.text("request", m_fields.request.text).text("replica", endpoint.record.id.text);
     line.text("service", m_place.service.text).number("try", m_attempts.sent).millis("left_ms", m_end - now);
     line.number("load", static_cast<std::int64_t>(m_state.board.load(now, endpoint)));
+    line.number("slow_pct", static_cast<std::int64_t>(m_state.board.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.full).number("passed_avoided", choice.avoided);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
@@ -439,7 +441,11 @@
 void RequestFlow::relayEvents(std::string &body)
 {
     const std::string events = m_events.take(body);
-    m_lastEventAt = clockNow();
+    const Instant now = clockNow();
+    if (m_attempts.isStreaming) {
+        m_longestGap = std::max<Span>(m_longestGap, now - m_lastEventAt);
+    }
+    m_lastEventAt = now;
     if (progressBy() < m_timer.expiry()) {
         armTimer();
     }
@@ -546,6 +552,9 @@
     if (m_firstAt != Instant{}) {
         line.millis("first_ms", m_firstAt - m_request.arrival);
     }
+    if (m_attempts.isStreaming) {
+        line.millis("gap_ms", m_longestGap);
+    }
     if (m_table) {
         line.number("version", m_table->version).millis("proof_age_ms", now - m_state.proof.provedAt());
     }
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -96,6 +96,7 @@
 
     EventCutter m_events;
     Instant m_firstAt{}; // first bytes to the caller
+    Span m_longestGap{}; // between events that went to the caller
     bool m_isEnded = false;
 };
 
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -90,8 +90,8 @@
     void beginDrain(); ///< Answers end their connections from now on.
     void stopTaking(); ///< Takes no new connections, and closes those that have no request.
 
-    /// Called on the traffic thread, at most once a second, by the first router of the fleet: places that the store does
-    /// not hold, or not so. Set before `start`.
+    /// Called on the traffic thread, at most once a second, by the first router of the fleet: places that the store
+    /// does not hold, or not so. Set before `start`.
     std::function<void(std::vector<PlaceRecord>)> onPlacesToSave;
 
     /// Called on the traffic thread: a peer has read or written newer places. Set before `start`.
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -15,6 +15,7 @@
   lastsMillis @6 :UInt16;
   isLong @7 :Bool;
   peers @8 :List(UInt32);  # IPv4 numbers of routers that the sender hears, so that newcomers find all
+  slowdowns @10 :List(UInt8);  # beside the endpoints: how slow a fresh report says that work is there, in sixteenths; 0: none
   placesUpTo @9 :UInt32;   # 0: no list goes along; else one more than how far the sender has read the store's places
 }
 
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(89d7e4adaefa4d18, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -367,6 +367,9 @@
 
   inline  ::uint32_t getPlacesUpTo() const;
 
+  inline bool hasSlowdowns() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getSlowdowns() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -445,6 +448,14 @@
   inline  ::uint32_t getPlacesUpTo();
   inline void setPlacesUpTo( ::uint32_t value);
 
+  inline bool hasSlowdowns();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getSlowdowns();
+  inline void setSlowdowns( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSlowdowns(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initSlowdowns(unsigned int size);
+  inline void adoptSlowdowns(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownSlowdowns();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2255,6 +2266,44 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadBeacon::Reader::hasSlowdowns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadBeacon::Builder::hasSlowdowns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadBeacon::Reader::getSlowdowns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::getSlowdowns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadBeacon::Builder::setSlowdowns( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void LoadBeacon::Builder::setSlowdowns(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadBeacon::Builder::initSlowdowns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void LoadBeacon::Builder::adoptSlowdowns(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> LoadBeacon::Builder::disownSlowdowns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t ReportDigest::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
