Let streams that stand still tell of a silent engine

Change: when none of a router's streams at an engine has had an event for two pauses, the engine counts as beyond measure slow, peers hear of it with the counts, and what waits there goes elsewhere after 250 ms.

--- a/fakes/keyedstore.cpp
+++ b/fakes/keyedstore.cpp
@@ -23,6 +23,7 @@
                         {"kind", route.kind},
                         {"timeoutMs", route.timeoutMs},
                         {"targetLatencyMs", 20000},
+                        {"gapAimMs", 100},
                         {"service", "svc"},
                         {"maxAttempts", route.attempts},
                         {"public", keys.empty()},
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -14,6 +14,8 @@
 constexpr double endedUntold = 0.1;     // part of peers' calls that have ended, of which nobody has heard yet
 constexpr double slowdownWeight = 0.3;  // of the newest report in the smoothed slowdown
 constexpr double slowdownNoticed = 2.4; // below it neighbours on the same machine may be the cause
+constexpr double silentSlowdown = 15;   // one report of it is noticed
+constexpr auto silentLifetime = std::chrono::seconds(1);       // after a pause; longer ones are noted again
 constexpr auto slowdownLifetime = std::chrono::seconds(2);     // without a report
 constexpr double demandSeconds = 1;                            // over which the demand for an engine is smoothed
 constexpr auto freshLifetime = std::chrono::milliseconds(100); // peers tell about as often
@@ -303,6 +305,36 @@
     state.loadUntil = now + loadLifetime;
 }
 
+void EndpointBoard::onProgress(Instant now, const EndpointId &id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end()) {
+        found->second.progressAt = now;
+        found->second.silentUntil = Instant{};
+    }
+}
+
+/// Silence counts as slowness beyond measure, so that peers hear of it and nobody adds to what waits there.
+bool EndpointBoard::onPause(Instant now, const EndpointId &id, Span pause)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || now < found->second.progressAt + pause) {
+        return false;
+    }
+    EndpointState &state = found->second;
+    state.silentUntil = now + silentLifetime;
+    state.untoldSlowdown = silentSlowdown;
+    m_hasSilence = true;
+    noteSlowdown(now, state, silentSlowdown);
+    return true;
+}
+
+bool EndpointBoard::isSilent(Instant now, const EndpointId &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && now < found->second.silentUntil;
+}
+
 /// In rank order the first engine but the chosen one: a prompt's home when it spills over, the engine that stood in for
 /// its home when that comes back, or the one that leaves and had the place before.
 std::string EndpointBoard::cacheSource(Instant now, const PlaceRequest &request, const EndpointId &chosen) const
@@ -399,6 +431,7 @@
         }
         state.untoldSlowdown = 0;
     }
+    m_hasSilence = false;
     return loads;
 }
 
--- a/filters/board.h
+++ b/filters/board.h
@@ -47,6 +47,8 @@
     double slowdown = 1;                // smoothed: how long work takes there, against its usual time
     Instant slowdownUntil{};            // it counts until then
     double untoldSlowdown = 0;          // of the newest report, which peers have not heard of; 0: they have
+    Instant progressAt{};               // the last event of any stream of this router
+    Instant silentUntil{};              // streams of this router stand still; requests that wait there may go elsewhere
     Instant loadUntil{};                // the report counts until then
     Instant freshUntil{};               // the report goes before what peers tell
     double usual = 0;                   // smoothed requests in progress, all routers'
@@ -111,6 +113,14 @@
     bool onEnded(Instant now, const EndpointId &id, AttemptEnd end);
     void onLoad(Instant now, const EndpointId &id, const LoadSample &sample);
 
+    void onProgress(Instant now, const EndpointId &id); ///< An event of a stream came.
+
+    /// A stream has had no event for a while. @param pause that is longer than streams should stand still
+    /// @return true if none of this router's streams there has had one: nothing seems to come from it any more
+    bool onPause(Instant now, const EndpointId &id, Span pause);
+
+    bool isSilent(Instant now, const EndpointId &id) const; ///< @return true if `onPause` found so lately
+
     /// Takes another router's own calls in progress. What it told before no longer counts.
     void onPeerLoads(Instant now, std::uint32_t peer, const std::vector<PeerLoad> &loads);
 
@@ -120,6 +130,7 @@
 
     std::vector<PeerLoad> ownLoads() const; ///< @return engines where this router has calls, for its peers
     std::vector<PeerLoad> takeLoads();      ///< @return the same, with what new reports say; it then counts as told
+    bool hasSilence() const { return m_hasSilence; } ///< @return true if peers have not heard of a silent engine
 
     /// @return IP:PORT of the engine that most likely holds a prompt's shared parts besides the one chosen; "" when
     /// none does
@@ -160,6 +171,7 @@
     PlaceBook m_places;
     std::map<std::uint32_t, PeerCounts> m_peerCounts; // by peer
     int m_peersHeard = 0;
+    bool m_hasSilence = false;
     double m_unheardSeconds = 0; // until a start at a peer is known here
     std::map<EndpointId, EndpointState> m_endpoints;
     std::map<EndpointId, LeavingEngine> m_leaving;
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -294,6 +294,28 @@
     CHECK(waitFor([&] { return a.abandoned() + b.abandoned() == 1; })); // never two at work for long
 }
 
+TEST(NodeStreams, WhatWaitsAtAReplicaWhoseStreamsStandStillGoesElsewhereLongBeforeItsObjective)
+{
+    FakeReplica &mute = site.add("a", [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        if (got.field("X-Galenafold-Attempt-Id") == "first") {
+            reply->beginStream(got);
+            reply->event(0, "x");
+        }
+    });
+    site.startReady();
+    const auto first = site.send(callerRequest("/frail/x", "first")); // may not be resumed: it stands still
+    CHECK(waitFor([this] { return site.metric("calls_streaming") == 1; }));
+    const auto second = site.send(callerRequest("/live/x", "second"));
+    CHECK(waitFor([&mute] { return mute.requests().size() == 2; }));
+    site.add("b", [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->beginStream(got);
+        reply->event(0, "y");
+        reply->endStream();
+    });
+    CHECK(second->read()); // the objective is 20 s, as is the caller's patience
+    STRCMP_EQUAL("id: 0\ndata: y\n\n", second->body().c_str());
+}
+
 TEST(NodeStreams, OneThatMayNotBeResumedIsBrokenVisibly)
 {
     const ReplicaScript script = [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -24,7 +24,7 @@
         request.service.text = "llm";
         request.affinity = 42;
         board.onSent(board.choose(clockNow(), request)->record.id);
-        link.tellStart();
+        link.tellSoon();
     }
 
     double load() { return board.load(clockNow(), *board.choose(clockNow(), {{"llm"}, {}, {}})); }
--- a/tests/placing.cpp
+++ b/tests/placing.cpp
@@ -412,6 +412,32 @@
     CHECK(sent[2] * 3 > sent[0] * 2);
 }
 
+/// A replica goes dark: no connection ends, and nothing comes any more.
+TEST(PlacingByPrompt, AnEngineWhoseStreamsAllStandStillGetsNothingMoreAndPeersHearOfIt)
+{
+    const auto pause = std::chrono::milliseconds(300);
+    EndpointBoard peer{BoardSettings(), {"there"}, 2};
+    for (EndpointBoard *each : {&board, &peer}) {
+        each->setRecords(at(0), engines(12));
+        each->setPeersHeard(1, Span{});
+    }
+    const EndpointId home = board.choose(at(0), forPrompt(42))->record.id;
+    for (int i = 0; i < 2; ++i) {
+        board.onSent(home);
+    }
+    board.onProgress(at(1), home);
+    CHECK_FALSE(board.onPause(at(1.2), home, pause)); // another of its streams goes on
+    CHECK_FALSE(board.isSilent(at(1.2), home));
+    CHECK(board.onPause(at(1.4), home, pause));
+    CHECK(board.isSilent(at(1.4), home));
+    CHECK(board.choose(at(1.4), forPrompt(42))->record.id != home);
+    peer.onPeerLoads(at(1.4), 1, board.takeLoads());
+    CHECK(peer.choose(at(1.4), forPrompt(42))->record.id != home);
+    board.onProgress(at(1.5), home);
+    CHECK_FALSE(board.isSilent(at(1.5), home));
+    CHECK(board.choose(at(5), forPrompt(42))->record.id == home);
+}
+
 /// A fleet that grows cannot afford to tell all peers as often: more starts are unheard at any moment.
 TEST(PlacingByPrompt, ALargerFleetThatTellsMoreSeldomKeepsTheBoundToo)
 {
--- a/traffic/peers.cpp
+++ b/traffic/peers.cpp
@@ -106,7 +106,7 @@
     });
 }
 
-void PeerLink::tellStart()
+void PeerLink::tellSoon()
 {
     const Instant now = clockNow();
     m_since = m_since.value_or(now);
@@ -152,7 +152,8 @@
         return a.endpointHash == b.endpointHash && a.total == b.total;
     };
     const std::vector<PeerLoad> loads = m_board.ownLoads();
-    const bool hasChanged = !std::equal(loads.begin(), loads.end(), m_lastSent.begin(), m_lastSent.end(), isSame);
+    const bool hasChanged =
+        m_board.hasSilence() || !std::equal(loads.begin(), loads.end(), m_lastSent.begin(), m_lastSent.end(), isSame);
     if (!hasChanged) {
         m_since.reset(); // the call took the place of one that has just ended
     }
--- a/traffic/peers.h
+++ b/traffic/peers.h
@@ -30,7 +30,7 @@
     PeerLink(asio::io_context &io, const PeerSettings &settings, EndpointBoard &board);
 
     bool start();                                 ///< @return false: the address is taken
-    void tellStart();                             ///< A call has just started here: peers are told at once.
+    void tellSoon();                              ///< A call has started, or an engine is silent: told at once.
     int mostHeard() const { return m_mostHeard; } ///< @return most peers that were heard at one time
     /// Tells how far this router has read the places in the store. @param upTo 0: it does not reach the store now
     void setPlaces(std::uint32_t upTo);
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t mostUnreadBytes = 256 << 10; // by a slow caller, before the replica is paused
 constexpr double silenceOfObjective = 1.5;         // an attempt without a head for this many objectives is tried again
 constexpr auto leastSilence = std::chrono::milliseconds(250);
-constexpr int silenceOfGap = 4; // pauses within the objective that make a stream count as silent
+constexpr int pausesOfSilence = 2; // pauses within the objective after which a replica is looked at
+constexpr int silenceOfGap = 4;    // pauses within the objective that make a stream count as silent
 constexpr auto leastPause = std::chrono::milliseconds(1200);
 
 constexpr double percent = 100;
@@ -197,7 +198,7 @@
     const bool expectsNoBody = m_request.head.method == "HEAD";
     m_state.board.onSent(m_endpoint);
     if (m_place.affinity) {
-        m_state.onStart();
+        m_state.onNews();
     }
     logSent(now, choice, isNew);
     m_link->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
@@ -249,24 +250,55 @@
 }
 
 /// When the attempt at hand counts as silent. Only one that may be repeated is given up early enough for another one; a
-/// stream that has begun goes on elsewhere after a long pause, as callers leave a stream that stands still.
+/// stream that has begun goes on elsewhere after a long pause, as callers leave a stream that stands still. A request
+/// that waits at a replica whose streams all stand still is given up soon.
 Instant RequestFlow::progressBy() const
 {
     const bool mayRepeat = m_attempts.isRepeatable && m_attempts.ran + 1 < m_attempts.maxAttempts;
     if (!m_link || !mayRepeat) {
         return m_end;
     }
-    const bool isFlowing = m_lastEventAt >= m_sentAt;
-    const Span aim = isFlowing ? m_route->gapObjective * silenceOfGap
-                               : std::chrono::duration_cast<Span>(m_route->objective * silenceOfObjective);
-    const Span silence = std::max<Span>(aim, isFlowing ? leastPause : leastSilence);
-    return std::min(m_end, std::max((isFlowing ? m_lastEventAt : m_sentAt) + silence, m_patientUntil));
+    Span silence{};
+    if (isFlowing()) {
+        silence = std::max<Span>(m_route->gapObjective * silenceOfGap, leastPause);
+    } else if (m_state.board.isSilent(m_lookedAt, m_endpoint)) {
+        silence = leastSilence;
+    } else {
+        silence =
+            std::max<Span>(std::chrono::duration_cast<Span>(m_route->objective * silenceOfObjective), leastSilence);
+    }
+    return std::min(m_end, std::max((isFlowing() ? m_lastEventAt : m_sentAt) + silence, m_patientUntil));
+}
+
+/// When to look next whether the replica is silent: while it reads long prompts, a pause may be over the objective.
+Instant RequestFlow::lookAt() const
+{
+    const bool isStream = m_route->kind == CallKind::Stream && m_route->gapObjective > Span{};
+    if (!m_link || !isStream) {
+        return m_end;
+    }
+    return std::max(isFlowing() ? m_lastEventAt : m_sentAt, m_lookedAt) + m_route->gapObjective * pausesOfSilence;
+}
+
+void RequestFlow::lookForSilence(Instant now)
+{
+    if (now < lookAt()) {
+        return;
+    }
+    m_lookedAt = now;
+    if (isFlowing() && m_state.board.onPause(now, m_endpoint, m_route->gapObjective * pausesOfSilence)) {
+        LogLine line("replica_silent");
+        line.text("replica", m_endpoint.text).text("request", m_fields.request.text);
+        line.millis("paused_ms", now - m_lastEventAt);
+        m_state.log.write(line, LogWeight::Notable);
+        m_state.onNews(); // peers are told with the counts
+    }
 }
 
 /// Moved to an earlier deadline at once, to a later one when it fires.
 void RequestFlow::armTimer()
 {
-    m_timer.expires_at(progressBy());
+    m_timer.expires_at(std::min(progressBy(), lookAt()));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
         if (!error && !self->m_isEnded) {
             self->onTimer();
@@ -288,6 +320,7 @@
         giveUp(EndReason::Expired);
         return;
     }
+    lookForSilence(now);
     if (now < progressBy()) {
         armTimer();
         return;
@@ -446,7 +479,8 @@
         m_longestGap = std::max<Span>(m_longestGap, now - m_lastEventAt);
     }
     m_lastEventAt = now;
-    if (progressBy() < m_timer.expiry()) {
+    m_state.board.onProgress(now, m_endpoint);
+    if (std::min(progressBy(), lookAt()) < m_timer.expiry()) {
         armTimer();
     }
     if (events.empty() || m_events.hasGap()) {
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -49,7 +49,10 @@
     void logSent(Instant now, const BoardChoice &choice, bool isNewConnection) const;
     void armTimer();
     void onTimer();
+    bool isFlowing() const { return m_lastEventAt >= m_sentAt; } ///< @return true once this attempt brought an event
     Instant progressBy() const;
+    Instant lookAt() const;
+    void lookForSilence(Instant now);
     void abandonAttempt(AttemptEnd end);
     void logRetry(EndReason reason) const;
     void onHead(ResponseHead &head, const AnswerFields &answer);
@@ -89,6 +92,7 @@
     EndpointId m_endpoint;
     Instant m_sentAt{};
     Instant m_lastEventAt{}; // bytes of a stream, from any attempt
+    Instant m_lookedAt{};    // whether the attempt's replica is silent
     bool m_hasHead = false;
     ResponseHead m_head;
     AnswerFields m_answer;
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -39,7 +39,7 @@
             onNewerPlaces();
         }
     };
-    m_state.onStart = [this] { m_peers.tellStart(); };
+    m_state.onNews = [this] { m_peers.tellSoon(); };
     CallerHooks &hooks = m_listener.hooks;
     hooks.onRequest = [this](const std::shared_ptr<Caller> &caller, CallerRequest &&request) {
         onRequest(caller, std::move(request));
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -64,7 +64,7 @@
     RetryBudget budget;
     LinkPool links;
     TrafficCounts counts;
-    std::function<void()> onStart = [] {}; // a generation has just been sent to an engine
+    std::function<void()> onNews = [] {}; // for peers: a generation was sent to an engine, or an engine fell silent
 };
 
 // Traffic
