Latency histograms and counts by kind, account and reason; status of routers; explain names killed processes

Change: traffic/figures counts ended calls by kind, outcome, reason and account, with Boost.Histogram buckets for the whole, the first bytes and the longest pause; load against its bound, slowness and retry budget by service; store calls by topic and outcome.

--- a/benchmarks/decision.cpp
+++ b/benchmarks/decision.cpp
@@ -4,12 +4,15 @@
 #include "control/contracts.h"
 #include "control/gossip.h"
 #include "fakes/fleet.h"
-#include "filters/limit.h"
+#include "filters//limit.h"
 #include "filters/place.h"
+#include "galenafold/eventlog.h"
 #include "net/beacons.h"
 #include "shell/peers.h"
 
 #include <benchmark/benchmark.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace galenafold
 {
@@ -176,6 +179,37 @@
 }
 BENCHMARK(gossipSize)->Arg(0)->Arg(10)->Arg(32);
 
+/// The two lines of a request that is served, with their part of a flush, which writes what 200 ms have gathered.
+static void logServed(benchmark::State &state)
+{
+    EventLogSettings settings;
+    settings.fd = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+    EventLog log(settings);
+    std::int64_t requests = 0;
+    for (auto run : state) {
+        (void)run;
+        LogLine sent("sent");
+        sent.text("request", "9c41d07be2a35f68").text("replica", "i-b57d3edc19").text("service", "xafi53a");
+        sent.number("try", 1).millis("left_ms", std::chrono::milliseconds(11647)).number("load", 7);
+        sent.number("slow_pct", 100).number("passed_full", 0).number("passed_avoided", 0);
+        sent.flag("new_connection", false).number("version", 17).millis("proof_age_ms", std::chrono::milliseconds(430));
+        log.write(sent, LogWeight::Routine);
+        LogLine served("served");
+        served.text("request", "9c41d07be2a35f68").number("status", 200).text("route", "r-yfdyuw2");
+        served.text("service", "xafi53a").text("replica", "i-b57d3edc19").number("sent", 1).number("ran", 1);
+        served.number("prompt", 345678).millis("took_ms", std::chrono::milliseconds(1200));
+        served.millis("first_ms", std::chrono::milliseconds(41)).millis("gap_ms", std::chrono::milliseconds(60));
+        served.number("version", 17).millis("proof_age_ms", std::chrono::milliseconds(430));
+        log.write(served, LogWeight::Routine);
+        ++requests;
+        if (requests % state.range(0) == 0) {
+            log.flush();
+        }
+    }
+    ::close(settings.fd);
+}
+BENCHMARK(logServed)->Arg(1)->Arg(5)->Arg(50);
+
 static void foldContract(benchmark::State &state)
 {
     ContractBook book;
--- a/daemons/galenafold.cpp
+++ b/daemons/galenafold.cpp
@@ -4,8 +4,8 @@
 #include "clients/http.h"
 #include "clients/log.h"
 #include "control/contracts.h"
+#include "daemons/inquire.h"
 #include "filters/authenticate.h"
-#include "shell/story.h"
 
 #include <fstream>
 #include <getopt.h>
@@ -20,10 +20,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int statusOk = 0;
-constexpr int statusFailed = 1;   // not in force, or not reachable
-constexpr int statusUsage = 2;    // usage, or a contract with faults
-constexpr int statusLostRace = 3; // another amendment came first
 constexpr int appendTries = 5;
 
 // Arguments
@@ -33,6 +29,7 @@
     std::string operand;
     std::string log;
     std::string vmList;
+    std::string admin;   // admin addresses, with commas between
     std::string logs;    // file of daemons' output; "-" is standard input
     bool isJson = false; // one object a line
     std::int64_t base = -1;
@@ -49,25 +46,24 @@
            "                                   replace a contract; VERSION is the one it was made from\n"
            "  show CUSTOMER --log HOST:PORT    print the contract in force and its version\n"
            "  status --vms HOST:PORT           print what every entry VM has in force\n"
+           "  status --admin IP:PORT[,...]     print how routers on the platform are, from their admin addresses\n"
            "  explain REQUEST --vms HOST:PORT  print one request's path, from the trace that a VM kept\n"
            "  explain REQUEST --logs FILE      tell one request's story from daemons' output; - is standard input\n"
            "  hash-key                         read an API key from standard input, print its hash\n"
            "\n"
-           "explain --logs takes --json: one object a line.\n"
-           "Exit status: 0 done, 1 failed, 2 usage or faulty contract, 3 another amendment came first.\n";
+           "status --admin and explain --logs take --json: one object a line.\n"
+           "Exit status: 0 done, 1 failed or not ready, 2 usage or faulty contract, 3 another amendment came first.\n";
 }
 
 static bool parseArguments(int argc, char **argv, Arguments &arguments)
 {
-    static const option options[] = {{"log", required_argument, nullptr, 'l'},
-                                     {"logs", required_argument, nullptr, 's'},
-                                     {"json", no_argument, nullptr, 'j'},
-                                     {"vms", required_argument, nullptr, 'm'},
-                                     {"base", required_argument, nullptr, 'b'},
-                                     {"help", no_argument, nullptr, 'h'},
-                                     {nullptr, 0, nullptr, 0}};
+    static const option options[] = {
+        {"log", required_argument, nullptr, 'l'},   {"logs", required_argument, nullptr, 's'},
+        {"json", no_argument, nullptr, 'j'},        {"vms", required_argument, nullptr, 'm'},
+        {"admin", required_argument, nullptr, 'a'}, {"base", required_argument, nullptr, 'b'},
+        {"help", no_argument, nullptr, 'h'},        {nullptr, 0, nullptr, 0}};
     int letter = 0;
-    while ((letter = getopt_long(argc, argv, "l:s:jm:b:h", options, nullptr)) != -1) {
+    while ((letter = getopt_long(argc, argv, "l:s:jm:a:b:h", options, nullptr)) != -1) {
         switch (letter) {
         case 'l':
             arguments.log = optarg;
@@ -81,6 +77,9 @@
         case 'm':
             arguments.vmList = optarg;
             break;
+        case 'a':
+            arguments.admin = optarg;
+            break;
         case 'b':
             arguments.base = std::atoll(optarg);
             break;
@@ -237,106 +236,6 @@
     return statusOk;
 }
 
-static int status(const Arguments &arguments)
-{
-    std::vector<VmRecord> list;
-    std::string etag;
-    if (readVmList(arguments.vmList, etag, list) == VmListRead::Failed) {
-        std::cerr << arguments.vmList << ": the VM list does not answer\n";
-        return statusFailed;
-    }
-    int result = statusOk;
-    for (const VmRecord &vm : list) {
-        if (vm.kind != VmKind::Entry) {
-            continue;
-        }
-        httplib::Client client(vm.address, vm.port);
-        tuneClient(client, std::chrono::milliseconds(500), std::chrono::milliseconds(1000));
-        const auto response = client.Get("/status");
-        if (!response) {
-            std::cout << vm.id.text << ": does not answer\n";
-            result = statusFailed;
-            continue;
-        }
-        std::cout << response->body << '\n';
-    }
-    return result;
-}
-
-static void printSpan(const Json &span)
-{
-    const auto begin = std::stoll(span.at("startTimeUnixNano").get<std::string>());
-    const auto end = std::stoll(span.at("endTimeUnixNano").get<std::string>());
-    std::cout << "  " << span.at("name").get<std::string>() << "  " << static_cast<double>(end - begin) / 1e6 << " ms";
-    for (const Json &attribute : span.at("attributes")) {
-        const std::string key = attribute.at("key").get<std::string>();
-        if (key != "request.id") {
-            std::cout << "  " << key << '=' << attribute.at("value").at("stringValue").get<std::string>();
-        }
-    }
-    std::cout << '\n';
-}
-
-static int explainFromLogs(const Arguments &arguments)
-{
-    std::ifstream file;
-    if (arguments.logs != "-") {
-        file.open(arguments.logs);
-        if (!file) {
-            std::cerr << arguments.logs << ": cannot be read\n";
-            return statusUsage;
-        }
-    }
-    const auto story = storyOf({arguments.operand}, arguments.logs == "-" ? std::cin : file);
-    if (story.empty()) {
-        std::cerr << arguments.operand << ": the logs do not name it\n";
-        return statusFailed;
-    }
-    for (const StoryLine &line : story) {
-        if (arguments.isJson) {
-            std::cout << Json{{"t", line.time.count()},
-                              {"daemon", line.daemon},
-                              {"event", line.event},
-                              {"text", line.sentence}}
-                      << '\n';
-        } else {
-            std::cout << line.time.count() << ' ' << line.daemon << (line.daemon.empty() ? "" : ": ") << line.sentence
-                      << '\n';
-        }
-    }
-    return statusOk;
-}
-
-static int explain(const Arguments &arguments)
-{
-    std::vector<VmRecord> list;
-    std::string etag;
-    if (readVmList(arguments.vmList, etag, list) == VmListRead::Failed) {
-        std::cerr << arguments.vmList << ": the VM list does not answer\n";
-        return statusFailed;
-    }
-    for (const VmRecord &vm : list) {
-        if (vm.kind != VmKind::Entry) {
-            continue;
-        }
-        httplib::Client client(vm.address, vm.port);
-        tuneClient(client, std::chrono::milliseconds(500), std::chrono::milliseconds(1000));
-        const auto response = client.Get("/trace?request=" + arguments.operand);
-        if (!response || response->status != 200) {
-            continue;
-        }
-        std::cout << arguments.operand << " at " << vm.id.text << ":\n";
-        std::istringstream lines(response->body);
-        std::string line;
-        while (std::getline(lines, line)) {
-            printSpan(Json::parse(line));
-        }
-        return statusOk;
-    }
-    std::cerr << arguments.operand << ": no VM kept a trace of it; faults are always kept, others by a fraction\n";
-    return statusFailed;
-}
-
 static int hashKey()
 {
     std::string key;
@@ -370,13 +269,16 @@
         return show(arguments);
     }
     if (command == "status" && !arguments.vmList.empty()) {
-        return status(arguments);
+        return statusOfEntryVms(arguments.vmList);
+    }
+    if (command == "status" && !arguments.admin.empty()) {
+        return statusOfRouters(arguments.admin, arguments.isJson);
     }
     if (command == "explain" && hasOperand && !arguments.vmList.empty()) {
-        return explain(arguments);
+        return explainFromTraces(arguments.operand, arguments.vmList);
     }
     if (command == "explain" && hasOperand && !arguments.logs.empty()) {
-        return explainFromLogs(arguments);
+        return explainFromLogs(arguments.operand, arguments.logs, arguments.isJson);
     }
     if (command == "hash-key") {
         return hashKey();
--- /dev/null
+++ b/daemons/inquire.cpp
@@ -0,0 +1,197 @@
+// Questions to running daemons and to their logs. Sections of this file: Entry VMs, Routers, Explain.
+#include "daemons/inquire.h"
+
+#include "clients/http.h"
+#include "clients/log.h"
+#include "platform/headers.h"
+#include "shell/story.h"
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace galenafold
+{
+
+using Json = nlohmann::json;
+
+constexpr auto connectWithin = std::chrono::milliseconds(500);
+constexpr auto answerWithin = std::chrono::milliseconds(1000);
+
+// Entry VMs
+
+int statusOfEntryVms(const std::string &vmList)
+{
+    std::vector<VmRecord> list;
+    std::string etag;
+    if (readVmList(vmList, etag, list) == VmListRead::Failed) {
+        std::cerr << vmList << ": the VM list does not answer\n";
+        return statusFailed;
+    }
+    int result = statusOk;
+    for (const VmRecord &vm : list) {
+        if (vm.kind != VmKind::Entry) {
+            continue;
+        }
+        httplib::Client client(vm.address, vm.port);
+        tuneClient(client, connectWithin, answerWithin);
+        const auto response = client.Get("/status");
+        if (!response) {
+            std::cout << vm.id.text << ": does not answer\n";
+            result = statusFailed;
+            continue;
+        }
+        std::cout << response->body << '\n';
+    }
+    return result;
+}
+
+// Routers
+
+/// @return the figures without labels of a metrics page, by name
+static Json plainFigures(const std::string &page)
+{
+    const std::string prefix = "galenafold_";
+    Json figures = Json::object();
+    std::istringstream lines(page);
+    std::string name;
+    double value = 0;
+    while (lines >> name >> value) {
+        const bool isPlain = name.compare(0, prefix.size(), prefix) == 0 && name.find('{') == std::string::npos;
+        if (isPlain) {
+            figures[name.substr(prefix.size())] = static_cast<std::int64_t>(value);
+        }
+    }
+    return figures;
+}
+
+static Json askRouter(const std::string &address)
+{
+    Json router{{"address", address}, {"answers", false}, {"ready", false}};
+    const HostPort where = parseHostPort(address);
+    if (where.port == 0) {
+        return router;
+    }
+    httplib::Client client(where.host, where.port);
+    tuneClient(client, connectWithin, answerWithin);
+    const auto ready = client.Get(readinessPath);
+    const auto metrics = client.Get("/metrics");
+    if (!ready || !metrics) {
+        return router;
+    }
+    router["answers"] = true;
+    router["ready"] = ready->status == 200;
+    router.update(plainFigures(metrics->body));
+    return router;
+}
+
+static void printRouter(const Json &router)
+{
+    std::cout << router.at("address").get<std::string>() << ": ";
+    if (!router.at("answers").get<bool>()) {
+        std::cout << "does not answer\n";
+        return;
+    }
+    const auto figure = [&router](const char *name) { return router.value(name, std::int64_t{0}); };
+    std::cout << (router.at("ready").get<bool>() ? "ready" : "not ready") << ", desired state "
+              << figure("desired_state_version") << " proved " << figure("proof_age_ms") << " ms ago, "
+              << figure("replicas_usable") << " replicas, " << figure("peers_heard") << " peers, "
+              << figure("calls_in_progress") << " calls in progress, " << figure("store_lost")
+              << " topics of the store lost\n";
+}
+
+int statusOfRouters(const std::string &addresses, bool isJson)
+{
+    int result = statusOk;
+    std::istringstream list(addresses);
+    std::string address;
+    while (std::getline(list, address, ',')) {
+        const Json router = askRouter(address);
+        result = router.at("ready").get<bool>() ? result : statusFailed;
+        if (isJson) {
+            std::cout << router << '\n';
+        } else {
+            printRouter(router);
+        }
+    }
+    return result;
+}
+
+// Explain
+
+static void printSpan(const Json &span)
+{
+    const auto begin = std::stoll(span.at("startTimeUnixNano").get<std::string>());
+    const auto end = std::stoll(span.at("endTimeUnixNano").get<std::string>());
+    std::cout << "  " << span.at("name").get<std::string>() << "  " << static_cast<double>(end - begin) / 1e6 << " ms";
+    for (const Json &attribute : span.at("attributes")) {
+        const std::string key = attribute.at("key").get<std::string>();
+        if (key != "request.id") {
+            std::cout << "  " << key << '=' << attribute.at("value").at("stringValue").get<std::string>();
+        }
+    }
+    std::cout << '\n';
+}
+
+int explainFromLogs(const std::string &request, const std::string &logs, bool isJson)
+{
+    std::ifstream file;
+    if (logs != "-") {
+        file.open(logs);
+        if (!file) {
+            std::cerr << logs << ": cannot be read\n";
+            return statusUsage;
+        }
+    }
+    const auto story = storyOf({request}, logs == "-" ? std::cin : file);
+    if (story.empty()) {
+        std::cerr << request << ": the logs do not name it\n";
+        return statusFailed;
+    }
+    for (const StoryLine &line : story) {
+        if (isJson) {
+            std::cout << Json{{"t", line.time.count()},
+                              {"daemon", line.daemon},
+                              {"event", line.event},
+                              {"text", line.sentence}}
+                      << '\n';
+        } else {
+            std::cout << line.time.count() << ' ' << line.daemon << (line.daemon.empty() ? "" : ": ") << line.sentence
+                      << '\n';
+        }
+    }
+    return statusOk;
+}
+
+int explainFromTraces(const std::string &request, const std::string &vmList)
+{
+    std::vector<VmRecord> list;
+    std::string etag;
+    if (readVmList(vmList, etag, list) == VmListRead::Failed) {
+        std::cerr << vmList << ": the VM list does not answer\n";
+        return statusFailed;
+    }
+    for (const VmRecord &vm : list) {
+        if (vm.kind != VmKind::Entry) {
+            continue;
+        }
+        httplib::Client client(vm.address, vm.port);
+        tuneClient(client, connectWithin, answerWithin);
+        const auto response = client.Get("/trace?request=" + request);
+        if (!response || response->status != 200) {
+            continue;
+        }
+        std::cout << request << " at " << vm.id.text << ":\n";
+        std::istringstream lines(response->body);
+        std::string line;
+        while (std::getline(lines, line)) {
+            printSpan(Json::parse(line));
+        }
+        return statusOk;
+    }
+    std::cerr << request << ": no VM kept a trace of it; faults are always kept, others by a fraction\n";
+    return statusFailed;
+}
+
+} // namespace galenafold
--- a/filters/board.cpp
+++ b/filters/board.cpp
@@ -148,7 +148,7 @@
 
 /// With peers heard, the mean of this moment. Else the mean over a few seconds: a router alone hears of each engine
 /// only now and then, and a mean of what it knows would count all others as idle, so prompts leave home without need.
-double EndpointBoard::meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const
+double EndpointBoard::meanLoad(Instant now, const std::vector<const EndpointState *> &endpoints) const
 {
     double usual = 0;
     double current = 0;
@@ -215,7 +215,7 @@
     if (sound.empty()) {
         return choice;
     }
-    const double bound = m_settings.loadBound * meanLoad(now, sound) + m_settings.loadAllowance;
+    const double bound = boundOf(meanLoad(now, {sound.begin(), sound.end()}));
     for (EndpointState *state : sound) {
         state->isEngine = true;
     }
@@ -372,6 +372,22 @@
     return state.own + state.peers;
 }
 
+std::vector<ServiceFigures> EndpointBoard::figures(Instant now) const
+{
+    std::map<ServiceId, ServiceFigures> services;
+    for (const auto &[id, state] : m_endpoints) {
+        services[state.record.service].endpoints.push_back(&state);
+    }
+    std::vector<ServiceFigures> figures;
+    for (auto &[id, service] : services) {
+        service.id = id;
+        service.meanLoad = meanLoad(now, service.endpoints);
+        service.bound = boundOf(service.meanLoad);
+        figures.push_back(std::move(service));
+    }
+    return figures;
+}
+
 void EndpointBoard::setPeersHeard(int peers, Span untold)
 {
     m_peersHeard = peers;
--- a/filters/board.h
+++ b/filters/board.h
@@ -79,6 +79,14 @@
     const EndpointState &operator*() const { return *endpoint; }
 };
 
+/// What the board knows of one service's replicas.
+struct ServiceFigures {
+    ServiceId id;
+    double meanLoad = 0;
+    double bound = 0; // above it a replica gets no more
+    std::vector<const EndpointState *> endpoints;
+};
+
 /// @return hash of the parts that a request shares with others; nothing when it shares none
 std::optional<std::uint64_t> affinityOf(const std::vector<PromptPart> &parts);
 
@@ -138,6 +146,8 @@
 
     double load(Instant now, const EndpointState &state) const; ///< @return requests in progress there, as best known
 
+    std::vector<ServiceFigures> figures(Instant now) const; ///< @return all that is known, for metrics
+
     /// @return how long work takes there against its usual time, smoothed over the last reports
     static double slowdown(Instant now, const EndpointState &state)
     {
@@ -147,7 +157,8 @@
 private:
     void takePlaces();
     void noteLeaving(Instant now, const std::vector<ReplicaRecord> &leaving);
-    double meanLoad(Instant now, const std::vector<EndpointState *> &endpoints) const;
+    double meanLoad(Instant now, const std::vector<const EndpointState *> &endpoints) const;
+    double boundOf(double meanLoad) const { return m_settings.loadBound * meanLoad + m_settings.loadAllowance; }
     void sumPeers(Instant now);
     bool hasRoom(Instant now, EndpointState &state, double bound);
     static void noteSlowdown(Instant now, EndpointState &state, double slowdown);
--- a/filters/followup.cpp
+++ b/filters/followup.cpp
@@ -31,16 +31,21 @@
     usage.first.push_back(now);
 }
 
-bool RetryBudget::take(Instant now, const ServiceId &service)
+double RetryBudget::left(Instant now, const ServiceId &service)
 {
     Usage &usage = m_usage[service];
     forgetOld(now, usage);
     const double allowed = m_settings.ratio * static_cast<double>(usage.first.size())
         + m_settings.floor / static_cast<double>(std::max(1, m_settings.routers));
-    if (static_cast<double>(usage.extra.size()) + 1 > allowed) {
+    return allowed - static_cast<double>(usage.extra.size());
+}
+
+bool RetryBudget::take(Instant now, const ServiceId &service)
+{
+    if (left(now, service) < 1) {
         return false;
     }
-    usage.extra.push_back(now);
+    m_usage[service].extra.push_back(now);
     return true;
 }
 
--- a/filters/followup.h
+++ b/filters/followup.h
@@ -30,7 +30,8 @@
     explicit RetryBudget(const RetryBudgetSettings &settings);
 
     void onFirst(Instant now, const ServiceId &service);
-    bool take(Instant now, const ServiceId &service); ///< @return true if an extra attempt may be made; it is counted
+    bool take(Instant now, const ServiceId &service);   ///< @return true if an extra attempt may be made; it is counted
+    double left(Instant now, const ServiceId &service); ///< @return extra attempts that may still be made now
     void setRouters(int routers) { m_settings.routers = routers; }
 
 private:
--- a/shell/placestore.h
+++ b/shell/placestore.h
@@ -25,6 +25,7 @@
 
     void readNow(); ///< A peer has read on, or the store is back.
 
+    std::int64_t failures() const { return m_follower.failures() + m_writer.failures(); }
     std::int64_t calls() const { return m_follower.calls() + m_writer.calls(); }
 
     /// All that the store holds, and its end; after each read and each write.
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <sys/resource.h>
 
 namespace galenafold
 {
@@ -279,26 +280,50 @@
     if (request.head.target == readinessPath) {
         caller->answer(isReady() ? statusOk : statusUnavailable, {}, "");
     } else if (request.head.target == "/metrics") {
-        caller->answer(statusOk, {{"Content-Type", "text/plain"}}, metrics());
+        answerMetrics(caller);
     } else {
         caller->answer(statusNotFound, {}, "");
     }
 }
 
+/// The traffic thread writes its figures first; the caller may have left by then, which it notices itself.
+void RouterNode::answerMetrics(const std::shared_ptr<Caller> &caller)
+{
+    m_traffic.askFigures([this, caller](std::string figures) {
+        asio::post(m_io, [this, caller, figures = std::move(figures)] {
+            caller->answer(statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics() + figures);
+        });
+    });
+}
+
+static std::int64_t peakMemoryBytes()
+{
+    constexpr std::int64_t kilobyte = 1024; // the unit of the system's figure
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss * kilobyte;
+}
+
 std::string RouterNode::metrics() const
 {
     const TrafficCounts &counts = m_traffic.counts();
     std::string out;
-    const auto add = [&out](const char *name, std::int64_t value) {
-        out += std::string("galenafold_") + name + ' ' + std::to_string(value) + '\n';
+    const auto add = [&out](const char *name, std::int64_t value, const std::string &labels = "") {
+        writeFigure(out, name, labels, static_cast<double>(value));
     };
     add("callers", counts.callers);
     add("calls_in_progress", counts.inProgress);
     add("calls_served_total", counts.answered);
     add("calls_refused_total", counts.refused);
     add("calls_failed_total", counts.failed);
-    add("store_calls_total", m_desired.calls() + m_registry.calls() + m_places.calls());
     add("calls_streaming", counts.streaming);
+    const auto addStore = [&add](StoreTopic topic, std::int64_t calls, std::int64_t failures) {
+        add("store_calls_total", calls, label("topic", text(topic)));
+        add("store_failures_total", failures, label("topic", text(topic)));
+    };
+    addStore(StoreTopic::DesiredState, m_desired.calls(), m_desired.failures());
+    addStore(StoreTopic::Registry, m_registry.calls(), m_registry.failures());
+    addStore(StoreTopic::Places, m_places.calls(), m_places.failures());
     add("store_records_total", m_storeRecords);
     add("store_lost", (m_isDesiredLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
     add("replicas_usable", counts.replicas);
@@ -307,6 +332,7 @@
     add("desired_state_version", m_version);
     add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_proof.provedAt()).count());
     add("log_lines_left_out_total", m_log.dropped());
+    add("peak_memory_bytes", peakMemoryBytes());
     return out;
 }
 
--- a/shell/routernode.h
+++ b/shell/routernode.h
@@ -35,6 +35,7 @@
     void logReplica(const RegistryUpdate &update);
     void publishReplicas();
     void onAdminRequest(const std::shared_ptr<Caller> &caller, const CallerRequest &request);
+    void answerMetrics(const std::shared_ptr<Caller> &caller);
     std::string metrics() const;
     void scheduleFlush();
     void afterRegistryRead();
--- a/shell/storecall.cpp
+++ b/shell/storecall.cpp
@@ -100,6 +100,7 @@
 void StoreConnection::fail(const char *why)
 {
     m_isCalling = false;
+    ++m_failures;
     ++m_generation;
     m_timer.cancel();
     drop();
--- a/shell/storecall.h
+++ b/shell/storecall.h
@@ -26,7 +26,8 @@
 
     bool isCalling() const { return m_isCalling; }
     const std::string &address() const { return m_address; }
-    std::int64_t calls() const { return m_calls; } ///< @return calls made since the start
+    std::int64_t calls() const { return m_calls; }       ///< @return calls made since the start
+    std::int64_t failures() const { return m_failures; } ///< @return of these, calls without a whole answer
 
 private:
     void connect();
@@ -45,6 +46,7 @@
     StoreCallHooks m_hooks;
     std::uint64_t m_generation = 0; // of the call at hand; late events of an earlier one are ignored
     std::int64_t m_calls = 0;
+    std::int64_t m_failures = 0;
     bool m_isCalling = false;
 };
 
--- a/shell/storefollower.cpp
+++ b/shell/storefollower.cpp
@@ -103,6 +103,7 @@
 void StoreFollower::onFailure(const char *why)
 {
     const Instant now = clockNow();
+    ++m_failures;
     if (!m_isLost) {
         m_isLost = true;
         LogLine line("store_lost");
--- a/shell/storefollower.h
+++ b/shell/storefollower.h
@@ -23,6 +23,7 @@
     void start();
     void readNow();                                        ///< Does not wait for the pause between two reads.
     std::int64_t calls() const { return m_store.calls(); } ///< @return calls made since the start
+    std::int64_t failures() const { return m_failures; }   ///< @return of these, calls that brought nothing
 
 private:
     void schedule();
@@ -39,6 +40,7 @@
     DeadlineTimer m_timer; // of the next call
     TopicStep m_step;
     Instant m_sentAt{};
+    std::int64_t m_failures = 0;
     bool m_isLost = false;
 };
 
--- a/tests/logs.cpp
+++ b/tests/logs.cpp
@@ -123,3 +123,20 @@
     CHECK(story[1].sentence.find("a replica may have run it") != std::string::npos);
     CHECK(story[1].sentence.find("broken_answer") != std::string::npos);
 }
+
+TEST(Stories, TellsOfAProcessThatEndedBeforeTheRequestDid)
+{
+    const std::string sent =
+        " 2.0 front-2 "
+        "{\"t\":20,\"event\":\"sent\",\"request\":\"r1\",\"replica\":\"i-1\",\"try\":1,\"left_ms\":9,\"load\":3}\n";
+    const std::string starts =
+        " 0.1 front-2 {\"t\":1,\"event\":\"start\"}\n 2.2 front-3 {\"t\":22,\"event\":\"start\"}\n";
+    std::istringstream killed(starts + sent + " 9.9 front-2 {\"t\":520,\"event\":\"start\"}\n");
+    const auto story = storyOf({"r1"}, killed);
+    LONGS_EQUAL(2, story.size());
+    CHECK(story[1].sentence.find("started again 500 ms after") != std::string::npos);
+    std::istringstream open(starts + sent);
+    CHECK(storyOf({"r1"}, open).back().sentence.find("no end is told") != std::string::npos);
+    std::istringstream other(starts + sent);
+    CHECK(storyOf({"r2"}, other).empty());
+}
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -68,6 +68,39 @@
     LONGS_EQUAL(0, replica.requests().size());
 }
 
+TEST(NodePath, MetricsTellHowRequestsOfEachKindAndAccountEnded)
+{
+    site.add("a", [](const ReplicaRequest &got, const std::shared_ptr<ReplicaReply> &reply) {
+        if (got.head.target == "/live/x") {
+            reply->beginStream(got);
+            reply->event(0, "x");
+            reply->endStream();
+        } else {
+            reply->answer(got, 200, "done");
+        }
+    });
+    site.startReady();
+    for (const char *path : {"/any/x", "/any/y", "/live/x", "/nowhere/x"}) {
+        CHECK(site.send(callerRequest(path, path))->read());
+    }
+    CHECK(site.send(callerRequest("/any/x", "stranger", "nobody"))->read());
+    CHECK(waitFor([this] { return site.metric("calls_in_progress") == 0; }));
+    LONGS_EQUAL(2, site.metric("calls_total{kind=\"idempotent\",outcome=\"served\",reason=\"\"}"));
+    LONGS_EQUAL(1, site.metric("calls_total{kind=\"stream\",outcome=\"served\",reason=\"\"}"));
+    LONGS_EQUAL(1, site.metric("calls_total{kind=\"none\",outcome=\"refused\",reason=\"no_route\"}"));
+    LONGS_EQUAL(1, site.metric("calls_total{kind=\"idempotent\",outcome=\"refused\",reason=\"unknown_key\"}"));
+    LONGS_EQUAL(3, site.metric("account_calls_total{account=\"acme\",outcome=\"served\"}"));
+    LONGS_EQUAL(3, site.metric("call_seconds_count{kind=\"idempotent\"}"));
+    LONGS_EQUAL(3, site.metric("call_seconds_bucket{kind=\"idempotent\",le=\"+Inf\"}"));
+    LONGS_EQUAL(1, site.metric("first_bytes_seconds_count{kind=\"stream\"}"));
+    LONGS_EQUAL(1, site.metric("longest_gap_seconds_count{kind=\"stream\"}"));
+    LONGS_EQUAL(0, site.metric("replica_load{service=\"svc\",replica=\"a\"}"));
+    LONGS_EQUAL(3, site.metric("load_bound{service=\"svc\"}"));
+    CHECK(site.metric("retries_left{service=\"svc\"}") > 0);
+    CHECK(site.metric("store_calls_total{topic=\"registry\"}") > 0);
+    CHECK(site.metric("peak_memory_bytes") > 0);
+}
+
 TEST(NodePath, AnswersManyRequestsOfOneConnectionInOrder)
 {
     site.add("a", answersWell);
--- a/tests/site.h
+++ b/tests/site.h
@@ -152,9 +152,9 @@
     int metric(const std::string &name)
     {
         get("/metrics");
-        const std::string key = "galenafold_" + name + ' ';
-        const std::size_t at = lastBody.find('\n' + key);
-        return at == std::string::npos ? -1 : std::stoi(lastBody.substr(at + 1 + key.size()));
+        const std::string key = "\ngalenafold_" + name + ' ';
+        const std::size_t at = ('\n' + lastBody).find(key);
+        return at == std::string::npos ? -1 : std::stoi(lastBody.substr(at + key.size() - 1));
     }
     std::unique_ptr<RawCaller> send(const std::string &bytes) const
     {
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -48,6 +48,8 @@
         return "broken_answer";
     case EndReason::Silent:
         return "silent";
+    case EndReason::ReplicaError:
+        return "replica_error";
     case EndReason::CallerGone:
         return "caller_gone";
     }
@@ -325,7 +327,7 @@
         armTimer();
         return;
     }
-    if (!m_state.budget.take(now, m_place.service)) {
+    if (!takeRetry(now)) {
         m_patientUntil = now + retrySoon;
         armTimer();
         return;
@@ -336,6 +338,19 @@
     place(now);
 }
 
+/// @return true if the service's budget allows one more attempt; it is then counted
+bool RequestFlow::takeRetry(Instant now)
+{
+    if (m_state.budget.take(now, m_place.service)) {
+        return true;
+    }
+    m_state.figures.onRetryDenied(m_place.service);
+    LogLine line("retry_denied");
+    line.text("request", m_fields.request.text).text("service", m_place.service.text);
+    m_state.log.write(line, LogWeight::Notable);
+    return false;
+}
+
 /// Ends the attempt at hand. The replica stops working when its connection closes.
 void RequestFlow::abandonAttempt(AttemptEnd end)
 {
@@ -416,8 +431,9 @@
     }
     const bool isError = m_head.status >= firstStatusOfServerErrors;
     endAttempt(isError ? AttemptEnd::Error : AttemptEnd::Good);
-    const auto allowExtra = [this, now] { return m_state.budget.take(now, m_place.service); };
+    const auto allowExtra = [this, now] { return takeRetry(now); };
     if (isError && m_attempts.isRepeatable && followUp(m_attempts, allowExtra) == FollowUp::Again) {
+        logRetry(EndReason::ReplicaError);
         m_place.excluded.insert(m_endpoint);
         place(now);
         return;
@@ -439,7 +455,7 @@
 void RequestFlow::afterFailure(EndReason reason)
 {
     const Instant now = clockNow();
-    const auto allowExtra = [this, now] { return m_state.budget.take(now, m_place.service); };
+    const auto allowExtra = [this, now] { return takeRetry(now); };
     m_place.excluded.insert(m_endpoint);
     if (followUp(m_attempts, allowExtra) == FollowUp::Fail) {
         giveUp(reason);
@@ -593,7 +609,30 @@
         line.number("version", m_table->version).millis("proof_age_ms", now - m_state.proof.provedAt());
     }
     m_state.log.write(line, isServed ? LogWeight::Routine : LogWeight::Notable);
+    count(now, outcome, reason);
     m_caller->onGone = nullptr;
 }
 
+void RequestFlow::count(Instant now, std::string_view outcome, EndReason const *reason)
+{
+    EndedCall call;
+    if (m_route) {
+        call.kind = m_route->kind;
+    }
+    if (m_account) {
+        call.account = m_account->id;
+    }
+    call.outcome = outcome;
+    call.reason = reason ? text(*reason) : "";
+    call.took = now - m_request.arrival;
+    call.sent = m_attempts.sent;
+    if (m_firstAt != Instant{}) {
+        call.first = m_firstAt - m_request.arrival;
+    }
+    if (m_attempts.isStreaming) {
+        call.longestGap = m_longestGap;
+    }
+    m_state.figures.onEnded(call);
+}
+
 } // namespace galenafold
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -19,6 +19,7 @@
     Unreachable,    // no replica could be reached
     BrokenAnswer,   // an attempt may have run, and its answer is lost or wrong
     Silent,         // an attempt made no progress
+    ReplicaError,   // the replica answered with an error of its own
     CallerGone,     // the caller left
 };
 
@@ -54,6 +55,7 @@
     Instant lookAt() const;
     void lookForSilence(Instant now);
     void abandonAttempt(AttemptEnd end);
+    bool takeRetry(Instant now);
     void logRetry(EndReason reason) const;
     void onHead(ResponseHead &head, const AnswerFields &answer);
     void onBody(std::string &body);
@@ -72,6 +74,7 @@
     void breakOff(EndReason reason);
     void onCallerGone();
     void finish(std::string_view outcome, int status, EndReason const *reason);
+    void count(Instant now, std::string_view outcome, EndReason const *reason);
 
     TrafficState &m_state;
     std::shared_ptr<Caller> m_caller;
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -116,8 +116,32 @@
     }
 }
 
+std::string Traffic::figures()
+{
+    const Instant now = clockNow();
+    std::string out = m_state.figures.text();
+    for (const ServiceFigures &service : m_state.board.figures(now)) {
+        const std::string name = label("service", service.id.text);
+        writeFigure(out, "load_mean", name, service.meanLoad);
+        writeFigure(out, "load_bound", name, service.bound);
+        writeFigure(out, "retries_left", name, m_state.budget.left(now, service.id));
+        for (const EndpointState *state : service.endpoints) {
+            const std::string labels = name + ',' + label("replica", state->record.id.text);
+            writeFigure(out, "replica_load", labels, m_state.board.load(now, *state));
+            writeFigure(out, "replica_slowdown", labels, EndpointBoard::slowdown(now, *state));
+            writeFigure(out, "replica_avoided", labels, now < state->avoidUntil ? 1 : 0);
+        }
+    }
+    return out;
+}
+
 // From the control thread
 
+void Traffic::askFigures(std::function<void(std::string)> answer)
+{
+    asio::post(m_io, [this, answer = std::move(answer)] { answer(figures()); });
+}
+
 void Traffic::setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo)
 {
     asio::post(m_io, [this, agreed = std::move(agreed), upTo] {
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -11,6 +11,7 @@
 #include "filters/followup.h"
 #include "galenafold/eventlog.h"
 #include "traffic/endpointlink.h"
+#include "traffic/figures.h"
 #include "traffic/listener.h"
 #include "traffic/peers.h"
 
@@ -64,6 +65,7 @@
     RetryBudget budget;
     LinkPool links;
     TrafficCounts counts;
+    TrafficFigures figures;
     std::function<void()> onNews = [] {}; // for peers: a generation was sent to an engine, or an engine fell silent
 };
 
@@ -97,6 +99,9 @@
     /// Called on the traffic thread: a peer has read or written newer places. Set before `start`.
     std::function<void()> onNewerPlaces;
 
+    /// Has the traffic thread write all its figures. @param answer called on that thread
+    void askFigures(std::function<void(std::string)> answer);
+
     const TrafficCounts &counts() const { return m_state.counts; }
     int port() const { return m_listener.port(); }
 
@@ -104,6 +109,7 @@
     void onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
     void sweep();
     void savePlaces(Instant now) const;
+    std::string figures();
 
     TrafficSettings m_settings;
     asio::io_context m_io;
