Let requests wait for the store's first answers after a start

Change: filters/startgate: such requests wait, 300 ms at most, and not at all once the store has failed to answer. Tests: one that comes before the first answer is served (fails without the gate); nothing waits once the store has failed.

--- a/fakes/keyedstore.cpp
+++ b/fakes/keyedstore.cpp
@@ -109,6 +109,10 @@
         response.status = statusUnavailable;
         return true;
     }
+    if (trouble == StoreTrouble::Held) {
+        m_changed.wait(lock, [this] { return m_isStopping || m_trouble != StoreTrouble::Held; });
+        return false;
+    }
     if (trouble == StoreTrouble::Silent) {
         m_changed.wait(lock, [this] { return m_isStopping || m_trouble != StoreTrouble::Silent; });
     }
--- a/fakes/keyedstore.h
+++ b/fakes/keyedstore.h
@@ -17,6 +17,7 @@
     Busy,   // 503, nothing done
     Reset,  // the connection ends without an answer
     Silent, // accepts, and never answers while it lasts
+    Held,   // answers once it is over
 };
 
 /// A route of a sample desired state; its host is app.example, its prefix its name, its service "svc".
--- /dev/null
+++ b/filters/startgate.cpp
@@ -0,0 +1,14 @@
+// Whether requests that come right after the start wait.
+#include "filters/startgate.h"
+
+namespace galenafold
+{
+
+StartGate::Verdict StartGate::verdict(Instant now) const
+{
+    const bool isKnown = m_hasDesiredState && m_hasReplicas;
+    const bool isHopeless = m_hasStoreFailed || now >= m_waitUntil;
+    return isKnown || isHopeless ? Verdict::GoOn : Verdict::Wait;
+}
+
+} // namespace galenafold
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -296,6 +296,7 @@
     Span leaveWithin = std::chrono::milliseconds(2000);  // a leaving endpoint gets no new work
     Span settleWithin = std::chrono::milliseconds(3000); // after a fault of the VM, promises hold again
     Span drainWithin = std::chrono::seconds(8);          // from SIGTERM to the end
+    Span startWait = std::chrono::milliseconds(300);     // requests wait for the store's first answers after a start
     Span rejoinWithin = std::chrono::seconds(2);         // lapsed registry entries are back after the store's return
     double retryRatio = 0.2;                             // extra attempts of the fleet, per first attempt
     double retryFloor = 0;                               // and besides, in a window
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -114,6 +114,7 @@
         {"promises", "settle_within_ms", millisField(settings.settleWithin, 1, dayMillis)},
         {"promises", "drain_within_s", secondsField(settings.drainWithin, 1, daySeconds)},
         {"promises", "rejoin_within_ms", millisField(settings.rejoinWithin, 0, dayMillis)},
+        {"promises", "start_wait_ms", millisField(settings.startWait, 0, dayMillis)},
         {"retry", "ratio", numberField(settings.retryRatio, 0, 10)},
         {"retry", "floor", numberField(settings.retryFloor, 0, 1e6)},
         {"retry", "window_s", secondsField(settings.retryWindow, 0.1, daySeconds)},
--- a/shell/routernode.cpp
+++ b/shell/routernode.cpp
@@ -34,6 +34,7 @@
     traffic.listenAddress = settings.callers;
     traffic.dataCentre = settings.dataCentre;
     traffic.revokeWithin = settings.revokeWithin;
+    traffic.startWait = settings.startWait;
     traffic.board.loadBound = settings.loadBound;
     traffic.retry.ratio = settings.retryRatio;
     traffic.retry.floor = settings.retryFloor;
@@ -208,9 +209,11 @@
     hooks.onLost = [this](Instant) {
         m_isRegistryLost = true;
         m_directory.onStoreLost();
+        m_traffic.setStoreLost();
     };
     hooks.onRegained = [this](Instant now) {
         m_isRegistryLost = false;
+        m_places.readNow();
         m_directory.onStoreRegained(now);
         afterRegistryRead();
         LogLine line("store_regained");
--- a/shell/story.cpp
+++ b/shell/story.cpp
@@ -83,6 +83,9 @@
         return "replica " + text(line, "replica") + " did not serve it (" + text(line, "reason")
             + "); another try follows";
     }
+    if (event == "queued") {
+        return "waits: the process has just started and awaits the store's first answers";
+    }
     if (event == "retry_denied") {
         return "no other try: the retry budget of " + text(line, "service") + " is spent";
     }
--- a/tests/node.cpp
+++ b/tests/node.cpp
@@ -128,6 +128,32 @@
     site.store.setTrouble(StoreTrouble::None);
 }
 
+/// All routers start at once and callers are back before the store has answered.
+TEST(NodePath, ARequestThatComesBeforeTheStoresFirstAnswerWaitsForIt)
+{
+    site.add("a", answersWell);
+    site.store.put("keyed.op", "config", desiredState(1));
+    site.store.setTrouble(StoreTrouble::Held);
+    site.settings.startWait = sitePatience;
+    site.start();
+    const auto caller = site.send(callerRequest("/once/x", "early"));
+    CHECK(waitFor([this] { return site.metric("calls_in_progress") == 1; }));
+    site.store.setTrouble(StoreTrouble::None);
+    CHECK(caller->read());
+    LONGS_EQUAL(200, caller->status());
+}
+
+TEST(NodePath, NothingWaitsOnceTheStoreHasFailed)
+{
+    site.store.setTrouble(StoreTrouble::Busy);
+    site.settings.startWait = sitePatience * 10; // a caller that waited would get no answer in time
+    site.start();
+    const auto caller = site.send(callerRequest("/once/x", "early"));
+    CHECK(caller->read());
+    LONGS_EQUAL(503, caller->status());
+    CHECK(!caller->field("Retry-After").empty());
+}
+
 // Trap 5: what "not run" means
 
 TEST_GROUP(NodeNotRun)
--- a/traffic/requestflow.cpp
+++ b/traffic/requestflow.cpp
@@ -62,7 +62,6 @@
     : m_state(state)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
-    , m_table(state.table)
     , m_timer(state.io)
 {
     ++m_state.counts.inProgress;
@@ -77,7 +76,15 @@
 void RequestFlow::begin()
 {
     const Instant now = clockNow();
+    if (m_isEnded) {
+        return; // the caller left while it waited
+    }
     m_fields = m_state.dialect.decodeCall(m_request.head.fields);
+    if (m_state.gate.verdict(now) == StartGate::Verdict::Wait) {
+        waitAtGate();
+        return;
+    }
+    m_table = m_state.table;
     if (!findRoute(now) || !checkKey(now)) {
         return;
     }
@@ -96,6 +103,15 @@
     place(now);
 }
 
+void RequestFlow::waitAtGate()
+{
+    LogLine line("queued");
+    line.text("request", m_fields.request.text).text("reason", text(EndReason::NoDesiredState));
+    m_state.log.write(line, LogWeight::Notable);
+    m_caller->onGone = [self = shared_from_this()] { self->onCallerGone(); };
+    m_state.waiting.push_back(shared_from_this());
+}
+
 /// Without a young proof an unknown route may be a new one: it is refused as not run, not denied.
 bool RequestFlow::findRoute(Instant now)
 {
--- a/traffic/requestflow.h
+++ b/traffic/requestflow.h
@@ -33,11 +33,12 @@
     RequestFlow(const RequestFlow &) = delete;
     RequestFlow &operator=(const RequestFlow &) = delete;
 
-    void begin();
+    void begin(); ///< Once more after it has waited at the gate.
 
 private:
     // Deciding.
 
+    void waitAtGate();
     bool findRoute(Instant now);
     bool checkKey(Instant now);
     const ServiceId &drawService() const;
--- a/traffic/traffic.cpp
+++ b/traffic/traffic.cpp
@@ -33,6 +33,7 @@
     , m_peers(m_io, settings.peers, m_state.board)
     , m_listener(m_io)
     , m_sweepTimer(m_io)
+    , m_gateTimer(m_io)
 {
     m_peers.onNewerPlaces = [this] {
         if (onNewerPlaces) {
@@ -65,6 +66,9 @@
         return false;
     }
     m_startedAt = clockNow();
+    m_state.gate.onStart(m_startedAt + m_settings.startWait);
+    m_gateTimer.expires_at(m_state.gate.waitUntil());
+    m_gateTimer.async_wait([this](const asio::error_code &) { releaseWaiting(); });
     sweep();
     m_thread = std::thread([this] { m_io.run(); });
     return true;
@@ -84,6 +88,19 @@
     flow->begin();
 }
 
+/// Requests that wait at the gate are decided on once it has changed.
+void Traffic::releaseWaiting()
+{
+    if (m_state.gate.verdict(clockNow()) == StartGate::Verdict::Wait) {
+        return;
+    }
+    const auto waiting = std::move(m_state.waiting);
+    m_state.waiting.clear();
+    for (const auto &flow : waiting) {
+        flow->begin();
+    }
+}
+
 void Traffic::sweep()
 {
     m_state.links.closeOld(clockNow());
@@ -156,12 +173,18 @@
     asio::post(m_io, [this] {
         m_agreedPlaces.reset();
         m_peers.setPlaces(0);
+        m_state.gate.onStoreLost();
+        releaseWaiting();
     });
 }
 
 void Traffic::setTable(std::shared_ptr<const RouteTable> table)
 {
-    asio::post(m_io, [this, table = std::move(table)] { m_state.table = table; });
+    asio::post(m_io, [this, table = std::move(table)] {
+        m_state.table = table;
+        m_state.gate.onDesiredState();
+        releaseWaiting();
+    });
 }
 
 void Traffic::setReplicas(std::vector<ReplicaRecord> replicas, std::vector<ReplicaRecord> leaving)
@@ -171,6 +194,8 @@
             m_state.links.drop(id);
         }
         m_state.counts.replicas = static_cast<int>(replicas.size());
+        m_state.gate.onReplicas();
+        releaseWaiting();
     });
 }
 
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -9,6 +9,7 @@
 #include "control/freshness.h"
 #include "filters/board.h"
 #include "filters/followup.h"
+#include "filters/startgate.h"
 #include "galenafold/eventlog.h"
 #include "traffic/endpointlink.h"
 #include "traffic/figures.h"
@@ -27,6 +28,7 @@
     std::string listenAddress; // IP:PORT for callers
     DataCentreId dataCentre;
     Span revokeWithin{}; // a key may serve for this long after it was taken away; 0: not bounded
+    Span startWait = std::chrono::milliseconds(300); // requests wait for the store's first answers
     BoardSettings board;
     RetryBudgetSettings retry;
     PeerSettings peers;
@@ -61,6 +63,8 @@
     std::shared_ptr<const RouteTable> table; // nothing until a desired state is known
     FreshnessProof proof;                    // of the table
     bool isDraining = false;
+    StartGate gate;
+    std::vector<std::shared_ptr<RequestFlow>> waiting; // at the gate
     EndpointBoard board;
     RetryBudget budget;
     LinkPool links;
@@ -87,7 +91,7 @@
 
     /// Which engine has which place, as the store holds it. @param upTo end of what was read
     void setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo);
-    void setStoreLost(); ///< Others decide on places until they are set again.
+    void setStoreLost(); ///< Others decide on places until they are set again; nothing waits at the start any more.
     void setProof(Instant provedAt);
     void beginDrain(); ///< Answers end their connections from now on.
     void stopTaking(); ///< Takes no new connections, and closes those that have no request.
@@ -107,6 +111,7 @@
 
 private:
     void onRequest(const std::shared_ptr<Caller> &caller, CallerRequest &&request);
+    void releaseWaiting();
     void sweep();
     void savePlaces(Instant now) const;
     std::string figures();
@@ -118,6 +123,7 @@
     PeerLink m_peers;
     CallerListener m_listener;
     DeadlineTimer m_sweepTimer;
+    DeadlineTimer m_gateTimer;
     std::thread m_thread;
     Instant m_startedAt{};
     std::optional<std::vector<PlaceRecord>> m_agreedPlaces; // nothing until the store's were read
