Log and count what tells the incident's hypotheses apart

Cause: neither logs nor metrics told how many peers a router hears, how late its starts are told, where the load of a choice comes from, or how the retry budget is divided and used. Change: a line `peers` every 5 s and four metrics; `sent` tells the own part, the source and the bound of the load; `retried` and `retry_denied` tell the use of the budget. No logic is changed.

--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -30,6 +30,19 @@
 constexpr auto failureRateAvoidance = std::chrono::milliseconds(1500); // after the failure rate exceeds the threshold
 constexpr auto refusalAvoidance = std::chrono::milliseconds(50);       // after the replica refused a request
 
+const char *text(LoadSource source)
+{
+    switch (source) {
+    case LoadSource::OwnOnly:
+        return "own";
+    case LoadSource::LoadReport:
+        return "report";
+    case LoadSource::PeerCounts:
+        return "peers";
+    }
+    return "unknown";
+}
+
 std::optional<std::uint64_t> affinityKey(const std::vector<PromptPart> &parts)
 {
     if (parts.size() < 2) {
@@ -219,6 +232,7 @@
         return choice;
     }
     const double bound = loadBoundFor(meanLoad(now, {candidates.begin(), candidates.end()}));
+    choice.bound = bound;
     for (EndpointState *state : candidates) {
         state->servesPrompts = true;
     }
@@ -370,10 +384,23 @@
 
 double LoadBalancer::load(Instant now, const EndpointState &state) const
 {
-    if (now < state.loadFreshUntil || m_peersHeard == 0) {
-        return state.ownInFlight + (now < state.loadExpiry ? state.othersInFlight : 0);
+    switch (loadSource(now, state)) {
+    case LoadSource::OwnOnly:
+        return state.ownInFlight;
+    case LoadSource::LoadReport:
+        return state.ownInFlight + state.othersInFlight;
+    case LoadSource::PeerCounts:
+        return state.ownInFlight + state.peersInFlight;
+    }
+    return state.ownInFlight;
+}
+
+LoadSource LoadBalancer::loadSource(Instant now, const EndpointState &state) const
+{
+    if (now >= state.loadFreshUntil && m_peersHeard > 0) {
+        return LoadSource::PeerCounts;
     }
-    return state.ownInFlight + state.peersInFlight;
+    return now < state.loadExpiry ? LoadSource::LoadReport : LoadSource::OwnOnly;
 }
 
 std::vector<ServiceStats> LoadBalancer::serviceStats(Instant now) const
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -63,6 +63,15 @@
     Instant avoidUntil{};   // gets no new work until then while other replicas can take it
 };
 
+/// What the load of a replica is estimated from, besides this router's own requests.
+enum class LoadSource : std::uint8_t {
+    OwnOnly,    // neither a recent report nor a peer is heard
+    LoadReport, // the replica's last load report
+    PeerCounts, // the requests in progress that peers report
+};
+
+const char *text(LoadSource source); ///< @return the source's name in logs
+
 // Request
 
 struct SelectionRequest {
@@ -76,6 +85,7 @@
     const EndpointState *endpoint = nullptr; // null: no replica is left to try
     int skippedFull = 0;                     // engines skipped because they were at the bound on load
     int skippedAvoided = 0;                  // engines skipped because they fail or were already tried
+    double bound = 0;                        // load above which no engine was to be chosen; 0: chosen without a bound
 
     explicit operator bool() const { return endpoint != nullptr; }
     const EndpointState *operator->() const { return endpoint; }
@@ -154,6 +164,8 @@
 
     double load(Instant now, const EndpointState &state) const; ///< @return estimated requests in progress there
 
+    LoadSource loadSource(Instant now, const EndpointState &state) const; ///< @return what `load` is estimated from
+
     std::vector<ServiceStats> serviceStats(Instant now) const; ///< @return state of all services, for metrics
 
     /// @return smoothed service time as a multiple of the usual one; 1 without recent reports
--- a/filters/retry.cpp
+++ b/filters/retry.cpp
@@ -31,13 +31,22 @@
     usage.first.push_back(now);
 }
 
-double RetryBudget::remaining(Instant now, const ServiceId &service)
+RetryBudgetUse RetryBudget::use(Instant now, const ServiceId &service)
 {
     Usage &usage = m_usage[service];
     dropExpired(now, usage);
-    const double allowed = m_settings.ratio * static_cast<double>(usage.first.size())
-        + m_settings.minRetries / static_cast<double>(std::max(1, m_settings.routers));
-    return allowed - static_cast<double>(usage.extra.size());
+    RetryBudgetUse use;
+    use.first = static_cast<int>(usage.first.size());
+    use.extra = static_cast<int>(usage.extra.size());
+    use.minShare = m_settings.minRetries / static_cast<double>(std::max(1, m_settings.routers));
+    use.allowed = m_settings.ratio * use.first + use.minShare;
+    return use;
+}
+
+double RetryBudget::remaining(Instant now, const ServiceId &service)
+{
+    const RetryBudgetUse current = use(now, service);
+    return current.allowed - current.extra;
 }
 
 bool RetryBudget::take(Instant now, const ServiceId &service)
--- a/filters/retry.h
+++ b/filters/retry.h
@@ -25,6 +25,14 @@
     int routers = 64; // among which `minRetries` is divided
 };
 
+/// Use of a service's retry budget on this router in the window that ends now.
+struct RetryBudgetUse {
+    int first = 0;       // first attempts
+    int extra = 0;       // extra attempts
+    double allowed = 0;  // limit on the extra attempts
+    double minShare = 0; // part of `allowed` that does not depend on the first attempts
+};
+
 /// Limits extra attempts per service within a sliding window.
 class RetryBudget
 {
@@ -33,6 +41,7 @@
 
     void onFirstAttempt(Instant now, const ServiceId &service); ///< A first attempt was sent.
     bool take(Instant now, const ServiceId &service); ///< @return true if an extra attempt may be made; it is counted
+    RetryBudgetUse use(Instant now, const ServiceId &service);
     double remaining(Instant now, const ServiceId &service); ///< @return extra attempts that may still be made now
     void setRouters(int routers) { m_settings.routers = routers; }
 
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -69,9 +69,9 @@
     CHECK(firstRouter.isOpen && secondRouter.isOpen);
     CHECK(runUntil(
         [&] { return firstRouter.exchange.maxPeersHeard() == 1 && secondRouter.exchange.maxPeersHeard() == 1; }));
-    const std::int64_t before = firstRouter.exchange.bytesSent();
+    const std::int64_t before = firstRouter.exchange.stats().bytesSent;
     firstRouter.startCall();
-    CHECK(firstRouter.exchange.bytesSent() > before); // sent by the call itself, not with the next tick
+    CHECK(firstRouter.exchange.stats().bytesSent > before); // sent by the call itself, not with the next tick
     CHECK(runUntil([&] { return secondRouter.load() == 1; }));
     firstRouter.balancer.onEnded(clockNow(), {"engine"}, AttemptOutcome::Good);
     CHECK(runUntil([&] { return secondRouter.load() == 0; }));
@@ -85,8 +85,8 @@
         [&] { return firstRouter.exchange.maxPeersHeard() == 1 && secondRouter.exchange.maxPeersHeard() == 1; }));
     std::int64_t before = -1;
     int started = 0;
-    while (firstRouter.exchange.bytesSent() != before) {
-        before = firstRouter.exchange.bytesSent();
+    while (firstRouter.exchange.stats().bytesSent != before) {
+        before = firstRouter.exchange.stats().bytesSent;
         firstRouter.startCall();
         ++started;
     }
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -68,6 +68,7 @@
     }
     peer.number = beacon.number;
     peer.heardAt = now;
+    ++m_beaconsReceived;
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
             m_peers.try_emplace(other, Peer{now, 0, 0}); // is sent beacons from now on; expires if it stays silent
@@ -90,6 +91,7 @@
         heard += peer->second.number > 0 && now < peer->second.heardAt + peerTimeout ? 1 : 0;
         peer = now >= peer->second.heardAt + peerExpiry ? m_peers.erase(peer) : std::next(peer);
     }
+    m_peersHeard = heard;
     m_maxPeersHeard = std::max(m_maxPeersHeard, heard);
     const double waiting = m_unsentStartAt ? std::chrono::duration<double>(now - *m_unsentStartAt).count() : 0;
     m_loadBalancer.setActivePeers(
@@ -140,6 +142,19 @@
     return true;
 }
 
+PeerExchangeStats PeerLoadExchange::stats() const
+{
+    PeerExchangeStats stats;
+    stats.known = static_cast<int>(m_peers.size());
+    stats.heard = m_peersHeard;
+    stats.beaconsSent = m_beaconsSent;
+    stats.beaconsReceived = m_beaconsReceived;
+    stats.bytesSent = m_socket.bytesSent();
+    stats.broadcastBytes = broadcastBytes();
+    stats.startDelay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_startDelaySeconds));
+    return stats;
+}
+
 int PeerLoadExchange::broadcastBytes() const
 {
     return static_cast<int>(m_beaconBytes * static_cast<double>(m_peers.size()));
@@ -183,6 +198,7 @@
             }
         }
     }
+    ++m_beaconsSent;
     const std::string payload = encodeBeacon(beacon);
     m_beaconBytes += beaconSizeWeight * (datagramBytes(payload) - m_beaconBytes);
     m_lastSentAt = now;
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -26,6 +26,17 @@
     int bytesPerSecond = 7000;      // limit on sent bytes per second, of which beacons use a part
 };
 
+/// State of the exchange, for logs and metrics.
+struct PeerExchangeStats {
+    int known = 0;                    // peers that beacons are sent to
+    int heard = 0;                    // of these, peers from which a beacon was received recently
+    std::int64_t beaconsSent = 0;     // broadcasts since the start, each one datagram per known peer
+    std::int64_t beaconsReceived = 0; // since the start
+    std::int64_t bytesSent = 0;       // since the start
+    int broadcastBytes = 0;           // expected size of the next broadcast
+    Duration startDelay{};            // smoothed delay from the start of a request to its broadcast
+};
+
 /// Sends and receives load beacons, and updates the load balancer. Not thread-safe: used on one event loop.
 class PeerLoadExchange
 {
@@ -46,7 +57,7 @@
 
     std::function<void()> onNewerPlaces; // a peer has read or written newer places
 
-    std::int64_t bytesSent() const { return m_socket.bytesSent(); }
+    PeerExchangeStats stats() const;
 
 private:
     struct Peer {
@@ -78,7 +89,10 @@
     std::uint32_t m_placesUpTo = 0;         // end of the places topic as read, plus 1; 0: store unreachable
     int m_port = 0;                         // UDP port, the same on all routers
     double m_beaconBytes = 100;             // smoothed size of one datagram
+    int m_peersHeard = 0;
     int m_maxPeersHeard = 0;
+    std::int64_t m_beaconsSent = 0;
+    std::int64_t m_beaconsReceived = 0;
 };
 
 } // namespace galenafold
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -237,6 +237,8 @@
     line.text("request", m_fields.request.text).text("replica", endpoint.record.id.text);
     line.text("service", m_selection.service.text).number("try", m_attempts.sent).millis("left_ms", m_deadline - now);
     line.number("load", static_cast<std::int64_t>(m_state.loadBalancer.load(now, endpoint)));
+    line.number("own", endpoint.ownInFlight).text("load_from", text(m_state.loadBalancer.loadSource(now, endpoint)));
+    line.number("bound", static_cast<std::int64_t>(choice.bound));
     line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
@@ -370,7 +372,8 @@
     }
     m_state.metrics.onRetryDenied(m_selection.service);
     LogLine line("retry_denied");
-    line.text("request", m_fields.request.text).text("service", m_selection.service.text);
+    line.text("request", m_fields.request.text);
+    addBudget(line, now);
     m_state.log.write(line, LogPriority::Notable);
     return false;
 }
@@ -494,9 +497,19 @@
     LogLine line("retried");
     line.text("request", m_fields.request.text).text("reason", text(reason)).text("replica", m_endpoint.text);
     line.number("sent", m_attempts.sent).number("ran", m_attempts.possibleRuns);
+    addBudget(line, clockNow());
     m_state.log.write(line, LogPriority::Notable);
 }
 
+/// Adds the use of the service's retry budget to a log line.
+void RequestHandler::addBudget(LogLine &line, Instant now) const
+{
+    constexpr double hundredths = 100;
+    const RetryBudgetUse use = m_state.budget.use(now, m_selection.service);
+    line.text("service", m_selection.service.text).number("budget_first", use.first).number("budget_extra", use.extra);
+    line.number("budget_share_pct", static_cast<std::int64_t>(use.minShare * hundredths));
+}
+
 // Responding
 
 /// @return the fields of a replica's response that are forwarded to the caller: all but hop-by-hop fields
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -60,6 +60,7 @@
     void abandonAttempt(AttemptOutcome end);
     bool takeRetry(Instant now);
     void logRetry(EndReason reason) const;
+    void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void onBody(std::string &body);
     void onDone();
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -11,6 +11,7 @@
 constexpr auto peerDiscoveryTime = std::chrono::seconds(5); // peer lists have reached all routers by then
 constexpr auto savePlacesDelay = std::chrono::seconds(9);   // engines present at the start have places by then
 constexpr auto sweepInterval = std::chrono::seconds(1);     // periodic maintenance
+constexpr auto peersLogInterval = std::chrono::seconds(5);
 
 TrafficState::TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, HeaderCodec theHeaderCodec,
                            EventLog &theLog)
@@ -108,7 +109,8 @@
         m_state.loadBalancer.assignPlaces(clockNow());
     }
     m_state.counts.peers = m_peers.maxPeersHeard();
-    m_state.counts.peerBytes = m_peers.bytesSent();
+    m_state.counts.peerBytes = m_peers.stats().bytesSent;
+    logPeers(clockNow());
     if (clockNow() >= m_startedAt + peerDiscoveryTime) {
         m_state.budget.setRouters(std::min(m_settings.retry.routers, m_peers.maxPeersHeard() + 1));
     }
@@ -121,6 +123,20 @@
     });
 }
 
+void TrafficThread::logPeers(Instant now)
+{
+    if (now < m_nextPeersLogAt) {
+        return;
+    }
+    m_nextPeersLogAt = now + peersLogInterval;
+    const PeerExchangeStats stats = m_peers.stats();
+    LogLine line("peers");
+    line.number("known", stats.known).number("heard", stats.heard).number("beacons_sent", stats.beaconsSent);
+    line.number("beacons_received", stats.beaconsReceived).number("bytes_sent", stats.bytesSent);
+    line.number("broadcast_bytes", stats.broadcastBytes).millis("start_delay_ms", stats.startDelay);
+    m_state.log.write(line, LogPriority::Notable);
+}
+
 void TrafficThread::savePlaces(Instant now) const
 {
     const bool isDue = onPlacesToSave && m_agreedPlaces && now >= m_startedAt + savePlacesDelay && m_peers.isLeader();
@@ -137,6 +153,11 @@
 {
     const Instant now = clockNow();
     std::string out = m_state.metrics.text();
+    const PeerExchangeStats peers = m_peers.stats();
+    writeMetric(out, "peers_known", "", peers.known);
+    writeMetric(out, "beacons_sent_total", "", static_cast<double>(peers.beaconsSent));
+    writeMetric(out, "beacons_received_total", "", static_cast<double>(peers.beaconsReceived));
+    writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
         const std::string name = label("service", service.id.text);
         writeMetric(out, "load_mean", name, service.meanLoad);
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -122,6 +122,7 @@
     void onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request);
     void releaseWaiting();
     void sweep();
+    void logPeers(Instant now);
     void savePlaces(Instant now) const;
     std::string metricsText();
 
@@ -135,6 +136,7 @@
     DeadlineTimer m_gateTimer; // limit on the wait after a start
     std::thread m_thread;
     Instant m_startedAt{};
+    Instant m_nextPeersLogAt{};
     std::optional<std::vector<PlaceRecord>> m_agreedPlaces; // nothing: not read from the store since it was lost
 };
 
