Tests that fail as the grown deployments did

Small fleets do not show the faults, and all tests had 28 routers or fewer. Change: tests/largefleet.cpp, a fleet of 103 routers before 140 engines: a refused request at full replicas, the part of the retry budget, the beacons, the bound on load.

--- /dev/null
+++ b/tests/largefleet.cpp
@@ -0,0 +1,378 @@
+// Tests of a fleet of a hundred routers in front of 140 engines: retry budget, beacons between routers, and the bound
+// on load. Small fleets do not show these faults.
+#include "filters/retry.h"
+#include "net/beacons.h"
+#include "tests/nodefixture.h"
+#include "traffic/peerloadexchange.h"
+
+#include <algorithm>
+#include <asio/steady_timer.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
+
+using namespace galenafold;
+
+constexpr int fleetSize = 103; // routers
+
+/// @return a UDP port that is free on 127.0.0.2
+static int freePort()
+{
+    asio::io_context any;
+    const asio::ip::udp::socket socket(any, {asio::ip::make_address_v4("127.0.0.2"), 0});
+    return socket.local_endpoint().port();
+}
+
+/// @param index from 0 @return loopback address of one router of the fleet
+static std::string routerAddress(int index)
+{
+    return "127.0.0." + std::to_string(index + 2);
+}
+
+// Retries at a replica that refuses
+
+static void refuse(const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply)
+{
+    reply->send(notExecutedResponse(request));
+}
+
+TEST_GROUP(RefusingReplicas)
+{
+    NodeFixture fixture;
+};
+
+/// A request that a full replica refused was sent to the same replica again within milliseconds, four times in all.
+TEST(RefusingReplicas, ARefusedRequestIsNotSentToTheSameReplicaAgain)
+{
+    FakeReplica &a = fixture.addReplica("a", refuse);
+    FakeReplica &b = fixture.addReplica("b", refuse);
+    fixture.startAndWaitReady();
+    for (const char *path : {"/once/x", "/any/x", "/live/x"}) {
+        const std::size_t before = a.requests().size() + b.requests().size();
+        const auto caller = fixture.send(encodeCallerRequest(path, std::string("id") + path[1]));
+        CHECK(caller->read());
+        LONGS_EQUAL(503, caller->status());
+        CHECK(!caller->field("Retry-After").empty());
+        LONGS_EQUAL(2, a.requests().size() + b.requests().size() - before);
+    }
+}
+
+// Retry budget
+
+/// Sends beacons of routers that do nothing else, from addresses of their own, until it is destroyed.
+class SilentPeers
+{
+public:
+    SilentPeers(int count, int port, std::string target)
+        : m_port(port)
+        , m_target(std::move(target))
+        , m_timer(m_io)
+    {
+        for (int i = 1; i <= count; ++i) {
+            m_sockets.push_back(std::make_unique<BeaconSocket>(m_io, [](const auto &, const auto &) {}));
+            CHECK(m_sockets.back()->open(routerAddress(i), port));
+        }
+        sendAll();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~SilentPeers()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+
+private:
+    void sendAll()
+    {
+        LoadBeacon beacon;
+        beacon.number = ++m_number;
+        for (const auto &socket : m_sockets) {
+            socket->send(encodeBeacon(beacon), m_target, m_port);
+        }
+        m_timer.expires_after(std::chrono::milliseconds(300));
+        m_timer.async_wait([this](const asio::error_code &) { sendAll(); });
+    }
+
+    asio::io_context m_io;
+    int m_port;
+    std::string m_target;
+    asio::steady_timer m_timer;
+    std::vector<std::unique_ptr<BeaconSocket>> m_sockets;
+    std::uint32_t m_number = firstBeaconNumber(std::chrono::system_clock::now());
+    std::thread m_thread;
+};
+
+TEST_GROUP(RetryBudgetOfALargeFleet)
+{
+    NodeFixture fixture;
+};
+
+/// Each of 103 routers took a sixty-fourth of the retries that the fleet may make besides the ratio.
+TEST(RetryBudgetOfALargeFleet, NoRouterTakesMoreThanItsPart)
+{
+    constexpr int part = 10;
+    const int port = freePort();
+    fixture.settings.minRetries = part * fleetSize;
+    fixture.settings.retryWindow = std::chrono::seconds(2);
+    fixture.settings.assumedFleetSize = 64;
+    fixture.settings.peers = routerAddress(0) + ':' + std::to_string(port);
+    fixture.settings.seeds = {routerAddress(1) + ':' + std::to_string(port)};
+    fixture.addReplica("a", respondOk);
+    fixture.startAndWaitReady();
+    const SilentPeers peers(fleetSize - 1, port, routerAddress(0));
+    int highest = 0;
+    const bool isReached = waitFor([&] {
+        const int left = fixture.metric("retries_left{service=\"svc\"}");
+        highest = std::max(highest, left);
+        return fixture.metric("peers_heard") == fleetSize - 1 && left == part;
+    });
+    LONGS_EQUAL(part, highest);
+    CHECK(isReached);
+}
+
+// Beacons
+
+TEST_GROUP(BeaconsOfALargeFleet){};
+
+/// A broadcast to a hundred peers cost more than the byte budget could ever hold, so it was never sent.
+TEST(BeaconsOfALargeFleet, ABroadcastAboveTheBurstIsSentWhenTheRateAllows)
+{
+    constexpr int bytesPerSecond = 7000;
+    constexpr int broadcastBytes = 27000;
+    BeaconBudget budget(GossipSettings{bytesPerSecond});
+    int sent = 0;
+    for (int millis = 0; millis < 60000; millis += 50) {
+        const Instant now(std::chrono::hours(1) + std::chrono::milliseconds(millis));
+        sent += budget.take(now, broadcastBytes, true) ? 1 : 0;
+    }
+    CHECK(sent >= 11);
+    CHECK(sent * broadcastBytes <= 60 * bytesPerSecond + broadcastBytes);
+}
+
+/// One router of a fleet on loopback addresses, with calls in progress at some engines.
+struct BusyRouter {
+    BusyRouter(asio::io_context &io, int index, int port)
+        : exchange(io,
+                   {routerAddress(index) + ':' + std::to_string(port), {routerAddress(0) + ':' + std::to_string(port)}},
+                   balancer)
+    {
+        std::vector<ReplicaRecord> records(140);
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            records[i].id.text = "e" + std::to_string(i);
+            records[i].service.text = "llm";
+        }
+        balancer.updateReplicas(clockNow(), records);
+        isOpen = exchange.start();
+    }
+    /// Starts a call on a prompt that no other router has, and ends the oldest one if six are in progress.
+    void startCall(std::uint64_t prompt)
+    {
+        const EndpointId id = balancer.choose(clockNow(), {{"llm"}, prompt, {}})->record.id;
+        balancer.onSent(id);
+        calls.push_back(id);
+        if (calls.size() > 6) {
+            balancer.onEnded(clockNow(), calls.front(), AttemptOutcome::Good);
+            calls.pop_front();
+        }
+        exchange.requestBeacon();
+    }
+
+    LoadBalancer balancer{LoadBalancerSettings(), {"here"}, 1};
+    PeerLoadExchange exchange;
+    std::deque<EndpointId> calls;
+    bool isOpen = false;
+};
+
+/// The routers of a fleet of 103 heard between none and fourteen of the others.
+TEST(BeaconsOfALargeFleet, AllRoutersHearEachOtherWithinTheByteBudget)
+{
+    constexpr int seconds = 20;
+    const int port = freePort();
+    asio::io_context io;
+    std::vector<std::unique_ptr<BusyRouter>> fleet;
+    for (int i = 0; i < fleetSize; ++i) {
+        fleet.push_back(std::make_unique<BusyRouter>(io, i, port));
+        CHECK(fleet.back()->isOpen);
+    }
+    const Instant start = clockNow();
+    int leastHeard = fleetSize;
+    for (int tick = 0; tick < seconds * 10; ++tick) {
+        const Instant end = start + std::chrono::milliseconds(100) * (tick + 1);
+        for (int i = tick % 2; i < fleetSize; i += 2) {
+            fleet[static_cast<std::size_t>(i)]->startCall(static_cast<std::uint64_t>(i * 1000 + tick) * 7919);
+        }
+        while (clockNow() < end) {
+            io.run_one_until(std::chrono::steady_clock::now() + std::chrono::milliseconds(10));
+        }
+        if (tick >= seconds * 5) { // the second half
+            for (const auto &router : fleet) {
+                leastHeard = std::min(leastHeard, router->exchange.stats().heard);
+            }
+        }
+    }
+    LONGS_EQUAL(fleetSize - 1, leastHeard);
+    const double elapsed = std::chrono::duration<double>(clockNow() - start).count();
+    for (const auto &router : fleet) {
+        CHECK(static_cast<double>(router->exchange.stats().bytesSent) <= PeerSettings().bytesPerSecond * (elapsed + 2));
+    }
+}
+
+// Bound on load
+
+TEST_GROUP(LoadBoundOfALargeFleet){};
+
+/// Simulates a fleet with the rates of requests, prompts and durations of the users' grown deployment in Klang Valley,
+/// and beacons as the byte budget allows.
+struct LargeFleet {
+    /// A kind of request with a shared prompt.
+    struct Kind {
+        double rate;     // requests/s at the mean of the wave
+        int prompts;     // shared prompts, of which the first are asked for somewhat more often
+        double duration; // mean time in progress, s
+    };
+
+    explicit LargeFleet(std::uint64_t seed)
+        : random(seed)
+    {
+        std::vector<ReplicaRecord> records(engineCount);
+        for (std::size_t i = 0; i < records.size(); ++i) {
+            records[i].id.text = "e" + std::to_string(i);
+            records[i].service.text = "llm";
+            records[i].slots = 12;
+        }
+        for (int i = 0; i < fleetSize; ++i) {
+            fleet.push_back(
+                std::make_unique<LoadBalancer>(LoadBalancerSettings(), DataCentreId{"here"}, static_cast<unsigned>(i)));
+            fleet.back()->updateReplicas(at(0), records);
+            budgets.emplace_back(GossipSettings{PeerSettings().bytesPerSecond});
+        }
+        unsentSince.assign(fleet.size(), -1);
+        startDelay.assign(fleet.size(), 0);
+        lastSentAt.assign(fleet.size(), 0);
+    }
+    static Instant at(double seconds)
+    {
+        return Instant(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds + 1000)));
+    }
+    double uniform() { return boost::random::uniform_real_distribution<double>(0, 1)(random); }
+
+    /// Sends the router's counts to all others if the byte budget allows.
+    void broadcast(double now, std::size_t from)
+    {
+        LoadBeacon beacon;
+        beacon.loads = fleet[from]->ownLoads();
+        const int bytes = datagramBytes(encodeBeacon(beacon)) * (fleetSize - 1);
+        const bool hasChanged = unsentSince[from] >= 0;
+        if (!budgets[from].take(at(now), bytes, hasChanged)) {
+            return;
+        }
+        if (hasChanged) {
+            startDelay[from] += 0.2 * (now - unsentSince[from] - startDelay[from]);
+        }
+        unsentSince[from] = -1;
+        lastSentAt[from] = now;
+        for (std::size_t to = 0; to < fleet.size(); ++to) {
+            if (to != from) {
+                fleet[to]->onPeerLoads(at(now), static_cast<std::uint32_t>(from), beacon.loads);
+            }
+        }
+    }
+
+    void tick(double now)
+    {
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            const double delay = std::max(startDelay[i], unsentSince[i] >= 0 ? now - unsentSince[i] : 0);
+            int heard = 0;
+            for (std::size_t peer = 0; peer < fleet.size(); ++peer) {
+                heard += peer != i && now < lastSentAt[peer] + 2 ? 1 : 0;
+            }
+            fleet[i]->setActivePeers(heard, at(delay) - at(0));
+            if (unsentSince[i] >= 0 || now >= lastSentAt[i] + 0.7) {
+                broadcast(now, i);
+            }
+        }
+    }
+
+    void endDue(double now)
+    {
+        while (!running.empty() && running.begin()->first <= now) {
+            const auto [router, id] = running.begin()->second;
+            running.erase(running.begin());
+            --inProgress[id];
+            fleet[router]->onEnded(at(now), id, AttemptOutcome::Good);
+        }
+    }
+
+    void arrive(double now, const Kind &kind, std::uint64_t firstPrompt)
+    {
+        const auto router = static_cast<std::size_t>(uniform() * fleetSize);
+        const auto prompt = static_cast<std::uint64_t>(std::pow(uniform(), 1.4) * kind.prompts);
+        const std::uint64_t key = (firstPrompt + prompt) * 0x9e3779b97f4a7c15U;
+        const EndpointId id = fleet[router]->choose(at(now), {{"llm"}, key, {}})->record.id;
+        if (now >= warmUp) {
+            const double mean = static_cast<double>(running.size()) / engineCount;
+            ++arrivals;
+            overBound += inProgress[id] > 2 * mean + 3 ? 1 : 0;
+        }
+        ++inProgress[id];
+        fleet[router]->onSent(id);
+        running.emplace(now - kind.duration * std::log(1 - uniform()), std::make_pair(router, id));
+        if (unsentSince[router] < 0) {
+            unsentSince[router] = now;
+        }
+        broadcast(now, router);
+    }
+
+    /// @return highest fraction, in any of the consecutive windows of 5 s, of requests sent to an engine above the
+    /// bound on load
+    double run()
+    {
+        const Kind kinds[] = {{144, 520, 1.5}, {153, 246, 1.2}, {280, 677, 0.3}};
+        double worst = 0;
+        double nextTick = 0;
+        double window = warmUp + 5;
+        double next[3] = {};
+        for (double now = 0; now < 30; now += 0.005) {
+            endDue(now);
+            if (now >= nextTick) {
+                tick(now);
+                nextTick = now + 0.1;
+            }
+            const double wave = 1 + 0.55 * std::sin(now * 2 * 3.14159 / 15);
+            for (int kind = 0; kind < 3; ++kind) {
+                while (next[kind] <= now) {
+                    arrive(now, kinds[kind], static_cast<std::uint64_t>(kind) * 1000 + 1);
+                    next[kind] += -std::log(1 - uniform()) / (kinds[kind].rate * wave);
+                }
+            }
+            if (now >= window) {
+                worst = std::max(worst, static_cast<double>(overBound) / arrivals);
+                overBound = 0;
+                arrivals = 0;
+                window += 5;
+            }
+        }
+        return worst;
+    }
+
+    static constexpr int engineCount = 140;
+    static constexpr double warmUp = 5; // s, not judged
+    boost::random::mt19937_64 random;
+    std::vector<std::unique_ptr<LoadBalancer>> fleet;
+    std::vector<BeaconBudget> budgets;
+    std::vector<double> unsentSince; // time of the oldest start that peers have not been told, s; -1: none
+    std::vector<double> startDelay;  // smoothed time from a start to its broadcast, s
+    std::vector<double> lastSentAt;  // s
+    std::multimap<double, std::pair<std::size_t, EndpointId>> running; // by end time, s
+    std::map<EndpointId, int> inProgress;
+    int arrivals = 0;
+    int overBound = 0;
+};
+
+/// Routers that did not hear each other took engines with fifteen requests in progress for idle.
+TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepTheBoundAt140Engines)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const double worst = LargeFleet(seed).run();
+        CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
+    }
+}
--- a/tests/nodefixture.h
+++ b/tests/nodefixture.h
@@ -1,7 +1,7 @@
 // Test fixture: a real RouterNode with a fake of the platform's store and fake replicas, and a caller that sends raw
 // bytes.
 //
-// Sections of this file: Caller, Fixture.
+// Sections of this file: Caller, Replica scripts, Fixture.
 #pragma once
 
 #include "fakes/replica.h"
@@ -74,6 +74,19 @@
     std::string m_unparsed; // received and not yet parsed
 };
 
+// Replica scripts
+
+inline const ReplicaScript respondOk = [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+    reply->sendResponse(request, 200, "done:" + request.body);
+};
+
+/// @return a 503 response stating that the request was not executed
+inline std::string notExecutedResponse(const ReplicaRequest &request)
+{
+    return "HTTP/1.1 503 Busy\r\nX-Galenafold-Not-Executed: 1\r\nX-Galenafold-Attempt-Id: "
+        + request.field("X-Galenafold-Attempt-Id") + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 // Fixture
 
 /// @param keys API keys @return the desired state that the fixture starts from, which has a route for each kind of
--- a/tests/routernode.cpp
+++ b/tests/routernode.cpp
@@ -5,17 +5,6 @@
 using namespace galenafold;
 using std::chrono::milliseconds;
 
-static const ReplicaScript respondOk = [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
-    reply->sendResponse(request, 200, "done:" + request.body);
-};
-
-/// @return a 503 response stating that the request was not executed
-static std::string notExecutedResponse(const ReplicaRequest &request)
-{
-    return "HTTP/1.1 503 Busy\r\nX-Galenafold-Not-Executed: 1\r\nX-Galenafold-Attempt-Id: "
-        + request.field("X-Galenafold-Attempt-Id") + "\r\nContent-Length: 0\r\n\r\n";
-}
-
 // Forwarding
 
 TEST_GROUP(NodeForwarding)
