Do not send a refused request to the replica that refused it again

Callers saw: requests for the ledger refused only after four arrivals at the same full replica within 10 ms, which used up the fleet's retries (BUDGET: 1190 arrivals beyond the first, 1035 allowed) while requests that another try would have served got none. Cause: when all replicas of a service were tried, the set of excluded ones was cleared, those included that had just answered that they are full. A retry was also taken from the budget before it was known whether a replica is left. Change: replicas that refused a request stay excluded for it; a replica is chosen before the budget is charged.

--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -175,11 +175,7 @@
 
 void RequestHandler::dispatch(Instant now)
 {
-    ReplicaChoice choice = m_state.loadBalancer.choose(now, m_selection);
-    if (!choice && !m_selection.excluded.empty()) {
-        m_selection.excluded.clear(); // every replica was tried: choose among all of them again
-        choice = m_state.loadBalancer.choose(now, m_selection);
-    }
+    const ReplicaChoice choice = chooseReplica(now);
     if (!choice) {
         giveUp(EndReason::NoReplica);
         return;
@@ -187,6 +183,18 @@
     attempt(now, choice);
 }
 
+/// A replica that refused the request is full and is not asked again. One that failed in another way may serve it the
+/// next time, once all others were tried.
+ReplicaChoice RequestHandler::chooseReplica(Instant now)
+{
+    ReplicaChoice choice = m_state.loadBalancer.choose(now, m_selection);
+    if (!choice && m_selection.excluded != m_refusedBy) {
+        m_selection.excluded = m_refusedBy;
+        choice = m_state.loadBalancer.choose(now, m_selection);
+    }
+    return choice;
+}
+
 // Attempts
 
 /// Checks the API key again for each attempt: it may have been revoked while a previous attempt failed or the VM was
@@ -353,19 +361,27 @@
         armTimer();
         return;
     }
-    if (!takeRetry(now)) {
+    m_selection.excluded.insert(m_endpoint);
+    const ReplicaChoice next = takeRetry(now);
+    if (!next) {
         m_noRetryBefore = now + retryDelay;
         armTimer();
         return;
     }
     logRetry(EndReason::AttemptTimeout);
-    m_selection.excluded.insert(m_endpoint);
     abandonAttempt(AttemptOutcome::Failed);
-    dispatch(now);
+    attempt(now, next);
 }
 
-/// @return true if the service's retry budget allows another attempt, which is then counted
-bool RequestHandler::takeRetry(Instant now)
+/// @return the replica for another attempt, which is then counted; none if no replica is left or the service's retry
+/// budget is spent
+ReplicaChoice RequestHandler::takeRetry(Instant now)
+{
+    const ReplicaChoice next = chooseReplica(now);
+    return next && takeFromBudget(now) ? next : ReplicaChoice();
+}
+
+bool RequestHandler::takeFromBudget(Instant now)
 {
     if (m_state.budget.take(now, m_selection.service)) {
         return true;
@@ -433,6 +449,7 @@
     const Instant now = clockNow();
     m_state.connectionPool.release(m_endpoint, m_connection);
     if (m_responseFields.reportsNotRun) {
+        m_refusedBy.insert(m_endpoint);
         endAttempt(AttemptOutcome::Refused);
         afterFailure(EndReason::AllRefused);
         return;
@@ -458,14 +475,9 @@
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
     endAttempt(isError ? AttemptOutcome::Error : AttemptOutcome::Good);
-    const auto allowExtra = [this, now] { return takeRetry(now); };
-    if (isError && m_attempts.isRetryable && decideRetry(m_attempts, allowExtra) == RetryDecision::Retry) {
-        logRetry(EndReason::ReplicaError);
-        m_selection.excluded.insert(m_endpoint);
-        dispatch(now);
-        return;
+    if (!isError || !m_attempts.isRetryable || !retry(now, EndReason::ReplicaError)) {
+        forwardResponse();
     }
-    forwardResponse();
 }
 
 void RequestHandler::onFailed(RequestProgress progress)
@@ -481,15 +493,27 @@
 
 void RequestHandler::afterFailure(EndReason reason)
 {
-    const Instant now = clockNow();
-    const auto allowExtra = [this, now] { return takeRetry(now); };
+    if (!retry(clockNow(), reason)) {
+        giveUp(reason);
+    }
+}
+
+/// Makes another attempt if that is correct, a replica is left, and the retry budget allows it.
+/// @return false if there is none
+bool RequestHandler::retry(Instant now, EndReason reason)
+{
     m_selection.excluded.insert(m_endpoint);
+    ReplicaChoice next;
+    const auto allowExtra = [&] {
+        next = takeRetry(now);
+        return static_cast<bool>(next);
+    };
     if (decideRetry(m_attempts, allowExtra) == RetryDecision::Fail) {
-        giveUp(reason);
-        return;
+        return false;
     }
     logRetry(reason);
-    dispatch(now);
+    attempt(now, next);
+    return true;
 }
 
 void RequestHandler::logRetry(EndReason reason) const
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -44,6 +44,7 @@
     bool checkApiKey(Instant now);
     const ServiceId &selectService() const;
     void dispatch(Instant now);
+    ReplicaChoice chooseReplica(Instant now);
 
     // Attempts.
 
@@ -58,7 +59,8 @@
     Instant nextStallCheck() const;
     void checkForStall(Instant now);
     void abandonAttempt(AttemptOutcome end);
-    bool takeRetry(Instant now);
+    ReplicaChoice takeRetry(Instant now);
+    bool takeFromBudget(Instant now);
     void logRetry(EndReason reason) const;
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
@@ -67,6 +69,7 @@
     void onFailed(RequestProgress progress);
     void endAttempt(AttemptOutcome end);
     void afterFailure(EndReason reason);
+    bool retry(Instant now, EndReason reason);
     bool isStreamComplete() const;
 
     // Responding.
@@ -88,8 +91,9 @@
     const Route *m_route = nullptr;
     const ClientAccount *m_account = nullptr;
     SelectionRequest m_selection;
-    Instant m_deadline{};      // for the whole response
-    Instant m_noRetryBefore{}; // an attempt without progress is not retried before this time
+    std::set<EndpointId> m_refusedBy; // replicas that answered that they did not run the request
+    Instant m_deadline{};             // for the whole response
+    Instant m_noRetryBefore{};        // an attempt without progress is not retried before this time
     DeadlineTimer m_timer;
     AttemptHistory m_attempts;
 
