Divide the fixed number of retries by the routers of the fleet

Callers saw: nothing at once; services got more repeats than agreed (BUDGET) as soon as enough requests failed. Cause: each router took 1/64 of the fixed number, the assumed size of the fleet, and there are 103: together 434 for 270. A router that restarted had an empty window and a new part, and one that heard nobody 5 s after its start took the whole. Class: a share of a limit of the fleet that rests on an assumption which is not an upper bound. Evidence: all 1840 budget lines of the window show a part of 4.21; 62 daemons restarted in the window. Change: FleetSizeEstimate counts the routers that are known, keeps the highest number for a minute and knows none while nobody is heard; RetryBudget uses no part before two windows from its start have passed. [retry] fleet_assumed is gone.

--- a/filters/retry.cpp
+++ b/filters/retry.cpp
@@ -4,15 +4,22 @@
 namespace galenafold
 {
 
-constexpr int maxTotalAttempts = 4; // of one request, including attempts that did not run
+constexpr int windowsWithoutShare = 2; // after a start: one for the others to count this router, one for their retries
+constexpr int maxTotalAttempts = 4;    // of one request, including attempts that did not run
 
 // Budget
 
-RetryBudget::RetryBudget(const RetryBudgetSettings &settings)
+RetryBudget::RetryBudget(const RetryBudgetSettings &settings, Instant startedAt)
     : m_settings(settings)
+    , m_shareFrom(startedAt + settings.window * windowsWithoutShare)
 {
 }
 
+double RetryBudget::minShare(Instant now) const
+{
+    return now < m_shareFrom || m_routers == 0 ? 0 : m_settings.minRetries / m_routers;
+}
+
 void RetryBudget::dropExpired(Instant now, Usage &usage) const
 {
     const auto trim = [windowStart = now - m_settings.window](std::deque<Instant> &times) {
@@ -38,7 +45,7 @@
     RetryBudgetUse use;
     use.first = static_cast<int>(usage.first.size());
     use.extra = static_cast<int>(usage.extra.size());
-    use.minShare = m_settings.minRetries / static_cast<double>(std::max(1, m_settings.routers));
+    use.minShare = minShare(now);
     use.allowed = m_settings.ratio * use.first + use.minShare;
     return use;
 }
--- a/filters/retry.h
+++ b/filters/retry.h
@@ -3,7 +3,8 @@
 // Load pattern: replicas crash, refuse requests and lose responses while callers keep sending; retries must not amplify
 // the load. The fleet's retry budget is a ratio of first attempts plus a fixed number (`minRetries`). Each router
 // applies the ratio to its own first attempts and uses its share of that number, so the sum over all routers stays
-// within the budget whatever each of them observes.
+// within the budget. A router that has just started uses no share of it for two windows: its predecessor on the same
+// VM may have used one, and the others must have counted the new router for a whole window.
 //
 // Sections of this file: Budget, Decision.
 #pragma once
@@ -22,7 +23,6 @@
     double ratio = 0.2;    // extra attempts per first attempt, in a window
     double minRetries = 0; // extra attempts of the fleet per window, besides the ratio
     Duration window = std::chrono::seconds(10);
-    int routers = 64; // among which `minRetries` is divided
 };
 
 /// Use of a service's retry budget on this router in the window that ends now.
@@ -37,13 +37,16 @@
 class RetryBudget
 {
 public:
-    explicit RetryBudget(const RetryBudgetSettings &settings);
+    /// @param startedAt start of the router
+    RetryBudget(const RetryBudgetSettings &settings, Instant startedAt);
 
     void onFirstAttempt(Instant now, const ServiceId &service); ///< A first attempt was sent.
     bool take(Instant now, const ServiceId &service); ///< @return true if an extra attempt may be made; it is counted
     RetryBudgetUse use(Instant now, const ServiceId &service);
     double remaining(Instant now, const ServiceId &service); ///< @return extra attempts that may still be made now
-    void setRouters(int routers) { m_settings.routers = routers; }
+
+    /// @param routers among which `minRetries` is divided; 0: not known, this router uses no share of it
+    void setRouters(int routers) { m_routers = routers; }
 
 private:
     struct Usage {
@@ -52,8 +55,11 @@
     };
 
     void dropExpired(Instant now, Usage &usage) const;
+    double minShare(Instant now) const;
 
     RetryBudgetSettings m_settings;
+    Instant m_shareFrom{}; // no share of `minRetries` is used before
+    int m_routers = 0;
     std::map<ServiceId, Usage> m_usage;
 };
 
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -327,9 +327,8 @@
     Duration reregistrationTimeout = std::chrono::seconds(2);   // for replicas to register again after a store outage
     double retryRatio = 0.2;                                    // extra attempts per first attempt, in a window
     double minRetries = 0;                                      // extra attempts of the fleet per window, besides the
-                                                                // ratio
+                                                                // ratio; divided among the routers
     Duration retryWindow = std::chrono::seconds(10);            // sliding window of the retry budget
-    int assumedFleetSize = 64;                                  // number of routers that share `minRetries`
     double loadBound = 2;                                       // maximum load per engine, as multiple of the mean load
 };
 
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -118,7 +118,6 @@
         {"retry", "ratio", numberField(settings.retryRatio, 0, 10)},
         {"retry", "floor", numberField(settings.minRetries, 0, 1e6)},
         {"retry", "window_s", secondsField(settings.retryWindow, 0.1, daySeconds)},
-        {"retry", "fleet_assumed", integerField(settings.assumedFleetSize, 1, 100000)},
         {"placement", "load_bound", numberField(settings.loadBound, 1, 10)},
     };
 }
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -43,7 +43,6 @@
     traffic.retry.ratio = settings.retryRatio;
     traffic.retry.minRetries = settings.minRetries;
     traffic.retry.window = settings.retryWindow;
-    traffic.retry.routers = settings.assumedFleetSize;
     traffic.peers.address = settings.peers;
     traffic.peers.seeds = settings.seeds;
     traffic.seed = hashName(settings.name.text) ^ static_cast<std::uint64_t>(clockNow().time_since_epoch().count());
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -345,8 +345,10 @@
     RetryBudgetSettings settings;
     settings.ratio = 0.2;
     settings.minRetries = 100;
-    settings.routers = routers;
-    std::vector<RetryBudget> fleet(routers, RetryBudget(settings));
+    std::vector<RetryBudget> fleet(routers, RetryBudget(settings, at(-10)));
+    for (RetryBudget &budget : fleet) {
+        budget.setRouters(routers);
+    }
     const ServiceId service{"s"};
     boost::random::mt19937_64 random(5);
     std::deque<double> firstAttempts; // times in the window of 10 s
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -1,5 +1,6 @@
 // Tests of a fleet of a hundred routers in front of 140 engines: retry budget, beacons between routers, and the bound
 // on load. Small fleets do not show these faults.
+#include "control/fleetsize.h"
 #include "filters/retry.h"
 #include "net/beacons.h"
 #include "tests/nodefixture.h"
@@ -113,7 +114,6 @@
     const int port = freePort();
     fixture.settings.minRetries = part * fleetSize;
     fixture.settings.retryWindow = std::chrono::seconds(2);
-    fixture.settings.assumedFleetSize = 64;
     fixture.settings.peers = routerAddress(0) + ':' + std::to_string(port);
     fixture.settings.seeds = {routerAddress(1) + ':' + std::to_string(port)};
     fixture.addReplica("a", respondOk);
@@ -129,6 +129,122 @@
     CHECK(isReached);
 }
 
+/// Routers whose callers want more retries than any budget allows, and the number of routers that each believes in.
+struct GreedyFleet {
+    struct Router {
+        RetryBudget budget;
+        FleetSizeEstimate size;
+    };
+
+    static Instant at(double seconds)
+    {
+        return Instant(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds + 1000)));
+    }
+    void start(std::size_t index, double now)
+    {
+        RetryBudgetSettings settings;
+        settings.ratio = ratio;
+        settings.minRetries = minRetries;
+        Router router{RetryBudget(settings, at(now)), FleetSizeEstimate(false)};
+        if (index < routers.size()) {
+            routers[index] = router;
+        } else {
+            routers.push_back(router);
+        }
+    }
+
+    /// One second of requests. @param heard routers that each router hears @return retries in the window that ends with
+    /// it, minus the fleet's limit
+    double second(int now, const std::function<int(std::size_t)> &heard)
+    {
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            Router &router = routers[i];
+            router.size.observe(at(now), heard(i), heard(i));
+            router.budget.setRouters(router.size.routers());
+            for (int request = 0; request < 3; ++request) {
+                router.budget.onFirstAttempt(at(now), service);
+                firstAttempts.push_back(now);
+                while (router.budget.take(at(now), service)) {
+                    retries.push_back(now);
+                }
+            }
+        }
+        for (std::deque<int> *times : {&firstAttempts, &retries}) {
+            while (!times->empty() && times->front() < now - 10) {
+                times->pop_front();
+            }
+        }
+        return static_cast<double>(retries.size()) - ratio * static_cast<double>(firstAttempts.size()) - minRetries;
+    }
+
+    static constexpr double ratio = 0.2;
+    static constexpr double minRetries = 270; // per window of 10 s
+    const ServiceId service{"s"};
+    std::vector<Router> routers;
+    std::deque<int> firstAttempts; // times in the window, s
+    std::deque<int> retries;       // likewise
+};
+
+/// Restarted routers had an empty window and spent their part again, and one that heard nobody yet took all parts.
+TEST(RetryBudgetOfALargeFleet, RestartsGrowthAndLostContactDoNotRaiseTheSum)
+{
+    GreedyFleet fleet;
+    for (int i = 0; i < fleetSize; ++i) {
+        fleet.start(static_cast<std::size_t>(i), -1);
+    }
+    const auto all = [&](std::size_t) { return static_cast<int>(fleet.routers.size()) - 1; };
+    double worst = -GreedyFleet::minRetries;
+    int mostRetries = 0;
+    for (int now = 0; now < 100; ++now) {
+        const bool isHerdRestart = now == 30 || now == 34 || now == 39;
+        for (std::size_t i = 0; isHerdRestart && i < 62; ++i) {
+            fleet.start(i, now);
+        }
+        for (int i = 0; now == 60 && i < 77; ++i) {
+            fleet.start(fleet.routers.size(), now);
+        }
+        const auto heard = [&](std::size_t index) {
+            if (now >= 30 && now < 45 && index < 62) {
+                return now < 41 ? 0 : 40; // restarted a moment ago
+            }
+            return now >= 60 && now < 66 ? fleetSize - 1
+                : now >= 80              ? all(index) / 2
+                                         : all(index); // two halves from 80 s
+        };
+        worst = std::max(worst, fleet.second(now, heard));
+        mostRetries = std::max(mostRetries, static_cast<int>(fleet.retries.size()));
+    }
+    CHECK_TEXT(worst <= 0, std::to_string(worst).c_str());
+    CHECK(mostRetries > 3 * 11 * fleetSize / 5 + 200); // the ratio in 11 s, and most of the fixed number
+}
+
+/// The others count a new router within one window, and what they spent before is forgotten after another.
+TEST(RetryBudgetOfALargeFleet, ANewRouterTakesNoPartUntilTheOthersHaveMadeRoomForIt)
+{
+    GreedyFleet fleet;
+    fleet.start(0, 0);
+    RetryBudget &budget = fleet.routers[0].budget;
+    budget.setRouters(fleetSize);
+    CHECK_FALSE(budget.take(GreedyFleet::at(19.9), fleet.service));
+    CHECK(budget.take(GreedyFleet::at(20), fleet.service));
+    CHECK(budget.take(GreedyFleet::at(20), fleet.service));
+    CHECK_FALSE(budget.take(GreedyFleet::at(20), fleet.service)); // 270 / 103 are less than three
+}
+
+TEST(RetryBudgetOfALargeFleet, ARouterThatHearsNobodyTakesNoPart)
+{
+    FleetSizeEstimate isolated(false);
+    isolated.observe(GreedyFleet::at(0), 3, 0); // three seeds, none heard
+    LONGS_EQUAL(0, isolated.routers());
+    LONGS_EQUAL(1, FleetSizeEstimate(true).routers());
+    isolated.observe(GreedyFleet::at(1), 102, 3);
+    LONGS_EQUAL(103, isolated.routers());
+    isolated.observe(GreedyFleet::at(50), 40, 40); // contact lost, or routers gone
+    LONGS_EQUAL(103, isolated.routers());
+    isolated.observe(GreedyFleet::at(62), 40, 40);
+    LONGS_EQUAL(41, isolated.routers());
+}
+
 // Beacons
 
 TEST_GROUP(BeaconsOfALargeFleet){};
--- a/tests/nodefixture.h
+++ b/tests/nodefixture.h
@@ -125,8 +125,7 @@
         settings.store = store.address();
         settings.maxRevocationDelay = maxRevocationDelay;
         settings.maxDrainDelay = std::chrono::milliseconds(40); // short, so that the registry is read often
-        settings.minRetries = 1000;                             // high, so that the retry budget limits no test
-        settings.assumedFleetSize = 1;
+        settings.retryRatio = 1000;                             // high, so that the retry budget limits no test
     }
     ~NodeFixture()
     {
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -16,12 +16,19 @@
 constexpr double beaconSizeWeight = 0.2; // smoothing factor for the size of a new beacon; one in seven carries the list
 constexpr auto peerTimeout = std::chrono::seconds(2); // a peer that is silent for longer does not count
 
+static bool hasOtherSeed(const PeerSettings &settings)
+{
+    return std::any_of(settings.seeds.begin(), settings.seeds.end(),
+                       [&](const std::string &seed) { return seed != settings.address; });
+}
+
 PeerLoadExchange::PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer)
     : m_settings(settings)
     , m_loadBalancer(loadBalancer)
     , m_socket(io, [this](const LoadBeacon &beacon, const auto &sender) { onBeacon(beacon, sender); })
     , m_beaconBudget(GossipSettings{settings.bytesPerSecond})
     , m_timer(io)
+    , m_fleetSize(settings.address.empty() || !hasOtherSeed(settings))
 {
 }
 
@@ -93,6 +100,7 @@
     }
     m_peersHeard = heard;
     m_maxPeersHeard = std::max(m_maxPeersHeard, heard);
+    m_fleetSize.observe(now, static_cast<int>(m_peers.size()), heard);
     const double waiting = m_unsentStartAt ? std::chrono::duration<double>(now - *m_unsentStartAt).count() : 0;
     m_loadBalancer.setActivePeers(
         heard,
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -11,6 +11,7 @@
 // Peers are discovered through a few seed addresses and the peer lists in beacons, which serve no other purpose.
 #pragma once
 
+#include "control/fleetsize.h"
 #include "control/gossip.h"
 #include "filters/loadbalancer.h"
 #include "net/beacons.h"
@@ -45,7 +46,8 @@
 
     bool start();         ///< @return false if the address is invalid or in use
     void requestBeacon(); ///< Sends a beacon as soon as the budget allows: a request was sent, or an engine is stalled.
-    int maxPeersHeard() const { return m_maxPeersHeard; } ///< @return highest number of peers heard at the same time
+    int fleetSize() const { return m_fleetSize.routers(); } ///< @return routers of the fleet; 0: not known yet
+    int maxPeersHeard() const { return m_maxPeersHeard; }   ///< @return highest number of peers heard at the same time
 
     /// Sets how far this router has read the places topic (the engines' positions for rendezvous hashing) in the store,
     /// for the next beacon. @param upTo end of the topic as read, plus 1; 0 while the store is unreachable
@@ -89,6 +91,7 @@
     std::uint32_t m_placesUpTo = 0;         // end of the places topic as read, plus 1; 0: store unreachable
     int m_port = 0;                         // UDP port, the same on all routers
     double m_beaconBytes = 100;             // smoothed size of one datagram
+    FleetSizeEstimate m_fleetSize;
     int m_peersHeard = 0;
     int m_maxPeersHeard = 0;
     std::int64_t m_beaconsSent = 0;
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -8,9 +8,8 @@
 namespace galenafold
 {
 
-constexpr auto peerDiscoveryTime = std::chrono::seconds(5); // peer lists have reached all routers by then
-constexpr auto savePlacesDelay = std::chrono::seconds(9);   // engines present at the start have places by then
-constexpr auto sweepInterval = std::chrono::seconds(1);     // periodic maintenance
+constexpr auto savePlacesDelay = std::chrono::seconds(9); // engines present at the start have places by then
+constexpr auto sweepInterval = std::chrono::seconds(1);   // periodic maintenance
 constexpr auto peersLogInterval = std::chrono::seconds(5);
 
 TrafficState::TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, HeaderCodec theHeaderCodec,
@@ -21,7 +20,7 @@
     , log(theLog)
     , proof(theSettings.maxRevocationDelay)
     , loadBalancer(theSettings.loadBalancer, theSettings.dataCentre, theSettings.seed)
-    , budget(theSettings.retry)
+    , budget(theSettings.retry, clockNow())
     , connectionPool(theIo, headerCodec)
 {
 }
@@ -111,9 +110,7 @@
     m_state.counts.peers = m_peers.maxPeersHeard();
     m_state.counts.peerBytes = m_peers.stats().bytesSent;
     logPeers(clockNow());
-    if (clockNow() >= m_startedAt + peerDiscoveryTime) {
-        m_state.budget.setRouters(std::min(m_settings.retry.routers, m_peers.maxPeersHeard() + 1));
-    }
+    m_state.budget.setRouters(m_peers.fleetSize());
     savePlaces(clockNow());
     m_sweepTimer.expires_at(clockNow() + sweepInterval);
     m_sweepTimer.async_wait([this](const asio::error_code &error) {
@@ -131,7 +128,8 @@
     m_nextPeersLogAt = now + peersLogInterval;
     const PeerExchangeStats stats = m_peers.stats();
     LogLine line("peers");
-    line.number("known", stats.known).number("heard", stats.heard).number("beacons_sent", stats.beaconsSent);
+    line.number("known", stats.known).number("heard", stats.heard).number("fleet", m_peers.fleetSize());
+    line.number("beacons_sent", stats.beaconsSent);
     line.number("beacons_received", stats.beaconsReceived).number("bytes_sent", stats.bytesSent);
     line.number("broadcast_bytes", stats.broadcastBytes).millis("start_delay_ms", stats.startDelay);
     m_state.log.write(line, LogPriority::Notable);
@@ -155,6 +153,7 @@
     std::string out = m_state.metrics.text();
     const PeerExchangeStats peers = m_peers.stats();
     writeMetric(out, "peers_known", "", peers.known);
+    writeMetric(out, "fleet_size", "", m_peers.fleetSize());
     writeMetric(out, "beacons_sent_total", "", static_cast<double>(peers.beaconsSent));
     writeMetric(out, "beacons_received_total", "", static_cast<double>(peers.beaconsReceived));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
