Pace beacons to many peers in place of suppressing them

Callers saw: streams slowed down, as some engines held 15 requests where the mean was three (LIMIT: 91 of 1904 requests). Cause: the bucket of the byte budget held two seconds of its rate, 11.9 kB; a broadcast to 102 peers with the peer list costs up to 27 kB and was never sent. Silent routers were forgotten, which made the others' broadcasts cheaper until they were known again. The list held the first 64 peers by address, so routers with higher addresses stayed unknown. Class: a token bucket smaller than one unit of what it paces; a message whose size times receivers grows with the fleet. Evidence: `peers` lines: 0 to 15 of 102 heard, 6 to 11 broadcasts in 40 s. Change: the bucket holds two beacons at least; peer lists go to one peer at a time, newcomers first, a random choice of 128; the time after which a peer counts as silent follows the interval of broadcasts. Under contracts, where reports of the engines serve in place of rare beacons, the stop at two seconds stays and is now explicit.

--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -36,18 +36,32 @@
 {
 }
 
-void BeaconBudget::refill(Instant now)
+/// @return bytes per second
+double BeaconBudget::rate() const
+{
+    return m_settings.bytesPerSecond * beaconFraction;
+}
+
+double BeaconBudget::capacity(int bytes) const
+{
+    return std::max(rate() * beaconBurstSeconds, 2.0 * bytes);
+}
+
+void BeaconBudget::refill(Instant now, int bytes)
 {
-    const double rate = m_settings.bytesPerSecond * beaconFraction;
-    const double burst = rate * beaconBurstSeconds;
     const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_bytes = std::min(burst, m_bytes + elapsed * rate);
+    m_bytes = std::min(capacity(bytes), m_bytes + elapsed * rate());
     m_refilledAt = now;
 }
 
+Duration BeaconBudget::interval(int bytes) const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bytes / rate()));
+}
+
 bool BeaconBudget::take(Instant now, int bytes, bool hasChanged)
 {
-    refill(now);
+    refill(now, bytes);
     m_beaconBytes = bytes;
     const bool isDue = hasChanged || now >= m_nextHeartbeat;
     if (!isDue || bytes > m_bytes) {
@@ -60,13 +74,13 @@
 
 bool BeaconBudget::hasReserveAfter(Instant now, int bytes)
 {
-    refill(now);
-    return m_bytes - bytes >= m_settings.bytesPerSecond * beaconFraction * beaconBurstSeconds / 2;
+    refill(now, bytes);
+    return m_bytes - bytes >= capacity(bytes) / 2;
 }
 
 bool BeaconBudget::takeStartNotice(Instant now, int bytes)
 {
-    refill(now);
+    refill(now, m_beaconBytes);
     const double reserved = now + heartbeatInterval / 2 > m_nextHeartbeat ? m_beaconBytes : 0; // for the next beacon
     if (bytes + reserved > m_bytes) {
         return false;
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -11,6 +11,7 @@
 #include "control/membership.h"
 
 #include <boost/random/mersenne_twister.hpp>
+#include <optional>
 
 namespace galenafold
 {
@@ -76,9 +77,8 @@
     bool isStartNotice = false; // true: this is a start notice and only `start` is set
     StartNotice start;
     std::vector<std::uint32_t> peers; // IPv4 addresses, as numbers, of routers that the sender receives beacons from
-    bool hasPeerList = false;         // `peers` and `placesUpTo` are set
-    std::uint32_t placesUpTo = 0;     // end of the places topic as read, plus 1; 0: store unreachable
-    std::vector<PeerLoad> loads;      // endpoints with longer calls of the sender; brief calls go as start notices
+    std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
+    std::vector<PeerLoad> loads; // endpoints with longer calls of the sender; brief calls go as start notices
 };
 
 /// @return the sequence number of a router's first beacon, derived from the wall clock so that a restarted router
@@ -88,7 +88,8 @@
 /// Compares sequence numbers, which may wrap. @return true if `number` is newer than `than`
 bool isNewerBeacon(std::uint32_t number, std::uint32_t than);
 
-/// Token bucket, in bytes, that paces beacons and start notices.
+/// Token bucket, in bytes, that paces beacons and start notices. It holds two seconds of the rate, and always enough
+/// for two beacons, so that a beacon to many peers is sent less often but never suppressed.
 class BeaconBudget
 {
 public:
@@ -104,12 +105,18 @@
     /// @return true if at least half of the bucket is left after it, as a reserve for many calls that start at once
     bool hasReserveAfter(Instant now, int bytes);
 
+    /// @param bytes size of the beacon times the number of peers
+    /// @return time between two such beacons at the rate of the budget
+    Duration interval(int bytes) const;
+
     /// @param bytes size of a start notice times the number of peers
     /// @return true if it is to be sent now; its bytes are then deducted
     bool takeStartNotice(Instant now, int bytes);
 
 private:
-    void refill(Instant now);
+    double rate() const;
+    double capacity(int bytes) const;
+    void refill(Instant now, int bytes);
 
     GossipSettings m_settings;
     double m_bytes = 0;
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -19,7 +19,6 @@
 constexpr auto slowdownLifetime = std::chrono::seconds(2);     // of the smoothed slowdown without a report
 constexpr double demandWindowSeconds = 1;                      // over which the demand for an engine is smoothed
 constexpr auto loadFreshness = std::chrono::milliseconds(100); // peers report about as often
-constexpr auto peerLoadsLifetime = std::chrono::seconds(2);    // of the counts of a peer that stops reporting
 constexpr auto smoothedLoadLifetime = std::chrono::seconds(8); // short enough to follow load that varies within seconds
 constexpr double smoothedLoadWeight = 0.3;                     // of the newest report in the smoothed load
 constexpr auto drainingEngineLifetime = std::chrono::seconds(4);  // a draining engine serves at least for this long
@@ -419,15 +418,16 @@
     return stats;
 }
 
-void LoadBalancer::setActivePeers(int peers, Duration reportDelay)
+void LoadBalancer::setActivePeers(int peers, Duration reportDelay, Duration reportLifetime)
 {
+    m_peerReportLifetime = reportLifetime;
     m_peersHeard = peers;
     m_peerReportDelay = std::chrono::duration<double>(reportDelay + peerDatagramDelay).count();
 }
 
 void LoadBalancer::onPeerLoads(Instant now, std::uint32_t peer, const std::vector<PeerLoad> &loads)
 {
-    m_peerCounts[peer] = {now + peerLoadsLifetime, loads};
+    m_peerCounts[peer] = {now + m_peerReportLifetime, loads};
     sumPeerLoads(now);
     for (auto &[id, state] : m_endpoints) {
         for (const PeerLoad &load : loads) {
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -150,7 +150,8 @@
 
     /// @param peers other routers that are heard; with none, the replicas' own load reports are used
     /// @param reportDelay time from the start of a request until its router reports it
-    void setActivePeers(int peers, Duration reportDelay);
+    /// @param reportLifetime time after which the counts of a silent peer are dropped
+    void setActivePeers(int peers, Duration reportDelay, Duration reportLifetime = std::chrono::seconds(2));
 
     std::vector<PeerLoad> ownLoads() const; ///< @return engines where this router has requests in progress, for peers
     std::vector<PeerLoad> consumeLoads();   ///< @return the same with new slowdowns, which then count as sent
@@ -205,6 +206,7 @@
     int m_peersHeard = 0;
     bool m_hasUnsentStall = false;
     double m_peerReportDelay = 0; // seconds until a request started by a peer is known to this router
+    Duration m_peerReportLifetime = std::chrono::seconds(2);
     std::map<EndpointId, EndpointState> m_endpoints;
     std::map<EndpointId, DrainingEngine> m_drainingEngines;
 };
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -14,7 +14,6 @@
 
 constexpr int datagramHeaderBytes = 28;           // IPv4 and UDP headers
 constexpr std::size_t maxLoads = 256;             // per beacon
-constexpr std::size_t maxPeers = 64;              // per beacon
 constexpr double slowdownScale = 16;              // fixed-point scale: a slowdown is sent in sixteenths
 constexpr std::uint64_t maxTraversalWords = 2048; // Cap'n Proto traversal limit for untrusted input
 
@@ -35,9 +34,9 @@
     const auto hasSlowdown = [](const PeerLoad &load) { return load.slowdown > 0; };
     const bool sendsSlowdowns = std::any_of(beacon.loads.begin(), beacon.loads.begin() + count, hasSlowdown);
     auto slowdowns = root.initSlowdowns(sendsSlowdowns ? count : 0);
-    const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), maxPeers));
+    const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), maxListedPeers));
     auto peerList = root.initPeers(peers);
-    root.setPlacesUpTo(beacon.hasPeerList ? beacon.placesUpTo + 1 : 0); // 0 on the wire: no peer list
+    root.setPlacesUpTo(beacon.placesUpTo ? *beacon.placesUpTo + 1 : 0); // 0 on the wire: not set
     for (unsigned i = 0; i < peers; ++i) {
         peerList.set(i, beacon.peers[i]);
     }
@@ -82,10 +81,11 @@
         const double slowdown = i < slowdowns.size() ? slowdowns[i] / slowdownScale : 0;
         beacon.loads.push_back({endpoints[i], totals[i], longLanes[i], slowdown});
     }
-    beacon.hasPeerList = root.getPlacesUpTo() > 0;
-    beacon.placesUpTo = beacon.hasPeerList ? root.getPlacesUpTo() - 1 : 0;
+    if (root.getPlacesUpTo() > 0) {
+        beacon.placesUpTo = root.getPlacesUpTo() - 1;
+    }
     const auto peers = root.getPeers();
-    for (unsigned i = 0; i < std::min<unsigned>(peers.size(), maxPeers); ++i) {
+    for (unsigned i = 0; i < std::min<unsigned>(peers.size(), maxListedPeers); ++i) {
         beacon.peers.push_back(peers[i]);
     }
 }
--- a/net/beacons.h
+++ b/net/beacons.h
@@ -11,7 +11,10 @@
 namespace galenafold
 {
 
-/// Serialises a beacon in Cap'n Proto's packed encoding. Only the first 256 loads and 64 peers are included.
+constexpr std::size_t maxListedPeers = 128; // per beacon
+
+/// Serialises a beacon in Cap'n Proto's packed encoding. Only the first 256 loads and `maxListedPeers` peers are
+/// included.
 std::string encodeBeacon(const LoadBeacon &beacon);
 
 /// Parses a received datagram, which is untrusted input.
--- a/runtime/controlthread.cpp
+++ b/runtime/controlthread.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr auto tickInterval = std::chrono::milliseconds(10);
+constexpr auto maxBeaconInterval = std::chrono::seconds(2); // at a lower rate peers would take this router for silent
 constexpr auto metricsInterval = std::chrono::milliseconds(500);
 constexpr auto minPullInterval = std::chrono::milliseconds(200);
 constexpr auto minContractSnapshotInterval = std::chrono::seconds(30); // the log must retain records for much longer
@@ -162,7 +163,11 @@
             sendToPeers(payload);
         }
     }
-    if (m_beaconBudget.take(now, peers * m_lastBeaconBytes, m_router.hasLoadChanged())) {
+    const int bytes = peers * m_lastBeaconBytes;
+    if (m_beaconBudget.interval(bytes) > maxBeaconInterval) {
+        return;
+    }
+    if (m_beaconBudget.take(now, bytes, m_router.hasLoadChanged())) {
         const std::string payload = encodeBeacon(m_router.beacon());
         m_lastBeaconBytes = datagramBytes(payload);
         sendToPeers(payload);
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -4,17 +4,21 @@
 #include "control/loadview.h"
 #include "net/stream.h"
 
+#include <algorithm>
+
 namespace galenafold
 {
 
 constexpr auto endReportInterval = std::chrono::milliseconds(150); // ends only free capacity, so they are less urgent
 constexpr auto startRetryInterval = std::chrono::milliseconds(50); // while a start waits for the budget
 constexpr double startDelayWeight = 0.2;                           // smoothing factor for the delay of a new start
-constexpr auto peerListInterval = std::chrono::seconds(3); // peer lists tell seeds and restarted routers of others
+constexpr auto peerListInterval = std::chrono::seconds(3);         // while there are no newcomers
 constexpr auto heartbeatInterval = std::chrono::milliseconds(700); // between beacons without a change
 constexpr auto peerExpiry = std::chrono::seconds(10); // a silent peer is kept for this long, as it may be partitioned
-constexpr double beaconSizeWeight = 0.2; // smoothing factor for the size of a new beacon; one in seven carries the list
-constexpr auto peerTimeout = std::chrono::seconds(2); // a peer that is silent for longer does not count
+constexpr double beaconSizeWeight = 0.2;              // smoothing factor for the size of a new beacon
+constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
+constexpr auto placesNoticeInterval = std::chrono::seconds(1); // between notices that a peer has newer places
+constexpr int peerTimeoutIntervals = 4;                        // the same, in broadcasts at the rate of the budget
 
 static bool hasOtherSeed(const PeerSettings &settings)
 {
@@ -28,6 +32,7 @@
     , m_socket(io, [this](const LoadBeacon &beacon, const auto &sender) { onBeacon(beacon, sender); })
     , m_beaconBudget(GossipSettings{settings.bytesPerSecond})
     , m_timer(io)
+    , m_random(hashName(settings.address))
     , m_fleetSize(settings.address.empty() || !hasOtherSeed(settings))
 {
 }
@@ -68,8 +73,10 @@
         return;
     }
     const Instant now = clockNow();
-    Peer &peer = m_peers[from];
-    const bool isRestarted = now >= peer.heardAt + peerTimeout;
+    const auto [entry, isNew] = m_peers.try_emplace(from);
+    Peer &peer = entry->second;
+    peer.isNewcomer = peer.isNewcomer || isNew;
+    const bool isRestarted = now >= peer.heardAt + peerTimeout();
     if (peer.number > 0 && !isNewerBeacon(beacon.number, peer.number) && !isRestarted) {
         return;
     }
@@ -78,12 +85,15 @@
     ++m_beaconsReceived;
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
-            m_peers.try_emplace(other, Peer{now, 0, 0}); // is sent beacons from now on; expires if it stays silent
+            m_peers.try_emplace(other,
+                                Peer{now, 0, 0, false}); // is sent beacons from now on; expires if it stays silent
         }
     }
-    if (beacon.hasPeerList) {
-        peer.placesUpTo = beacon.placesUpTo;
-        if (beacon.placesUpTo > m_placesUpTo && m_placesUpTo > 0 && onNewerPlaces) {
+    if (beacon.placesUpTo) {
+        peer.placesUpTo = *beacon.placesUpTo;
+        const bool isNewer = peer.placesUpTo > m_placesUpTo && m_placesUpTo > 0;
+        if (isNewer && now >= m_nextPlacesNoticeAt && onNewerPlaces) {
+            m_nextPlacesNoticeAt = now + placesNoticeInterval;
             onNewerPlaces();
         }
     }
@@ -95,8 +105,9 @@
     const Instant now = clockNow();
     int heard = 0;
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        heard += peer->second.number > 0 && now < peer->second.heardAt + peerTimeout ? 1 : 0;
-        peer = now >= peer->second.heardAt + peerExpiry ? m_peers.erase(peer) : std::next(peer);
+        heard += peer->second.number > 0 && now < peer->second.heardAt + peerTimeout() ? 1 : 0;
+        peer = now >= peer->second.heardAt + std::max<Duration>(peerExpiry, peerTimeout()) ? m_peers.erase(peer)
+                                                                                           : std::next(peer);
     }
     m_peersHeard = heard;
     m_maxPeersHeard = std::max(m_maxPeersHeard, heard);
@@ -104,8 +115,10 @@
     const double waiting = m_unsentStartAt ? std::chrono::duration<double>(now - *m_unsentStartAt).count() : 0;
     m_loadBalancer.setActivePeers(
         heard,
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(m_startDelaySeconds, waiting))));
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(m_startDelaySeconds, waiting))),
+        peerTimeout());
     sendIfDue(now);
+    sendPeerList(now);
     armTimer(now);
 }
 
@@ -133,7 +146,6 @@
 {
     if (upTo != m_placesUpTo) {
         m_placesUpTo = upTo;
-        m_nextPeerListAt = Instant{}; // sends it with the next beacon
     }
 }
 
@@ -142,7 +154,7 @@
     const Instant now = clockNow();
     const auto own = std::make_pair(m_placesUpTo == 0, m_ownAddress);
     for (const auto &[address, peer] : m_peers) {
-        const bool isHeard = peer.number > 0 && now < peer.heardAt + peerTimeout;
+        const bool isHeard = peer.number > 0 && now < peer.heardAt + peerTimeout();
         if (isHeard && std::make_pair(peer.placesUpTo == 0, address) < own) {
             return false;
         }
@@ -168,6 +180,11 @@
     return static_cast<int>(m_beaconBytes * static_cast<double>(m_peers.size()));
 }
 
+Duration PeerLoadExchange::peerTimeout() const
+{
+    return std::max<Duration>(minPeerTimeout, m_beaconBudget.interval(broadcastBytes()) * peerTimeoutIntervals);
+}
+
 void PeerLoadExchange::sendIfDue(Instant now)
 {
     const bool maySendEnds =
@@ -190,23 +207,18 @@
     }
 }
 
-void PeerLoadExchange::send(Instant now)
+LoadBeacon PeerLoadExchange::nextBeacon()
 {
     LoadBeacon beacon;
-    beacon.loads = m_loadBalancer.consumeLoads();
-    beacon.from = m_ownAddress;
     beacon.number = ++m_beaconNumber;
-    if (now >= m_nextPeerListAt) {
-        m_nextPeerListAt = now + peerListInterval;
-        beacon.hasPeerList = true;
-        beacon.placesUpTo = m_placesUpTo;
-        for (const auto &[address, peer] : m_peers) {
-            if (peer.number > 0) {
-                beacon.peers.push_back(address);
-            }
-        }
-    }
-    ++m_beaconsSent;
+    beacon.placesUpTo = m_placesUpTo;
+    return beacon;
+}
+
+void PeerLoadExchange::send(Instant now)
+{
+    LoadBeacon beacon = nextBeacon();
+    beacon.loads = m_loadBalancer.consumeLoads();
     const std::string payload = encodeBeacon(beacon);
     m_beaconBytes += beaconSizeWeight * (datagramBytes(payload) - m_beaconBytes);
     m_lastSentAt = now;
@@ -215,9 +227,64 @@
         m_startDelaySeconds += startDelayWeight * (delay - m_startDelaySeconds);
         m_unsentStartAt.reset();
     }
+    ++m_beaconsSent;
     for (const auto &[address, peer] : m_peers) {
         m_socket.send(payload, asio::ip::address_v4(address).to_string(), m_port);
     }
 }
 
+/// @return addresses of peers that were heard, a random choice if there are more than a list holds
+std::vector<std::uint32_t> PeerLoadExchange::samplePeers()
+{
+    std::vector<std::uint32_t> heard;
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.number > 0) {
+            heard.push_back(address);
+        }
+    }
+    std::shuffle(heard.begin(), heard.end(), m_random);
+    heard.resize(std::min(heard.size(), maxListedPeers));
+    return heard;
+}
+
+/// @return the peer that gets the next list: a newcomer, or now and then any peer
+std::optional<std::uint32_t> PeerLoadExchange::nextListReceiver(Instant now)
+{
+    std::vector<std::uint32_t> newcomers;
+    std::vector<std::uint32_t> all;
+    for (const auto &[address, peer] : m_peers) {
+        all.push_back(address);
+        if (peer.isNewcomer) {
+            newcomers.push_back(address);
+        }
+    }
+    if (newcomers.empty() && now < m_nextPeerListAt) {
+        return std::nullopt;
+    }
+    const std::vector<std::uint32_t> &candidates = newcomers.empty() ? all : newcomers;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[m_random() % candidates.size()];
+}
+
+/// A peer list goes with the sender's loads, as each beacon replaces the one before.
+void PeerLoadExchange::sendPeerList(Instant now)
+{
+    const auto receiver = nextListReceiver(now);
+    if (!receiver) {
+        return;
+    }
+    LoadBeacon beacon = nextBeacon();
+    beacon.loads = m_loadBalancer.ownLoads();
+    beacon.peers = samplePeers();
+    const std::string payload = encodeBeacon(beacon);
+    if (!m_beaconBudget.take(now, datagramBytes(payload), true)) {
+        return;
+    }
+    m_nextPeerListAt = now + peerListInterval;
+    m_peers[*receiver].isNewcomer = false;
+    m_socket.send(payload, asio::ip::address_v4(*receiver).to_string(), m_port);
+}
+
 } // namespace galenafold
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -5,10 +5,12 @@
 // within a multiple of a mean load that changes within seconds. A router sends its counts at the start of each request
 // while the budget allows. All peers then know of the start within the latency of one datagram, so hardly any capacity
 // of an engine must be kept free for starts that are not known yet. Ends are sent with the next start, or shortly
-// after. If the fleet is too large for the budget, starts wait for it, and the load balancer is told of the delay.
-// While no peers are heard, the engines' own load reports are used instead.
+// after. In a fleet of a hundred, a broadcast takes more than a second of the budget: starts wait for it, the load
+// balancer is told of the delay, and the time after which a peer counts as silent grows with it. While no peers are
+// heard, the engines' own load reports are used instead.
 //
-// Peers are discovered through a few seed addresses and the peer lists in beacons, which serve no other purpose.
+// Peers are discovered through a few seed addresses and peer lists, which go to a few peers at a time: sent to all,
+// they would cost more than the loads.
 #pragma once
 
 #include "control/fleetsize.h"
@@ -65,15 +67,21 @@
     struct Peer {
         Instant heardAt{};            // last beacon; when the peer became known, if none was received
         std::uint32_t number = 0;     // of the last beacon; 0: none was received
-        std::uint32_t placesUpTo = 0; // from its last beacon with a peer list
+        std::uint32_t placesUpTo = 0; // from its last beacon
+        bool isNewcomer = false;      // became known by a beacon of its own, and was sent no peer list yet
     };
 
     void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
     void tick();
     void sendIfDue(Instant now);
+    void sendPeerList(Instant now);
+    std::optional<std::uint32_t> nextListReceiver(Instant now);
     void armTimer(Instant now);
+    LoadBeacon nextBeacon();
     void send(Instant now);
+    std::vector<std::uint32_t> samplePeers();
     int broadcastBytes() const;
+    Duration peerTimeout() const;
 
     PeerSettings m_settings;
     LoadBalancer &m_loadBalancer;
@@ -84,7 +92,9 @@
     std::uint32_t m_ownAddress = 0;         // IPv4 address of this router
     std::uint32_t m_beaconNumber = 0;       // number of the last beacon sent
     std::vector<PeerLoad> m_lastSentLoads;  // loads in the last beacon
-    Instant m_nextPeerListAt{};             // when the next beacon with the peer list is due
+    Instant m_nextPeerListAt{};             // when the next peer list is due if there is no newcomer
+    Instant m_nextPlacesNoticeAt{};         // earliest time of the next `onNewerPlaces`
+    boost::random::mt19937_64 m_random;     // chooses the receivers and the contents of peer lists
     Instant m_lastSentAt{};                 // time of the last beacon
     std::optional<Instant> m_unsentStartAt; // time of the oldest start not yet sent to peers
     double m_startDelaySeconds = 0;         // smoothed delay from a start to its beacon
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -17,7 +17,7 @@
   isLong @7 :Bool;
   peers @8 :List(UInt32);  # IPv4 addresses of the routers that the sender hears, for peer discovery
   slowdowns @10 :List(UInt8);  # empty, or newly reported service time per endpoint, in 1/16 of the usual one; 0: none
-  placesUpTo @9 :UInt32;   # 0: `peers` is not set; 1: the sender cannot reach the store; else 2 + the store offset
+  placesUpTo @9 :UInt32;   # 0: not set; 1: the sender cannot reach the store; else 2 + the store offset
                            # up to which the sender has read the places topic
 }
 
