Estimate the headroom of an engine from late counts without emptying it

Cause: a router multiplied its own demand for an engine, with the request that it had in hand counted as one a second, by the number of peers and the age of their counts. In a fleet of fifteen the same product is below one. Class: an estimate that multiplies one observation by the size of the fleet. Change: the square root of the bound stays free for the deviation of late counts; the fleet's demand is estimated from past requests only, over 2.5 s, and a fraction is passed on only where it exceeds the room. A load report of the engine is used while it is younger than the peers' counts, not for 100 ms.

--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -15,10 +15,12 @@
 constexpr double slowdownWeight = 0.3;          // of the newest report in the smoothed slowdown
 constexpr double slowdownThreshold = 2.4;       // a lower slowdown may come from noisy neighbours on the same machine
 constexpr double stallSlowdown = 15;            // one sample of it lifts the smoothed slowdown above the threshold
-constexpr auto stallLifetime = std::chrono::seconds(1);        // of a detected stall; a longer one is detected again
-constexpr auto slowdownLifetime = std::chrono::seconds(2);     // of the smoothed slowdown without a report
-constexpr double demandWindowSeconds = 1;                      // over which the demand for an engine is smoothed
-constexpr auto loadFreshness = std::chrono::milliseconds(100); // peers report about as often
+constexpr auto stallLifetime = std::chrono::seconds(1);    // of a detected stall; a longer one is detected again
+constexpr auto slowdownLifetime = std::chrono::seconds(2); // of the smoothed slowdown without a report
+constexpr double demandWindowSeconds = 2.5;                // over which the demand for an engine is smoothed
+constexpr double demandMargin = 1.6; // factor on the demand of the fleet, which is estimated from few requests
+constexpr double typicalDurationSeconds = 0.7; // of a request; load that is older has been replaced by other requests
+constexpr auto minLoadFreshness = std::chrono::milliseconds(100); // peers of a small fleet report about as often
 constexpr auto smoothedLoadLifetime = std::chrono::seconds(8); // short enough to follow load that varies within seconds
 constexpr double smoothedLoadWeight = 0.3;                     // of the newest report in the smoothed load
 constexpr auto drainingEngineLifetime = std::chrono::seconds(4);  // a draining engine serves at least for this long
@@ -187,22 +189,35 @@
     state.slowdownExpiry = now + slowdownLifetime;
 }
 
-/// Other routers see the same headroom and use it too before their reports arrive. When it is less than what peers are
-/// expected to send in that time, a request is accepted with probability headroom / expected requests, and otherwise
-/// goes to the next engine in rank, so that all routers together do not overload the engine.
+/// Other routers see the same headroom and use it too before their reports arrive. The number of requests in progress
+/// then differs from the reported one by about its square root, so that much of the bound stays free. Where this
+/// router's own requests for the engine show that the fleet as a whole would send more than there is room for, each
+/// router accepts the fraction that fits, with a margin because it sees few of them. The rest goes to the next engine
+/// in rank.
 bool LoadBalancer::hasHeadroom(Instant now, EndpointState &state, double bound)
 {
-    const double elapsed = std::chrono::duration<double>(now - state.demandUpdatedAt).count();
-    state.demandRate = state.demandRate * std::exp(-elapsed / demandWindowSeconds) + 1 / demandWindowSeconds;
-    state.demandUpdatedAt = now;
+    const double demandRate = updateDemand(now, state);
     const double slowdownFactor = slowdown(now, state);
-    const double headroom = (slowdownFactor >= slowdownThreshold ? bound / slowdownFactor : bound) - load(now, state);
-    const double expectedPeerRequests = state.demandRate * m_peersHeard * m_peerReportDelay;
-    if (headroom >= expectedPeerRequests) {
-        return headroom >= 0;
+    const double limit = slowdownFactor >= slowdownThreshold ? bound / slowdownFactor : bound;
+    const double unreportedSeconds = std::min(m_peerReportDelay, typicalDurationSeconds);
+    const double target = limit - std::sqrt(limit * unreportedSeconds / typicalDurationSeconds);
+    if (load(now, state) > target) {
+        return false;
     }
+    const double fleetDemand = demandMargin * demandRate * (m_peersHeard + 1) * unreportedSeconds;
     constexpr double steps = 1 << 20;
-    return headroom > 0 && static_cast<double>(m_random() % (1U << 20U)) / steps * expectedPeerRequests < headroom;
+    return static_cast<double>(m_random() % (1U << 20U)) / steps * fleetDemand <= target;
+}
+
+/// Counts a request that this router would send to the engine.
+/// @return such requests per second before this one; with it, a rate of one request in a long time would be overrated
+double LoadBalancer::updateDemand(Instant now, EndpointState &state)
+{
+    const double elapsed = std::chrono::duration<double>(now - state.demandUpdatedAt).count();
+    const double before = state.demandRate * std::exp(-elapsed / demandWindowSeconds);
+    state.demandRate = before + 1 / demandWindowSeconds;
+    state.demandUpdatedAt = now;
+    return before;
 }
 
 /// @return the engines of a service that have places, in rendezvous order for a prompt
@@ -304,6 +319,13 @@
     return now < state.avoidUntil && !isGood;
 }
 
+/// A load report is the better estimate while it is younger than the peers' counts.
+Duration LoadBalancer::loadFreshness() const
+{
+    const auto reportDelay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_peerReportDelay));
+    return std::clamp<Duration>(reportDelay, minLoadFreshness, loadReportLifetime);
+}
+
 void LoadBalancer::onLoad(Instant now, const EndpointId &id, const ReplicaLoad &sample)
 {
     const auto found = m_endpoints.find(id);
@@ -318,7 +340,7 @@
     state.smoothedLoad =
         now < state.smoothedLoadExpiry ? state.smoothedLoad + smoothedLoadWeight * (total - state.smoothedLoad) : total;
     state.smoothedLoadExpiry = now + smoothedLoadLifetime;
-    state.loadFreshUntil = now + loadFreshness;
+    state.loadFreshUntil = now + loadFreshness();
     state.loadExpiry = now + loadReportLifetime;
 }
 
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -182,6 +182,8 @@
     double loadBoundFor(double meanLoad) const { return m_settings.loadBound * meanLoad + m_settings.loadAllowance; }
     void sumPeerLoads(Instant now);
     bool hasHeadroom(Instant now, EndpointState &state, double bound);
+    static double updateDemand(Instant now, EndpointState &state);
+    Duration loadFreshness() const;
     static void updateSlowdown(Instant now, EndpointState &state, double slowdown);
     std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
     ReplicaChoice chooseByAffinity(Instant now, const SelectionRequest &request,
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -10,6 +10,7 @@
 #include <asio/steady_timer.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
 #include <cmath>
+#include <functional>
 
 using namespace galenafold;
 
@@ -341,9 +342,10 @@
 struct LargeFleet {
     /// A kind of request with a shared prompt.
     struct Kind {
-        double rate;     // requests/s at the mean of the wave
-        int prompts;     // shared prompts, of which the first are asked for somewhat more often
-        double duration; // mean time in progress, s
+        double rate;                             // requests/s at the mean of the wave
+        int prompts;                             // shared prompts, of which the first are asked for somewhat more often
+        double duration;                         // mean time in progress, s
+        std::function<bool(double now)> isHotAt; // whether a fourth of the requests has the same prompt; null: never
     };
 
     explicit LargeFleet(std::uint64_t seed)
@@ -418,12 +420,25 @@
         }
     }
 
+    /// The heads of responses tell the router how many requests the engine has.
+    void reportDue(double now)
+    {
+        while (!reports.empty() && reports.begin()->first <= now) {
+            const auto [router, id] = reports.begin()->second;
+            reports.erase(reports.begin());
+            fleet[router]->onLoad(at(now), id, {inProgress[id], 0, 12, 1});
+        }
+    }
+
     void arrive(double now, const Kind &kind, std::uint64_t firstPrompt)
     {
         const auto router = static_cast<std::size_t>(uniform() * fleetSize);
-        const auto prompt = static_cast<std::uint64_t>(std::pow(uniform(), 1.4) * kind.prompts);
+        const bool isHot = kind.isHotAt && kind.isHotAt(now) && uniform() < 0.28;
+        const auto prompt = isHot ? 0 : static_cast<std::uint64_t>(std::pow(uniform(), 1.4) * kind.prompts);
         const std::uint64_t key = (firstPrompt + prompt) * 0x9e3779b97f4a7c15U;
         const EndpointId id = fleet[router]->choose(at(now), {{"llm"}, key, {}})->record.id;
+        prefills.emplace(key, id.text);
+        baselinePrefills.emplace(key, "e" + std::to_string(static_cast<int>(uniform() * engineCount)));
         if (now >= warmUp) {
             const double mean = static_cast<double>(running.size()) / engineCount;
             ++arrivals;
@@ -431,6 +446,7 @@
         }
         ++inProgress[id];
         fleet[router]->onSent(id);
+        reports.emplace(now + 0.1 + 0.2 * uniform(), std::make_pair(router, id));
         running.emplace(now - kind.duration * std::log(1 - uniform()), std::make_pair(router, id));
         if (unsentSince[router] < 0) {
             unsentSince[router] = now;
@@ -440,15 +456,16 @@
 
     /// @return highest fraction, in any of the consecutive windows of 5 s, of requests sent to an engine above the
     /// bound on load
-    double run()
+    double run(const std::function<bool(double now)> &isHotAt = nullptr)
     {
-        const Kind kinds[] = {{144, 520, 1.5}, {153, 246, 1.2}, {280, 677, 0.3}};
+        const Kind kinds[] = {{144, 520, 1.5, nullptr}, {153, 246, 1.2, nullptr}, {280, 677, 0.3, isHotAt}};
         double worst = 0;
         double nextTick = 0;
         double window = warmUp + 5;
         double next[3] = {};
         for (double now = 0; now < 30; now += 0.005) {
             endDue(now);
+            reportDue(now);
             if (now >= nextTick) {
                 tick(now);
                 nextTick = now + 0.1;
@@ -479,7 +496,10 @@
     std::vector<double> startDelay;  // smoothed time from a start to its broadcast, s
     std::vector<double> lastSentAt;  // s
     std::multimap<double, std::pair<std::size_t, EndpointId>> running; // by end time, s
+    std::multimap<double, std::pair<std::size_t, EndpointId>> reports; // by the time when they arrive, s
     std::map<EndpointId, int> inProgress;
+    std::set<std::pair<std::uint64_t, std::string>> prefills; // prompts, each with the engines that it was sent to
+    std::set<std::pair<std::uint64_t, std::string>> baselinePrefills; // the same if engines are chosen at random
     int arrivals = 0;
     int overBound = 0;
 };
@@ -492,3 +512,22 @@
         CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
     }
 }
+
+TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepTheBoundWhileAPromptIsHot)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const double worst = LargeFleet(seed).run([](double now) { return now >= 10 && now < 16; });
+        CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
+    }
+}
+
+/// Each router expected all others to send to an engine what it had itself just sent there, passed on nearly every
+/// request, and prompts were prefilled by one engine after the other.
+TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepPromptsAtTheirEngines)
+{
+    LargeFleet fleet(1);
+    fleet.run();
+    CHECK_TEXT(
+        static_cast<double>(fleet.prefills.size()) <= 0.2 * static_cast<double>(fleet.baselinePrefills.size()),
+        (std::to_string(fleet.prefills.size()) + " of " + std::to_string(fleet.baselinePrefills.size())).c_str());
+}
