Keep the bucket of the beacon budget while peer lists are sent

Callers saw: nothing yet. Found when the change was read again. Change: other messages have a charge of their own; the bucket's size follows the broadcasts alone.

--- a/control/fleetsize.h
+++ b/control/fleetsize.h
@@ -11,6 +11,7 @@
 namespace galenafold
 {
 
+/// Upper estimate of the number of routers, this one included, from the peers that it knows.
 class FleetSizeEstimate
 {
 public:
--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -42,15 +42,15 @@
     return m_settings.bytesPerSecond * beaconFraction;
 }
 
-double BeaconBudget::capacity(int bytes) const
+double BeaconBudget::capacity() const
 {
-    return std::max(rate() * beaconBurstSeconds, 2.0 * bytes);
+    return std::max(rate() * beaconBurstSeconds, 2.0 * m_beaconBytes);
 }
 
-void BeaconBudget::refill(Instant now, int bytes)
+void BeaconBudget::refill(Instant now)
 {
     const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_bytes = std::min(capacity(bytes), m_bytes + elapsed * rate());
+    m_bytes = std::min(capacity(), m_bytes + elapsed * rate());
     m_refilledAt = now;
 }
 
@@ -61,8 +61,8 @@
 
 bool BeaconBudget::take(Instant now, int bytes, bool hasChanged)
 {
-    refill(now, bytes);
     m_beaconBytes = bytes;
+    refill(now);
     const bool isDue = hasChanged || now >= m_nextHeartbeat;
     if (!isDue || bytes > m_bytes) {
         return false;
@@ -74,15 +74,21 @@
 
 bool BeaconBudget::hasReserveAfter(Instant now, int bytes)
 {
-    refill(now, bytes);
-    return m_bytes - bytes >= capacity(bytes) / 2;
+    refill(now);
+    return m_bytes - bytes >= capacity() / 2;
 }
 
 bool BeaconBudget::takeStartNotice(Instant now, int bytes)
 {
-    refill(now, m_beaconBytes);
+    refill(now);
     const double reserved = now + heartbeatInterval / 2 > m_nextHeartbeat ? m_beaconBytes : 0; // for the next beacon
-    if (bytes + reserved > m_bytes) {
+    return bytes + reserved <= m_bytes && takeMessage(now, bytes);
+}
+
+bool BeaconBudget::takeMessage(Instant now, int bytes)
+{
+    refill(now);
+    if (bytes > m_bytes) {
         return false;
     }
     m_bytes -= bytes;
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -113,16 +113,20 @@
     /// @return true if it is to be sent now; its bytes are then deducted
     bool takeStartNotice(Instant now, int bytes);
 
+    /// @param bytes size of another message
+    /// @return true if the budget covers it; its bytes are then deducted
+    bool takeMessage(Instant now, int bytes);
+
 private:
     double rate() const;
-    double capacity(int bytes) const;
-    void refill(Instant now, int bytes);
+    double capacity() const;
+    void refill(Instant now);
 
     GossipSettings m_settings;
     double m_bytes = 0;
     Instant m_refilledAt{};
     Instant m_nextHeartbeat{};
-    int m_beaconBytes = 0; // `bytes` of the last call of take()
+    int m_beaconBytes = 0; // `bytes` of the last call of take(): what a beacon to all peers costs
 };
 
 // Budget
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -61,10 +61,10 @@
 // Retry budget
 
 /// Sends beacons of routers that do nothing else, from addresses of their own, until it is destroyed.
-class SilentPeers
+class IdlePeers
 {
 public:
-    SilentPeers(int count, int port, std::string target)
+    IdlePeers(int count, int port, std::string target)
         : m_port(port)
         , m_target(std::move(target))
         , m_timer(m_io)
@@ -76,7 +76,7 @@
         sendAll();
         m_thread = std::thread([this] { m_io.run(); });
     }
-    ~SilentPeers()
+    ~IdlePeers()
     {
         m_io.stop();
         m_thread.join();
@@ -119,7 +119,7 @@
     fixture.settings.seeds = {routerAddress(1) + ':' + std::to_string(port)};
     fixture.addReplica("a", respondOk);
     fixture.startAndWaitReady();
-    const SilentPeers peers(fleetSize - 1, port, routerAddress(0));
+    const IdlePeers peers(fleetSize - 1, port, routerAddress(0));
     int highest = 0;
     const bool isReached = waitFor([&] {
         const int left = fixture.metric("retries_left{service=\"svc\"}");
@@ -265,6 +265,22 @@
     CHECK(sent * broadcastBytes <= 60 * bytesPerSecond + broadcastBytes);
 }
 
+/// The small messages between broadcasts, such as peer lists, emptied the bucket to what two of them need.
+TEST(BeaconsOfALargeFleet, SmallMessagesDoNotKeepABroadcastFromBeingSent)
+{
+    constexpr int broadcastBytes = 40000;
+    BeaconBudget budget(GossipSettings{7000});
+    int broadcasts = 0;
+    int messages = 0;
+    for (int millis = 0; millis < 60000; millis += 50) {
+        const Instant now(std::chrono::hours(1) + std::chrono::milliseconds(millis));
+        broadcasts += budget.take(now, broadcastBytes, true) ? 1 : 0;
+        messages += millis % 1000 == 0 && budget.takeMessage(now, 600) ? 1 : 0;
+    }
+    CHECK(broadcasts >= 6);
+    CHECK(messages >= 50);
+}
+
 /// One router of a fleet on loopback addresses, with calls in progress at some engines.
 struct BusyRouter {
     BusyRouter(asio::io_context &io, int index, int port)
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -16,9 +16,9 @@
 constexpr auto heartbeatInterval = std::chrono::milliseconds(700); // between beacons without a change
 constexpr auto peerExpiry = std::chrono::seconds(10); // a silent peer is kept for this long, as it may be partitioned
 constexpr double beaconSizeWeight = 0.2;              // smoothing factor for the size of a new beacon
-constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
 constexpr auto placesNoticeInterval = std::chrono::seconds(1); // between notices that a peer has newer places
-constexpr int peerTimeoutIntervals = 4;                        // the same, in broadcasts at the rate of the budget
+constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
+constexpr int peerTimeoutIntervals = 4; // the same, in broadcasts at the rate of the budget; the longer time counts
 
 static bool hasOtherSeed(const PeerSettings &settings)
 {
@@ -85,8 +85,8 @@
     ++m_beaconsReceived;
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
-            m_peers.try_emplace(other,
-                                Peer{now, 0, 0, false}); // is sent beacons from now on; expires if it stays silent
+            // is sent beacons from now on; expires if it stays silent
+            m_peers.try_emplace(other, Peer{now, 0, 0, false});
         }
     }
     if (beacon.placesUpTo) {
@@ -144,9 +144,7 @@
 
 void PeerLoadExchange::setPlacesUpTo(std::uint32_t upTo)
 {
-    if (upTo != m_placesUpTo) {
-        m_placesUpTo = upTo;
-    }
+    m_placesUpTo = upTo;
 }
 
 bool PeerLoadExchange::isLeader() const
@@ -279,7 +277,7 @@
     beacon.loads = m_loadBalancer.ownLoads();
     beacon.peers = samplePeers();
     const std::string payload = encodeBeacon(beacon);
-    if (!m_beaconBudget.take(now, datagramBytes(payload), true)) {
+    if (!m_beaconBudget.takeMessage(now, datagramBytes(payload))) {
         return;
     }
     m_nextPeerListAt = now + peerListInterval;
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -9,8 +9,8 @@
 // balancer is told of the delay, and the time after which a peer counts as silent grows with it. While no peers are
 // heard, the engines' own load reports are used instead.
 //
-// Peers are discovered through a few seed addresses and peer lists, which go to a few peers at a time: sent to all,
-// they would cost more than the loads.
+// Peers are discovered through a few seed addresses and peer lists. A list goes to one peer at a time, newcomers first:
+// lists to all would cost more than the loads.
 #pragma once
 
 #include "control/fleetsize.h"
