--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -529,14 +529,6 @@
     }
 }
 
-TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepTheBoundWhileAPromptIsHot)
-{
-    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-        const double worst = LargeFleet(seed).run([](double now) { return now >= 10 && now < 16; });
-        CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
-    }
-}
-
 /// Each router expected all others to send to an engine what it had itself just sent there, passed on nearly every
 /// request, and prompts were prefilled by one engine after the other.
 TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepPromptsAtTheirEngines)
@@ -547,3 +539,17 @@
         static_cast<double>(fleet.prefills.size()) <= 0.2 * static_cast<double>(fleet.baselinePrefills.size()),
         (std::to_string(fleet.prefills.size()) + " of " + std::to_string(fleet.baselinePrefills.size())).c_str());
 }
+
+TEST_GROUP(HotPromptOfALargeFleet){};
+
+/// A fourth of a kind's requests asks for one prompt from one moment on. The counts of a hundred peers are over a
+/// second late.
+TEST(HotPromptOfALargeFleet, AHundredRoutersKeepTheBoundWhileAPromptIsHot)
+{
+    std::string failures;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        const double worst = LargeFleet(seed).run([](double now) { return now >= 10 && now < 16; });
+        failures += worst <= 0.03 ? "" : "seed " + std::to_string(seed) + ": " + std::to_string(worst) + "; ";
+    }
+    CHECK_TEXT(failures.empty(), failures.c_str());
+}
