--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -529,6 +529,14 @@
     }
 }
 
+TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepTheBoundWhileAPromptIsHot)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const double worst = LargeFleet(seed).run([](double now) { return now >= 10 && now < 16; });
+        CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
+    }
+}
+
 /// Each router expected all others to send to an engine what it had itself just sent there, passed on nearly every
 /// request, and prompts were prefilled by one engine after the other.
 TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepPromptsAtTheirEngines)
