Log the parts of prompts whose attempts broke off

New line attempt_broken with both; numbers in hexadecimal are read and written by one pair of functions, which placestore uses too. Logic is unchanged.

--- a/runtime/placestore.cpp
+++ b/runtime/placestore.cpp
@@ -1,9 +1,9 @@
 // Reads and writes the assignment of places to engines in the platform's store.
 #include "runtime/placestore.h"
 
+#include "galenafold/hex.h"
 #include "net/status.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace galenafold
@@ -13,29 +13,26 @@
 
 constexpr auto readInterval = std::chrono::seconds(30); // until then an outdated router misses some prefix caches
 constexpr auto saveTimeout = std::chrono::seconds(2);
-constexpr int hexBase = 16;
 
 // Records: the key is the place in hexadecimal, the value is a JSON object with the service and the engine.
 
 static KeyedRecord encode(const PlaceRecord &record)
 {
-    char digits[hexBase + 1] = {};
-    const auto written = std::to_chars(digits, digits + hexBase, record.place, hexBase);
     const Json value{{"service", record.service.text}, {"replica", record.engine.text}};
-    return {std::string(digits, written.ptr), value.dump(), 0};
+    return {toHex(record.place), value.dump(), 0};
 }
 
 static std::optional<PlaceRecord> decode(const KeyedRecord &record)
 {
-    PlaceRecord place;
-    const char *end = record.key.data() + record.key.size();
-    const auto parsed = std::from_chars(record.key.data(), end, place.place, hexBase);
+    const auto number = parseHex(record.key);
     const Json value = Json::parse(record.value, nullptr, false);
-    const bool isReadable = parsed.ec == std::errc() && parsed.ptr == end && value.is_object()
-        && value.value("service", Json()).is_string() && value.value("replica", Json()).is_string();
+    const bool isReadable = number && value.is_object() && value.value("service", Json()).is_string()
+        && value.value("replica", Json()).is_string();
     if (!isReadable) {
         return std::nullopt;
     }
+    PlaceRecord place;
+    place.place = *number;
     place.service.text = value["service"].get<std::string>();
     place.engine.text = value["replica"].get<std::string>();
     return place;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -2,6 +2,7 @@
 #include "traffic/requesthandler.h"
 
 #include "control/loadview.h"
+#include "galenafold/hex.h"
 #include "net/status.h"
 
 #include <algorithm>
@@ -487,10 +488,28 @@
         ++m_attempts.possibleRuns;
         m_attempts.mayHaveRun = true;
     }
+    if (mayHaveRun) {
+        logBroken();
+    }
     endAttempt(progress == RequestProgress::NotSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed);
     afterFailure(mayHaveRun ? EndReason::BrokenResponse : EndReason::Unreachable);
 }
 
+/// The shared parts of the prompts whose attempts ended before their first event tell which part crashes engines.
+void RequestHandler::logBroken() const
+{
+    constexpr std::size_t maxLoggedParts = 8;
+    std::string parts;
+    for (std::size_t i = 0; i < std::min(m_fields.promptParts.size(), maxLoggedParts); ++i) {
+        parts += (i == 0 ? "" : ",") + toHex(m_fields.promptParts[i].id);
+    }
+    LogLine line("attempt_broken");
+    line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
+    line.text("service", m_selection.service.text).number("try", m_attempts.sent);
+    line.flag("had_event", hasReceivedEvents()).text("parts", parts);
+    m_state.log.write(line, LogPriority::Notable);
+}
+
 void RequestHandler::afterFailure(EndReason reason)
 {
     if (!retry(clockNow(), reason)) {
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -62,6 +62,7 @@
     ReplicaChoice takeRetry(Instant now);
     bool takeFromBudget(Instant now);
     void logRetry(EndReason reason) const;
+    void logBroken() const;
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void onBody(std::string &body);
