--- a/fakes/replica.cpp
+++ b/fakes/replica.cpp
@@ -159,18 +159,56 @@
     }
 }
 
-bool FakeReplica::start()
-{
-    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), 0);
-    m_acceptor.open(address.protocol());
-    m_acceptor.bind(address);
-    m_acceptor.listen();
+bool FakeReplica::listen()
+{
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(m_port));
+    asio::error_code error;
+    m_acceptor.open(address.protocol(), error);
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(address, error);
+    if (!error) {
+        m_acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
+    }
+    if (error) {
+        return false;
+    }
     m_port = m_acceptor.local_endpoint().port();
     accept();
-    m_thread = std::thread([this] { m_io.run(); });
     return true;
 }
 
+bool FakeReplica::start()
+{
+    const bool isListening = listen();
+    m_thread = std::thread([this] { m_io.run(); });
+    return isListening;
+}
+
+void FakeReplica::crash(std::chrono::milliseconds downTime)
+{
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    ++m_crashes;
+    asio::error_code ignored; // the pending accept completes with an error
+    m_acceptor.close(ignored);
+    const auto open = std::move(m_open);
+    m_open.clear();
+    for (const auto &entry : open) {
+        if (const auto connection = entry.lock()) {
+            connection->onEnd();
+            connection->stream->reset();
+        }
+    }
+    const auto restart = std::make_shared<DeadlineTimer>(m_io);
+    restart->expires_at(clockNow() + downTime);
+    restart->async_wait([this, restart](const asio::error_code &error) {
+        if (!error) {
+            listen();
+        }
+    });
+}
+
 void FakeReplica::accept()
 {
     m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
@@ -181,6 +219,7 @@
         connection->replica = this;
         connection->stream = std::make_shared<TcpStream>(std::move(socket));
         connection->number = ++m_connections;
+        m_open.push_back(connection);
         connection->start();
         accept();
     });
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -75,6 +75,11 @@
     /// @param startedMs start time of the replica's process, in Unix milliseconds @return its entry in the registry
     std::string entry(const std::string &state = "ready", std::int64_t startedMs = 1) const;
 
+    /// Resets all connections and accepts none for a while, like a process that crashes and is started again. Call it
+    /// on the replica's thread, from the script. Has no effect while the replica is down.
+    void crash(std::chrono::milliseconds downTime);
+
+    int crashes() const { return m_crashes; } ///< @return crashes so far
     const std::string &id() const { return m_id; }
     int port() const { return m_port; }
 
@@ -86,6 +91,7 @@
 
 private:
     struct Connection;
+    bool listen();
     void accept();
 
     std::string m_id;
@@ -99,7 +105,9 @@
     std::vector<ReplicaRequest> m_requests;
     std::atomic<int> m_connections{0};
     std::atomic<int> m_abortedRequests{0};
-    int m_port = 0;
+    std::atomic<int> m_crashes{0};
+    std::vector<std::weak_ptr<Connection>> m_open; // connections accepted since the last crash
+    int m_port = 0;                                // 0: not yet chosen
 };
 
 } // namespace galenafold
--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -27,7 +27,7 @@
                         {"service", "svc"},
                         {"maxAttempts", route.attempts},
                         {"public", keys.empty()},
-                        {"sessionAffinity", false},
+                        {"sessionAffinity", route.hasAffinity},
                         {"streamResume", route.isResumable}});
     }
     const Json limits{
--- a/fakes/topicstore.h
+++ b/fakes/topicstore.h
@@ -28,6 +28,7 @@
     int attempts = 1;         // maximum number of replicas that a request is sent to
     bool isResumable = false; // another replica can resume a stream
     int timeoutMs = 20000;    // maximum time that a caller waits for a response
+    bool hasAffinity = false; // requests name the parts of their prompts
 };
 
 /// @param keys API keys of the only client account, "acme"; if empty, all routes are public
