--- a/control/gossip.h
+++ b/control/gossip.h
@@ -9,6 +9,7 @@
 #include "control/limitshares.h"
 #include "control/loadview.h"
 #include "control/membership.h"
+#include "control/queryofdeath.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <optional>
@@ -79,6 +80,8 @@
     std::vector<std::uint32_t> peers; // IPv4 addresses, as numbers, of routers that the sender receives beacons from
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
     std::vector<PeerLoad> loads; // endpoints with longer calls of the sender; brief calls go as start notices
+    PromptNews news;             // of prompts that crash replicas
+    bool isStarting = false;     // the sender has just started and does not know of blocked prompts
 };
 
 /// @return the sequence number of a router's first beacon, derived from the wall clock so that a restarted router
--- /dev/null
+++ b/control/queryofdeath.h
@@ -0,0 +1,176 @@
+// Finds prompts that crash replicas (queries of death), and blocks them.
+//
+// Load pattern: one part of a prompt crashes each engine that begins to answer it. Requests with it come at any router,
+// each with another end, among hundreds of sound ones that share their account and other parts. A router that knows of
+// its own attempts only sees one or two crashes while the fleet loses an engine for each request, and again for each
+// retry.
+//
+// Each router reports to its peers the prompts that were waiting at a replica when it crashed, and the parts under
+// suspicion that it has seen answered since. A part is blocked once replicas have crashed with it and it was not
+// answered anywhere since. Sound requests that wait at the same replicas are answered at their next attempt, which
+// clears their parts. Replicas that are lost at the same moment, as in a power failure, count as one.
+//
+// A block ends some time after the last crash. Routers end it one after the other, so that a request that still crashes
+// its replica costs one replica and not one for each router; a single further crash renews the block.
+//
+// Sections of this file: Prompt, News, Detector.
+#pragma once
+
+#include "filters/headerfields.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace galenafold
+{
+
+// Prompt
+
+using PromptKey = std::uint64_t; // hash of a prompt's part, or of a whole prompt, at one service
+
+/// What of a request can be blamed for a crash. Empty for a request without a prompt.
+struct PromptKeys {
+    std::vector<PromptKey> parts; // in order, without the last one, which is not shared with other requests
+    PromptKey whole = 0;          // all parts together; requests that repeat the same prompt are blamed by it
+};
+
+/// @return keys of a prompt at a service, as a part that crashes one service's replicas may be sound at another's
+PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts);
+
+// News
+
+/// A prompt that had no event yet when its replica crashed.
+struct CrashReport {
+    std::uint32_t replica = 0; // hash of the replica's id and start time
+    PromptKeys prompt;
+    std::uint32_t ageMillis = 0; // time since the crash
+};
+
+/// A part under suspicion, or a prompt that was blocked, that was answered.
+struct PromptAnswer {
+    PromptKey key = 0;
+    std::uint32_t ageMillis = 0; // time since its latest answer
+};
+
+/// A part or a whole prompt that no replica gets.
+struct PromptBlock {
+    PromptKey key = 0;
+    std::uint32_t ageMillis = 0; // time since the last crash with it
+};
+
+/// What a router tells its peers.
+struct PromptNews {
+    std::vector<CrashReport> crashes;
+    std::vector<PromptAnswer> answers;
+    std::vector<PromptBlock> blocks;
+
+    bool isEmpty() const { return crashes.empty() && answers.empty() && blocks.empty(); }
+};
+
+// Detector
+
+struct QueryOfDeathSettings {
+    int minReplicas = 3; // replicas that crashed with a part before it is blocked
+    int minPrompts = 2;  // different prompts among them; a single one is blamed as a whole
+    Duration minSpacing = std::chrono::milliseconds(100); // replicas lost sooner after each other count as one
+    Duration settleTime = std::chrono::milliseconds(500); // in which answers of a suspect may still become known;
+                                                          // longer where news are late, and for parts known as answered
+    Duration maxSettleTime = std::chrono::seconds(2);     // so that a block is in time
+    Duration blockTime = std::chrono::minutes(10);        // after the last crash
+};
+
+/// A decision, for the log.
+struct PromptVerdict {
+    PromptKey key = 0;
+    bool isBlocked = false; // false: no longer, as it was answered, or another part is to blame
+    int replicas = 0;       // that crashed with it, as known here; 0: the block was learnt from a peer or the store
+    int prompts = 0;        // different ones among them
+};
+
+/// Not thread-safe: used on the traffic thread.
+class QueryOfDeathDetector
+{
+public:
+    /// @param seed differs between routers; determines in which order they end a block
+    QueryOfDeathDetector(const QueryOfDeathSettings &settings, std::uint64_t seed);
+
+    /// An attempt has delivered its first event, or a complete response.
+    void onAnswered(Instant now, const PromptKeys &prompt);
+
+    /// A replica crashed while an attempt had no event yet.
+    /// @param replica hash of its id and start time
+    void onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt);
+
+    bool isBlocked(Instant now, const PromptKeys &prompt); ///< @return true if no replica may get the prompt
+
+    bool hasUnsentNews() const { return m_hasUnsentNews; } ///< @return true if peers do not know of a crash or a block
+    PromptNews takeNews(Instant now);                      ///< @return news for all peers, which then count as sent
+    PromptNews knownBlocks(Instant now) const;             ///< @return all blocks, for a router that has started
+
+    /// @param interval time between two broadcasts of a router; news are late by up to that much
+    void setNewsInterval(Duration interval) { m_newsInterval = interval; }
+
+    /// @return true if a block became known
+    bool onNews(Instant now, const PromptNews &news);
+
+    void expire(Instant now); ///< Forgets what is too old. Call periodically.
+
+    int blocks(Instant now) const; ///< @return parts and prompts that are blocked now
+
+    std::function<void(const PromptVerdict &)> onVerdict = [](const PromptVerdict &) {};
+
+private:
+    struct Crash {
+        Instant at{};
+        std::uint32_t replica = 0;
+        PromptKeys prompt;
+        int sendsLeft = 0; // in broadcasts; more than one, as datagrams are lost
+    };
+    struct Answer {
+        Instant at{};
+        Instant toldAt{}; // latest answer that peers know of
+    };
+    struct Block {
+        Instant lastCrash{}; // newest crash that it is blamed for
+        int sendsLeft = 0;
+    };
+    struct Suspect {
+        Instant lastCrash{};
+        std::set<Instant> crashes;
+        std::set<std::uint32_t> replicas;
+        std::set<PromptKey> prompts;
+        std::size_t depth = 0;   // position in the prompt, from 1; 0: a whole prompt
+        bool isAnswered = false; // before the crashes
+    };
+    using Suspects = std::map<PromptKey, Suspect>;
+
+    void addCrash(Instant now, Crash crash);
+    void noteAnswer(PromptKey key, Instant when);
+    void renewBlocks(Instant now, const Crash &crash);
+    bool learnBlock(Instant now, const PromptBlock &told);
+    void decide(Instant now);
+    Suspects findSuspects(const std::set<std::uint32_t> &explained) const;
+    Suspects::const_iterator likeliest(const Suspects &suspects, const std::set<PromptKey> &blamed) const;
+    void endUnsupported(const Suspects &suspects, const std::set<PromptKey> &blamed);
+    bool isConvicted(const Suspect &suspect) const;
+    int separateCrashes(const Suspect &suspect) const;
+    Duration settleTime(const Suspect &suspect) const;
+    static bool isLikelier(const Suspect &a, const Suspect &b);
+    void block(PromptKey key, const Suspect &suspect);
+    bool isActive(Instant now, const Block &block) const;
+    bool wasAnsweredSince(PromptKey key, Instant when) const;
+
+    QueryOfDeathSettings m_settings;
+    Duration m_stagger{}; // by which this router ends a block later than the first one
+    Duration m_newsInterval{};
+    std::vector<Crash> m_crashes; // oldest first
+    std::unordered_map<PromptKey, Answer> m_answers;
+    std::map<PromptKey, Block> m_blocks;        // those that have ended are kept, as a single crash renews them
+    std::map<PromptKey, int> m_releases;        // blocks that an answer has ended; broadcasts that still tell so
+    std::map<PromptKey, Instant> m_convictedAt; // when the settle time of a suspect began
+    Instant m_decideAt = Instant::max();        // when a settle time ends
+    bool m_hasUnsentNews = false;
+};
+
+} // namespace galenafold
--- a/control/replicadirectory.cpp
+++ b/control/replicadirectory.cpp
@@ -1,11 +1,19 @@
 // Applies registry records to the set of usable replicas.
 #include "control/replicadirectory.h"
 
+#include "control/loadview.h"
+
 #include <set>
 
 namespace galenafold
 {
 
+std::uint32_t incarnationHash(const ReplicaRecord &record)
+{
+    return static_cast<std::uint32_t>(
+        rendezvousScore(hashName(record.id.text), static_cast<std::uint64_t>(record.started.count())));
+}
+
 ReplicaDirectory::ReplicaDirectory(Duration reregistrationTimeout)
     : m_reregistrationTimeout(reregistrationTimeout)
 {
--- a/control/replicadirectory.h
+++ b/control/replicadirectory.h
@@ -29,6 +29,9 @@
     bool isWarmingUp = false;        // still slow after its start
 };
 
+/// @return hash of the id and the start time; identifies one run of a replica's process in messages between routers
+std::uint32_t incarnationHash(const ReplicaRecord &record);
+
 /// A change of one registry entry.
 struct RegistryUpdate {
     EndpointId id;
--- a/filters/startupgate.h
+++ b/filters/startupgate.h
@@ -4,6 +4,9 @@
 // has returned the desired state and the replicas. The store answers in about 20 ms, while a refusal costs each caller
 // a quarter of a second and one of its few retries. So requests wait for the store's first answers, but only for a
 // short time, and not at all once the store has failed to answer: it is then unknown when they could be served.
+//
+// A router that restarts alone does not know which prompts crash replicas, while its peers do. They answer its first
+// beacon at once, so requests wait for that too, for a shorter time: the peers may be gone or starting as well.
 #pragma once
 
 #include "galenafold/galenafold.h"
@@ -11,7 +14,7 @@
 namespace galenafold
 {
 
-/// Tracks what the store has answered since the start.
+/// Tracks what the store and the peers have answered since the start.
 class StartupGate
 {
 public:
@@ -20,18 +23,25 @@
         Wait,    // until the state changes, or until `waitUntil`
     };
 
-    void onStart(Instant waitUntil) { m_waitUntil = waitUntil; }
+    void onStart(Instant waitUntil, Instant waitForPeersUntil)
+    {
+        m_waitUntil = waitUntil;
+        m_waitForPeersUntil = waitForPeersUntil;
+    }
     void onDesiredState() { m_hasDesiredState = true; }
     void onReplicas() { m_hasReplicas = true; }
+    void onPeers() { m_hasPeers = true; }
     void onStoreLost() { m_hasStoreFailed = true; }
 
     Verdict verdict(Instant now) const;
-    Instant waitUntil() const { return m_waitUntil; }
+    Instant nextDeadline(Instant now) const { return now < m_waitForPeersUntil ? m_waitForPeersUntil : m_waitUntil; }
 
 private:
     Instant m_waitUntil{};
+    Instant m_waitForPeersUntil{};
     bool m_hasDesiredState = false;
     bool m_hasReplicas = false;
+    bool m_hasPeers = false; // a peer has told what it knows, or there is none
     bool m_hasStoreFailed = false;
 };
 
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -17,6 +17,48 @@
 constexpr double slowdownScale = 16;              // fixed-point scale: a slowdown is sent in sixteenths
 constexpr std::uint64_t maxTraversalWords = 2048; // Cap'n Proto traversal limit for untrusted input
 
+static void fillNews(wire::BeaconNews::Builder root, const PromptNews &news)
+{
+    auto crashes = root.initCrashes(static_cast<unsigned>(news.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        const CrashReport &crash = news.crashes[i];
+        crashes[i].setReplica(crash.replica);
+        crashes[i].setAgeMillis(crash.ageMillis);
+        crashes[i].setPrompt(crash.prompt.whole);
+        auto parts = crashes[i].initParts(static_cast<unsigned>(crash.prompt.parts.size()));
+        for (unsigned part = 0; part < parts.size(); ++part) {
+            parts.set(part, crash.prompt.parts[part]);
+        }
+    }
+    auto answers = root.initAnswers(static_cast<unsigned>(news.answers.size()));
+    for (unsigned i = 0; i < answers.size(); ++i) {
+        answers[i].setKey(news.answers[i].key);
+        answers[i].setAgeMillis(news.answers[i].ageMillis);
+    }
+    auto blocks = root.initBlocks(static_cast<unsigned>(news.blocks.size()));
+    for (unsigned i = 0; i < blocks.size(); ++i) {
+        blocks[i].setKey(news.blocks[i].key);
+        blocks[i].setAgeMillis(news.blocks[i].ageMillis);
+    }
+}
+
+static void readNews(wire::BeaconNews::Reader root, PromptNews &news)
+{
+    for (const auto crash : root.getCrashes()) {
+        CrashReport report{crash.getReplica(), {{}, crash.getPrompt()}, crash.getAgeMillis()};
+        for (const PromptKey part : crash.getParts()) {
+            report.prompt.parts.push_back(part);
+        }
+        news.crashes.push_back(std::move(report));
+    }
+    for (const auto answer : root.getAnswers()) {
+        news.answers.push_back({answer.getKey(), answer.getAgeMillis()});
+    }
+    for (const auto block : root.getBlocks()) {
+        news.blocks.push_back({block.getKey(), block.getAgeMillis()});
+    }
+}
+
 static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
 {
     root.setFrom(beacon.from);
@@ -56,18 +98,19 @@
     fillBeacon(builder.initRoot<wire::LoadBeacon>(), beacon);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
+    if (beacon.isStarting || !beacon.news.isEmpty()) {
+        capnp::MallocMessageBuilder newsBuilder;
+        auto news = newsBuilder.initRoot<wire::BeaconNews>();
+        news.setIsStarting(beacon.isStarting);
+        fillNews(news, beacon.news);
+        capnp::writePackedMessage(out, newsBuilder);
+    }
     const auto bytes = out.getArray();
     return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
 }
 
-static void readBeacon(const std::string &bytes, LoadBeacon &beacon)
+static void readLoads(wire::LoadBeacon::Reader root, LoadBeacon &beacon)
 {
-    const auto *data = reinterpret_cast<const kj::byte *>(bytes.data());
-    kj::ArrayInputStream in(kj::arrayPtr(data, bytes.size()));
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = maxTraversalWords;
-    capnp::PackedMessageReader reader(in, options);
-    const auto root = reader.getRoot<wire::LoadBeacon>();
     const auto endpoints = root.getEndpoints();
     const auto totals = root.getTotals();
     const auto longLanes = root.getLongLanes();
@@ -90,6 +133,23 @@
     }
 }
 
+static void readBeacon(const std::string &bytes, LoadBeacon &beacon)
+{
+    const auto *data = reinterpret_cast<const kj::byte *>(bytes.data());
+    kj::ArrayInputStream in(kj::arrayPtr(data, bytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = maxTraversalWords;
+    capnp::PackedMessageReader reader(in, options);
+    readLoads(reader.getRoot<wire::LoadBeacon>(), beacon);
+    if (in.tryGetReadBuffer().size() == 0) {
+        return;
+    }
+    capnp::PackedMessageReader newsReader(in, options);
+    const auto news = newsReader.getRoot<wire::BeaconNews>();
+    beacon.isStarting = news.getIsStarting();
+    readNews(news, beacon.news);
+}
+
 bool decodeBeacon(const std::string &bytes, LoadBeacon &beacon)
 {
     const auto failure = kj::runCatchingExceptions([&] { readBeacon(bytes, beacon); });
--- a/net/beacons.h
+++ b/net/beacons.h
@@ -52,7 +52,7 @@
 
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;  // of the datagram in `m_buffer`
-    std::array<char, 2048> m_buffer{}; // receive buffer
+    std::array<char, 4096> m_buffer{}; // receive buffer
     BeaconHandler m_onBeacon;
     std::int64_t m_bytesSent = 0;
 };
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -1,8 +1,9 @@
 // Tests decisions under load: shares of limits, fair queueing, placement (compared with the baseline policy), outlier
-// detection. Also tests the encoding of load beacons.
+// detection. Also tests the encoding of load beacons and which requests wait after a start.
 //
-// Sections of this file: Limit shares, Queueing, Placement, Outlier detection, Beacons.
+// Sections of this file: Limit shares, Queueing, Placement, Outlier detection, Beacons, Startup.
 #include "control/router.h"
+#include "filters/startupgate.h"
 #include "net/beacons.h"
 
 #include <CppUTest/TestHarness.h>
@@ -436,3 +437,47 @@
         decodeBeacon(randomBytes, ignored); // must not crash or hang on any input
     }
 }
+
+// Startup
+
+TEST_GROUP(RequestsAfterAStart)
+{
+    StartupGate gate;
+
+    void setup() override
+    {
+        gate.onStart(at(0.3), at(0.1));
+    }
+    void learnState()
+    {
+        gate.onDesiredState();
+        gate.onReplicas();
+    }
+    bool waits(double when)
+    {
+        return gate.verdict(at(when)) == StartupGate::Verdict::Wait;
+    }
+};
+
+/// A restarted router sent on a request that its peers knew to crash replicas.
+TEST(RequestsAfterAStart, theyWaitForThePeersForAShorterTimeThanForTheStore)
+{
+    CHECK(waits(0.05));
+    learnState();
+    CHECK(waits(0.05));
+    CHECK(!waits(0.1)); // the peers may be gone
+}
+
+TEST(RequestsAfterAStart, theyProceedOnceStoreAndPeersHaveAnswered)
+{
+    gate.onPeers();
+    CHECK(waits(0.01));
+    learnState();
+    CHECK(!waits(0.01));
+}
+
+TEST(RequestsAfterAStart, theyDoNotWaitForAStoreThatFails)
+{
+    gate.onStoreLost();
+    CHECK(!waits(0.01));
+}
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -286,7 +286,7 @@
     BusyRouter(asio::io_context &io, int index, int port)
         : exchange(io,
                    {routerAddress(index) + ':' + std::to_string(port), {routerAddress(0) + ':' + std::to_string(port)}},
-                   balancer)
+                   balancer, queryOfDeath)
     {
         std::vector<ReplicaRecord> records(140);
         for (std::size_t i = 0; i < records.size(); ++i) {
@@ -310,6 +310,7 @@
     }
 
     LoadBalancer balancer{LoadBalancerSettings(), {"here"}, 1};
+    QueryOfDeathDetector queryOfDeath{QueryOfDeathSettings(), 1};
     PeerLoadExchange exchange;
     std::deque<EndpointId> calls;
     bool isOpen = false;
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -8,7 +8,7 @@
 /// One router's load balancer and its exchange with peers, at an address of its own.
 struct TestRouter {
     TestRouter(asio::io_context &io, const std::string &address, const std::string &seed, int bytesPerSecond = 7000)
-        : exchange(io, {address, {seed}, bytesPerSecond}, balancer)
+        : exchange(io, {address, {seed}, bytesPerSecond}, balancer, queryOfDeath)
     {
         ReplicaRecord record;
         record.id.text = "engine";
@@ -31,6 +31,7 @@
     double load() { return balancer.load(clockNow(), *balancer.choose(clockNow(), {{"llm"}, {}, {}})); }
 
     LoadBalancer balancer{LoadBalancerSettings(), {"here"}, 1};
+    QueryOfDeathDetector queryOfDeath{QueryOfDeathSettings(), 1};
     PeerLoadExchange exchange;
     bool isOpen = false;
 };
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -17,6 +17,8 @@
 constexpr auto peerExpiry = std::chrono::seconds(10); // a silent peer is kept for this long, as it may be partitioned
 constexpr double beaconSizeWeight = 0.2;              // smoothing factor for the size of a new beacon
 constexpr auto placesNoticeInterval = std::chrono::seconds(1); // between notices that a peer has newer places
+constexpr auto startingTime = std::chrono::seconds(2); // after a start, in which peers are asked for their lists
+constexpr auto repeatedListInterval = std::chrono::seconds(2); // between lists to the same router that starts
 constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
 constexpr int peerTimeoutIntervals = 4; // the same, in broadcasts at the rate of the budget; the longer time counts
 
@@ -26,9 +28,11 @@
                        [&](const std::string &seed) { return seed != settings.address; });
 }
 
-PeerLoadExchange::PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer)
+PeerLoadExchange::PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer,
+                                   QueryOfDeathDetector &queryOfDeath)
     : m_settings(settings)
     , m_loadBalancer(loadBalancer)
+    , m_queryOfDeath(queryOfDeath)
     , m_socket(io, [this](const LoadBeacon &beacon, const auto &sender) { onBeacon(beacon, sender); })
     , m_beaconBudget(GossipSettings{settings.bytesPerSecond})
     , m_timer(io)
@@ -49,6 +53,7 @@
     m_ownAddress = own->address().to_v4().to_uint();
     m_port = own->port();
     m_beaconNumber = firstBeaconNumber(std::chrono::system_clock::now());
+    m_startingUntil = clockNow() + startingTime;
     for (const std::string &seed : m_settings.seeds) {
         const auto address = parseAddress(seed);
         const bool isOther =
@@ -75,6 +80,8 @@
     const Instant now = clockNow();
     const auto [entry, isNew] = m_peers.try_emplace(from);
     Peer &peer = entry->second;
+    const bool asksForList =
+        beacon.isStarting && now >= m_startingUntil && now >= peer.listSentAt + repeatedListInterval;
     peer.isNewcomer = peer.isNewcomer || isNew;
     const bool isRestarted = now >= peer.heardAt + peerTimeout();
     if (peer.number > 0 && !isNewerBeacon(beacon.number, peer.number) && !isRestarted) {
@@ -83,10 +90,11 @@
     peer.number = beacon.number;
     peer.heardAt = now;
     ++m_beaconsReceived;
+    m_queryOfDeath.onNews(now, beacon.news);
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
             // is sent beacons from now on; expires if it stays silent
-            m_peers.try_emplace(other, Peer{now, 0, 0, false});
+            m_peers.try_emplace(other, Peer{now, 0, 0, false, {}});
         }
     }
     if (beacon.placesUpTo) {
@@ -98,6 +106,13 @@
         }
     }
     m_loadBalancer.onPeerLoads(now, from, beacon.loads);
+    if (asksForList) {
+        sendPeerListTo(now, from);
+    }
+    if (!beacon.peers.empty() && !beacon.isStarting) {
+        m_startingUntil = now;
+        onListReceived();
+    }
 }
 
 void PeerLoadExchange::tick()
@@ -113,10 +128,10 @@
     m_maxPeersHeard = std::max(m_maxPeersHeard, heard);
     m_fleetSize.observe(now, static_cast<int>(m_peers.size()), heard);
     const double waiting = m_unsentStartAt ? std::chrono::duration<double>(now - *m_unsentStartAt).count() : 0;
-    m_loadBalancer.setActivePeers(
-        heard,
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(m_startDelaySeconds, waiting))),
-        peerTimeout());
+    const auto reportDelay =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(m_startDelaySeconds, waiting)));
+    m_loadBalancer.setActivePeers(heard, reportDelay, peerTimeout());
+    m_queryOfDeath.setNewsInterval(reportDelay);
     sendIfDue(now);
     sendPeerList(now);
     armTimer(now);
@@ -187,7 +202,9 @@
 {
     const bool maySendEnds =
         now >= m_lastSentAt + endReportInterval && m_beaconBudget.hasReserveAfter(now, broadcastBytes());
-    if (m_peers.empty() || (!m_unsentStartAt && !maySendEnds && now < m_lastSentAt + heartbeatInterval)) {
+    const bool hasNews = m_queryOfDeath.hasUnsentNews();
+    const bool isDue = m_unsentStartAt || hasNews || maySendEnds || now >= m_lastSentAt + heartbeatInterval;
+    if (m_peers.empty() || !isDue) {
         return;
     }
     const auto isSame = [](const PeerLoad &a, const PeerLoad &b) {
@@ -199,15 +216,16 @@
     if (!hasChanged) {
         m_unsentStartAt.reset(); // the counts are as last sent: a request that ended offsets the start
     }
-    if (m_beaconBudget.take(now, broadcastBytes(), hasChanged)) {
+    if (m_beaconBudget.take(now, broadcastBytes(), hasChanged || hasNews)) {
         m_lastSentLoads = loads;
         send(now);
     }
 }
 
-LoadBeacon PeerLoadExchange::nextBeacon()
+LoadBeacon PeerLoadExchange::nextBeacon(Instant now)
 {
     LoadBeacon beacon;
+    beacon.isStarting = now < m_startingUntil;
     beacon.number = ++m_beaconNumber;
     beacon.placesUpTo = m_placesUpTo;
     return beacon;
@@ -215,8 +233,9 @@
 
 void PeerLoadExchange::send(Instant now)
 {
-    LoadBeacon beacon = nextBeacon();
+    LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.consumeLoads();
+    beacon.news = m_queryOfDeath.takeNews(now);
     const std::string payload = encodeBeacon(beacon);
     m_beaconBytes += beaconSizeWeight * (datagramBytes(payload) - m_beaconBytes);
     m_lastSentAt = now;
@@ -270,19 +289,26 @@
 void PeerLoadExchange::sendPeerList(Instant now)
 {
     const auto receiver = nextListReceiver(now);
-    if (!receiver) {
-        return;
+    if (receiver) {
+        sendPeerListTo(now, *receiver);
     }
-    LoadBeacon beacon = nextBeacon();
+}
+
+void PeerLoadExchange::sendPeerListTo(Instant now, std::uint32_t receiver)
+{
+    LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.ownLoads();
     beacon.peers = samplePeers();
+    beacon.news = m_queryOfDeath.knownBlocks(now);
     const std::string payload = encodeBeacon(beacon);
+    m_peers[receiver].isNewcomer = true; // until the budget allows the list
     if (!m_beaconBudget.takeMessage(now, datagramBytes(payload))) {
         return;
     }
     m_nextPeerListAt = now + peerListInterval;
-    m_peers[*receiver].isNewcomer = false;
-    m_socket.send(payload, asio::ip::address_v4(*receiver).to_string(), m_port);
+    m_peers[receiver].isNewcomer = false;
+    m_peers[receiver].listSentAt = now;
+    m_socket.send(payload, asio::ip::address_v4(receiver).to_string(), m_port);
 }
 
 } // namespace galenafold
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -10,7 +10,8 @@
 // heard, the engines' own load reports are used instead.
 //
 // Peers are discovered through a few seed addresses and peer lists. A list goes to one peer at a time, newcomers first:
-// lists to all would cost more than the loads.
+// lists to all would cost more than the loads. With the list goes what a router that has started must know: the prompts
+// that are blocked because they crash replicas. News of such prompts go with the loads.
 #pragma once
 
 #include "control/fleetsize.h"
@@ -40,11 +41,13 @@
     Duration startDelay{};            // smoothed delay from the start of a request to its broadcast
 };
 
-/// Sends and receives load beacons, and updates the load balancer. Not thread-safe: used on one event loop.
+/// Sends and receives load beacons, and updates the load balancer and the detector of queries of death. Not
+/// thread-safe: used on one event loop.
 class PeerLoadExchange
 {
 public:
-    PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer);
+    PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer,
+                     QueryOfDeathDetector &queryOfDeath);
 
     bool start();         ///< @return false if the address is invalid or in use
     void requestBeacon(); ///< Sends a beacon as soon as the budget allows: a request was sent, or an engine is stalled.
@@ -59,7 +62,10 @@
     /// store, or among all routers heard if none does
     bool isLeader() const;
 
-    std::function<void()> onNewerPlaces; // a peer has read or written newer places
+    bool hasPeers() const { return !m_peers.empty(); } ///< @return true if another router is known, heard or not
+
+    std::function<void()> onNewerPlaces;          // a peer has read or written newer places
+    std::function<void()> onListReceived = [] {}; // a peer has told which peers and blocked prompts it knows
 
     PeerExchangeStats stats() const;
 
@@ -68,16 +74,18 @@
         Instant heardAt{};            // last beacon; when the peer became known, if none was received
         std::uint32_t number = 0;     // of the last beacon; 0: none was received
         std::uint32_t placesUpTo = 0; // from its last beacon
-        bool isNewcomer = false;      // became known by a beacon of its own, and was sent no peer list yet
+        bool isNewcomer = false;      // has started and was sent no peer list yet
+        Instant listSentAt{};         // last peer list
     };
 
     void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
     void tick();
     void sendIfDue(Instant now);
     void sendPeerList(Instant now);
+    void sendPeerListTo(Instant now, std::uint32_t receiver);
     std::optional<std::uint32_t> nextListReceiver(Instant now);
     void armTimer(Instant now);
-    LoadBeacon nextBeacon();
+    LoadBeacon nextBeacon(Instant now);
     void send(Instant now);
     std::vector<std::uint32_t> samplePeers();
     int broadcastBytes() const;
@@ -85,6 +93,7 @@
 
     PeerSettings m_settings;
     LoadBalancer &m_loadBalancer;
+    QueryOfDeathDetector &m_queryOfDeath;
     BeaconSocket m_socket;
     BeaconBudget m_beaconBudget;
     DeadlineTimer m_timer;
@@ -92,6 +101,7 @@
     std::uint32_t m_ownAddress = 0;         // IPv4 address of this router
     std::uint32_t m_beaconNumber = 0;       // number of the last beacon sent
     std::vector<PeerLoad> m_lastSentLoads;  // loads in the last beacon
+    Instant m_startingUntil{};              // peers are asked for their lists until then, or until one arrives
     Instant m_nextPeerListAt{};             // when the next peer list is due if there is no newcomer
     Instant m_nextPlacesNoticeAt{};         // earliest time of the next `onNewerPlaces`
     boost::random::mt19937_64 m_random;     // chooses the receivers and the contents of peer lists
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -4,6 +4,7 @@
 #include "control/loadview.h"
 #include "galenafold/hex.h"
 #include "net/status.h"
+#include "traffic/connectprobe.h"
 
 #include <algorithm>
 
@@ -14,6 +15,8 @@
 constexpr auto minTimeForAttempt = std::chrono::milliseconds(10); // no attempt is made with less time left
 constexpr auto retryDelay = std::chrono::milliseconds(250); // Retry-After; also between requests for a denied retry
 constexpr auto staleStateRetryDelay = std::chrono::milliseconds(1000); // Retry-After while the state is unconfirmed
+constexpr auto blockedRetryDelay = std::chrono::minutes(10);           // Retry-After of a prompt that crashes replicas
+constexpr auto crashProbeTimeout = std::chrono::milliseconds(300); // a replica that does not accept by then has crashed
 constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
 constexpr double attemptTimeoutFactor = 1.5; // times the latency objective: time limit of an attempt without progress
 constexpr auto minAttemptTimeout = std::chrono::milliseconds(250); // lower limit, also used at a stalled replica
@@ -39,6 +42,8 @@
         return "stale_keys";
     case EndReason::NoReplica:
         return "no_replica";
+    case EndReason::QueryOfDeath:
+        return "query_of_death";
     case EndReason::Expired:
         return "expired";
     case EndReason::AllRefused:
@@ -97,6 +102,7 @@
     m_selection.service = selectService();
     if (m_route->hasPrefixAffinity) {
         m_selection.affinity = affinityKey(m_fields.promptParts);
+        m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
     }
     m_events.skipUpTo(m_fields.resumeAfter);
     m_caller->onDisconnected = [self = shared_from_this()] { self->onCallerDisconnected(); };
@@ -174,8 +180,17 @@
     return m_route->targets.back().service;
 }
 
+bool RequestHandler::isBlocked(Instant now)
+{
+    return m_prompt.whole != 0 && m_state.queryOfDeath.isBlocked(now, m_prompt);
+}
+
 void RequestHandler::dispatch(Instant now)
 {
+    if (isBlocked(now)) {
+        giveUp(EndReason::QueryOfDeath);
+        return;
+    }
     const ReplicaChoice choice = chooseReplica(now);
     if (!choice) {
         giveUp(EndReason::NoReplica);
@@ -211,8 +226,9 @@
         giveUp(EndReason::StaleKeys);
         return;
     }
-    const auto address = parseAddress(endpoint.record.address);
+    m_address = parseAddress(endpoint.record.address).value();
     m_endpoint = endpoint.record.id;
+    m_incarnation = incarnationHash(endpoint.record);
     m_hasHead = false;
     m_body.clear();
     m_events.dropPartialEvent();
@@ -229,12 +245,12 @@
     const bool expectsNoBody = m_request.head.method == "HEAD";
     m_state.loadBalancer.onSent(m_endpoint);
     if (m_selection.affinity) {
-        m_state.onLoadChanged();
+        m_state.onPeerNews();
     }
     logSent(now, choice, isNew);
     m_connection->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
     if (isNew) {
-        m_connection->connect(*address, m_deadline);
+        m_connection->connect(m_address, m_deadline);
     }
     armTimer();
 }
@@ -328,7 +344,7 @@
         line.text("replica", m_endpoint.text).text("request", m_fields.request.text);
         line.millis("paused_ms", now - m_lastEventAt);
         m_state.log.write(line, LogPriority::Notable);
-        m_state.onLoadChanged(); // reports it to peers in a beacon
+        m_state.onPeerNews(); // reports it to peers in a beacon
     }
 }
 
@@ -357,6 +373,11 @@
         giveUp(EndReason::Expired);
         return;
     }
+    if (m_connection && !hasReceivedEvents() && isBlocked(now)) {
+        abandonAttempt(AttemptOutcome::Abandoned); // before it crashes this replica too
+        giveUp(EndReason::QueryOfDeath);
+        return;
+    }
     checkForStall(now);
     if (now < progressDeadline()) {
         armTimer();
@@ -374,11 +395,11 @@
     attempt(now, next);
 }
 
-/// @return the replica for another attempt, which is then counted; none if no replica is left or the service's retry
-/// budget is spent
+/// @return the replica for another attempt, which is then counted; none if no replica is left, the prompt crashes
+/// replicas, or the service's retry budget is spent
 ReplicaChoice RequestHandler::takeRetry(Instant now)
 {
-    const ReplicaChoice next = chooseReplica(now);
+    const ReplicaChoice next = isBlocked(now) ? ReplicaChoice() : chooseReplica(now);
     return next && takeFromBudget(now) ? next : ReplicaChoice();
 }
 
@@ -475,6 +496,7 @@
         return;
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
+    m_state.queryOfDeath.onAnswered(now, m_prompt);
     endAttempt(isError ? AttemptOutcome::Error : AttemptOutcome::Good);
     if (!isError || !m_attempts.isRetryable || !retry(now, EndReason::ReplicaError)) {
         forwardResponse();
@@ -490,6 +512,7 @@
     }
     if (mayHaveRun) {
         logBroken();
+        reportIfCrashed();
     }
     endAttempt(progress == RequestProgress::NotSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed);
     afterFailure(mayHaveRun ? EndReason::BrokenResponse : EndReason::Unreachable);
@@ -510,6 +533,26 @@
     m_state.log.write(line, LogPriority::Notable);
 }
 
+/// A connection may break without a crash. The prompt is a suspect only if the replica then accepts no connection, and
+/// if it had not begun to answer.
+void RequestHandler::reportIfCrashed() const
+{
+    if (m_prompt.whole == 0 || hasReceivedEvents()) {
+        return;
+    }
+    const auto onResult = [&state = m_state, prompt = m_prompt, replica = m_endpoint, incarnation = m_incarnation,
+                           brokenAt = clockNow(), request = m_fields.request](bool isReachable) {
+        LogLine line(isReachable ? "replica_reachable" : "replica_crashed");
+        line.text("replica", replica.text).text("request", request.text);
+        state.log.write(line, LogPriority::Notable);
+        if (!isReachable) {
+            state.queryOfDeath.onCrash(brokenAt, incarnation, prompt);
+            state.onPeerNews();
+        }
+    };
+    probeConnect(m_state.io, m_address, crashProbeTimeout, onResult);
+}
+
 void RequestHandler::afterFailure(EndReason reason)
 {
     if (!retry(clockNow(), reason)) {
@@ -574,6 +617,9 @@
     if (m_attempts.isStreaming) {
         m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
     }
+    if (!hasReceivedEvents()) {
+        m_state.queryOfDeath.onAnswered(now, m_prompt);
+    }
     m_lastEventAt = now;
     m_state.loadBalancer.onStreamEvent(now, m_endpoint);
     if (std::min(progressDeadline(), nextStallCheck()) < m_timer.expiry()) {
@@ -626,6 +672,15 @@
     finish("refused", status, &reason);
 }
 
+/// @return when a caller that was refused for this reason may be served
+static Duration retryAfter(EndReason reason)
+{
+    if (reason == EndReason::QueryOfDeath) {
+        return blockedRetryDelay;
+    }
+    return reason == EndReason::StaleKeys ? staleStateRetryDelay : retryDelay;
+}
+
 /// Ends the request without a further attempt. The status depends on whether any attempt may have run, not only
 /// the last one.
 void RequestHandler::giveUp(EndReason reason)
@@ -635,7 +690,7 @@
         return;
     }
     if (!m_attempts.mayHaveRun) {
-        refuse(statusUnavailable, reason, reason == EndReason::StaleKeys ? staleStateRetryDelay : retryDelay);
+        refuse(statusUnavailable, reason, retryAfter(reason));
         return;
     }
     const int status = reason == EndReason::Expired ? statusGatewayTimeout : statusBadGateway;
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -1,6 +1,7 @@
 // Processing of one request on the users' platform: route, API key, attempts at replicas, response.
 #pragma once
 
+#include "control/queryofdeath.h"
 #include "filters/eventsplitter.h"
 #include "traffic/trafficthread.h"
 
@@ -14,6 +15,7 @@
     UnknownApiKey,      // the API key belongs to no client account
     StaleKeys,          // the desired state was not confirmed recently enough to accept API keys
     NoReplica,          // the service has no replica
+    QueryOfDeath,       // prompts like this one crash replicas
     Expired,            // the request's deadline has passed
     AllRefused,         // the last attempt was refused by its replica
     Unreachable,        // the last attempt did not reach its replica
@@ -63,6 +65,8 @@
     bool takeFromBudget(Instant now);
     void logRetry(EndReason reason) const;
     void logBroken() const;
+    bool isBlocked(Instant now);
+    void reportIfCrashed() const;
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void onBody(std::string &body);
@@ -92,6 +96,7 @@
     const Route *m_route = nullptr;
     const ClientAccount *m_account = nullptr;
     SelectionRequest m_selection;
+    PromptKeys m_prompt;              // empty if the route's requests have no prompts
     std::set<EndpointId> m_refusedBy; // replicas that answered that they did not run the request
     Instant m_deadline{};             // for the whole response
     Instant m_noRetryBefore{};        // an attempt without progress is not retried before this time
@@ -102,6 +107,8 @@
 
     std::shared_ptr<EndpointConnection> m_connection;
     EndpointId m_endpoint;
+    asio::ip::tcp::endpoint m_address; // of the replica
+    std::uint32_t m_incarnation = 0;   // hash of the replica's id and start time
     Instant m_sentAt{};
     Instant m_lastEventAt{};    // when the last bytes of a stream were received, from any attempt
     Instant m_stallCheckedAt{}; // last check whether the replica is stalled
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -1,6 +1,7 @@
 // The traffic thread.
 #include "traffic/trafficthread.h"
 
+#include "galenafold/hex.h"
 #include "traffic/requesthandler.h"
 
 #include <asio/post.hpp>
@@ -20,6 +21,7 @@
     , log(theLog)
     , proof(theSettings.maxRevocationDelay)
     , loadBalancer(theSettings.loadBalancer, theSettings.dataCentre, theSettings.seed)
+    , queryOfDeath(QueryOfDeathSettings(), theSettings.seed)
     , budget(theSettings.retry, clockNow())
     , connectionPool(theIo, headerCodec)
 {
@@ -30,7 +32,7 @@
     , m_io(1)
     , m_workGuard(asio::make_work_guard(m_io))
     , m_state(m_io, settings, std::move(headerCodec), log)
-    , m_peers(m_io, settings.peers, m_state.loadBalancer)
+    , m_peers(m_io, settings.peers, m_state.loadBalancer, m_state.queryOfDeath)
     , m_listener(m_io)
     , m_sweepTimer(m_io)
     , m_gateTimer(m_io)
@@ -40,7 +42,12 @@
             onNewerPlaces();
         }
     };
-    m_state.onLoadChanged = [this] { m_peers.requestBeacon(); };
+    m_peers.onListReceived = [this] {
+        m_state.gate.onPeers();
+        releaseWaiting();
+    };
+    m_state.onPeerNews = [this] { m_peers.requestBeacon(); };
+    m_state.queryOfDeath.onVerdict = [this](const PromptVerdict &verdict) { logVerdict(verdict); };
     CallerConnectionHooks &hooks = m_listener.hooks;
     hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request) {
         onRequest(caller, std::move(request));
@@ -66,9 +73,11 @@
         return false;
     }
     m_startedAt = clockNow();
-    m_state.gate.onStart(m_startedAt + m_settings.startupWait);
-    m_gateTimer.expires_at(m_state.gate.waitUntil());
-    m_gateTimer.async_wait([this](const asio::error_code &) { releaseWaiting(); });
+    if (!m_peers.hasPeers()) {
+        m_state.gate.onPeers();
+    }
+    m_state.gate.onStart(m_startedAt + m_settings.startupWait, m_startedAt + m_settings.startupWaitForPeers);
+    armGateTimer();
     sweep();
     m_thread = std::thread([this] { m_io.run(); });
     return true;
@@ -88,6 +97,21 @@
     flow->begin();
 }
 
+void TrafficThread::armGateTimer()
+{
+    const Instant deadline = m_state.gate.nextDeadline(clockNow());
+    m_gateTimer.expires_at(deadline);
+    m_gateTimer.async_wait([this, deadline](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        releaseWaiting();
+        if (m_state.gate.nextDeadline(clockNow()) > deadline) {
+            armGateTimer();
+        }
+    });
+}
+
 /// Resumes the waiting requests if the gate no longer holds them.
 void TrafficThread::releaseWaiting()
 {
@@ -104,6 +128,7 @@
 void TrafficThread::sweep()
 {
     m_state.connectionPool.closeExpired(clockNow());
+    m_state.queryOfDeath.expire(clockNow());
     if (m_peers.isLeader()) {
         m_state.loadBalancer.assignPlaces(clockNow());
     }
@@ -120,6 +145,13 @@
     });
 }
 
+void TrafficThread::logVerdict(const PromptVerdict &verdict)
+{
+    LogLine line(verdict.isBlocked ? "prompt_blocked" : "prompt_released");
+    line.text("key", toHex(verdict.key)).number("replicas", verdict.replicas).number("prompts", verdict.prompts);
+    m_state.log.write(line, LogPriority::Notable);
+}
+
 void TrafficThread::logPeers(Instant now)
 {
     if (now < m_nextPeersLogAt) {
@@ -156,6 +188,7 @@
     writeMetric(out, "fleet_size", "", m_peers.fleetSize());
     writeMetric(out, "beacons_sent_total", "", static_cast<double>(peers.beaconsSent));
     writeMetric(out, "beacons_received_total", "", static_cast<double>(peers.beaconsReceived));
+    writeMetric(out, "prompts_blocked", "", m_state.queryOfDeath.blocks(now));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
         const std::string name = label("service", service.id.text);
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -31,6 +31,7 @@
     DataCentreId dataCentre;
     Duration maxRevocationDelay{};                         // limit on a revoked API key's acceptance; 0: unlimited
     Duration startupWait = std::chrono::milliseconds(300); // limit on the wait of requests for the store at start
+    Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
     LoadBalancerSettings loadBalancer;
     RetryBudgetSettings retry;
     PeerSettings peers;
@@ -69,11 +70,12 @@
     StartupGate gate;
     std::vector<std::shared_ptr<RequestHandler>> waiting; // requests that `gate` holds
     LoadBalancer loadBalancer;
+    QueryOfDeathDetector queryOfDeath;
     RetryBudget budget;
     ConnectionPool connectionPool;
     TrafficCounts counts;
     TrafficMetrics metrics;
-    std::function<void()> onLoadChanged = [] {}; // request with prompt affinity sent, or replica stalled
+    std::function<void()> onPeerNews = [] {}; // peers must know: request with prompt sent, replica stalled or crashed
 };
 
 // Traffic thread
@@ -120,9 +122,11 @@
 
 private:
     void onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request);
+    void armGateTimer();
     void releaseWaiting();
     void sweep();
     void logPeers(Instant now);
+    void logVerdict(const PromptVerdict &verdict);
     void savePlaces(Instant now) const;
     std::string metricsText();
 
@@ -133,7 +137,7 @@
     PeerLoadExchange m_peers;
     CallerListener m_listener;
     DeadlineTimer m_sweepTimer;
-    DeadlineTimer m_gateTimer; // limit on the wait after a start
+    DeadlineTimer m_gateTimer; // limits on the wait after a start
     std::thread m_thread;
     Instant m_startedAt{};
     Instant m_nextPeersLogAt{};
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -21,6 +21,24 @@
                            # up to which the sender has read the places topic
 }
 
+# Follows a load beacon in the same datagram if there is any news: an empty field would cost bytes in each beacon.
+struct BeaconNews {
+  crashes @0 :List(CrashReport);
+  answers @1 :List(PromptAge);  # answered prompts; the age is that of the latest answer
+  blocks @2 :List(PromptAge);   # prompts that no replica gets; the age is that of the last crash
+  isStarting @3 :Bool;          # the sender has just started and wants to know of blocked prompts
+}
+
+# A prompt that had no event yet when its replica crashed.
+struct CrashReport {
+  replica @0 :UInt32;      # hash of its id and start time
+  ageMillis @1 :UInt32;
+  prompt @2 :UInt64;       # hash of the whole prompt
+  parts @3 :List(UInt64);  # hashes of its shared parts, in order
+}
+
+struct PromptAge { key @0 :UInt64; ageMillis @1 :UInt32; }
+
 struct ReportDigest {
   endpointHash @0 :UInt32;
   ageMillis @1 :UInt16;
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -20,6 +20,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(89d7e4adaefa4d18);
+CAPNP_DECLARE_SCHEMA(b36b346b0a144e6e);
+CAPNP_DECLARE_SCHEMA(e0fcd784d092cf24);
+CAPNP_DECLARE_SCHEMA(d9ee167f2857df52);
 CAPNP_DECLARE_SCHEMA(ff4c45233d2f6c9b);
 CAPNP_DECLARE_SCHEMA(e3491a2b6f4795ec);
 CAPNP_DECLARE_SCHEMA(ce8d53a7819db0e7);
@@ -59,6 +62,51 @@
   };
 };
 
+struct BeaconNews {
+  BeaconNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e0fcd784d092cf24, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptAge {
+  PromptAge() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9ee167f2857df52, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ReportDigest {
   ReportDigest() = delete;
 
@@ -482,6 +530,290 @@
 };
 #endif  // !CAPNP_LITE
 
+class BeaconNews::Reader {
+public:
+  typedef BeaconNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasAnswers() const;
+  inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+
+  inline bool hasBlocks() const;
+  inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader getBlocks() const;
+
+  inline bool getIsStarting() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BeaconNews::Builder {
+public:
+  typedef BeaconNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasAnswers();
+  inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder getAnswers();
+  inline void setAnswers( ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
+  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>> disownAnswers();
+
+  inline bool hasBlocks();
+  inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder getBlocks();
+  inline void setBlocks( ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder initBlocks(unsigned int size);
+  inline void adoptBlocks(::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>> disownBlocks();
+
+  inline bool getIsStarting();
+  inline void setIsStarting(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BeaconNews::Pipeline {
+public:
+  typedef BeaconNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+  inline  ::uint64_t getPrompt() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica();
+  inline void setReplica( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+  inline  ::uint64_t getPrompt();
+  inline void setPrompt( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PromptAge::Reader {
+public:
+  typedef PromptAge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptAge::Builder {
+public:
+  typedef PromptAge Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptAge::Pipeline {
+public:
+  typedef PromptAge Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ReportDigest::Reader {
 public:
   typedef ReportDigest Reads;
@@ -2304,6 +2636,230 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool BeaconNews::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setCrashes( ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BeaconNews::Reader::hasAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setAnswers( ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BeaconNews::Reader::hasBlocks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasBlocks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getBlocks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getBlocks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setBlocks( ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initBlocks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptBlocks(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownBlocks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::PromptAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool BeaconNews::Reader::getIsStarting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool BeaconNews::Builder::getIsStarting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BeaconNews::Builder::setIsStarting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getPrompt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getPrompt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setPrompt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PromptAge::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PromptAge::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptAge::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PromptAge::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptAge::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PromptAge::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ReportDigest::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
