--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -344,6 +344,12 @@
     state.loadExpiry = now + loadReportLifetime;
 }
 
+bool LoadBalancer::onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond)
+{
+    const auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && m_rateLimits.onAnswer(now, found->second.nameHash, perSecond);
+}
+
 void LoadBalancer::onStreamEvent(Instant now, const EndpointId &id)
 {
     const auto found = m_endpoints.find(id);
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "control/gossip.h"
+#include "control/ratelimits.h"
 #include "filters/headerfields.h"
 #include "filters/placetable.h"
 
@@ -137,6 +138,10 @@
 
     void onLoad(Instant now, const EndpointId &id, const ReplicaLoad &sample); ///< A response carried a load report.
 
+    /// A replica's answer named the rate of requests that it takes from all routers together, or none.
+    /// @return true if that has changed
+    bool onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond);
+
     void onStreamEvent(Instant now, const EndpointId &id); ///< A stream event was received from the replica.
 
     /// A stream has had no event for a while. @param pause time without events after which a stream counts as stalled
@@ -204,6 +209,7 @@
     };
 
     PlaceTable m_places;
+    ReplicaRateLimits m_rateLimits;
     std::map<std::uint32_t, PeerCounts> m_peerCounts; // by peer
     int m_peersHeard = 0;
     bool m_hasUnsentStall = false;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -437,6 +437,24 @@
     if (fields.load) {
         m_state.loadBalancer.onLoad(clockNow(), m_endpoint, *fields.load);
     }
+    noteRateLimit();
+}
+
+/// An answer without checksum may come from elsewhere and does not end a limit.
+void RequestHandler::noteRateLimit()
+{
+    const std::optional<double> limit = m_responseFields.rateLimit;
+    if (!limit && !m_responseFields.hasChecksum) {
+        return;
+    }
+    if (!m_state.loadBalancer.onRateLimit(clockNow(), m_endpoint, limit)) {
+        return;
+    }
+    constexpr double secondsPerMinute = 60;
+    LogLine line(limit ? "replica_limit" : "replica_limit_ended");
+    line.text("replica", m_endpoint.text).text("request", m_fields.request.text);
+    line.number("per_minute", static_cast<std::int64_t>(limit.value_or(0) * secondsPerMinute));
+    m_state.log.write(line, LogPriority::Notable);
 }
 
 void RequestHandler::onBody(std::string &body)
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -69,6 +69,7 @@
     void reportIfCrashed() const;
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
+    void noteRateLimit();
     void onBody(std::string &body);
     void onDone();
     void onFailed(RequestProgress progress);
