--- a/fakes/replica.cpp
+++ b/fakes/replica.cpp
@@ -45,9 +45,10 @@
     return head;
 }
 
-void ReplicaReply::sendResponse(const ReplicaRequest &request, int status, const std::string &body)
+void ReplicaReply::sendResponse(const ReplicaRequest &request, int status, const std::string &body,
+                                const std::string &extraHeaders)
 {
-    std::string bytes = responseHead(request, status);
+    std::string bytes = responseHead(request, status) + extraHeaders;
     appendField(bytes, "Content-Length", std::to_string(body.size()));
     send(bytes + "\r\n" + body);
     m_isFinished = true;
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -38,7 +38,9 @@
     void send(const std::string &bytes); ///< Sends raw bytes.
 
     /// Sends a complete response with the header fields of the platform: request id and checksum.
-    void sendResponse(const ReplicaRequest &request, int status, const std::string &body);
+    /// @param extraHeaders further header lines, each with its CRLF
+    void sendResponse(const ReplicaRequest &request, int status, const std::string &body,
+                      const std::string &extraHeaders = "");
 
     /// Sends the head of a chunked event stream, with the same header fields.
     void beginStream(const ReplicaRequest &request);
--- a/tests/queryofdeath.cpp
+++ b/tests/queryofdeath.cpp
@@ -1,7 +1,7 @@
 // A fleet of router nodes in front of replicas that crash when they begin to answer a prompt with one certain part.
 //
 // Sections of this file: Fleet, Tests.
-#include "tests/nodefixture.h"
+#include "tests/routerfleet.h"
 
 using namespace galenafold;
 using std::chrono::milliseconds;
@@ -12,53 +12,16 @@
 constexpr int crashLimit = 5;    // crashes by one part after which the fleet must know it
 constexpr int lateSendLimit = 3; // requests with that part which may reach replicas later than a recovery time after it
 
-/// Routers on loopback addresses of their own that share a store and replicas.
-struct CrashingFleet {
+struct CrashingFleet : RouterFleet {
     CrashingFleet()
     {
-        store.start();
-        store.put("keyed.op", "config", sampleDesiredState(1, {{"chat", "streaming", 2, true, 20000, true}}, {"k1"}));
-        const int port = freePeerPort();
-        for (int i = 0; i < replicaCount; ++i) {
-            addReplica("e" + std::to_string(i));
+        for (std::size_t i = 0; i < replicaCount; ++i) {
+            addReplica("e" + std::to_string(i),
+                       [this, i](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+                           answer(*replicas[i], request, reply);
+                       });
         }
-        for (int i = 0; i < routerCount; ++i) {
-            RouterSettings settings;
-            settings.name.text = "r" + std::to_string(i);
-            settings.dataCentre.text = "here";
-            settings.callers = "127.0.0.1:0";
-            settings.admin = "127.0.0.1:0";
-            settings.store = store.address();
-            settings.peers = peerAddress(i, port);
-            settings.seeds = {peerAddress(0, port), peerAddress(1, port)};
-            settings.maxRecoveryTime = recoveryTime;
-            settings.retryRatio = 1000; // high, so that the retry budget does not hide the fault
-            routers.push_back(std::make_unique<Router>(settings));
-        }
-        for (const auto &router : routers) {
-            router->start();
-        }
-        CHECK(waitFor([this] { return allServe(); }));
-    }
-    static std::string peerAddress(int router, int port)
-    {
-        return "127.0.0." + std::to_string(router + 2) + ':' + std::to_string(port);
-    }
-    static int freePeerPort()
-    {
-        asio::io_context any;
-        const asio::ip::udp::socket socket(any, {asio::ip::make_address_v4("127.0.0.2"), 0});
-        return socket.local_endpoint().port();
-    }
-    void addReplica(const std::string &id)
-    {
-        const auto index = replicas.size();
-        replicas.push_back(std::make_unique<FakeReplica>(
-            id, "svc", [this, index](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
-                answer(*replicas[index], request, reply);
-            }));
-        replicas.back()->start();
-        store.put("keyed.servers", id, replicas.back()->entry());
+        start();
     }
     /// Reads the prompt for a few milliseconds, then crashes or answers with one event.
     void answer(FakeReplica &replica, const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply)
@@ -80,23 +43,6 @@
             }
         });
     }
-    /// @return HTTP status of a request with this prompt; 0: cut
-    int call(int router, const std::string &parts)
-    {
-        RawCaller caller(routers[static_cast<std::size_t>(router % routerCount)]->node->callerPort());
-        const std::string id = "id" + std::to_string(++calls);
-        caller.send(encodeCallerRequest("/chat/x", id, "k1", 20000, "X-Galenafold-Prompt-Prefix: " + parts + "\r\n"));
-        return caller.read() ? caller.status() : 0;
-    }
-    bool allServe()
-    {
-        for (int i = 0; i < routerCount; ++i) {
-            if (call(i, "f1:512,a" + std::to_string(i) + ":900,1:10") != 200) {
-                return false;
-            }
-        }
-        return true;
-    }
     /// @return when the fleet must know the part; the end of time before that many crashes
     Instant knownFrom()
     {
@@ -133,45 +79,11 @@
         }
     }
 
-    /// One router process: its node and the thread that runs it.
-    struct Router {
-        explicit Router(RouterSettings theSettings)
-            : settings(std::move(theSettings))
-        {
-        }
-        ~Router() { stop(); }
-        void start()
-        {
-            EventLogSettings log;
-            log.fd = -1;
-            node = std::make_unique<RouterNode>(settings, log);
-            CHECK(node->start());
-            thread = std::thread([this] { node->run(); });
-        }
-        void stop()
-        {
-            if (thread.joinable()) {
-                node->stop();
-                thread.join();
-            }
-            node.reset();
-        }
-        RouterSettings settings;
-        std::unique_ptr<RouterNode> node;
-        std::thread thread;
-    };
-
-    static constexpr int routerCount = 4;
-    static constexpr int replicaCount = 12;
+    static constexpr std::size_t replicaCount = 12;
     static constexpr auto downTime = milliseconds(600);
-    static constexpr auto recoveryTime = std::chrono::seconds(3);
-    FakeTopicStore store;
     std::mutex mutex; // guards the two lists, which the replicas' threads fill
     std::vector<Instant> deadlyArrivals;
     std::vector<Instant> crashes;
-    std::vector<std::unique_ptr<FakeReplica>> replicas;
-    std::vector<std::unique_ptr<Router>> routers;
-    int calls = 0;
     int soundCalls = 0; // sent later than two recovery times after the limit of crashes
     int soundServed = 0;
 };
@@ -203,13 +115,12 @@
     int restarted = 0;
     Instant next = clockNow() + std::chrono::seconds(2);
     fleet.sendFor(std::chrono::seconds(11), [&] {
-        if (restarted < CrashingFleet::routerCount && clockNow() >= next) {
-            fleet.routers[static_cast<std::size_t>(restarted)]->stop();
-            fleet.routers[static_cast<std::size_t>(restarted)]->start();
+        if (restarted < RouterFleet::routerCount && clockNow() >= next) {
+            fleet.restart(restarted);
             ++restarted;
             next += std::chrono::seconds(2);
         }
     });
-    LONGS_EQUAL(CrashingFleet::routerCount, restarted);
+    LONGS_EQUAL(RouterFleet::routerCount, restarted);
     checkPromises();
 }
