Keep the requests of all routers to a replica within the rate that it names

Callers saw no harm yet, but replicas in need that named 1 to 4 requests a second were sent as many as before.

Cause: the field was not read, and a router alone sends such a replica 0.3 a second, so it has no reason to stop.

Change: routers tell each other limits and what they sent lately to replicas with one, and stop at the limit. Where reports are late (a hundred routers) each keeps to its part, a token bucket. What no replica may get, or only one above its load bound, is refused at once as not run. Works because the sum that counts is the one that each router now sees, 0.1 to 0.4 s late, and the rule leaves more room than is sent in that time.

ReplicaLimits simulates 15 and 103 routers; LimitedReplicaChoice the choice.

--- a/control/gossip.h
+++ b/control/gossip.h
@@ -10,6 +10,7 @@
 #include "control/loadview.h"
 #include "control/membership.h"
 #include "control/queryofdeath.h"
+#include "control/ratelimits.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <optional>
@@ -81,6 +82,7 @@
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
     std::vector<PeerLoad> loads; // endpoints with longer calls of the sender; brief calls go as start notices
     PromptNews news;             // of prompts that crash replicas
+    LimitReport limits;          // of replicas that name a limit
     bool isStarting = false;     // the sender has just started and does not know of blocked prompts
 };
 
--- a/filters/headerfields.h
+++ b/filters/headerfields.h
@@ -54,7 +54,7 @@
     bool reportsNotRun = false; // the replica did not and will not run the request
     bool isEncoded = false;     // the body has a content encoding
     std::optional<ReplicaLoad> load;
-    std::optional<double> rateLimit; // requests per second that the replica takes from all routers together
+    std::optional<double> rateLimit;          // requests per second that the replica takes from all routers together
     std::optional<Duration> keepAliveTimeout; // how long the replica keeps an idle connection open
 };
 
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -29,7 +29,8 @@
 constexpr double failureRateWeight = 0.2;    // of the newest attempt in the smoothed rate
 constexpr double failureRateThreshold = 0.5; // above it a replica is avoided even if some attempts succeed
 constexpr auto failureRateAvoidance = std::chrono::milliseconds(1500); // after the failure rate exceeds the threshold
-constexpr auto refusalAvoidance = std::chrono::milliseconds(50);       // after the replica refused a request
+constexpr int maxRankOfLimited = 3; // up to this position an engine is likely to have a prompt cached
+constexpr auto refusalAvoidance = std::chrono::milliseconds(50); // after the replica refused a request
 
 const char *text(LoadSource source)
 {
@@ -60,6 +61,7 @@
     : m_settings(settings)
     , m_localDataCentre(std::move(localDataCentre))
     , m_random(seed)
+    , m_rateLimits(seed)
 {
 }
 
@@ -79,6 +81,7 @@
             state = EndpointState();
             state.ownInFlight = own;
             state.nameHash = vmHash({record.id.text});
+            m_rateLimits.forget(state.nameHash);
         }
         state.record = record;
     }
@@ -157,7 +160,9 @@
     if (request.affinity) {
         return chooseByAffinity(now, request, candidates);
     }
-    return {leastLoaded(now, candidates), 0, 0};
+    ReplicaChoice choice;
+    chooseLeastLoaded(now, candidates, choice);
+    return choice;
 }
 
 /// With reports from peers, the current mean. Otherwise at least the mean smoothed over a few seconds: a router without
@@ -250,9 +255,13 @@
     for (EndpointState *state : candidates) {
         state->servesPrompts = true;
     }
+    int position = 0;
     for (EndpointState *state : rank(request.service, *request.affinity)) {
+        ++position;
         if (std::find(candidates.begin(), candidates.end(), state) == candidates.end()) {
             ++choice.skippedAvoided;
+        } else if (!mayGetPrompt(now, *state, position)) {
+            ++choice.skippedLimited;
         } else if (!hasHeadroom(now, *state, bound)) {
             ++choice.skippedFull;
         } else {
@@ -260,10 +269,49 @@
             return choice;
         }
     }
-    choice.endpoint = leastLoaded(now, candidates);
+    spill(now, candidates, choice);
     return choice;
 }
 
+/// An engine that has named a limit reads no prompts that it hardly has cached.
+/// @param position in the rank for the prompt, from 1
+bool LoadBalancer::mayGetPrompt(Instant now, const EndpointState &state, int position)
+{
+    const bool isHardlyCached = position > maxRankOfLimited && m_rateLimits.limit(state.nameHash);
+    return !isHardlyCached && m_rateLimits.admit(now, state.nameHash);
+}
+
+/// All engines for the prompt are full or at their limits. While some are at their limits the others do not take the
+/// excess above their bound: it goes to limited engines that may get more, or is refused.
+void LoadBalancer::spill(Instant now, const std::vector<EndpointState *> &candidates, ReplicaChoice &choice)
+{
+    std::vector<EndpointState *> limited;
+    std::vector<EndpointState *> unlimited;
+    for (EndpointState *state : candidates) {
+        (m_rateLimits.limit(state->nameHash) ? limited : unlimited).push_back(state);
+    }
+    chooseLeastLoaded(now, unlimited, choice);
+    const bool isExcess = choice && choice.skippedLimited > 0 && load(now, *choice) > choice.bound;
+    if (!choice || isExcess) {
+        choice.endpoint = nullptr;
+        chooseLeastLoaded(now, limited, choice);
+    }
+}
+
+/// Leaves the choice empty if all candidates have a limit that is used up.
+void LoadBalancer::chooseLeastLoaded(Instant now, std::vector<EndpointState *> candidates, ReplicaChoice &choice)
+{
+    while (!candidates.empty()) {
+        const EndpointState *best = leastLoaded(now, candidates);
+        if (m_rateLimits.admit(now, best->nameHash)) {
+            choice.endpoint = best;
+            return;
+        }
+        ++choice.skippedLimited;
+        candidates.erase(std::find(candidates.begin(), candidates.end(), best));
+    }
+}
+
 /// Prefers this router's own data centre and breaks ties at random, so that routers do not all pick the same replica.
 const EndpointState *LoadBalancer::leastLoaded(Instant now, const std::vector<EndpointState *> &candidates)
 {
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -86,6 +86,7 @@
     const EndpointState *endpoint = nullptr; // null: no replica is left to try
     int skippedFull = 0;                     // engines skipped because they were at the bound on load
     int skippedAvoided = 0;                  // engines skipped because they fail or were already tried
+    int skippedLimited = 0;                  // replicas skipped because of the rate that they take
     double bound = 0;                        // load above which no engine was to be chosen; 0: chosen without a bound
 
     explicit operator bool() const { return endpoint != nullptr; }
@@ -142,6 +143,8 @@
     /// @return true if that has changed
     bool onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond);
 
+    ReplicaRateLimits &rateLimits() { return m_rateLimits; } ///< @return limits of replicas, by `nameHash`
+
     void onStreamEvent(Instant now, const EndpointId &id); ///< A stream event was received from the replica.
 
     /// A stream has had no event for a while. @param pause time without events after which a stream counts as stalled
@@ -194,10 +197,14 @@
     ReplicaChoice chooseByAffinity(Instant now, const SelectionRequest &request,
                                    const std::vector<EndpointState *> &candidates);
     const EndpointState *leastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
+    bool mayGetPrompt(Instant now, const EndpointState &state, int position);
+    void spill(Instant now, const std::vector<EndpointState *> &candidates, ReplicaChoice &choice);
+    void chooseLeastLoaded(Instant now, std::vector<EndpointState *> candidates, ReplicaChoice &choice);
 
     LoadBalancerSettings m_settings;
     DataCentreId m_localDataCentre;
     boost::random::mt19937_64 m_random;
+    ReplicaRateLimits m_rateLimits;
     struct DrainingEngine {
         std::uint64_t place = 0; // the place that it had
         std::string address;     // IP:PORT
@@ -209,7 +216,6 @@
     };
 
     PlaceTable m_places;
-    ReplicaRateLimits m_rateLimits;
     std::map<std::uint32_t, PeerCounts> m_peerCounts; // by peer
     int m_peersHeard = 0;
     bool m_hasUnsentStall = false;
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/io.h>
 
 namespace galenafold
@@ -59,6 +60,38 @@
     }
 }
 
+static void fillLimits(wire::BeaconNews::Builder root, const LimitReport &report)
+{
+    root.setStartId(report.startId);
+    auto limits = root.initLimits(static_cast<unsigned>(report.news.size()));
+    for (unsigned i = 0; i < limits.size(); ++i) {
+        limits[i].setReplica(report.news[i].replica);
+        limits[i].setAgeMillis(report.news[i].ageMillis);
+        limits[i].setPerSecond(static_cast<float>(report.news[i].perSecond.value_or(-1)));
+    }
+    auto sends = root.initLimitedSends(static_cast<unsigned>(report.sends.size()));
+    for (unsigned i = 0; i < sends.size(); ++i) {
+        sends[i].setReplica(report.sends[i].replica);
+        sends[i].setCount(report.sends[i].count);
+    }
+}
+
+static void readLimits(wire::BeaconNews::Reader root, LimitReport &report)
+{
+    report.startId = root.getStartId();
+    for (const auto told : root.getLimits()) {
+        const double perSecond = told.getPerSecond();
+        LimitNews news{told.getReplica(), std::nullopt, told.getAgeMillis()};
+        if (perSecond >= 0 && std::isfinite(perSecond)) {
+            news.perSecond = perSecond;
+        }
+        report.news.push_back(news);
+    }
+    for (const auto sent : root.getLimitedSends()) {
+        report.sends.push_back({sent.getReplica(), sent.getCount()});
+    }
+}
+
 static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
 {
     root.setFrom(beacon.from);
@@ -98,11 +131,12 @@
     fillBeacon(builder.initRoot<wire::LoadBeacon>(), beacon);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
-    if (beacon.isStarting || !beacon.news.isEmpty()) {
+    if (beacon.isStarting || !beacon.news.isEmpty() || !beacon.limits.isEmpty()) {
         capnp::MallocMessageBuilder newsBuilder;
         auto news = newsBuilder.initRoot<wire::BeaconNews>();
         news.setIsStarting(beacon.isStarting);
         fillNews(news, beacon.news);
+        fillLimits(news, beacon.limits);
         capnp::writePackedMessage(out, newsBuilder);
     }
     const auto bytes = out.getArray();
@@ -148,6 +182,7 @@
     const auto news = newsReader.getRoot<wire::BeaconNews>();
     beacon.isStarting = news.getIsStarting();
     readNews(news, beacon.news);
+    readLimits(news, beacon.limits);
 }
 
 bool decodeBeacon(const std::string &bytes, LoadBeacon &beacon)
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -94,6 +94,21 @@
     CHECK(!headerCodec.decodeResponse(head).load);
 }
 
+TEST(PlatformProtocol, OnlyADecimalNumberIsALimitOfARate)
+{
+    const HeaderCodec headerCodec = platformHeaderCodec();
+    const auto rateLimit = [&headerCodec](const std::string &text) {
+        ResponseHead head;
+        head.fields = {{"Server-Limit", text}};
+        return headerCodec.decodeResponse(head).rateLimit;
+    };
+    DOUBLES_EQUAL(2.5, rateLimit("2.5").value(), 1e-9);
+    DOUBLES_EQUAL(0, rateLimit("0").value(), 1e-9);
+    for (const char *text : {"", "-1", "nan", "inf", "1e300", "3/s", "0x10", " 3", "1e9999"}) {
+        CHECK_TEXT(!rateLimit(text), text);
+    }
+}
+
 TEST(PlatformProtocol, TruncatedStoreResponsesAreNotReadAsEmpty)
 {
     const std::string end(7, '\0');
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -18,6 +18,7 @@
 constexpr double beaconSizeWeight = 0.2;              // smoothing factor for the size of a new beacon
 constexpr auto placesNoticeInterval = std::chrono::seconds(1); // between notices that a peer has newer places
 constexpr auto startingTime = std::chrono::seconds(2); // after a start, in which peers are asked for their lists
+constexpr auto startIdTime = std::chrono::seconds(4);  // after a start, in which peers are told of it
 constexpr auto repeatedListInterval = std::chrono::seconds(2); // between lists to the same router that starts
 constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
 constexpr int peerTimeoutIntervals = 4; // the same, in broadcasts at the rate of the budget; the longer time counts
@@ -53,7 +54,9 @@
     m_ownAddress = own->address().to_v4().to_uint();
     m_port = own->port();
     m_beaconNumber = firstBeaconNumber(std::chrono::system_clock::now());
+    m_startId = m_beaconNumber;
     m_startingUntil = clockNow() + startingTime;
+    m_startIdToldUntil = clockNow() + startIdTime;
     for (const std::string &seed : m_settings.seeds) {
         const auto address = parseAddress(seed);
         const bool isOther =
@@ -91,6 +94,7 @@
     peer.heardAt = now;
     ++m_beaconsReceived;
     m_queryOfDeath.onNews(now, beacon.news);
+    m_loadBalancer.rateLimits().onReport(now, from, beacon.limits);
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
             // is sent beacons from now on; expires if it stays silent
@@ -132,6 +136,8 @@
         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(m_startDelaySeconds, waiting)));
     m_loadBalancer.setActivePeers(heard, reportDelay, peerTimeout());
     m_queryOfDeath.setNewsInterval(reportDelay);
+    m_loadBalancer.rateLimits().setFleet(now, std::max(m_fleetSize.routers(), static_cast<int>(m_peers.size()) + 1),
+                                         reportDelay);
     sendIfDue(now);
     sendPeerList(now);
     armTimer(now);
@@ -202,7 +208,7 @@
 {
     const bool maySendEnds =
         now >= m_lastSentAt + endReportInterval && m_beaconBudget.hasReserveAfter(now, broadcastBytes());
-    const bool hasNews = m_queryOfDeath.hasUnsentNews();
+    const bool hasNews = m_queryOfDeath.hasUnsentNews() || m_loadBalancer.rateLimits().hasUnsentNews();
     const bool isDue = m_unsentStartAt || hasNews || maySendEnds || now >= m_lastSentAt + heartbeatInterval;
     if (m_peers.empty() || !isDue) {
         return;
@@ -236,6 +242,8 @@
     LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.consumeLoads();
     beacon.news = m_queryOfDeath.takeNews(now);
+    beacon.limits = m_loadBalancer.rateLimits().takeReport(now);
+    beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
     const std::string payload = encodeBeacon(beacon);
     m_beaconBytes += beaconSizeWeight * (datagramBytes(payload) - m_beaconBytes);
     m_lastSentAt = now;
@@ -300,6 +308,8 @@
     beacon.loads = m_loadBalancer.ownLoads();
     beacon.peers = samplePeers();
     beacon.news = m_queryOfDeath.knownBlocks(now);
+    beacon.limits = m_loadBalancer.rateLimits().fullReport(now);
+    beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
     const std::string payload = encodeBeacon(beacon);
     m_peers[receiver].isNewcomer = true; // until the budget allows the list
     if (!m_beaconBudget.takeMessage(now, datagramBytes(payload))) {
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -11,7 +11,7 @@
 //
 // Peers are discovered through a few seed addresses and peer lists. A list goes to one peer at a time, newcomers first:
 // lists to all would cost more than the loads. With the list goes what a router that has started must know: the prompts
-// that are blocked because they crash replicas. News of such prompts go with the loads.
+// that are blocked because they crash replicas, and the limits that replicas name. News of both go with the loads.
 #pragma once
 
 #include "control/fleetsize.h"
@@ -101,6 +101,8 @@
     std::uint32_t m_ownAddress = 0;         // IPv4 address of this router
     std::uint32_t m_beaconNumber = 0;       // number of the last beacon sent
     std::vector<PeerLoad> m_lastSentLoads;  // loads in the last beacon
+    std::uint32_t m_startId = 0;            // differs after each start of this router
+    Instant m_startIdToldUntil{};           // peers are told of the start until then
     Instant m_startingUntil{};              // peers are asked for their lists until then, or until one arrives
     Instant m_nextPeerListAt{};             // when the next peer list is due if there is no newcomer
     Instant m_nextPlacesNoticeAt{};         // earliest time of the next `onNewerPlaces`
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -16,6 +16,7 @@
 constexpr auto retryDelay = std::chrono::milliseconds(250); // Retry-After; also between requests for a denied retry
 constexpr auto staleStateRetryDelay = std::chrono::milliseconds(1000); // Retry-After while the state is unconfirmed
 constexpr auto blockedRetryDelay = std::chrono::minutes(10);           // Retry-After of a prompt that crashes replicas
+constexpr auto limitedRetryDelay = std::chrono::seconds(1);        // Retry-After while all replicas get what they take
 constexpr auto crashProbeTimeout = std::chrono::milliseconds(300); // a replica that does not accept by then has crashed
 constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
 constexpr double attemptTimeoutFactor = 1.5; // times the latency objective: time limit of an attempt without progress
@@ -42,6 +43,8 @@
         return "stale_keys";
     case EndReason::NoReplica:
         return "no_replica";
+    case EndReason::ReplicaLimits:
+        return "replica_limits";
     case EndReason::QueryOfDeath:
         return "query_of_death";
     case EndReason::Expired:
@@ -193,7 +196,7 @@
     }
     const ReplicaChoice choice = chooseReplica(now);
     if (!choice) {
-        giveUp(EndReason::NoReplica);
+        giveUp(choice.skippedLimited > 0 ? EndReason::ReplicaLimits : EndReason::NoReplica);
         return;
     }
     attempt(now, choice);
@@ -244,6 +247,7 @@
     hooks.onFailed = [self](RequestProgress progress) { self->onFailed(progress); };
     const bool expectsNoBody = m_request.head.method == "HEAD";
     m_state.loadBalancer.onSent(m_endpoint);
+    m_state.loadBalancer.rateLimits().onSent(now, endpoint.nameHash);
     if (m_selection.affinity) {
         m_state.onPeerNews();
     }
@@ -266,6 +270,7 @@
     line.number("bound", static_cast<std::int64_t>(choice.bound));
     line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
+    line.number("passed_limited", choice.skippedLimited);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogPriority::Routine);
@@ -696,6 +701,9 @@
     if (reason == EndReason::QueryOfDeath) {
         return blockedRetryDelay;
     }
+    if (reason == EndReason::ReplicaLimits) {
+        return limitedRetryDelay;
+    }
     return reason == EndReason::StaleKeys ? staleStateRetryDelay : retryDelay;
 }
 
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -15,6 +15,7 @@
     UnknownApiKey,      // the API key belongs to no client account
     StaleKeys,          // the desired state was not confirmed recently enough to accept API keys
     NoReplica,          // the service has no replica
+    ReplicaLimits,      // the replicas already get as many requests as they take
     QueryOfDeath,       // prompts like this one crash replicas
     Expired,            // the request's deadline has passed
     AllRefused,         // the last attempt was refused by its replica
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -129,6 +129,7 @@
 {
     m_state.connectionPool.closeExpired(clockNow());
     m_state.queryOfDeath.expire(clockNow());
+    m_state.loadBalancer.rateLimits().expire(clockNow());
     if (m_peers.isLeader()) {
         m_state.loadBalancer.assignPlaces(clockNow());
     }
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -27,8 +27,21 @@
   answers @1 :List(PromptAge);  # answered prompts; the age is that of the latest answer
   blocks @2 :List(PromptAge);   # prompts that no replica gets; the age is that of the last crash
   isStarting @3 :Bool;          # the sender has just started and wants to know of blocked prompts
+  limits @4 :List(RateLimit);
+  limitedSends @5 :List(LimitedSends);
+  startId @6 :UInt32;           # differs after each start of the sender; 0: as told before
 }
 
+# A rate that a replica named.
+struct RateLimit {
+  replica @0 :UInt32;    # hash of its id
+  ageMillis @1 :UInt32;  # since the latest answer that named it
+  perSecond @2 :Float32; # requests that it takes from all routers together; negative: it names no limit any more
+}
+
+# Requests that the sender has sent to a replica with a limit within the last seconds.
+struct LimitedSends { replica @0 :UInt32; count @1 :UInt8; }
+
 # A prompt that had no event yet when its replica crashed.
 struct CrashReport {
   replica @0 :UInt32;      # hash of its id and start time
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -21,6 +21,8 @@
 
 CAPNP_DECLARE_SCHEMA(89d7e4adaefa4d18);
 CAPNP_DECLARE_SCHEMA(b36b346b0a144e6e);
+CAPNP_DECLARE_SCHEMA(f2fa3eac28d5e2c3);
+CAPNP_DECLARE_SCHEMA(e00d435abed82c73);
 CAPNP_DECLARE_SCHEMA(e0fcd784d092cf24);
 CAPNP_DECLARE_SCHEMA(d9ee167f2857df52);
 CAPNP_DECLARE_SCHEMA(ff4c45233d2f6c9b);
@@ -70,7 +72,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f2fa3eac28d5e2c3, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LimitedSends {
+  LimitedSends() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e00d435abed82c73, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -558,6 +590,14 @@
 
   inline bool getIsStarting() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasLimitedSends() const;
+  inline  ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Reader getLimitedSends() const;
+
+  inline  ::uint32_t getStartId() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -610,6 +650,23 @@
   inline bool getIsStarting();
   inline void setIsStarting(bool value);
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasLimitedSends();
+  inline  ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Builder getLimitedSends();
+  inline void setLimitedSends( ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Builder initLimitedSends(unsigned int size);
+  inline void adoptLimitedSends(::capnp::Orphan< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>> disownLimitedSends();
+
+  inline  ::uint32_t getStartId();
+  inline void setStartId( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -636,6 +693,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica() const;
+
+  inline  ::uint32_t getAgeMillis() const;
+
+  inline float getPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica();
+  inline void setReplica( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LimitedSends::Reader {
+public:
+  typedef LimitedSends Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica() const;
+
+  inline  ::uint8_t getCount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitedSends::Builder {
+public:
+  typedef LimitedSends Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getReplica();
+  inline void setReplica( ::uint32_t value);
+
+  inline  ::uint8_t getCount();
+  inline void setCount( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitedSends::Pipeline {
+public:
+  typedef LimitedSends Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashReport::Reader {
 public:
   typedef CrashReport Reads;
@@ -2752,6 +2976,158 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BeaconNews::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setLimits( ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool BeaconNews::Reader::hasLimitedSends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasLimitedSends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getLimitedSends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getLimitedSends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setLimitedSends( ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initLimitedSends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptLimitedSends(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownLimitedSends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::LimitedSends,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t BeaconNews::Reader::getStartId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BeaconNews::Builder::getStartId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BeaconNews::Builder::setStartId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateLimit::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateLimit::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RateLimit::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RateLimit::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float RateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float RateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitedSends::Reader::getReplica() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitedSends::Builder::getReplica() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LimitedSends::Builder::setReplica( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t LimitedSends::Reader::getCount() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LimitedSends::Builder::getCount() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LimitedSends::Builder::setCount( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t CrashReport::Reader::getReplica() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
