Keep blocked prompts in the platform's store, through a restart of all routers

Callers would see engines crash anew after all routers were killed or lost power at once: no peer is left that knows the part.

Cause: blocks were known to routers alone.

The fake store takes conditional appends. Why it works: what must last lives in the store, and the read takes no more calls than before.

--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -19,6 +19,7 @@
 constexpr auto answerLifetime = std::chrono::seconds(60);
 constexpr auto suspicionTime = std::chrono::seconds(10);        // after a crash, in which answers are told
 constexpr auto answerInterval = std::chrono::milliseconds(500); // between broadcasts of answers of the same part
+constexpr auto savedAccuracy = std::chrono::minutes(1);         // of the time of the last crash in the store
 constexpr std::uint64_t staggerSteps = 1024;
 
 // Prompt
@@ -364,6 +365,37 @@
     return isNew;
 }
 
+void QueryOfDeathDetector::onStored(Instant now, const std::vector<PromptBlock> &stored)
+{
+    m_stored.emplace();
+    for (const PromptBlock &block : stored) {
+        (*m_stored)[block.key] = now - std::chrono::milliseconds(block.ageMillis);
+        learnBlock(now, block);
+    }
+}
+
+PromptBlockChanges QueryOfDeathDetector::unsavedChanges(Instant now) const
+{
+    PromptBlockChanges changes;
+    if (!m_stored) {
+        return changes;
+    }
+    for (const auto &[key, block] : m_blocks) {
+        const auto stored = m_stored->find(key);
+        const bool isSaved = stored != m_stored->end() && block.lastCrash < stored->second + savedAccuracy;
+        if (!isSaved && isActive(now, block)) {
+            changes.blocks.push_back({key, millisBetween(block.lastCrash, now)});
+        }
+    }
+    for (const auto &[key, lastCrash] : *m_stored) {
+        const auto block = m_blocks.find(key);
+        if (block == m_blocks.end() || !isActive(now, block->second)) {
+            changes.ended.push_back(key);
+        }
+    }
+    return changes;
+}
+
 void QueryOfDeathDetector::expire(Instant now)
 {
     const auto isOld = [now](const Crash &crash) { return now >= crash.at + crashLifetime; };
--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -19,6 +19,7 @@
 #include "filters/headerfields.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -68,6 +69,14 @@
     bool isEmpty() const { return crashes.empty() && answers.empty() && blocks.empty(); }
 };
 
+/// What the store must be told.
+struct PromptBlockChanges {
+    std::vector<PromptBlock> blocks;
+    std::vector<PromptKey> ended; // no longer blocked
+
+    bool isEmpty() const { return blocks.empty() && ended.empty(); }
+};
+
 // Detector
 
 struct QueryOfDeathSettings {
@@ -114,6 +123,12 @@
     /// @return true if a block became known
     bool onNews(Instant now, const PromptNews &news);
 
+    /// The store was read. @param stored all blocks in it
+    void onStored(Instant now, const std::vector<PromptBlock> &stored);
+
+    /// @return blocks that the store does not have as they are known here; none before it was read
+    PromptBlockChanges unsavedChanges(Instant now) const;
+
     void expire(Instant now); ///< Forgets what is too old. Call periodically.
 
     int blocks(Instant now) const; ///< @return parts and prompts that are blocked now
@@ -166,7 +181,8 @@
     Duration m_newsInterval{};
     std::vector<Crash> m_crashes; // oldest first
     std::unordered_map<PromptKey, Answer> m_answers;
-    std::map<PromptKey, Block> m_blocks;        // those that have ended are kept, as a single crash renews them
+    std::map<PromptKey, Block> m_blocks; // those that have ended are kept, as a single crash renews them
+    std::optional<std::map<PromptKey, Instant>> m_stored; // last crashes of the blocks in the store; nothing: not read
     std::map<PromptKey, int> m_releases;        // blocks that an answer has ended; broadcasts that still tell so
     std::map<PromptKey, Instant> m_convictedAt; // when the settle time of a suspect began
     Instant m_decideAt = Instant::max();        // when a settle time ends
--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -1,6 +1,8 @@
 // Implements the fake of the users' platform's store: its HTTP interface, binary page format and faults.
 #include "fakes/topicstore.h"
 
+#include "net/status.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -9,9 +11,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int statusUnavailable = 503;
-constexpr int statusGone = 410;
-
 std::string sampleDesiredState(int version, const std::vector<SampleRoute> &routes,
                                const std::vector<std::string> &keys)
 {
@@ -52,6 +51,7 @@
 {
     m_server.http().Get("/-/log-read", [this](const auto &request, auto &response) { read(request, response); });
     m_server.http().Get("/-/log-newest", [this](const auto &request, auto &response) { list(request, response); });
+    m_server.http().Post("/-/log-append", [this](const auto &request, auto &response) { append(request, response); });
 }
 
 FakeTopicStore::~FakeTopicStore()
@@ -159,6 +159,43 @@
     response.set_content(body, "application/octet-stream");
 }
 
+/// Removes a big-endian integer of `size` bytes from the front.
+static std::size_t takeBigEndian(std::string_view &bytes, std::size_t size)
+{
+    std::size_t number = 0;
+    for (const char byte : bytes.substr(0, size)) {
+        number = number << 8U | static_cast<unsigned char>(byte);
+    }
+    bytes.remove_prefix(std::min(size, bytes.size()));
+    return number;
+}
+
+/// Body format, all integers big-endian: for each record its size (4 bytes), key size (1), key and value.
+void FakeTopicStore::append(const httplib::Request &request, httplib::Response &response)
+{
+    if (applyFault(response)) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<Record> &records = m_topics[request.get_param_value("topic")].records;
+    const std::size_t offset = records.size();
+    if (request.has_param("at") && request.get_param_value("at") != std::to_string(offset)) {
+        response.status = statusPreconditionFailed;
+        response.set_content(Json{{"end", offset}}.dump(), "application/json");
+        return;
+    }
+    std::string_view body = request.body;
+    while (!body.empty()) {
+        const std::size_t size = takeBigEndian(body, 4);
+        std::string_view record = body.substr(0, size);
+        body.remove_prefix(record.size());
+        const std::size_t keySize = takeBigEndian(record, 1);
+        records.push_back({std::string(record.substr(0, keySize)), std::string(record.substr(keySize))});
+    }
+    m_changed.notify_all();
+    response.set_content(Json{{"offset", offset}, {"end", records.size()}}.dump(), "application/json");
+}
+
 static std::string encodeBase64(const std::string &bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
--- a/fakes/topicstore.h
+++ b/fakes/topicstore.h
@@ -1,6 +1,6 @@
 // Fake of the users' platform's store over HTTP, in memory: topics of keyed records, long-poll reads, paged listings of
-// the newest record of each key, truncated history and injected faults. Records are added by `put` only; it does not
-// support appends over HTTP. Also a sample desired state.
+// the newest record of each key, conditional appends, truncated history and injected faults. Also a sample desired
+// state.
 #pragma once
 
 #include "clients/http.h"
@@ -70,6 +70,7 @@
     bool applyFault(httplib::Response &response);
     void read(const httplib::Request &request, httplib::Response &response);
     void list(const httplib::Request &request, httplib::Response &response);
+    void append(const httplib::Request &request, httplib::Response &response);
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
--- a/filters/startupgate.h
+++ b/filters/startupgate.h
@@ -5,8 +5,8 @@
 // a quarter of a second and one of its few retries. So requests wait for the store's first answers, but only for a
 // short time, and not at all once the store has failed to answer: it is then unknown when they could be served.
 //
-// A router that restarts alone does not know which prompts crash replicas, while its peers do. They answer its first
-// beacon at once, so requests wait for that too, for a shorter time: the peers may be gone or starting as well.
+// A router that restarts does not know which prompts crash replicas, while its peers and the store do. Peers answer its
+// first beacon at once, so requests wait for that too, for a shorter time: the peers may be gone or starting as well.
 #pragma once
 
 #include "galenafold/galenafold.h"
@@ -30,7 +30,7 @@
     }
     void onDesiredState() { m_hasDesiredState = true; }
     void onReplicas() { m_hasReplicas = true; }
-    void onPeers() { m_hasPeers = true; }
+    void onBlocksKnown() { m_knowsBlocks = true; }
     void onStoreLost() { m_hasStoreFailed = true; }
 
     Verdict verdict(Instant now) const;
@@ -41,7 +41,7 @@
     Instant m_waitForPeersUntil{};
     bool m_hasDesiredState = false;
     bool m_hasReplicas = false;
-    bool m_hasPeers = false; // a peer has told what it knows, or there is none
+    bool m_knowsBlocks = false; // a peer or the store has told them, or there is no peer
     bool m_hasStoreFailed = false;
 };
 
--- a/net/status.h
+++ b/net/status.h
@@ -12,6 +12,7 @@
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusRequestTimeout = 408;
 inline constexpr int statusGone = 410;
+inline constexpr int statusPreconditionFailed = 412;
 inline constexpr int statusContentTooLarge = 413;
 inline constexpr int statusMisdirectedRequest = 421;
 inline constexpr int statusFieldsTooLarge = 431;
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -79,21 +79,26 @@
                      m_log, hashName(settings.name.text))
     , m_registry(m_io, StoreTopic::Registry, settings.store, registryTiming(settings), registryHooks(), m_log,
                  hashName(settings.name.text) + 1)
-    , m_placeStore(m_io, settings.store, m_log, hashName(settings.name.text) + 2)
+    , m_sharedState(m_io, settings.store, m_log, hashName(settings.name.text) + 2)
     , m_admin(m_io)
     , m_flushTimer(m_io)
     , m_expiryTimer(m_io)
     , m_drainTimer(m_io)
 {
-    m_placeStore.onRead = [this](const std::vector<PlaceRecord> &places, LogOffset end) {
+    m_sharedState.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &blocks,
+                                  LogOffset end) {
         LogLine line("places");
         line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
         m_log.write(line, LogPriority::Notable);
         m_traffic.setPlaces(places, end);
+        m_traffic.setStoredBlocks(blocks);
     };
-    m_traffic.onNewerPlaces = [this] { asio::post(m_io, [this] { m_placeStore.readNow(); }); };
+    m_traffic.onNewerPlaces = [this] { asio::post(m_io, [this] { m_sharedState.readNow(); }); };
     m_traffic.onPlacesToSave = [this](std::vector<PlaceRecord> places) {
-        asio::post(m_io, [this, places = std::move(places)] { m_placeStore.save(places); });
+        asio::post(m_io, [this, places = std::move(places)] { m_sharedState.savePlaces(places); });
+    };
+    m_traffic.onBlocksToSave = [this](PromptBlockChanges changes) {
+        asio::post(m_io, [this, changes = std::move(changes)] { m_sharedState.saveBlocks(changes); });
     };
     m_log.onBufferNonEmpty = [this] { asio::post(m_io, [this] { scheduleFlush(); }); };
 }
@@ -134,7 +139,7 @@
     };
     hooks.onRegained = [this](Instant) {
         m_isDesiredStateLost = false;
-        m_placeStore.readNow();
+        m_sharedState.readNow();
         LogLine line("store_regained");
         line.text("topic", text(StoreTopic::DesiredState));
         m_log.write(line, LogPriority::Notable);
@@ -217,7 +222,7 @@
     };
     hooks.onRegained = [this](Instant now) {
         m_isRegistryLost = false;
-        m_placeStore.readNow();
+        m_sharedState.readNow();
         m_directory.onStoreRegained(now);
         afterRegistryRead();
         LogLine line("store_regained");
@@ -279,7 +284,7 @@
     m_log.write(line, LogPriority::Notable);
     m_desiredState.start();
     m_registry.start();
-    m_placeStore.start();
+    m_sharedState.start();
     return true;
 }
 
@@ -332,7 +337,7 @@
     };
     addStore(StoreTopic::DesiredState, m_desiredState.calls(), m_desiredState.failures());
     addStore(StoreTopic::Registry, m_registry.calls(), m_registry.failures());
-    addStore(StoreTopic::Places, m_placeStore.calls(), m_placeStore.failures());
+    addStore(StoreTopic::Places, m_sharedState.calls(), m_sharedState.failures());
     add("store_records_total", m_storeRecords);
     add("store_lost", (m_isDesiredStateLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
     add("replicas_usable", counts.replicas);
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -5,7 +5,7 @@
 #include "control/freshness.h"
 #include "control/replicadirectory.h"
 #include "galenafold/galenafold.h"
-#include "runtime/placestore.h"
+#include "runtime/sharedstate.h"
 #include "traffic/trafficthread.h"
 
 namespace galenafold
@@ -57,7 +57,7 @@
     FreshnessProof m_proof; // that the desired state is current
     TopicSubscription m_desiredState;
     TopicSubscription m_registry;
-    PlaceStore m_placeStore;
+    SharedState m_sharedState;
     CallerListener m_admin;
     DeadlineTimer m_flushTimer;
     DeadlineTimer m_expiryTimer;
--- /dev/null
+++ b/runtime/sharedstate.cpp
@@ -0,0 +1,208 @@
+// Reads and writes what all routers share in the platform's store.
+#include "runtime/sharedstate.h"
+
+#include "galenafold/hex.h"
+#include "net/status.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace galenafold
+{
+
+using Json = nlohmann::json;
+
+constexpr auto readInterval = std::chrono::seconds(30); // until then an outdated router misses some prefix caches
+constexpr auto saveTimeout = std::chrono::seconds(2);
+
+// Records of places: the key is the place in hexadecimal, the value is a JSON object with the service and the engine.
+// Records of blocked prompts: the key is a prefix and the prompt's key in hexadecimal, the value is a JSON object with
+// the Unix time of the last crash in milliseconds. Routers of earlier releases skip them.
+
+constexpr const char *blockPrefix = "prompt-";
+
+static std::int64_t unixMillis()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+static KeyedRecord encodeBlock(const PromptBlock &block)
+{
+    const Json value{{"last_crash", unixMillis() - block.ageMillis}};
+    return {blockPrefix + toHex(block.key), value.dump(), 0};
+}
+
+static bool isBlock(const KeyedRecord &record)
+{
+    return record.key.rfind(blockPrefix, 0) == 0;
+}
+
+/// @return Unix time of the last crash in ms; nothing for a tombstone or a record that no router has written
+static std::optional<std::int64_t> decodeBlock(const KeyedRecord &record)
+{
+    const Json value = Json::parse(record.value, nullptr, false);
+    const Json lastCrash = value.is_object() ? value.value("last_crash", Json()) : Json();
+    return lastCrash.is_number_integer() ? std::optional<std::int64_t>(lastCrash.get<std::int64_t>()) : std::nullopt;
+}
+
+static KeyedRecord encodePlace(const PlaceRecord &record)
+{
+    const Json value{{"service", record.service.text}, {"replica", record.engine.text}};
+    return {toHex(record.place), value.dump(), 0};
+}
+
+static std::optional<PlaceRecord> decodePlace(const KeyedRecord &record)
+{
+    const auto number = parseHex(record.key);
+    const Json value = Json::parse(record.value, nullptr, false);
+    const bool isReadable = number && value.is_object() && value.value("service", Json()).is_string()
+        && value.value("replica", Json()).is_string();
+    if (!isReadable) {
+        return std::nullopt;
+    }
+    PlaceRecord place;
+    place.place = *number;
+    place.service.text = value["service"].get<std::string>();
+    place.engine.text = value["replica"].get<std::string>();
+    return place;
+}
+
+static TopicTiming topicTiming()
+{
+    TopicTiming timing;
+    timing.pollInterval = readInterval;
+    timing.maxBackoff = readInterval; // no request waits for the places
+    return timing;
+}
+
+SharedState::SharedState(asio::io_context &io, const std::string &address, EventLog &log, std::uint64_t seed)
+    : m_log(log)
+    , m_subscription(io, StoreTopic::Places, address, topicTiming(), subscriptionHooks(), log, seed)
+    , m_writer(io, address)
+{
+}
+
+void SharedState::start()
+{
+    m_subscription.start();
+}
+
+TopicSubscriptionHooks SharedState::subscriptionHooks()
+{
+    TopicSubscriptionHooks hooks;
+    hooks.topic.onRecord = [this](const KeyedRecord &record) { applyRecord(record); };
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+        m_places.clear();
+        m_blocks.clear();
+        m_end = begin;
+        for (const KeyedRecord &record : records) {
+            applyRecord(record);
+        }
+    };
+    hooks.topic.onCaughtUp = [this](Instant) {
+        m_hasRead = true;
+        notify();
+    };
+    hooks.onLost = [](Instant) {};
+    hooks.onRegained = [](Instant) {};
+    return hooks;
+}
+
+void SharedState::applyRecord(const KeyedRecord &record)
+{
+    m_end = std::max(m_end, record.offset + 1);
+    m_places.erase(record.key);
+    m_blocks.erase(record.key);
+    if (isBlock(record)) {
+        if (const auto lastCrash = decodeBlock(record)) {
+            m_blocks[record.key] = *lastCrash;
+        }
+        return;
+    }
+    if (const auto place = decodePlace(record)) {
+        m_places[record.key] = *place;
+    }
+}
+
+void SharedState::notify()
+{
+    std::vector<PlaceRecord> places;
+    places.reserve(m_places.size());
+    for (const auto &[key, record] : m_places) {
+        places.push_back(record);
+    }
+    const std::int64_t now = unixMillis();
+    std::vector<PromptBlock> blocks;
+    for (const auto &[key, lastCrash] : m_blocks) {
+        const auto prompt = parseHex(key.substr(std::string(blockPrefix).size()));
+        const std::int64_t age =
+            std::clamp<std::int64_t>(now - lastCrash, 0, std::numeric_limits<std::uint32_t>::max());
+        if (prompt) {
+            blocks.push_back({*prompt, static_cast<std::uint32_t>(age)});
+        }
+    }
+    onRead(places, blocks, m_end);
+}
+
+void SharedState::readNow()
+{
+    m_subscription.readNow();
+}
+
+void SharedState::savePlaces(const std::vector<PlaceRecord> &places)
+{
+    std::vector<KeyedRecord> records;
+    for (const PlaceRecord &place : places) {
+        records.push_back(encodePlace(place));
+    }
+    save(records);
+}
+
+void SharedState::saveBlocks(const PromptBlockChanges &changes)
+{
+    std::vector<KeyedRecord> records;
+    for (const PromptBlock &block : changes.blocks) {
+        records.push_back(encodeBlock(block));
+    }
+    for (const PromptKey key : changes.ended) {
+        records.push_back({blockPrefix + toHex(key), "", 0}); // a tombstone
+    }
+    save(records);
+}
+
+void SharedState::save(const std::vector<KeyedRecord> &records)
+{
+    if (!m_hasRead || m_isSaving || records.empty()) {
+        return;
+    }
+    m_isSaving = true;
+    StoreCallHooks hooks;
+    hooks.onResponse = [this, records](int status, const std::string &body) {
+        m_isSaving = false;
+        const auto end = status == statusOk ? decodeAppendEnd(body) : std::nullopt;
+        LogLine line("places_saved");
+        line.number("places", static_cast<std::int64_t>(records.size())).number("status", status);
+        m_log.write(line, LogPriority::Notable);
+        if (!end) {
+            m_subscription.readNow(); // conflict with another router's write, or refused by the store
+            return;
+        }
+        for (const KeyedRecord &record : records) {
+            applyRecord(record);
+        }
+        m_end = *end;
+        notify();
+    };
+    hooks.onFailure = [this, count = records.size()](const char *reason) {
+        m_isSaving = false;
+        LogLine line("places_not_saved");
+        line.number("places", static_cast<std::int64_t>(count)).text("why", reason);
+        m_log.write(line, LogPriority::Notable);
+        m_subscription.readNow(); // the write may have succeeded
+    };
+    m_writer.call(encodeAppendRequest(records, m_end, StoreTopic::Places, m_writer.address()), clockNow() + saveTimeout,
+                  std::move(hooks));
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/runtime/sharedstate.h
@@ -0,0 +1,60 @@
+// Persists what all routers share in the platform's store, so that it survives their restart: the assignment of places
+// (positions for rendezvous hashing) to engines, and the prompts that are blocked because they crash replicas.
+//
+// Load pattern: all routers restart at the same time while engines keep running with warm prefix caches, and callers
+// still send requests that crash them. A router reads the topic at its start and then periodically; only the leader
+// among the routers writes, a few records when an engine is replaced or a prompt is blocked or released. A late or lost
+// write makes engines recompute the prefill of some prompts, or costs some replicas after such a restart.
+#pragma once
+
+#include "control/queryofdeath.h"
+#include "filters/placetable.h"
+#include "runtime/topicsubscription.h"
+
+namespace galenafold
+{
+
+/// Used on the control thread only.
+class SharedState
+{
+public:
+    SharedState(asio::io_context &io, const std::string &address, EventLog &log, std::uint64_t seed);
+
+    void start();
+
+    // Both append records on condition that the topic has no records which this router has not read yet. They do
+    // nothing before the first read or while another save is in progress. A failed save is not retried: the leader
+    // saves again when it finds that the records are still missing.
+
+    void savePlaces(const std::vector<PlaceRecord> &places);
+    void saveBlocks(const PromptBlockChanges &changes);
+
+    /// Reads without waiting for the interval, unless a read is in progress. For when a peer has read further, or the
+    /// store is available again.
+    void readNow();
+
+    /// @return failed or refused reads and failed writes, also ones that were never sent
+    std::int64_t failures() const { return m_subscription.failures() + m_writer.failures(); }
+    std::int64_t calls() const { return m_subscription.calls() + m_writer.calls(); } ///< @return reads and writes sent
+
+    /// Called after each read and each successful write, with all that is stored and the end of the topic. Must be set
+    /// before `start`.
+    std::function<void(const std::vector<PlaceRecord> &, const std::vector<PromptBlock> &, LogOffset end)> onRead;
+
+private:
+    TopicSubscriptionHooks subscriptionHooks();
+    void applyRecord(const KeyedRecord &record);
+    void save(const std::vector<KeyedRecord> &records);
+    void notify();
+
+    EventLog &m_log;
+    TopicSubscription m_subscription;
+    StoreConnection m_writer;
+    std::map<std::string, PlaceRecord> m_places;  // by key
+    std::map<std::string, std::int64_t> m_blocks; // Unix time in ms of the last crash, by key
+    LogOffset m_end = 0;                          // of the topic, as last read or written
+    bool m_hasRead = false;                       // the topic was read to its end at least once
+    bool m_isSaving = false;
+};
+
+} // namespace galenafold
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -470,7 +470,7 @@
 
 TEST(RequestsAfterAStart, theyProceedOnceStoreAndPeersHaveAnswered)
 {
-    gate.onPeers();
+    gate.onBlocksKnown();
     CHECK(waits(0.01));
     learnState();
     CHECK(!waits(0.01));
--- a/tests/queryofdeath.cpp
+++ b/tests/queryofdeath.cpp
@@ -109,6 +109,21 @@
     checkPromises();
 }
 
+/// A power failure of all routers: none was left that knew the part.
+TEST(QueryOfDeath, TheKnownPartSurvivesARestartOfAllRouters)
+{
+    fleet.sendFor(std::chrono::seconds(6));
+    for (const auto &router : fleet.routers) {
+        router->stop();
+    }
+    for (const auto &router : fleet.routers) {
+        router->start();
+    }
+    CHECK(waitFor([this] { return fleet.call(0, "f1:512,a1:900,1:10") == 200; }));
+    fleet.sendFor(std::chrono::seconds(5));
+    checkPromises();
+}
+
 /// A router that starts knows nothing of the crashes before.
 TEST(QueryOfDeath, ARestartedRouterLearnsTheKnownPartFromItsPeers)
 {
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -43,7 +43,7 @@
         }
     };
     m_peers.onListReceived = [this] {
-        m_state.gate.onPeers();
+        m_state.gate.onBlocksKnown();
         releaseWaiting();
     };
     m_state.onPeerNews = [this] { m_peers.requestBeacon(); };
@@ -74,7 +74,7 @@
     }
     m_startedAt = clockNow();
     if (!m_peers.hasPeers()) {
-        m_state.gate.onPeers();
+        m_state.gate.onBlocksKnown();
     }
     m_state.gate.onStart(m_startedAt + m_settings.startupWait, m_startedAt + m_settings.startupWaitForPeers);
     armGateTimer();
@@ -138,6 +138,7 @@
     logPeers(clockNow());
     m_state.budget.setRouters(m_peers.fleetSize());
     savePlaces(clockNow());
+    saveBlocks(clockNow());
     m_sweepTimer.expires_at(clockNow() + sweepInterval);
     m_sweepTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
@@ -180,6 +181,17 @@
     }
 }
 
+void TrafficThread::saveBlocks(Instant now) const
+{
+    if (!onBlocksToSave || !m_peers.isLeader()) {
+        return;
+    }
+    PromptBlockChanges changes = m_state.queryOfDeath.unsavedChanges(now);
+    if (!changes.isEmpty()) {
+        onBlocksToSave(std::move(changes));
+    }
+}
+
 std::string TrafficThread::metricsText()
 {
     const Instant now = clockNow();
@@ -222,6 +234,15 @@
     });
 }
 
+void TrafficThread::setStoredBlocks(std::vector<PromptBlock> blocks)
+{
+    asio::post(m_io, [this, blocks = std::move(blocks)] {
+        m_state.queryOfDeath.onStored(clockNow(), blocks);
+        m_state.gate.onBlocksKnown();
+        releaseWaiting();
+    });
+}
+
 void TrafficThread::setStoreLost()
 {
     asio::post(m_io, [this] {
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -102,6 +102,7 @@
     /// Sets the engines' places (positions for rendezvous hashing) as recorded in the store.
     /// @param upTo offset up to which the places topic was read
     void setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo);
+    void setStoredBlocks(std::vector<PromptBlock> blocks); ///< Sets the blocked prompts as recorded in the store.
     void setStoreLost(); ///< The store is unreachable: routers that reach it come first as leader; no request waits.
     void setProof(Instant provedAt); ///< The desired state was confirmed to be the newest at this time.
     void beginDrain();               ///< From now on, each response closes its connection.
@@ -111,6 +112,9 @@
     /// missing from the store or differ there. Set before `start`.
     std::function<void(std::vector<PlaceRecord>)> onPlacesToSave;
 
+    /// Called like `onPlacesToSave`, with blocked prompts that are missing from the store or differ there.
+    std::function<void(PromptBlockChanges)> onBlocksToSave;
+
     /// Called on the traffic thread when a peer has read or written newer places. Set before `start`.
     std::function<void()> onNewerPlaces;
 
@@ -128,6 +132,7 @@
     void logPeers(Instant now);
     void logVerdict(const PromptVerdict &verdict);
     void savePlaces(Instant now) const;
+    void saveBlocks(Instant now) const;
     std::string metricsText();
 
     TrafficSettings m_settings;
