--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -1,10 +1,8 @@
-// Processing of one request on the users' platform. Sections of this file: Reasons, Routing, Attempts, Responding.
+// Processing of one request on the users' platform. Sections of this file: Routing, Attempts, Responding.
 #include "traffic/requesthandler.h"
 
 #include "control/loadview.h"
-#include "galenafold/hex.h"
 #include "net/status.h"
-#include "traffic/connectprobe.h"
 
 #include <algorithm>
 
@@ -16,8 +14,7 @@
 constexpr auto retryDelay = std::chrono::milliseconds(250); // Retry-After; also between requests for a denied retry
 constexpr auto staleStateRetryDelay = std::chrono::milliseconds(1000); // Retry-After while the state is unconfirmed
 constexpr auto blockedRetryDelay = std::chrono::minutes(10);           // Retry-After of a prompt that crashes replicas
-constexpr auto limitedRetryDelay = std::chrono::seconds(1);        // Retry-After while all replicas get what they take
-constexpr auto crashProbeTimeout = std::chrono::milliseconds(300); // a replica that does not accept by then has crashed
+constexpr auto limitedRetryDelay = std::chrono::seconds(1); // Retry-After while all replicas get what they take
 constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
 constexpr double attemptTimeoutFactor = 1.5; // times the latency objective: time limit of an attempt without progress
 constexpr auto minAttemptTimeout = std::chrono::milliseconds(250); // lower limit, also used at a stalled replica
@@ -25,46 +22,6 @@
 constexpr int streamTimeoutFactor = 4; // times the gap objective: time limit of a stream without an event
 constexpr auto minStreamTimeout = std::chrono::milliseconds(1200); // lower limit for streams
 
-constexpr double percent = 100;
-constexpr std::uint64_t promptLogModulus = 1000000; // six digits are enough to tell prompts apart in log lines
-
-// Reasons
-
-const char *text(EndReason reason)
-{
-    switch (reason) {
-    case EndReason::NoDesiredState:
-        return "no_desired_state";
-    case EndReason::NoRoute:
-        return "no_route";
-    case EndReason::UnknownApiKey:
-        return "unknown_key";
-    case EndReason::StaleKeys:
-        return "stale_keys";
-    case EndReason::NoReplica:
-        return "no_replica";
-    case EndReason::ReplicaLimits:
-        return "replica_limits";
-    case EndReason::QueryOfDeath:
-        return "query_of_death";
-    case EndReason::Expired:
-        return "expired";
-    case EndReason::AllRefused:
-        return "all_refused";
-    case EndReason::Unreachable:
-        return "unreachable";
-    case EndReason::BrokenResponse:
-        return "broken_answer";
-    case EndReason::AttemptTimeout:
-        return "silent";
-    case EndReason::ReplicaError:
-        return "replica_error";
-    case EndReason::CallerDisconnected:
-        return "caller_gone";
-    }
-    return "unknown";
-}
-
 // Routing
 
 RequestHandler::RequestHandler(TrafficState &state, std::shared_ptr<CallerConnection> caller, CallerRequest &&request)
@@ -259,23 +216,6 @@
     armTimer();
 }
 
-void RequestHandler::logSent(Instant now, const ReplicaChoice &choice, bool isNewConnection) const
-{
-    const EndpointState &endpoint = *choice;
-    LogLine line("sent");
-    line.text("request", m_fields.request.text).text("replica", endpoint.record.id.text);
-    line.text("service", m_selection.service.text).number("try", m_attempts.sent).millis("left_ms", m_deadline - now);
-    line.number("load", static_cast<std::int64_t>(m_state.loadBalancer.load(now, endpoint)));
-    line.number("own", endpoint.ownInFlight).text("load_from", text(m_state.loadBalancer.loadSource(now, endpoint)));
-    line.number("bound", static_cast<std::int64_t>(choice.bound));
-    line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
-    line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
-    line.number("passed_limited", choice.skippedLimited);
-    line.flag("new_connection", isNewConnection).number("version", m_table->version);
-    line.millis("proof_age_ms", now - m_state.proof.provedAt());
-    m_state.log.write(line, LogPriority::Routine);
-}
-
 std::string RequestHandler::encodeRequest(Instant now, const EndpointState &endpoint) const
 {
     const RequestHead &head = m_request.head;
@@ -445,23 +385,6 @@
     noteRateLimit();
 }
 
-/// An answer without checksum may come from elsewhere and does not end a limit.
-void RequestHandler::noteRateLimit()
-{
-    const std::optional<double> limit = m_responseFields.rateLimit;
-    if (!limit && !m_responseFields.hasChecksum) {
-        return;
-    }
-    if (!m_state.loadBalancer.onRateLimit(clockNow(), m_endpoint, limit)) {
-        return;
-    }
-    constexpr double secondsPerMinute = 60;
-    LogLine line(limit ? "replica_limit" : "replica_limit_ended");
-    line.text("replica", m_endpoint.text).text("request", m_fields.request.text);
-    line.number("per_minute", static_cast<std::int64_t>(limit.value_or(0) * secondsPerMinute));
-    m_state.log.write(line, LogPriority::Notable);
-}
-
 void RequestHandler::onBody(std::string &body)
 {
     const bool isEventStream = m_route->kind == RequestKind::Stream && m_head.status == statusOk
@@ -541,41 +464,6 @@
     afterFailure(mayHaveRun ? EndReason::BrokenResponse : EndReason::Unreachable);
 }
 
-/// The shared parts of the prompts whose attempts ended before their first event tell which part crashes engines.
-void RequestHandler::logBroken() const
-{
-    constexpr std::size_t maxLoggedParts = 8;
-    std::string parts;
-    for (std::size_t i = 0; i < std::min(m_fields.promptParts.size(), maxLoggedParts); ++i) {
-        parts += (i == 0 ? "" : ",") + toHex(m_fields.promptParts[i].id);
-    }
-    LogLine line("attempt_broken");
-    line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
-    line.text("service", m_selection.service.text).number("try", m_attempts.sent);
-    line.flag("had_event", hasReceivedEvents()).text("parts", parts);
-    m_state.log.write(line, LogPriority::Notable);
-}
-
-/// A connection may break without a crash. The prompt is a suspect only if the replica then accepts no connection, and
-/// if it had not begun to answer.
-void RequestHandler::reportIfCrashed() const
-{
-    if (m_prompt.whole == 0 || hasReceivedEvents()) {
-        return;
-    }
-    const auto onResult = [&state = m_state, prompt = m_prompt, replica = m_endpoint, incarnation = m_incarnation,
-                           brokenAt = clockNow(), request = m_fields.request](bool isReachable) {
-        LogLine line(isReachable ? "replica_reachable" : "replica_crashed");
-        line.text("replica", replica.text).text("request", request.text);
-        state.log.write(line, LogPriority::Notable);
-        if (!isReachable) {
-            state.queryOfDeath.onCrash(brokenAt, incarnation, prompt);
-            state.onPeerNews();
-        }
-    };
-    probeConnect(m_state.io, m_address, crashProbeTimeout, onResult);
-}
-
 void RequestHandler::afterFailure(EndReason reason)
 {
     if (!retry(clockNow(), reason)) {
@@ -601,24 +489,6 @@
     return true;
 }
 
-void RequestHandler::logRetry(EndReason reason) const
-{
-    LogLine line("retried");
-    line.text("request", m_fields.request.text).text("reason", text(reason)).text("replica", m_endpoint.text);
-    line.number("sent", m_attempts.sent).number("ran", m_attempts.possibleRuns);
-    addBudget(line, clockNow());
-    m_state.log.write(line, LogPriority::Notable);
-}
-
-/// Adds the use of the service's retry budget to a log line.
-void RequestHandler::addBudget(LogLine &line, Instant now) const
-{
-    constexpr double hundredths = 100;
-    const RetryBudgetUse use = m_state.budget.use(now, m_selection.service);
-    line.text("service", m_selection.service.text).number("budget_first", use.first).number("budget_extra", use.extra);
-    line.number("budget_share_pct", static_cast<std::int64_t>(use.minShare * hundredths));
-}
-
 // Responding
 
 /// @return the fields of a replica's response that are forwarded to the caller: all but hop-by-hop fields
@@ -749,53 +619,9 @@
     const bool isServed = outcome == "served";
     (isServed ? m_state.counts.served : m_attempts.mayHaveRun ? m_state.counts.failed : m_state.counts.refused)++;
     const Instant now = clockNow();
-    LogLine line(outcome);
-    line.text("request", m_fields.request.text).number("status", status);
-    if (reason) {
-        line.text("reason", text(*reason)).flag("may_have_run", m_attempts.mayHaveRun);
-    }
-    if (m_route) {
-        line.text("route", m_route->id.text).text("service", m_selection.service.text);
-    }
-    line.text("replica", m_endpoint.text).number("sent", m_attempts.sent).number("ran", m_attempts.possibleRuns);
-    if (m_selection.affinity) {
-        line.number("prompt", static_cast<std::int64_t>(*m_selection.affinity % promptLogModulus));
-    }
-    line.millis("took_ms", now - m_request.arrival);
-    if (m_firstByteAt != Instant{}) {
-        line.millis("first_ms", m_firstByteAt - m_request.arrival);
-    }
-    if (m_attempts.isStreaming) {
-        line.millis("gap_ms", m_longestGap);
-    }
-    if (m_table) {
-        line.number("version", m_table->version).millis("proof_age_ms", now - m_state.proof.provedAt());
-    }
-    m_state.log.write(line, isServed ? LogPriority::Routine : LogPriority::Notable);
+    logEnd(now, outcome, status, reason);
     recordMetrics(now, outcome, reason);
     m_caller->onDisconnected = nullptr;
 }
 
-void RequestHandler::recordMetrics(Instant now, std::string_view outcome, EndReason const *reason)
-{
-    CompletedRequest request;
-    if (m_route) {
-        request.kind = m_route->kind;
-    }
-    if (m_account) {
-        request.account = m_account->id;
-    }
-    request.outcome = outcome;
-    request.reason = reason ? text(*reason) : "";
-    request.duration = now - m_request.arrival;
-    request.attempts = m_attempts.sent;
-    if (m_firstByteAt != Instant{}) {
-        request.timeToFirstByte = m_firstByteAt - m_request.arrival;
-    }
-    if (m_attempts.isStreaming) {
-        request.longestGap = m_longestGap;
-    }
-    m_state.metrics.onCompleted(request);
-}
-
 } // namespace galenafold
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -88,6 +88,7 @@
     void abortResponse(EndReason reason);
     void onCallerDisconnected();
     void finish(std::string_view outcome, int status, EndReason const *reason);
+    void logEnd(Instant now, std::string_view outcome, int status, EndReason const *reason);
     void recordMetrics(Instant now, std::string_view outcome, EndReason const *reason);
 
     TrafficState &m_state;
