Test streams that end with their connection; integrity tests in a file of their own

A response with neither a length nor chunks may end with its connection. Three tests: complete after an event, broken inside an event, resumed elsewhere where the route allows it.

--- /dev/null
+++ b/tests/responseintegrity.cpp
@@ -0,0 +1,132 @@
+// RouterNode and responses that are cut, malformed, late, or delimited by the end of their connection: what a caller
+// gets is complete, or visibly broken.
+#include "tests/nodefixture.h"
+
+using namespace galenafold;
+using std::chrono::milliseconds;
+
+TEST_GROUP(NodeResponseIntegrity)
+{
+    NodeFixture fixture;
+
+    /// @return the status that a caller of a non-idempotent route gets for a scripted response; 0: none that is
+    /// complete
+    int statusFor(const ReplicaScript &script)
+    {
+        fixture.addReplica("a", script);
+        fixture.startAndWaitReady();
+        const auto caller = fixture.send(encodeCallerRequest("/once/x", "id-1"));
+        return caller->read() ? caller->status() : 0;
+    }
+};
+
+TEST(NodeResponseIntegrity, ASuccessWithoutAChecksumIsRejected)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const auto &reply) {
+                    reply->send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nContent-Length: 2\r\n\r\nhi");
+                }));
+}
+
+TEST(NodeResponseIntegrity, ATruncatedBodyIsRejected)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const auto &reply) {
+                    reply->send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nX-Galenafold-Response-Seal: s\r\n"
+                                "Content-Length: 20\r\n\r\nhi");
+                    reply->closeGracefully();
+                }));
+}
+
+TEST(NodeResponseIntegrity, ACloseDelimitedBodyThatIsResetIsRejected)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const std::shared_ptr<ReplicaReply> &reply) {
+                    reply->send(
+                        "HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nX-Galenafold-Response-Seal: s\r\n\r\nhi");
+                    reply->runAfter(milliseconds(50), [reply] { reply->reset(); });
+                }));
+}
+
+TEST(NodeResponseIntegrity, AMalformedResponseIsNotForwarded)
+{
+    LONGS_EQUAL(502, statusFor([](const auto &, const auto &reply) { reply->send("rubbish\r\n\r\n"); }));
+}
+
+TEST(NodeResponseIntegrity, ALateResponseToAnotherRequestIsSkipped)
+{
+    LONGS_EQUAL(201, statusFor([](const ReplicaRequest &request, const auto &reply) {
+                    reply->send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: other\r\nX-Galenafold-Response-Seal: s\r\n"
+                                "Content-Length: 3\r\n\r\nbad");
+                    reply->sendResponse(request, 201, "good");
+                }));
+}
+
+TEST(NodeResponseIntegrity, AConnectionWithExcessBytesIsNotReused)
+{
+    FakeReplica &replica =
+        fixture.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+            reply->sendResponse(request, 200, request.body);
+            reply->sendResponse(request, 200, "again");
+        });
+    fixture.startAndWaitReady();
+    for (int i = 0; i < 4; ++i) {
+        const std::string body = "b" + std::to_string(i);
+        const auto caller = fixture.send(encodeCallerRequest("/any/x", "same-id", "k1", 20000, "", body));
+        CHECK(caller->read());
+        STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+    }
+    LONGS_EQUAL(4, replica.connections());
+}
+
+TEST(NodeResponseIntegrity, AnErrorResponseOfTheReplicaIsForwarded)
+{
+    LONGS_EQUAL(500, statusFor([](const ReplicaRequest &request, const auto &reply) {
+                    reply->sendResponse(request, 500, "why");
+                }));
+}
+
+// Streams with neither a length nor chunks
+
+static const char *const closeDelimitedHead =
+    "HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\n"
+    "X-Galenafold-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+
+TEST(NodeResponseIntegrity, ACloseDelimitedStreamThatEndsAfterAnEventIsComplete)
+{
+    fixture.addReplica("a", [](const auto &, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->send(std::string(closeDelimitedHead) + "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+        reply->closeGracefully();
+    });
+    fixture.startAndWaitReady();
+    const auto caller = fixture.send(encodeCallerRequest("/frail/x", "id-1"));
+    CHECK(caller->read());
+    LONGS_EQUAL(200, caller->status());
+    STRCMP_EQUAL("id: 0\ndata: a\n\nid: 1\ndata: b\n\n", caller->body().c_str());
+}
+
+/// Its connection ends in good order, but the event does not.
+TEST(NodeResponseIntegrity, ACloseDelimitedStreamThatEndsInsideAnEventIsBroken)
+{
+    fixture.addReplica("a", [](const auto &, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->send(std::string(closeDelimitedHead) + "id: 0\ndata: a\n\nid: 1\nda");
+        reply->closeGracefully();
+    });
+    fixture.startAndWaitReady();
+    const auto caller = fixture.send(encodeCallerRequest("/frail/x", "id-1"));
+    CHECK_FALSE(caller->read());
+}
+
+/// The events are complete, so the rest comes from another replica.
+TEST(NodeResponseIntegrity, ACloseDelimitedStreamThatEndsInsideAnEventIsResumedWhereAllowed)
+{
+    const ReplicaScript script = [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        const bool isFirst = request.field("Last-Event-Id").empty();
+        const std::string events = isFirst ? "id: 0\ndata: a\n\nid: 1\nda" : "id: 1\ndata: b\n\n";
+        reply->send(closeDelimitedHead + events);
+        reply->closeGracefully();
+    };
+    fixture.addReplica("a", script);
+    fixture.addReplica("b", script);
+    fixture.startAndWaitReady();
+    const auto caller = fixture.send(encodeCallerRequest("/live/x", "id-1"));
+    CHECK(caller->read());
+    STRCMP_EQUAL("id: 0\ndata: a\n\nid: 1\ndata: b\n\n", caller->body().c_str());
+}
