--- a/control/ratelimits.cpp
+++ b/control/ratelimits.cpp
@@ -19,7 +19,8 @@
 constexpr double minPerSecond = 0.25;    // of all routers, also at a limit of 0, to learn when it ends
 constexpr double unusedPartFactor = 1.5; // more than the limit is divided, as routers that see no request use no part
 constexpr int sendsPerNews = 2;          // broadcasts that carry each change
-constexpr std::size_t maxSentNews = 32;
+constexpr std::size_t maxSentNews = 32;  // per broadcast
+constexpr std::size_t maxReportedSends = 256;                 // replicas per broadcast
 constexpr std::size_t maxKnownLimits = 20000;                 // twice the replicas of the largest deployment
 constexpr auto endedLifetime = std::chrono::seconds(60);      // in which late news of an ended limit may come
 constexpr auto unheardLifetime = std::chrono::minutes(10);    // of a limit that nobody hears of any more
@@ -150,7 +151,7 @@
     }
     for (auto &[replica, limit] : m_limits) {
         const int count = ownSends(now, limit);
-        if (limit.perSecond && count > 0) {
+        if (limit.perSecond && count > 0 && report.sends.size() < maxReportedSends) {
             report.sends.push_back({replica, static_cast<std::uint8_t>(std::min(count, 255))});
         }
     }
--- a/control/routes.cpp
+++ b/control/routes.cpp
@@ -1,6 +1,8 @@
 // Route lookup by host and longest path prefix, and account lookup by API key.
 #include "control/routes.h"
 
+#include "control/loadview.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -23,6 +25,23 @@
     routes.insert(std::upper_bound(routes.begin(), routes.end(), route, hasLongerPrefix), std::move(route));
 }
 
+const ServiceId &selectService(const Route &route, const RequestId &request)
+{
+    double sum = 0;
+    for (const RouteTarget &target : route.targets) {
+        sum += target.weight;
+    }
+    constexpr std::uint64_t steps = 1U << 20U;
+    double point = sum * static_cast<double>(hashName(request.text) % steps) / static_cast<double>(steps);
+    for (const RouteTarget &target : route.targets) {
+        if (point < target.weight) {
+            return target.service;
+        }
+        point -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
 {
     const auto found = m_hosts.find(lowerCase(host));
--- a/control/routes.h
+++ b/control/routes.h
@@ -52,6 +52,10 @@
     bool isRetryable() const { return kind == RequestKind::Idempotent || (kind == RequestKind::Stream && isResumable); }
 };
 
+/// Weighted choice by the hash of the request id, so that a request stays with the same service, also in its retries
+/// inside the router. @param route has a target at least
+const ServiceId &selectService(const Route &route, const RequestId &request);
+
 // Services
 
 struct ServiceSpec {
--- a/net/message.cpp
+++ b/net/message.cpp
@@ -73,6 +73,17 @@
     return false;
 }
 
+HttpFields endToEndFields(const HttpFields &fields)
+{
+    HttpFields forwarded;
+    for (const HttpField &field : fields) {
+        if (!isHopByHopField(fields, field.name)) {
+            forwarded.push_back(field);
+        }
+    }
+    return forwarded;
+}
+
 std::optional<std::chrono::seconds> keepAliveTimeout(const HttpFields &fields)
 {
     constexpr std::string_view key = "timeout=";
--- a/net/message.h
+++ b/net/message.h
@@ -38,6 +38,8 @@
 /// Content-Length, which the router handles itself
 bool isHopByHopField(const HttpFields &fields, std::string_view name);
 
+HttpFields endToEndFields(const HttpFields &fields); ///< @return all but hop-by-hop fields
+
 struct RequestHead {
     std::string method;
     std::string target;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -59,7 +59,7 @@
     m_attempts.isRetryable = m_route->isRetryable();
     m_attempts.isResumable = m_route->isResumable;
     m_attempts.maxAttempts = m_route->maxAttempts;
-    m_selection.service = selectService();
+    m_selection.service = selectService(*m_route, m_fields.request);
     if (m_route->hasPrefixAffinity) {
         m_selection.affinity = affinityKey(m_fields.promptParts);
         m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
@@ -121,25 +121,6 @@
     return true;
 }
 
-/// Weighted choice by the hash of the request id, so that a request stays with the same service, also in its
-/// retries inside the router.
-const ServiceId &RequestHandler::selectService() const
-{
-    double sum = 0;
-    for (const RouteTarget &target : m_route->targets) {
-        sum += target.weight;
-    }
-    constexpr std::uint64_t steps = 1U << 20U;
-    double point = sum * static_cast<double>(hashName(m_fields.request.text) % steps) / static_cast<double>(steps);
-    for (const RouteTarget &target : m_route->targets) {
-        if (point < target.weight) {
-            return target.service;
-        }
-        point -= target.weight;
-    }
-    return m_route->targets.back().service;
-}
-
 bool RequestHandler::isBlocked(Instant now)
 {
     return m_prompt.whole != 0 && m_state.queryOfDeath.isBlocked(now, m_prompt);
@@ -491,18 +472,6 @@
 
 // Responding
 
-/// @return the fields of a replica's response that are forwarded to the caller: all but hop-by-hop fields
-static HttpFields endToEndFields(const HttpFields &fields)
-{
-    HttpFields forwarded;
-    for (const HttpField &field : fields) {
-        if (!isHopByHopField(fields, field.name)) {
-            forwarded.push_back(field);
-        }
-    }
-    return forwarded;
-}
-
 void RequestHandler::relayEvents(std::string &body)
 {
     const std::string events = m_events.feed(body);
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -45,7 +45,6 @@
     void waitForStart();
     bool findRoute(Instant now);
     bool checkApiKey(Instant now);
-    const ServiceId &selectService() const;
     void dispatch(Instant now);
     ReplicaChoice chooseReplica(Instant now);
 
