Count the age of an event in messages to peers in one place

The same function stood in the detector of queries of death and in the limits of replicas; both call control/age.h. No change in behaviour: ReplicaLimits and QueryOfDeathDetector pass as before.

--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -1,6 +1,7 @@
 // Detection of prompts that crash replicas.
 #include "control/queryofdeath.h"
 
+#include "control/age.h"
 #include "control/loadview.h"
 
 #include <algorithm>
@@ -49,12 +50,6 @@
 {
 }
 
-static std::uint32_t millisBetween(Instant from, Instant to)
-{
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis));
-}
-
 void QueryOfDeathDetector::onAnswered(Instant now, const PromptKeys &prompt)
 {
     for (const PromptKey part : prompt.parts) {
@@ -292,7 +287,7 @@
         }
         if (crash.sendsLeft > 0 && news.crashes.size() < maxSentCrashes) {
             --crash.sendsLeft;
-            news.crashes.push_back({crash.replica, crash.prompt, millisBetween(crash.at, now)});
+            news.crashes.push_back({crash.replica, crash.prompt, ageMillis(crash.at, now)});
         }
     }
     for (auto release = m_releases.begin(); release != m_releases.end();) {
@@ -305,13 +300,13 @@
         const bool isUntold = answer != m_answers.end() && answer->second.at > answer->second.toldAt + answerInterval;
         if (isUntold && news.answers.size() < maxSentAnswers) {
             answer->second.toldAt = answer->second.at;
-            news.answers.push_back({key, millisBetween(answer->second.at, now)});
+            news.answers.push_back({key, ageMillis(answer->second.at, now)});
         }
     }
     for (auto &[key, block] : m_blocks) {
         if (block.sendsLeft > 0 && news.blocks.size() < maxSentBlocks) {
             --block.sendsLeft;
-            news.blocks.push_back({key, millisBetween(block.lastCrash, now)});
+            news.blocks.push_back({key, ageMillis(block.lastCrash, now)});
         }
     }
     return news;
@@ -322,7 +317,7 @@
     PromptNews news;
     for (const auto &[key, block] : m_blocks) {
         if (now < block.lastCrash + m_settings.blockTime && news.blocks.size() < maxSentBlocks) {
-            news.blocks.push_back({key, millisBetween(block.lastCrash, now)});
+            news.blocks.push_back({key, ageMillis(block.lastCrash, now)});
         }
     }
     return news;
@@ -384,7 +379,7 @@
         const auto stored = m_stored->find(key);
         const bool isSaved = stored != m_stored->end() && block.lastCrash < stored->second + savedAccuracy;
         if (!isSaved && isActive(now, block)) {
-            changes.blocks.push_back({key, millisBetween(block.lastCrash, now)});
+            changes.blocks.push_back({key, ageMillis(block.lastCrash, now)});
         }
     }
     for (const auto &[key, lastCrash] : *m_stored) {
--- a/control/ratelimits.cpp
+++ b/control/ratelimits.cpp
@@ -1,6 +1,8 @@
 // Keeps the requests that all routers together send to a replica within the rate that it asks for.
 #include "control/ratelimits.h"
 
+#include "control/age.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -26,12 +28,6 @@
 constexpr auto unheardLifetime = std::chrono::minutes(10);    // of a limit that nobody hears of any more
 constexpr auto peerReportLifetime = std::chrono::seconds(10); // of a silent peer's sends
 
-static std::uint32_t millisBetween(Instant from, Instant to)
-{
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, millis));
-}
-
 ReplicaRateLimits::ReplicaRateLimits(std::uint64_t seed)
     : m_random(seed)
 {
@@ -170,7 +166,7 @@
             break;
         }
         --limit.newsLeft;
-        report.news.push_back({replica, limit.perSecond, millisBetween(limit.saidAt, now)});
+        report.news.push_back({replica, limit.perSecond, ageMillis(limit.saidAt, now)});
     }
     addSends(now, report);
     return report;
@@ -181,7 +177,7 @@
     LimitReport report;
     for (const auto &[replica, limit] : m_limits) {
         if (limit.perSecond && report.news.size() < maxSentNews) {
-            report.news.push_back({replica, limit.perSecond, millisBetween(limit.saidAt, now)});
+            report.news.push_back({replica, limit.perSecond, ageMillis(limit.saidAt, now)});
         }
     }
     addSends(now, report);
