Test a replica's limit in a burst after a quiet time at 103 routers; list it as red

Each router keeps to its own part of a limit where reports are late, and after a quiet minute no part is used: a burst of 20 requests a second reaches a replica that takes 2.5 with 51 in 4 s, 20 allowed.

--- a/tests/ratelimits.cpp
+++ b/tests/ratelimits.cpp
@@ -218,6 +218,17 @@
     LONGS_EQUAL(77, report.startId);
 }
 
+TEST_GROUP(LimitAfterAQuietTime){};
+
+/// The parts of routers that sent nothing for a while are unused, and a burst finds all of them.
+TEST(LimitAfterAQuietTime, AHundredRoutersThatHearOfEachOtherLateKeepTheLimitInABurst)
+{
+    LimitedRouters routers(103, 2.5, milliseconds(1500));
+    routers.now += seconds(60);
+    routers.run(seconds(10), 20);
+    CHECK_TEXT(routers.mostInWindow() <= 6 * 2.5 + 5, std::to_string(routers.mostInWindow()).c_str());
+}
+
 // Choice
 
 TEST_GROUP(LimitedReplicaChoice)
