--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -3,19 +3,16 @@
 #include "control/fleetsize.h"
 #include "filters/retry.h"
 #include "net/beacons.h"
+#include "tests/largefleetmodel.h"
 #include "tests/nodefixture.h"
 #include "traffic/peerloadexchange.h"
 
 #include <algorithm>
 #include <asio/steady_timer.hpp>
-#include <boost/random/uniform_real_distribution.hpp>
-#include <cmath>
 #include <functional>
 
 using namespace galenafold;
 
-constexpr int fleetSize = 103; // routers
-
 /// @return a UDP port that is free on 127.0.0.2
 static int freePort()
 {
@@ -354,178 +351,11 @@
 
 TEST_GROUP(LoadBoundOfALargeFleet){};
 
-/// Simulates a fleet with the rates of requests, prompts and durations of the users' grown deployment in Klang Valley,
-/// and beacons as the byte budget allows.
-struct LargeFleet {
-    /// A kind of request with a shared prompt.
-    struct Kind {
-        double rate;                             // requests/s at the mean of the wave
-        int prompts;                             // shared prompts, of which the first are asked for somewhat more often
-        double duration;                         // mean time in progress, s
-        std::function<bool(double now)> isHotAt; // whether a fourth of the requests has the same prompt; null: never
-    };
-
-    explicit LargeFleet(std::uint64_t seed)
-        : random(seed)
-    {
-        std::vector<ReplicaRecord> records(engineCount);
-        for (std::size_t i = 0; i < records.size(); ++i) {
-            records[i].id.text = "e" + std::to_string(i);
-            records[i].service.text = "llm";
-            records[i].slots = 12;
-        }
-        for (int i = 0; i < fleetSize; ++i) {
-            fleet.push_back(
-                std::make_unique<LoadBalancer>(LoadBalancerSettings(), DataCentreId{"here"}, static_cast<unsigned>(i)));
-            fleet.back()->updateReplicas(at(0), records);
-            budgets.emplace_back(GossipSettings{PeerSettings().bytesPerSecond});
-        }
-        unsentSince.assign(fleet.size(), -1);
-        startDelay.assign(fleet.size(), 0);
-        lastSentAt.assign(fleet.size(), 0);
-    }
-    static Instant at(double seconds)
-    {
-        return Instant(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds + 1000)));
-    }
-    double uniform() { return boost::random::uniform_real_distribution<double>(0, 1)(random); }
-
-    /// Sends the router's counts to all others if the byte budget allows.
-    void broadcast(double now, std::size_t from)
-    {
-        LoadBeacon beacon;
-        beacon.loads = fleet[from]->ownLoads();
-        const int bytes = datagramBytes(encodeBeacon(beacon)) * (fleetSize - 1);
-        const bool hasChanged = unsentSince[from] >= 0;
-        if (!budgets[from].take(at(now), bytes, hasChanged)) {
-            return;
-        }
-        if (hasChanged) {
-            startDelay[from] += 0.2 * (now - unsentSince[from] - startDelay[from]);
-        }
-        unsentSince[from] = -1;
-        lastSentAt[from] = now;
-        for (std::size_t to = 0; to < fleet.size(); ++to) {
-            if (to != from) {
-                fleet[to]->onPeerLoads(at(now), static_cast<std::uint32_t>(from), beacon.loads);
-            }
-        }
-    }
-
-    void tick(double now)
-    {
-        for (std::size_t i = 0; i < fleet.size(); ++i) {
-            const double delay = std::max(startDelay[i], unsentSince[i] >= 0 ? now - unsentSince[i] : 0);
-            int heard = 0;
-            for (std::size_t peer = 0; peer < fleet.size(); ++peer) {
-                heard += peer != i && now < lastSentAt[peer] + 2 ? 1 : 0;
-            }
-            fleet[i]->setActivePeers(heard, at(delay) - at(0));
-            if (unsentSince[i] >= 0 || now >= lastSentAt[i] + 0.7) {
-                broadcast(now, i);
-            }
-        }
-    }
-
-    void endDue(double now)
-    {
-        while (!running.empty() && running.begin()->first <= now) {
-            const auto [router, id] = running.begin()->second;
-            running.erase(running.begin());
-            --inProgress[id];
-            fleet[router]->onEnded(at(now), id, AttemptOutcome::Good);
-        }
-    }
-
-    /// The heads of responses tell the router how many requests the engine has.
-    void reportDue(double now)
-    {
-        while (!reports.empty() && reports.begin()->first <= now) {
-            const auto [router, id] = reports.begin()->second;
-            reports.erase(reports.begin());
-            fleet[router]->onLoad(at(now), id, {inProgress[id], 0, 12, 1});
-        }
-    }
-
-    void arrive(double now, const Kind &kind, std::uint64_t firstPrompt)
-    {
-        const auto router = static_cast<std::size_t>(uniform() * fleetSize);
-        const bool isHot = kind.isHotAt && kind.isHotAt(now) && uniform() < 0.28;
-        const auto prompt = isHot ? 0 : static_cast<std::uint64_t>(std::pow(uniform(), 1.4) * kind.prompts);
-        const std::uint64_t key = (firstPrompt + prompt) * 0x9e3779b97f4a7c15U;
-        const EndpointId id = fleet[router]->choose(at(now), {{"llm"}, key, {}})->record.id;
-        prefills.emplace(key, id.text);
-        baselinePrefills.emplace(key, "e" + std::to_string(static_cast<int>(uniform() * engineCount)));
-        if (now >= warmUp) {
-            const double mean = static_cast<double>(running.size()) / engineCount;
-            ++arrivals;
-            overBound += inProgress[id] > 2 * mean + 3 ? 1 : 0;
-        }
-        ++inProgress[id];
-        fleet[router]->onSent(id);
-        reports.emplace(now + 0.1 + 0.2 * uniform(), std::make_pair(router, id));
-        running.emplace(now - kind.duration * std::log(1 - uniform()), std::make_pair(router, id));
-        if (unsentSince[router] < 0) {
-            unsentSince[router] = now;
-        }
-        broadcast(now, router);
-    }
-
-    /// @return highest fraction, in any of the consecutive windows of 5 s, of requests sent to an engine above the
-    /// bound on load
-    double run(const std::function<bool(double now)> &isHotAt = nullptr)
-    {
-        const Kind kinds[] = {{144, 520, 1.5, nullptr}, {153, 246, 1.2, nullptr}, {280, 677, 0.3, isHotAt}};
-        double worst = 0;
-        double nextTick = 0;
-        double window = warmUp + 5;
-        double next[3] = {};
-        for (double now = 0; now < 30; now += 0.005) {
-            endDue(now);
-            reportDue(now);
-            if (now >= nextTick) {
-                tick(now);
-                nextTick = now + 0.1;
-            }
-            const double wave = 1 + 0.55 * std::sin(now * 2 * 3.14159 / 15);
-            for (int kind = 0; kind < 3; ++kind) {
-                while (next[kind] <= now) {
-                    arrive(now, kinds[kind], static_cast<std::uint64_t>(kind) * 1000 + 1);
-                    next[kind] += -std::log(1 - uniform()) / (kinds[kind].rate * wave);
-                }
-            }
-            if (now >= window) {
-                worst = std::max(worst, static_cast<double>(overBound) / arrivals);
-                overBound = 0;
-                arrivals = 0;
-                window += 5;
-            }
-        }
-        return worst;
-    }
-
-    static constexpr int engineCount = 140;
-    static constexpr double warmUp = 5; // s, not judged
-    boost::random::mt19937_64 random;
-    std::vector<std::unique_ptr<LoadBalancer>> fleet;
-    std::vector<BeaconBudget> budgets;
-    std::vector<double> unsentSince; // time of the oldest start that peers have not been told, s; -1: none
-    std::vector<double> startDelay;  // smoothed time from a start to its broadcast, s
-    std::vector<double> lastSentAt;  // s
-    std::multimap<double, std::pair<std::size_t, EndpointId>> running; // by end time, s
-    std::multimap<double, std::pair<std::size_t, EndpointId>> reports; // by the time when they arrive, s
-    std::map<EndpointId, int> inProgress;
-    std::set<std::pair<std::uint64_t, std::string>> prefills; // prompts, each with the engines that it was sent to
-    std::set<std::pair<std::uint64_t, std::string>> baselinePrefills; // the same if engines are chosen at random
-    int arrivals = 0;
-    int overBound = 0;
-};
-
 /// Routers that did not hear each other took engines with fifteen requests in progress for idle.
 TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepTheBoundAt140Engines)
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-        const double worst = LargeFleet(seed).run();
+        const double worst = LargeFleet(seed).run(wavingDemand());
         CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
     }
 }
@@ -533,7 +363,7 @@
 TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepTheBoundWhileAPromptIsHot)
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-        const double worst = LargeFleet(seed).run([](double now) { return now >= 10 && now < 16; });
+        const double worst = LargeFleet(seed).run(wavingDemand([](double now) { return now >= 10 && now < 16; }));
         CHECK_TEXT(worst <= 0.03, ("seed " + std::to_string(seed) + ": " + std::to_string(worst)).c_str());
     }
 }
@@ -543,7 +373,7 @@
 TEST(LoadBoundOfALargeFleet, AHundredRoutersKeepPromptsAtTheirEngines)
 {
     LargeFleet fleet(1);
-    fleet.run();
+    fleet.run(wavingDemand());
     CHECK_TEXT(
         static_cast<double>(fleet.prefills.size()) <= 0.2 * static_cast<double>(fleet.baselinePrefills.size()),
         (std::to_string(fleet.prefills.size()) + " of " + std::to_string(fleet.baselinePrefills.size())).c_str());
@@ -557,7 +387,7 @@
 {
     std::string failures;
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        const double worst = LargeFleet(seed).run([](double now) { return now >= 10 && now < 16; });
+        const double worst = LargeFleet(seed).run(wavingDemand([](double now) { return now >= 10 && now < 16; }));
         failures += worst <= 0.03 ? "" : "seed " + std::to_string(seed) + ": " + std::to_string(worst) + "; ";
     }
     CHECK_TEXT(failures.empty(), failures.c_str());
