Give added engines places once the others near the bound on load

Cause: engines that are added wait without a place until the service is busy, which was judged by the mean load of all its engines. The idle ones lower that mean, and with it the bound on load, so that the engines with places carried 1.4 times the load under a lower bound and were never busy enough.

Change: engines with places are judged by their own mean, and count as busy too once the bound is less than three deviations above it. With one engine in ten or fewer waiting, as in a rolling release, that is so at no load.

--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -128,24 +128,31 @@
 
 void LoadBalancer::assignPlaces(Instant now)
 {
-    struct Sum {
-        double load = 0;
-        int engines = 0;
-        int slots = 0;
-    };
-    std::map<ServiceId, Sum> sums;
+    std::map<ServiceId, std::vector<const EndpointState *>> services;
     for (const auto &[id, state] : m_endpoints) {
-        Sum &sum = sums[state.record.service];
-        sum.load += load(now, state);
-        sum.slots = std::max(sum.slots, state.record.slots);
-        ++sum.engines;
+        services[state.record.service].push_back(&state);
     }
-    for (const auto &[service, sum] : sums) {
-        m_places.assignPlaces(service, sum.load / sum.engines, sum.slots);
+    for (const auto &[service, engines] : services) {
+        m_places.assignPlaces(service, placeDemand(now, engines));
     }
     copyPlaces();
 }
 
+PlaceDemand LoadBalancer::placeDemand(Instant now, const std::vector<const EndpointState *> &engines) const
+{
+    PlaceDemand demand;
+    demand.bound = loadBoundFor(meanLoad(now, engines));
+    double sum = 0;
+    int placed = 0;
+    for (const EndpointState *state : engines) {
+        demand.slots = std::max(demand.slots, state->record.slots);
+        sum += state->place ? load(now, *state) : 0;
+        placed += state->place ? 1 : 0;
+    }
+    demand.meanLoad = sum / std::max(1, placed);
+    return demand;
+}
+
 ReplicaChoice LoadBalancer::choose(Instant now, const SelectionRequest &request)
 {
     std::vector<EndpointState *> healthy;
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -185,6 +185,7 @@
 
 private:
     void copyPlaces();
+    PlaceDemand placeDemand(Instant now, const std::vector<const EndpointState *> &engines) const;
     void recordDraining(Instant now, const std::vector<ReplicaRecord> &draining);
     double meanLoad(Instant now, const std::vector<const EndpointState *> &endpoints) const;
     double loadBoundFor(double meanLoad) const { return m_settings.loadBound * meanLoad + m_settings.loadAllowance; }
--- a/filters/placetable.cpp
+++ b/filters/placetable.cpp
@@ -4,6 +4,7 @@
 #include "control/loadview.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace galenafold
 {
@@ -135,10 +136,19 @@
     return differences;
 }
 
-void PlaceTable::assignPlaces(const ServiceId &id, double meanLoad, int slots)
+/// The loads of engines deviate from their mean by about its square root. Once the bound is less than three such
+/// deviations above the mean, some engines exceed it. It is higher than that at any load while few engines wait.
+bool PlaceTable::isBusy(const PlaceDemand &demand) const
+{
+    constexpr double deviations = 3;
+    const bool areSlotsUsed = demand.meanLoad > m_settings.busyLoadFraction * demand.slots;
+    return areSlotsUsed || demand.meanLoad + deviations * std::sqrt(demand.meanLoad) > demand.bound;
+}
+
+void PlaceTable::assignPlaces(const ServiceId &id, const PlaceDemand &demand)
 {
     const auto found = m_services.find(id);
-    if (found == m_services.end() || meanLoad <= m_settings.busyLoadFraction * slots) {
+    if (found == m_services.end() || !isBusy(demand)) {
         return;
     }
     Service &service = found->second;
--- a/filters/placetable.h
+++ b/filters/placetable.h
@@ -25,6 +25,13 @@
     double busyLoadFraction = 0.25; // of an engine's slots; at a higher mean load waiting engines get their own places
 };
 
+/// Load of a service's engines, which tells whether those with places are busy.
+struct PlaceDemand {
+    double meanLoad = 0; // requests in progress per engine with a place
+    int slots = 0;       // requests that an engine can run concurrently
+    double bound = 0;    // requests in progress above which an engine gets no more
+};
+
 /// Assignment of a place to an engine, as routers share it through the store.
 struct PlaceRecord {
     ServiceId service;
@@ -41,10 +48,8 @@
     /// Sets the engines that may get work.
     void update(Instant now, const std::vector<ReplicaRecord> &records);
 
-    /// Assigns waiting engines places of their own if the service is busy.
-    /// @param meanLoad requests in progress per engine of the service
-    /// @param slots requests that an engine can run concurrently
-    void assignPlaces(const ServiceId &service, double meanLoad, int slots);
+    /// Assigns waiting engines places of their own if the engines with places are busy.
+    void assignPlaces(const ServiceId &service, const PlaceDemand &demand);
 
     /// @return the hash that is an engine's place; nothing while it has none
     std::optional<std::uint64_t> place(const EndpointId &id) const;
@@ -64,6 +69,7 @@
         std::deque<EndpointId> waiting;               // engines without a place, oldest first
     };
 
+    bool isBusy(const PlaceDemand &demand) const;
     static void applyAgreed(Service &service, const std::map<std::uint64_t, EndpointId> &agreed);
     static void fillVacant(Service &service);
     static void removeAbsent(Service &service, const std::set<EndpointId> &present);
--- a/tests/loadbalancer.cpp
+++ b/tests/loadbalancer.cpp
@@ -477,3 +477,34 @@
     const auto after = preferredEngines(balancer, at(30)); // the load reports have expired by then
     CHECK(std::count(after.begin(), after.end(), "c") > 50);
 }
+
+/// Idle engines that waited for places lowered the mean by which the others were judged to be busy.
+TEST(LoadBalancing, WaitingEnginesDoNotHideThatTheOthersAreBusy)
+{
+    balancer.updateReplicas(at(0), namedEngines({"a", "b"}));
+    balancer.updateReplicas(at(20), namedEngines({"a", "b", "c", "d", "e", "f"}));
+    for (const char *id : {"a", "b", "c", "d", "e", "f"}) {
+        const int load = id[0] <= 'b' ? 12 : 0; // the mean of all is 4, the bound 11
+        balancer.onLoad(at(21), {id}, {load, 0, 64, 1});
+    }
+    balancer.assignPlaces(at(21));
+    const auto after = preferredEngines(balancer, at(30)); // the load reports have expired by then
+    CHECK(std::count(after.begin(), after.end(), "c") > 25);
+}
+
+/// A place for each new engine moves prompts twice: to the new engine, and again when another one leaves.
+TEST(LoadBalancing, AReplacementWaitsWhileTheOthersAreFarFromTheBound)
+{
+    std::vector<std::string> names = {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"};
+    balancer.updateReplicas(at(0), namedEngines(names));
+    names.emplace_back("new");
+    balancer.updateReplicas(at(20), namedEngines(names));
+    const auto before = preferredEngines(balancer, at(20));
+    for (int load = 1; load <= 15; ++load) { // busy engines have more than 16
+        for (const std::string &name : names) {
+            balancer.onLoad(at(20 + load), {name}, {name == "new" ? 0 : load, 0, 64, 1});
+        }
+        balancer.assignPlaces(at(20 + load));
+    }
+    CHECK(preferredEngines(balancer, at(50)) == before);
+}
