Tell the other routers at once of an engine that is fuller than they can know

Cause: with a hundred peers a router's counts reach the others every 1.3 s. A burst at one engine passes within that time. The engine's own report is exact and comes back within a tenth of a second, but stayed with the router that got it, which meets that engine again seconds later.

Change: a report that exceeds what peers can know is told in the next beacon, and starts leave one beacon in the byte budget for such news. A router that hears of it counts the engine as that full for 400 ms; who has it still to tell drops it. The wire has a new list in BeaconNews, which routers of earlier releases skip.

--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -78,6 +78,13 @@
     return m_bytes - bytes >= capacity() / 2;
 }
 
+bool BeaconBudget::takeLeavingOne(Instant now, int bytes, bool hasChanged)
+{
+    m_beaconBytes = bytes; // before the refill, as the capacity depends on it
+    refill(now);
+    return m_bytes >= 2.0 * bytes && take(now, bytes, hasChanged);
+}
+
 bool BeaconBudget::takeStartNotice(Instant now, int bytes)
 {
     refill(now);
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -61,6 +61,12 @@
     double slowdown = 0; // service time relative to normal, from a report not sent to peers before; 0: none
 };
 
+/// Calls of all routers in progress at one endpoint, as it has just reported to the sender.
+struct ReportedLoad {
+    std::uint32_t endpointHash = 0;
+    std::uint16_t inProgress = 0;
+};
+
 constexpr std::uint16_t briefCallMillis = 300; // shorter calls are announced by a start notice only
 
 /// One call that has just started. Peers count it until its expected end, so that its end needs no message.
@@ -80,10 +86,11 @@
     StartNotice start;
     std::vector<std::uint32_t> peers; // IPv4 addresses, as numbers, of routers that the sender receives beacons from
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
-    std::vector<PeerLoad> loads; // endpoints with longer calls of the sender; brief calls go as start notices
-    PromptNews news;             // of prompts that crash replicas
-    LimitReport limits;          // of replicas that name a limit
-    bool isStarting = false;     // the sender has just started and does not know of blocked prompts
+    std::vector<PeerLoad> loads;        // endpoints with longer calls of the sender; brief calls go as start notices
+    std::vector<ReportedLoad> reported; // endpoints that are fuller than the counts of all routers tell
+    PromptNews news;                    // of prompts that crash replicas
+    LimitReport limits;                 // of replicas that name a limit
+    bool isStarting = false;            // the sender has just started and does not know of blocked prompts
 };
 
 /// @return the sequence number of a router's first beacon, derived from the wall clock so that a restarted router
@@ -106,6 +113,9 @@
     /// @return true if it is to be sent; its bytes are then deducted
     bool take(Instant now, int bytes, bool hasChanged);
 
+    /// The same, but leaves enough in the budget for another beacon, with news that cannot wait.
+    bool takeLeavingOne(Instant now, int bytes, bool hasChanged);
+
     /// @param bytes size of a beacon times the number of peers
     /// @return true if at least half of the bucket is left after it, as a reserve for many calls that start at once
     bool hasReserveAfter(Instant now, int bytes);
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -12,9 +12,13 @@
 constexpr auto loadReportLifetime = std::chrono::milliseconds(1500); // typical duration of a generation
 constexpr auto peerDatagramDelay = std::chrono::milliseconds(10);    // delivery of a datagram between busy routers
 constexpr double endedUnreportedFraction = 0.1; // of the requests that peers report, as some have already ended
-constexpr double slowdownWeight = 0.3;          // of the newest report in the smoothed slowdown
-constexpr double slowdownThreshold = 2.4;       // a lower slowdown may come from noisy neighbours on the same machine
-constexpr double stallSlowdown = 15;            // one sample of it lifts the smoothed slowdown above the threshold
+constexpr int unexpectedLoad = 3;               // requests in progress beyond those that peers can know of
+constexpr double nearlyFullFraction = 0.6;      // of the bound on load; below it late counts do no harm
+constexpr auto peerReportFreshness = std::chrono::milliseconds(400);    // of a full engine, of which peers tell again
+constexpr auto unexpectedLoadLifetime = std::chrono::milliseconds(300); // about the time in which short requests end
+constexpr double slowdownWeight = 0.3;                                  // of the newest report in the smoothed slowdown
+constexpr double slowdownThreshold = 2.4; // a lower slowdown may come from noisy neighbours on the same machine
+constexpr double stallSlowdown = 15;      // one sample of it lifts the smoothed slowdown above the threshold
 constexpr auto stallLifetime = std::chrono::seconds(1);    // of a detected stall; a longer one is detected again
 constexpr auto slowdownLifetime = std::chrono::seconds(2); // of the smoothed slowdown without a report
 constexpr double demandWindowSeconds = 2.5;                // over which the demand for an engine is smoothed
@@ -261,6 +265,7 @@
     choice.bound = bound;
     for (EndpointState *state : candidates) {
         state->servesPrompts = true;
+        state->bound = bound;
     }
     int position = 0;
     for (EndpointState *state : rank(request.service, *request.affinity)) {
@@ -388,17 +393,67 @@
         return;
     }
     EndpointState &state = found->second;
-    state.othersInFlight = std::max(0, sample.running + sample.waiting - state.ownInFlight);
+    noteUnexpectedLoad(now, state, sample.running + sample.waiting);
+    applyReport(now, state, sample.running + sample.waiting);
     updateSlowdown(now, state, sample.slowdown);
     state.unsentSlowdown = sample.slowdown;
     const double total = sample.running + sample.waiting;
     state.smoothedLoad =
         now < state.smoothedLoadExpiry ? state.smoothedLoad + smoothedLoadWeight * (total - state.smoothedLoad) : total;
     state.smoothedLoadExpiry = now + smoothedLoadLifetime;
+}
+
+void LoadBalancer::noteUnexpectedLoad(Instant now, const EndpointState &state, int inProgress)
+{
+    const bool isUnexpected = inProgress >= load(now, state) + unexpectedLoad;
+    const bool isNearlyFull = inProgress > nearlyFullFraction * state.bound;
+    if (m_peersHeard > 0 && state.servesPrompts && isUnexpected && isNearlyFull) {
+        m_unexpectedLoads[state.nameHash] = {inProgress, now + unexpectedLoadLifetime};
+    }
+}
+
+/// @param inProgress requests of all routers, as the engine has just reported
+void LoadBalancer::applyReport(Instant now, EndpointState &state, int inProgress) const
+{
+    state.othersInFlight = std::max(0, inProgress - state.ownInFlight);
     state.loadFreshUntil = now + loadFreshness();
     state.loadExpiry = now + loadReportLifetime;
 }
 
+bool LoadBalancer::hasUrgentNews(Instant now) const
+{
+    const auto isRecent = [now](const auto &entry) { return now < entry.second.until; };
+    return m_hasUnsentStall || std::any_of(m_unexpectedLoads.begin(), m_unexpectedLoads.end(), isRecent);
+}
+
+std::vector<ReportedLoad> LoadBalancer::takeUnexpectedLoads(Instant now)
+{
+    std::vector<ReportedLoad> reported;
+    for (const auto &[hash, load] : m_unexpectedLoads) {
+        if (now < load.until) {
+            reported.push_back({hash, static_cast<std::uint16_t>(load.inProgress)});
+        }
+    }
+    m_unexpectedLoads.clear();
+    return reported;
+}
+
+void LoadBalancer::onReportedLoads(Instant now, const std::vector<ReportedLoad> &reported)
+{
+    if (reported.empty()) {
+        return;
+    }
+    for (auto &[id, state] : m_endpoints) {
+        for (const ReportedLoad &load : reported) {
+            if (load.endpointHash == state.nameHash) {
+                applyReport(now, state, load.inProgress);
+                state.loadFreshUntil = now + peerReportFreshness;
+                m_unexpectedLoads.erase(state.nameHash); // that peer has told the others as well
+            }
+        }
+    }
+}
+
 bool LoadBalancer::onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond)
 {
     const auto found = m_endpoints.find(id);
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -8,6 +8,11 @@
 // with its usual share of requests, so its bound on load is divided by its slowdown: it is full at a quarter of the
 // bound.
 //
+// Load pattern: requests for several prompts of one engine arrive within a moment, at as many routers. What the routers
+// tell each other is late by the time between two of their messages, over a second in a large fleet, and until then
+// each takes the engine for free. The engine's own report is exact, so the first router that gets one tells the others
+// at once.
+//
 // Sections of this file: State, Request, Load balancer.
 #pragma once
 
@@ -51,6 +56,7 @@
     double slowdown = 1;                // smoothed service time, as a multiple of the usual one
     Instant slowdownExpiry{};           // `slowdown` is valid until then
     double unsentSlowdown = 0;          // from the newest report, not yet sent to peers; 0: none
+    double bound = 0;                   // load above which it was to get no more prompts, at the last choice
     Instant lastEventAt{};              // last event of any stream of this router
     Instant stalledUntil{};             // streams of this router are stalled; waiting requests may go elsewhere
     Instant loadExpiry{};               // the load report is valid until then
@@ -164,8 +170,14 @@
     std::vector<PeerLoad> ownLoads() const; ///< @return engines where this router has requests in progress, for peers
     std::vector<PeerLoad> consumeLoads();   ///< @return the same with new slowdowns, which then count as sent
 
-    /// @return true if a stalled engine is not yet reported to peers
-    bool hasUnsentStall() const { return m_hasUnsentStall; }
+    /// @return engines that have reported more requests than peers can know of, which then count as told
+    std::vector<ReportedLoad> takeUnexpectedLoads(Instant now);
+
+    /// Another router has just received these reports of engines.
+    void onReportedLoads(Instant now, const std::vector<ReportedLoad> &reported);
+
+    /// @return true if peers are yet to be told of a stalled engine, or of one that is fuller than they can know
+    bool hasUrgentNews(Instant now) const;
 
     /// @return IP:PORT of the engine, other than the chosen one, that most likely holds a prompt's shared parts in its
     /// cache; "" when there is none
@@ -193,6 +205,8 @@
     bool hasHeadroom(Instant now, EndpointState &state, double bound);
     static double updateDemand(Instant now, EndpointState &state);
     Duration loadFreshness() const;
+    void noteUnexpectedLoad(Instant now, const EndpointState &state, int inProgress);
+    void applyReport(Instant now, EndpointState &state, int inProgress) const;
     static void updateSlowdown(Instant now, EndpointState &state, double slowdown);
     std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
     ReplicaChoice chooseByAffinity(Instant now, const SelectionRequest &request,
@@ -220,6 +234,11 @@
     std::map<std::uint32_t, PeerCounts> m_peerCounts; // by peer
     int m_peersHeard = 0;
     bool m_hasUnsentStall = false;
+    struct UnexpectedLoad {
+        int inProgress = 0;
+        Instant until{}; // the report is too old to be told after this
+    };
+    std::map<std::uint32_t, UnexpectedLoad> m_unexpectedLoads; // to tell peers, by `nameHash`
     double m_peerReportDelay = 0; // seconds until a request started by a peer is known to this router
     Duration m_peerReportLifetime = std::chrono::seconds(2);
     std::map<EndpointId, EndpointState> m_endpoints;
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -92,6 +92,24 @@
     }
 }
 
+static void fillReportedLoads(wire::BeaconNews::Builder root, const std::vector<ReportedLoad> &reported)
+{
+    auto loads = root.initLoads(static_cast<unsigned>(reported.size()));
+    for (unsigned i = 0; i < loads.size(); ++i) {
+        loads[i].setEndpointHash(reported[i].endpointHash);
+        loads[i].setInProgress(reported[i].inProgress);
+    }
+}
+
+static std::vector<ReportedLoad> readReportedLoads(wire::BeaconNews::Reader root)
+{
+    std::vector<ReportedLoad> reported;
+    for (const auto load : root.getLoads()) {
+        reported.push_back({load.getEndpointHash(), load.getInProgress()});
+    }
+    return reported;
+}
+
 static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
 {
     root.setFrom(beacon.from);
@@ -131,12 +149,14 @@
     fillBeacon(builder.initRoot<wire::LoadBeacon>(), beacon);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
-    if (beacon.isStarting || !beacon.news.isEmpty() || !beacon.limits.isEmpty()) {
+    const bool hasNews = !beacon.news.isEmpty() || !beacon.limits.isEmpty() || !beacon.reported.empty();
+    if (beacon.isStarting || hasNews) {
         capnp::MallocMessageBuilder newsBuilder;
         auto news = newsBuilder.initRoot<wire::BeaconNews>();
         news.setIsStarting(beacon.isStarting);
         fillNews(news, beacon.news);
         fillLimits(news, beacon.limits);
+        fillReportedLoads(news, beacon.reported);
         capnp::writePackedMessage(out, newsBuilder);
     }
     const auto bytes = out.getArray();
@@ -183,6 +203,7 @@
     beacon.isStarting = news.getIsStarting();
     readNews(news, beacon.news);
     readLimits(news, beacon.limits);
+    beacon.reported = readReportedLoads(news);
 }
 
 bool decodeBeacon(const std::string &bytes, LoadBeacon &beacon)
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -427,6 +427,13 @@
     LONGS_EQUAL(2, decoded.loads.size());
     LONGS_EQUAL(255, decoded.loads[1].total);
     CHECK(!decoded.isStartNotice);
+    CHECK(decoded.reported.empty());
+    beacon.reported = {{13, 9}, {14, 300}};
+    LoadBeacon withReports;
+    CHECK(decodeBeacon(encodeBeacon(beacon), withReports));
+    LONGS_EQUAL(2, withReports.reported.size());
+    LONGS_EQUAL(14, withReports.reported[1].endpointHash);
+    LONGS_EQUAL(300, withReports.reported[1].inProgress);
     boost::random::mt19937_64 random(3);
     for (int i = 0; i < 2000; ++i) {
         std::string randomBytes;
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -262,6 +262,22 @@
     CHECK(sent * broadcastBytes <= 60 * bytesPerSecond + broadcastBytes);
 }
 
+/// Without a reserve the news of a full engine waited for over a second, as starts used up the budget. A reserve that
+/// rests on the size of an earlier broadcast keeps a larger one from being sent.
+TEST(BeaconsOfALargeFleet, StartsLeaveABroadcastForUrgentNewsWhateverItsSize)
+{
+    BeaconBudget budget(GossipSettings{7000});
+    int sent = 0;
+    for (int millis = 0; millis < 60000; millis += 50) {
+        const Instant now(std::chrono::hours(1) + std::chrono::milliseconds(millis));
+        const int bytes = 9000 + millis / 10; // grows steadily
+        sent += budget.takeLeavingOne(now, bytes, true) ? 1 : 0;
+        BeaconBudget urgent = budget;
+        CHECK(urgent.take(now, bytes, true));
+    }
+    CHECK(sent >= 25); // the rate allows 29
+}
+
 /// The small messages between broadcasts, such as peer lists, emptied the bucket to what two of them need.
 TEST(BeaconsOfALargeFleet, SmallMessagesDoNotKeepABroadcastFromBeingSent)
 {
--- a/tests/largefleetmodel.h
+++ b/tests/largefleetmodel.h
@@ -98,12 +98,16 @@
     /// Sends the router's counts to all others if the byte budget allows.
     void broadcast(double now, std::size_t from)
     {
+        const bool isUrgent = fleet[from]->hasUrgentNews(at(now));
         const bool hasChanged = unsentSince[from] >= 0;
-        if (!budgets[from].take(at(now), static_cast<int>(broadcastBytes[from]), hasChanged)) {
+        const auto bytes = static_cast<int>(broadcastBytes[from]);
+        BeaconBudget &budget = budgets[from];
+        if (!(isUrgent ? budget.take(at(now), bytes, true) : budget.takeLeavingOne(at(now), bytes, hasChanged))) {
             return;
         }
         LoadBeacon beacon;
         beacon.loads = fleet[from]->consumeLoads();
+        beacon.reported = fleet[from]->takeUnexpectedLoads(at(now));
         broadcastBytes[from] += 0.2 * (datagramBytes(encodeBeacon(beacon)) * (fleetSize - 1) - broadcastBytes[from]);
         if (hasChanged) {
             startDelay[from] += 0.2 * (now - unsentSince[from] - startDelay[from]);
@@ -113,6 +117,7 @@
         for (std::size_t to = 0; to < fleet.size(); ++to) {
             if (to != from) {
                 fleet[to]->onPeerLoads(at(now), static_cast<std::uint32_t>(from), beacon.loads);
+                fleet[to]->onReportedLoads(at(now), beacon.reported);
             }
         }
     }
@@ -126,7 +131,7 @@
                 heard += peer != i && now < lastSentAt[peer] + 2 ? 1 : 0;
             }
             fleet[i]->setActivePeers(heard, at(delay) - at(0));
-            if (unsentSince[i] >= 0 || now >= lastSentAt[i] + 0.7) {
+            if (fleet[i]->hasUrgentNews(at(now)) || unsentSince[i] >= 0 || now >= lastSentAt[i] + 0.7) {
                 broadcast(now, i);
             }
         }
@@ -172,6 +177,9 @@
             const auto [router, id] = reports.begin()->second;
             reports.erase(reports.begin());
             fleet[router]->onLoad(at(now), id, {inProgress[id], 0, 12, 1});
+            if (fleet[router]->hasUrgentNews(at(now))) {
+                broadcast(now, router);
+            }
         }
     }
 
--- a/tests/loadbalancer.cpp
+++ b/tests/loadbalancer.cpp
@@ -190,6 +190,42 @@
     LONGS_EQUAL(1, balancer.ownLoads().size());
 }
 
+/// Only the router that got the report knew of a burst at one engine, until the counts of all others had arrived.
+TEST(LoadBalancing, TheFirstRouterThatMeetsAnUnexpectedlyFullEngineTellsTheOthers)
+{
+    LoadBalancer other{LoadBalancerSettings(), {"here"}, 2};
+    for (LoadBalancer *router : {&balancer, &other}) {
+        router->updateReplicas(at(0), engines(12));
+        router->setActivePeers(1, std::chrono::seconds(1));
+    }
+    const EndpointId preferred = balancer.choose(at(0), forPrompt(42))->record.id;
+    CHECK(other.choose(at(0), forPrompt(42))->record.id == preferred);
+    balancer.onLoad(at(0.1), preferred, {1, 0, 64, 1}); // no more than peers can know
+    CHECK_FALSE(balancer.hasUrgentNews(at(0.1)));
+    balancer.onLoad(at(0.2), preferred, {5, 4, 64, 1});
+    CHECK(balancer.hasUrgentNews(at(0.2)));
+    CHECK_FALSE(balancer.hasUrgentNews(at(0.6))); // too old to be told
+    other.onReportedLoads(at(0.2), balancer.takeUnexpectedLoads(at(0.2)));
+    CHECK_FALSE(balancer.hasUrgentNews(at(0.2)));
+    CHECK(other.choose(at(0.2), forPrompt(42))->record.id != preferred);
+    CHECK(other.choose(at(2), forPrompt(42))->record.id == preferred); // counts have arrived by then
+}
+
+/// All routers that meet the full engine would tell the same.
+TEST(LoadBalancing, AFullEngineThatAPeerHasToldOfIsNotToldAgain)
+{
+    balancer.updateReplicas(at(0), engines(12));
+    balancer.setActivePeers(1, std::chrono::seconds(1));
+    const EndpointId preferred = balancer.choose(at(0), forPrompt(42))->record.id;
+    balancer.onReportedLoads(at(0.1), {{vmHash({preferred.text}), 9}});
+    balancer.onLoad(at(0.2), preferred, {7, 4, 64, 1});
+    CHECK_FALSE(balancer.hasUrgentNews(at(0.2)));
+    balancer.onLoad(at(0.3), preferred, {10, 4, 64, 1});
+    CHECK(balancer.hasUrgentNews(at(0.3)));
+    balancer.onReportedLoads(at(0.3), {{vmHash({preferred.text}), 14}});
+    CHECK_FALSE(balancer.hasUrgentNews(at(0.3)));
+}
+
 TEST(LoadBalancing, TheCacheSourceIsThePreferredEngineOrItsFallback)
 {
     balancer.updateReplicas(at(0), namedEngines({"a", "b", "c"}));
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -110,6 +110,7 @@
         }
     }
     m_loadBalancer.onPeerLoads(now, from, beacon.loads);
+    m_loadBalancer.onReportedLoads(now, beacon.reported);
     if (asksForList) {
         sendPeerListTo(now, from);
     }
@@ -208,7 +209,8 @@
 {
     const bool maySendEnds =
         now >= m_lastSentAt + endReportInterval && m_beaconBudget.hasReserveAfter(now, broadcastBytes());
-    const bool hasNews = m_queryOfDeath.hasUnsentNews() || m_loadBalancer.rateLimits().hasUnsentNews();
+    const bool isUrgent = m_loadBalancer.hasUrgentNews(now);
+    const bool hasNews = isUrgent || m_queryOfDeath.hasUnsentNews() || m_loadBalancer.rateLimits().hasUnsentNews();
     const bool isDue = m_unsentStartAt || hasNews || maySendEnds || now >= m_lastSentAt + heartbeatInterval;
     if (m_peers.empty() || !isDue) {
         return;
@@ -217,12 +219,14 @@
         return a.endpointHash == b.endpointHash && a.total == b.total;
     };
     const std::vector<PeerLoad> loads = m_loadBalancer.ownLoads();
-    const bool hasChanged = m_loadBalancer.hasUnsentStall()
-        || !std::equal(loads.begin(), loads.end(), m_lastSentLoads.begin(), m_lastSentLoads.end(), isSame);
+    const bool hasChanged =
+        isUrgent || !std::equal(loads.begin(), loads.end(), m_lastSentLoads.begin(), m_lastSentLoads.end(), isSame);
     if (!hasChanged) {
         m_unsentStartAt.reset(); // the counts are as last sent: a request that ended offsets the start
     }
-    if (m_beaconBudget.take(now, broadcastBytes(), hasChanged || hasNews)) {
+    const bool isSent = isUrgent ? m_beaconBudget.take(now, broadcastBytes(), true)
+                                 : m_beaconBudget.takeLeavingOne(now, broadcastBytes(), hasChanged || hasNews);
+    if (isSent) {
         m_lastSentLoads = loads;
         send(now);
     }
@@ -241,6 +245,7 @@
 {
     LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.consumeLoads();
+    beacon.reported = m_loadBalancer.takeUnexpectedLoads(now);
     beacon.news = m_queryOfDeath.takeNews(now);
     beacon.limits = m_loadBalancer.rateLimits().takeReport(now);
     beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -361,7 +361,11 @@
     m_head = std::move(head);
     m_responseFields = fields;
     if (fields.load) {
-        m_state.loadBalancer.onLoad(clockNow(), m_endpoint, *fields.load);
+        const Instant now = clockNow();
+        m_state.loadBalancer.onLoad(now, m_endpoint, *fields.load);
+        if (m_state.loadBalancer.hasUrgentNews(now)) {
+            m_state.onPeerNews();
+        }
     }
     noteRateLimit();
 }
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -29,9 +29,13 @@
   isStarting @3 :Bool;          # the sender has just started and wants to know of blocked prompts
   limits @4 :List(RateLimit);
   limitedSends @5 :List(LimitedSends);
+  loads @7 :List(ReportedLoad); # endpoints that are fuller than the totals of all routers tell
   startId @6 :UInt32;           # differs after each start of the sender; 0: as told before
 }
 
+# Calls of all routers in progress at an endpoint, as it has just reported.
+struct ReportedLoad { endpointHash @0 :UInt32; inProgress @1 :UInt16; }
+
 # A rate that a replica named.
 struct RateLimit {
   replica @0 :UInt32;    # hash of its id
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(89d7e4adaefa4d18);
 CAPNP_DECLARE_SCHEMA(b36b346b0a144e6e);
+CAPNP_DECLARE_SCHEMA(eeb30253c259f311);
 CAPNP_DECLARE_SCHEMA(f2fa3eac28d5e2c3);
 CAPNP_DECLARE_SCHEMA(e00d435abed82c73);
 CAPNP_DECLARE_SCHEMA(e0fcd784d092cf24);
@@ -72,7 +73,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ReportedLoad {
+  ReportedLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eeb30253c259f311, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -598,6 +614,9 @@
 
   inline  ::uint32_t getStartId() const;
 
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -667,6 +686,13 @@
   inline  ::uint32_t getStartId();
   inline void setStartId( ::uint32_t value);
 
+  inline bool hasLoads();
+  inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -693,6 +719,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ReportedLoad::Reader {
+public:
+  typedef ReportedLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEndpointHash() const;
+
+  inline  ::uint16_t getInProgress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ReportedLoad::Builder {
+public:
+  typedef ReportedLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEndpointHash();
+  inline void setEndpointHash( ::uint32_t value);
+
+  inline  ::uint16_t getInProgress();
+  inline void setInProgress( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ReportedLoad::Pipeline {
+public:
+  typedef ReportedLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RateLimit::Reader {
 public:
   typedef RateLimit Reads;
@@ -3058,6 +3165,68 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BeaconNews::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setLoads( ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ReportedLoad::Reader::getEndpointHash() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ReportedLoad::Builder::getEndpointHash() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ReportedLoad::Builder::setEndpointHash( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ReportedLoad::Reader::getInProgress() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ReportedLoad::Builder::getInProgress() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ReportedLoad::Builder::setInProgress( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t RateLimit::Reader::getReplica() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
