--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -52,6 +52,27 @@
     m_server.http().Get("/-/log-read", [this](const auto &request, auto &response) { read(request, response); });
     m_server.http().Get("/-/log-newest", [this](const auto &request, auto &response) { list(request, response); });
     m_server.http().Post("/-/log-append", [this](const auto &request, auto &response) { append(request, response); });
+    m_server.http().set_post_routing_handler([this](const auto &, auto &response) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        response.set_header("Store-Era", std::to_string(m_era));
+    });
+}
+
+void FakeTopicStore::backUp()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_copy = m_topics;
+}
+
+void FakeTopicStore::restore(const std::vector<std::array<std::string, 3>> &rewritten)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_topics = m_copy;
+    ++m_era;
+    for (const auto &[topic, key, value] : rewritten) {
+        m_topics[topic].records.push_back({key, value});
+    }
+    m_changed.notify_all();
 }
 
 FakeTopicStore::~FakeTopicStore()
@@ -139,10 +160,14 @@
     const std::string waitMs = request.get_param_value("waitMs");
     const auto deadline = clockNow() + std::chrono::milliseconds(waitMs.empty() ? 0 : std::stoi(waitMs));
     std::unique_lock<std::mutex> lock(m_mutex);
-    Topic &topic = m_topics[request.get_param_value("topic")];
-    m_changed.wait_until(lock, deadline,
-                         [&] { return m_isStopping || m_fault != StoreFault::None || topic.records.size() > from; });
-    if (from < topic.firstRetained) {
+    const int era = m_era;
+    m_changed.wait_until(lock, deadline, [&] {
+        const bool isRestored = m_era != era;
+        const bool hasRecords = m_topics[request.get_param_value("topic")].records.size() > from;
+        return m_isStopping || m_fault != StoreFault::None || isRestored || hasRecords;
+    });
+    const Topic &topic = m_topics[request.get_param_value("topic")];
+    if (from < topic.firstRetained || from > topic.records.size()) {
         response.status = statusGone;
         response.set_content(Json{{"first", topic.firstRetained}}.dump(), "application/json");
         return;
--- a/fakes/topicstore.h
+++ b/fakes/topicstore.h
@@ -1,10 +1,11 @@
 // Fake of the users' platform's store over HTTP, in memory: topics of keyed records, long-poll reads, paged listings of
-// the newest record of each key, conditional appends, truncated history and injected faults. Also a sample desired
-// state.
+// the newest record of each key, conditional appends, truncated history, restores from a copy and injected faults. Also
+// a sample desired state.
 #pragma once
 
 #include "clients/http.h"
 
+#include <array>
 #include <condition_variable>
 #include <map>
 #include <optional>
@@ -54,6 +55,13 @@
     /// Excludes the present records from reads. Listings still contain them.
     void truncateHistory(const std::string &topic);
 
+    void backUp(); ///< Keeps a copy of all topics for `restore`.
+
+    /// Brings back the copy: what came since is lost, and its offsets are given out again. Then appends what its
+    /// writers write again, all before any request is served. Each response tells how often that has happened.
+    /// @param rewritten topic, key and value of each record
+    void restore(const std::vector<std::array<std::string, 3>> &rewritten = {});
+
     std::int64_t requestCount() const { return m_requestCount; } ///< @return requests received so far
 
 private:
@@ -75,6 +83,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, Topic> m_copy;
+    int m_era = 1; // rises with each restore
     StoreFault m_fault = StoreFault::None;
     std::size_t m_pageSize = 500;
     std::atomic<std::int64_t> m_requestCount{0};
