List the topics again when the store was restored from a copy

Callers would have seen keys that were taken away, or routes of an older version, until the next change (CONFIG), and requests sent to replicas that had left (DRAIN).

Cause: offsets were taken for lasting. The router read on from its last offset; once the restored topic had grown past it, what lay before was never read. The directory of replicas ignored records below the last offset of each replica, in listings too. It also took a replica that had left for a new one when the copy named it, and dropped one that the copy did not name at once.

Change: the era that the store tells in each response is compared. When it changes the response is ignored, the topic is listed again, offsets that were remembered are void, and replicas that are missing have the grace period. One that has left returns only by a record with a later start or heartbeat. A log line and a counter tell of a restore.

--- a/control/replicadirectory.cpp
+++ b/control/replicadirectory.cpp
@@ -51,6 +51,12 @@
     return wasUsable;
 }
 
+bool ReplicaDirectory::isFromBefore(const Entry &entry, const ReplicaRecord &record)
+{
+    const auto written = std::make_pair(record.started, record.heartbeatCount);
+    return entry.hasLeft && written <= std::make_pair(entry.lastStarted, entry.lastHeartbeat);
+}
+
 bool ReplicaDirectory::apply(Instant now, const RegistryUpdate &update)
 {
     Entry &entry = m_entries[update.id];
@@ -61,6 +67,9 @@
     if (!update.record) {
         return remove(now, entry);
     }
+    if (isFromBefore(entry, *update.record)) {
+        return false;
+    }
     const auto before = entry.record;
     if (before && before->started == update.record->started && before->isDraining && !update.record->isDraining) {
         return false; // a draining replica stays so until its process restarts
@@ -69,6 +78,9 @@
         return false; // written before the replica restarted
     }
     entry.record = update.record;
+    entry.lastStarted = update.record->started;
+    entry.lastHeartbeat = update.record->heartbeatCount;
+    entry.hasLeft = false;
     entry.removeAt.reset();
     return !isSameForRouting(before, entry.record);
 }
@@ -105,6 +117,15 @@
     }
 }
 
+void ReplicaDirectory::onStoreRestored(Instant now)
+{
+    m_reregistrationEnd = std::max<Instant>(m_reregistrationEnd, now + m_reregistrationTimeout);
+    for (auto &[id, entry] : m_entries) {
+        entry.offset = -1;
+        entry.hasLeft = !entry.record;
+    }
+}
+
 bool ReplicaDirectory::expire(Instant now)
 {
     bool hasChanged = false;
--- a/control/replicadirectory.h
+++ b/control/replicadirectory.h
@@ -2,7 +2,9 @@
 //
 // Load pattern: replicas start, drain, fail and return under the same name all day, while the store becomes unavailable
 // and comes back, its history is truncated, and reads arrive late. A record is applied only if its offset is higher
-// than that of the last record of the same replica, so a late page never restores a replica that was removed.
+// than that of the last record of the same replica, so a late page never restores a replica that was removed. When the
+// store itself is restored from a copy, offsets go back, replicas that have left are listed again, and others are
+// missing until they write again.
 //
 // Sections of this file: Records, Directory.
 #pragma once
@@ -61,6 +63,10 @@
     /// The store can be read again.
     void onStoreRegained(Instant now);
 
+    /// The store has been restored from a copy. Offsets so far are void. Replicas that the copy does not name have the
+    /// grace period to register again; one that has left returns only by a record that it wrote later.
+    void onStoreRestored(Instant now);
+
     /// Removes replicas that did not register again within the grace period. @return true if the set changed
     bool expire(Instant now);
 
@@ -79,11 +85,17 @@
     struct Entry {
         std::optional<ReplicaRecord> record;
         LogOffset offset = -1;           // of its last record
+        UnixMillis lastStarted{};        // of the last record with a replica
+        std::int64_t lastHeartbeat = 0;  // likewise
+        bool hasLeft = false;            // before the store was restored
         std::optional<Instant> removeAt; // end of the grace period, if the entry has expired
     };
 
     bool remove(Instant now, Entry &entry) const;
 
+    /// @return true if a replica that has left wrote the record before that
+    static bool isFromBefore(const Entry &entry, const ReplicaRecord &record);
+
     Duration m_reregistrationTimeout;
     std::map<EndpointId, Entry> m_entries;
     bool m_isStoreLost = false;
--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -65,13 +65,25 @@
     }
 }
 
-void TopicConsumer::onOffsetOutOfRange()
+void TopicConsumer::listAgain()
 {
     m_isListing = true;
     m_listedRecords.clear();
     m_listingOffset.reset();
 }
 
+void TopicConsumer::onOffsetOutOfRange()
+{
+    listAgain();
+}
+
+/// The next request does not wait for the poll interval: until then removals are missed.
+void TopicConsumer::onStoreRestored()
+{
+    listAgain();
+    m_notBefore = Instant{};
+}
+
 void TopicConsumer::onFailure(Instant now)
 {
     const boost::random::uniform_real_distribution<double> jitter(0.5, 1.0);
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -3,7 +3,8 @@
 //
 // Load pattern: thousands of daemons follow the same few topics while responses are lost, late or refused and old
 // records are deleted. There is one request at a time, with a deadline. A failure is followed by exponential backoff
-// with jitter, the deletion of unread records by a new listing.
+// with jitter, the deletion of unread records by a new listing. So is the restore of the store from a copy: it gives
+// out offsets again, so that what is read on from the last offset may lack records.
 //
 // Sections of this file: Records, Requests, Consumer.
 #pragma once
@@ -80,9 +81,12 @@
     void onRead(Instant sentAt, Instant now, const TopicRead &read);
 
     void onOffsetOutOfRange();   ///< The next record to read was deleted: lists again.
+    void onStoreRestored();      ///< All offsets so far are void: lists again.
     void onFailure(Instant now); ///< The request was refused, or its response was lost, late or unreadable.
 
 private:
+    void listAgain();
+
     TopicTiming m_timing;
     TopicHooks m_hooks;
     mutable boost::random::mt19937_64 m_random;
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -93,6 +93,14 @@
         m_traffic.setPlaces(places, end);
         m_traffic.setStoredBlocks(blocks);
     };
+    m_sharedState.onRestored = [this](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &blocks,
+                                      LogOffset end) {
+        LogLine line("places_restored");
+        line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
+        m_log.write(line, LogPriority::Notable);
+        m_traffic.setStoredPlaces(places, end);
+        m_traffic.setStoredBlocks(blocks);
+    };
     m_traffic.onNewerPlaces = [this] { asio::post(m_io, [this] { m_sharedState.readNow(); }); };
     m_traffic.onPlacesToSave = [this](std::vector<PlaceRecord> places) {
         asio::post(m_io, [this, places = std::move(places)] { m_sharedState.savePlaces(places); });
@@ -137,6 +145,10 @@
         m_isDesiredStateLost = true;
         m_traffic.setStoreLost();
     };
+    hooks.onRestored = [this](Instant) {
+        ++m_storeRestores;
+        m_sharedState.readNow(); // it is read rarely, and would go on at a void offset
+    };
     hooks.onRegained = [this](Instant) {
         m_isDesiredStateLost = false;
         m_sharedState.readNow();
@@ -220,6 +232,7 @@
         m_directory.onStoreLost();
         m_traffic.setStoreLost();
     };
+    hooks.onRestored = [this](Instant now) { m_directory.onStoreRestored(now); };
     hooks.onRegained = [this](Instant now) {
         m_isRegistryLost = false;
         m_sharedState.readNow();
@@ -339,6 +352,7 @@
     addStore(StoreTopic::Registry, m_registry.calls(), m_registry.failures());
     addStore(StoreTopic::Places, m_sharedState.calls(), m_sharedState.failures());
     add("store_records_total", m_storeRecords);
+    add("store_restored_total", m_storeRestores);
     add("store_lost", (m_isDesiredStateLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
     add("replicas_usable", counts.replicas);
     add("peers_heard", counts.peers);
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -63,6 +63,7 @@
     DeadlineTimer m_expiryTimer;
     DeadlineTimer m_drainTimer;
     DesiredStateVersion m_version = -1; // of the desired state in use; -1: none
+    std::int64_t m_storeRestores = 0;   // of the store from a copy
     std::int64_t m_storeRecords = 0;    // read from the topic of the desired state
     bool m_isDesiredStateLost = false;
     bool m_isRegistryLost = false;
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -102,8 +102,11 @@
     };
     hooks.topic.onCaughtUp = [this](Instant) {
         m_hasRead = true;
-        notify();
+        const bool isRestored = m_isRestored;
+        m_isRestored = false;
+        notify(isRestored ? onRestored : onRead);
     };
+    hooks.onRestored = [this](Instant) { m_isRestored = true; };
     hooks.onLost = [](Instant) {};
     hooks.onRegained = [](Instant) {};
     return hooks;
@@ -125,7 +128,7 @@
     }
 }
 
-void SharedState::notify()
+void SharedState::notify(const StoredStateHook &hook)
 {
     std::vector<PlaceRecord> places;
     places.reserve(m_places.size());
@@ -142,7 +145,7 @@
             blocks.push_back({*prompt, static_cast<std::uint32_t>(age)});
         }
     }
-    onRead(places, blocks, m_end);
+    hook(places, blocks, m_end);
 }
 
 void SharedState::readNow()
@@ -178,11 +181,11 @@
     }
     m_isSaving = true;
     StoreCallHooks hooks;
-    hooks.onResponse = [this, records](int status, const std::string &body) {
+    hooks.onResponse = [this, records](const StoreResponse &response) {
         m_isSaving = false;
-        const auto end = status == statusOk ? decodeAppendEnd(body) : std::nullopt;
+        const auto end = response.status == statusOk ? decodeAppendEnd(response.body) : std::nullopt;
         LogLine line("places_saved");
-        line.number("places", static_cast<std::int64_t>(records.size())).number("status", status);
+        line.number("places", static_cast<std::int64_t>(records.size())).number("status", response.status);
         m_log.write(line, LogPriority::Notable);
         if (!end) {
             m_subscription.readNow(); // conflict with another router's write, or refused by the store
@@ -192,7 +195,7 @@
             applyRecord(record);
         }
         m_end = *end;
-        notify();
+        notify(onRead);
     };
     hooks.onFailure = [this, count = records.size()](const char *reason) {
         m_isSaving = false;
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -3,8 +3,9 @@
 //
 // Load pattern: all routers restart at the same time while engines keep running with warm prefix caches, and callers
 // still send requests that crash them. A router reads the topic at its start and then periodically; only the leader
-// among the routers writes, a few records when an engine is replaced or a prompt is blocked or released. A late or lost
-// write makes engines recompute the prefill of some prompts, or costs some replicas after such a restart.
+// among the routers writes, a few records when an engine is replaced or a prompt is blocked or released. When the store
+// comes back from an older copy, the routers keep to what they use and the leader writes it again. A late or lost write
+// makes engines recompute the prefill of some prompts, or costs some replicas after such a restart.
 #pragma once
 
 #include "control/queryofdeath.h"
@@ -14,6 +15,10 @@
 namespace galenafold
 {
 
+/// Gets all that is stored, and the end of the topic.
+using StoredStateHook =
+    std::function<void(const std::vector<PlaceRecord> &, const std::vector<PromptBlock> &, LogOffset end)>;
+
 /// Used on the control thread only.
 class SharedState
 {
@@ -39,13 +44,17 @@
 
     /// Called after each read and each successful write, with all that is stored and the end of the topic. Must be set
     /// before `start`.
-    std::function<void(const std::vector<PlaceRecord> &, const std::vector<PromptBlock> &, LogOffset end)> onRead;
+    StoredStateHook onRead;
+
+    /// Called instead of `onRead` with what is stored after the store was restored from a copy. It may be older than
+    /// what the routers use, which the leader then saves again.
+    StoredStateHook onRestored;
 
 private:
     TopicSubscriptionHooks subscriptionHooks();
     void applyRecord(const KeyedRecord &record);
     void save(const std::vector<KeyedRecord> &records);
-    void notify();
+    void notify(const StoredStateHook &hook);
 
     EventLog &m_log;
     TopicSubscription m_subscription;
@@ -55,6 +64,7 @@
     LogOffset m_end = 0;                          // of the topic, as last read or written
     bool m_hasRead = false;                       // the topic was read to its end at least once
     bool m_isSaving = false;
+    bool m_isRestored = false; // the store was restored, and the topic has not been read since
 };
 
 } // namespace galenafold
--- a/runtime/storeconnection.cpp
+++ b/runtime/storeconnection.cpp
@@ -94,7 +94,7 @@
     if (!parser->response().keepsAlive) {
         disconnect();
     }
-    hooks.onResponse(parser->response().status, parser->body());
+    hooks.onResponse({parser->response().status, parser->response().fields, std::move(parser->body())});
 }
 
 void StoreConnection::fail(const char *reason)
--- a/runtime/storeconnection.h
+++ b/runtime/storeconnection.h
@@ -9,9 +9,16 @@
 namespace galenafold
 {
 
+/// Complete response of the store, of any HTTP status.
+struct StoreResponse {
+    int status = 0;
+    HttpFields fields;
+    std::string body;
+};
+
 /// Callbacks of one call. Exactly one of them is called, once.
 struct StoreCallHooks {
-    std::function<void(int status, const std::string &body)> onResponse; // any HTTP status
+    std::function<void(const StoreResponse &)> onResponse;
     std::function<void(const char *reason)> onFailure; // no complete response; the call may have had its effect
 };
 
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -54,7 +54,7 @@
 {
     m_sentAt = clockNow();
     StoreCallHooks hooks;
-    hooks.onResponse = [this](int status, const std::string &body) { onResponse(status, body); };
+    hooks.onResponse = [this](const StoreResponse &response) { onResponse(response); };
     hooks.onFailure = [this](const char *reason) { onFailure(reason); };
     m_connection.call(encodeTopicRequest(m_request, m_topic, m_connection.address()),
                       m_sentAt + m_request.longPollTimeout + responseTimeout, std::move(hooks));
@@ -77,21 +77,48 @@
     return read.has_value();
 }
 
-void TopicSubscription::onResponse(int status, const std::string &body)
+/// @return true if the store has been restored since the last response
+bool TopicSubscription::noteEra(Instant now, const StoreResponse &response)
 {
-    const Instant now = clockNow();
-    if (status == statusGone) {
+    const auto era = decodeStoreEra(response.fields);
+    const bool isRestored = era && m_era && *era != *m_era;
+    if (isRestored) {
+        LogLine line("store_restored");
+        line.text("topic", text(m_topic)).number("era", *era).number("before", *m_era);
+        m_log.write(line, LogPriority::Notable);
+        m_consumer.onStoreRestored();
+        m_hooks.onRestored(now);
+    }
+    m_era = era ? era : m_era;
+    return isRestored;
+}
+
+/// @return why the response is of no use; null if it is
+const char *TopicSubscription::handleResponse(Instant now, const StoreResponse &response)
+{
+    if (response.status == statusGone) {
         LogLine line("history_cut");
         line.text("topic", text(m_topic)).number("from", m_request.from);
         m_log.write(line, LogPriority::Notable);
         m_consumer.onOffsetOutOfRange();
-    } else if (status != statusOk) {
-        m_connection.disconnect();
-        onFailure(std::to_string(status).c_str());
-        return;
-    } else if (!decodeBody(now, body)) {
+        return nullptr;
+    }
+    if (response.status != statusOk) {
+        return "status";
+    }
+    return decodeBody(now, response.body) ? nullptr : "unreadable";
+}
+
+/// What the store has read for an offset of the era before is ignored: a listing follows.
+void TopicSubscription::onResponse(const StoreResponse &response)
+{
+    const Instant now = clockNow();
+    const bool isAnswered = response.status == statusOk || response.status == statusGone;
+    const bool isRestored = noteEra(now, response);
+    const char *fault = isRestored && isAnswered ? nullptr : handleResponse(now, response);
+    if (fault) {
         m_connection.disconnect();
-        onFailure("unreadable");
+        onFailure(isAnswered ? fault : std::to_string(response.status).c_str());
         return;
     }
     if (m_isLost) {
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -12,6 +12,9 @@
     TopicHooks topic;
     std::function<void(Instant)> onLost;     // the first failure after a success or after the start
     std::function<void(Instant)> onRegained; // the first success after a failure
+
+    /// The store has been restored from a copy: offsets so far are void, and a listing of the topic follows.
+    std::function<void(Instant)> onRestored = [](Instant) {};
 };
 
 /// Reads a topic from `start` on until destroyed. Everything runs on the event loop.
@@ -30,7 +33,9 @@
 private:
     void scheduleNext();
     void sendRequest();
-    void onResponse(int status, const std::string &body);
+    void onResponse(const StoreResponse &response);
+    bool noteEra(Instant now, const StoreResponse &response);
+    const char *handleResponse(Instant now, const StoreResponse &response);
     bool decodeBody(Instant now, const std::string &body);
     void onFailure(const char *reason);
 
@@ -43,7 +48,8 @@
     TopicRequest m_request; // the current or next call
     Instant m_sentAt{};     // of the last call
     std::int64_t m_failures = 0;
-    bool m_isLost = false; // the last call failed
+    std::optional<StoreEra> m_era; // of the last response
+    bool m_isLost = false;         // the last call failed
 };
 
 } // namespace galenafold
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -1,9 +1,15 @@
 // Tests of a store that comes back from a copy some seconds old: what was written since is lost, offsets go back and
 // are given out again, and the writers of the desired state and of the registry write again.
+#include "control/replicadirectory.h"
 #include "tests/nodefixture.h"
 
 using namespace galenafold;
 
+static Instant at(double seconds)
+{
+    return Instant(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds + 1000)));
+}
+
 TEST_GROUP(RestoredStore)
 {
     NodeFixture fixture;
@@ -65,3 +71,54 @@
     }
     LONGS_EQUAL(before, a.requests().size());
 }
+
+// Directory
+
+TEST_GROUP(RestoredRegistry)
+{
+    /// @param heartbeats counter since the replica's start
+    static RegistryUpdate entry(const std::string &id, LogOffset offset, std::int64_t heartbeats)
+    {
+        ReplicaRecord record;
+        record.id.text = id;
+        record.service.text = "svc";
+        record.address = "10.0.0.1:80";
+        record.started = UnixMillis(1000);
+        record.heartbeatCount = heartbeats;
+        return {{id}, offset, record};
+    }
+    ReplicaDirectory directory{std::chrono::seconds(2)};
+};
+
+/// The copy still names a replica that has left since.
+TEST(RestoredRegistry, AReplicaThatLeftIsNotUsedAgainOnAccountOfTheCopy)
+{
+    directory.applyListing(at(0), {entry("a", 5, 7), entry("b", 6, 1)}, 7);
+    directory.apply(at(1), {{"a"}, 9, std::nullopt});
+    LONGS_EQUAL(1, directory.usable().size());
+    directory.onStoreRestored(at(2));
+    directory.applyListing(at(2), {entry("a", 3, 5), entry("b", 6, 1)}, 7);
+    LONGS_EQUAL(1, directory.usable().size());
+    directory.apply(at(3), entry("a", 8, 12)); // it has not left: it was only silent, and writes again
+    LONGS_EQUAL(2, directory.usable().size());
+}
+
+TEST(RestoredRegistry, ReplicasThatTheCopyDoesNotNameHaveTimeToRegisterAgain)
+{
+    directory.applyListing(at(0), {entry("a", 5, 1), entry("b", 6, 1), entry("c", 7, 1)}, 8);
+    directory.onStoreRestored(at(1));
+    directory.applyListing(at(1), {entry("a", 2, 1)}, 3);
+    LONGS_EQUAL(3, directory.usable().size());
+    directory.apply(at(2), entry("b", 3, 4)); // at an offset below that of its last record
+    directory.expire(at(4));
+    LONGS_EQUAL(2, directory.usable().size());
+}
+
+TEST(RestoredRegistry, ARemovalAtALowerOffsetCounts)
+{
+    directory.applyListing(at(0), {entry("a", 5, 1)}, 6);
+    directory.onStoreRestored(at(1));
+    directory.applyListing(at(1), {entry("a", 2, 1)}, 3);
+    directory.apply(at(9), {{"a"}, 4, std::nullopt});
+    LONGS_EQUAL(0, directory.usable().size());
+}
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -234,6 +234,14 @@
     });
 }
 
+void TrafficThread::setStoredPlaces(std::vector<PlaceRecord> stored, LogOffset upTo)
+{
+    asio::post(m_io, [this, stored = std::move(stored), upTo] {
+        m_agreedPlaces = stored;
+        m_peers.setPlacesUpTo(static_cast<std::uint32_t>(upTo) + 1);
+    });
+}
+
 void TrafficThread::setStoredBlocks(std::vector<PromptBlock> blocks)
 {
     asio::post(m_io, [this, blocks = std::move(blocks)] {
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -102,6 +102,10 @@
     /// Sets the engines' places (positions for rendezvous hashing) as recorded in the store.
     /// @param upTo offset up to which the places topic was read
     void setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo);
+
+    /// Tells what the store has of the places after it was restored from a copy. The places in use stay.
+    void setStoredPlaces(std::vector<PlaceRecord> stored, LogOffset upTo);
+
     void setStoredBlocks(std::vector<PromptBlock> blocks); ///< Sets the blocked prompts as recorded in the store.
     void setStoreLost(); ///< The store is unreachable: routers that reach it come first as leader; no request waits.
     void setProof(Instant provedAt); ///< The desired state was confirmed to be the newest at this time.
