--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -38,6 +38,54 @@
     CHECK(decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"draining"})")->isDraining);
 }
 
+/// A start time that the JSON library saturates was taken for the newest, and the replica's own entries after it were
+/// ignored.
+TEST(PlatformProtocol, RegistryEntriesWithOddNumbersAreRejected)
+{
+    const std::string start = R"({"service":"s","address":"10.0.0.1:80","state":"ready",)";
+    CHECK(decodeReplica({"a"}, start + R"("born":1700000000000,"slots":8,"seqNo":3})").has_value());
+    for (const char *number : {"1e30", "1e400", "18446744073709551615", "-5", "1.5", "true", "\"7\"", "null", "[]"}) {
+        for (const char *field : {"born", "slots", "seqNo"}) {
+            const std::string text = start + '"' + field + "\":" + number + '}';
+            CHECK_TEXT(!decodeReplica({"a"}, text), text.c_str());
+        }
+    }
+    for (const char *address : {"10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:", ":80", "10.0.0.1:80x"}) {
+        const std::string text = std::string(R"({"service":"s","state":"ready","address":")") + address + "\"}";
+        CHECK_TEXT(!decodeReplica({"a"}, text), address);
+    }
+}
+
+TEST(PlatformProtocol, DeeplyNestedRegistryEntriesAreRejected)
+{
+    const std::string deep = std::string(120000, '[') + std::string(120000, ']'); // a record holds 256 KiB
+    CHECK(!decodeReplica({"a"}, deep));
+    CHECK(!decodeReplica({"a"}, R"({"service":)" + deep + R"(,"address":"10.0.0.1:80","state":"ready"})"));
+    CHECK(!decodeReplica({"a"}, R"({"service":"s","slots":)" + deep + R"(,"address":"10.0.0.1:80","state":"ready"})"));
+    CHECK(decodeReplica({"a"}, registryEntry(R"(,"more":)" + deep)).has_value());
+}
+
+/// The id of a replica goes into a header field of each request to it.
+TEST(PlatformProtocol, ReplicaIdsThatCannotStandInAHeaderAreRejected)
+{
+    for (const char *id : {"", "a b", "a\r\nX-Galenafold-Tenant: t", "caf\xc3\xa9", "\x7f"}) {
+        CHECK_TEXT(!decodeReplica({id}, registryEntry("")), id);
+    }
+}
+
+TEST(PlatformProtocol, AnOddKeyDoesNotMakeAListingUnreadable)
+{
+    const auto page = decodeListingPage("{\"items\":[{\"key\":\"\xff\xfe\",\"value\":\"\",\"offset\":1},"
+                                        R"({"key":"a","value":"aGk=","offset":2}],"end":3})");
+    CHECK(page.has_value());
+    STRCMP_EQUAL("a", page->records.at(1).key.c_str());
+    TopicRequest request;
+    request.isListing = true;
+    request.after = "a b&part=9\r\n";
+    const std::string encoded = encodeTopicRequest(request, StoreTopic::Registry, "h");
+    CHECK(encoded.find("&after=a%20b%26part%3D9%0D%0A HTTP/1.1\r\n") != std::string::npos);
+}
+
 TEST(PlatformProtocol, AnInvalidDesiredStateIsAnError)
 {
     CHECK(!decodeRoutes("{"));
