Test answers in place of the rest of a stream that broke off

Reported by operators of systems like ours: after a stream had broken off, the next replica's error, at times its whole head, stood in the middle of it, or the stream ended as if complete (ORDER, MIXED).

Result: it does not happen here. A test with seven answers to a resumption (500, 404, 201, a refusal, a 200 without checksum, an encoded one, no HTTP at all) passes on the code as it is: the caller gets the events so far and a connection that breaks.

--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -130,3 +130,53 @@
     CHECK(caller->read());
     STRCMP_EQUAL("id: 0\ndata: a\n\nid: 1\ndata: b\n\n", caller->body().c_str());
 }
+
+// Streams that another replica does not resume
+
+/// Starts a stream that breaks off after an event, and answers its resumption with these bytes.
+static ReplicaScript brokenStream(const std::function<void(const ReplicaRequest &, ReplicaReply &)> &onResume)
+{
+    return [onResume](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        if (!request.field("Last-Event-Id").empty()) {
+            onResume(request, *reply);
+            return;
+        }
+        reply->beginStream(request);
+        reply->sendEvent(0, "a");
+        reply->runAfter(milliseconds(30), [reply] { reply->reset(); });
+    };
+}
+
+/// The text of an error is no part of a stream that has begun.
+TEST(NodeResponseIntegrity, AnErrorInPlaceOfTheRestOfAStreamBreaksIt)
+{
+    using Answer = std::function<void(const ReplicaRequest &, ReplicaReply &)>;
+    const std::vector<Answer> answers = {
+        [](const ReplicaRequest &request, ReplicaReply &reply) { reply.sendResponse(request, 500, "oops"); },
+        [](const ReplicaRequest &request, ReplicaReply &reply) { reply.sendResponse(request, 404, "oops"); },
+        [](const ReplicaRequest &request, ReplicaReply &reply) { reply.sendResponse(request, 201, "oops"); },
+        [](const ReplicaRequest &request, ReplicaReply &reply) { reply.send(notExecutedResponse(request)); },
+        [](const ReplicaRequest &, ReplicaReply &reply) {
+            reply.send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nContent-Length: 4\r\n\r\noops");
+        },
+        [](const ReplicaRequest &, ReplicaReply &reply) {
+            reply.send("HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: id-1\r\nX-Galenafold-Response-Seal: s\r\n"
+                       "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\noops");
+        },
+        [](const ReplicaRequest &, ReplicaReply &reply) { reply.send("oops oops oops\r\n\r\n"); },
+    };
+    std::size_t current = 0;
+    const ReplicaScript script =
+        brokenStream([&](const ReplicaRequest &request, ReplicaReply &reply) { answers[current](request, reply); });
+    fixture.addReplica("a", script);
+    fixture.addReplica("b", script);
+    fixture.startAndWaitReady();
+    for (current = 0; current < answers.size(); ++current) {
+        const std::string label = "answer " + std::to_string(current);
+        const auto caller = fixture.send(encodeCallerRequest("/live/x", "id-1"));
+        CHECK_FALSE_TEXT(caller->read(), label.c_str());
+        LONGS_EQUAL_TEXT(200, caller->status(), label.c_str());
+        STRCMP_EQUAL_TEXT("id: 0\ndata: a\n\n", caller->body().c_str(), label.c_str());
+        std::this_thread::sleep_for(std::chrono::seconds(1)); // a replica that fails is avoided for a moment
+    }
+}
