Do not take a refusal without an id on a reused connection as this request's

Reported by operators of systems like ours: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that a replica was running (REFUSED), or such a request ran at a second replica (TWICE).

Cause here: a refusal with another request's id is skipped, but one without an id counted as the current request's. On a connection that served a request before it may be an old one.

Change: there it no longer says that the request was not run. On a new connection it still does.

Result: ARepeatedRefusalWithoutAnIdIsNoRefusalOfTheNextRequest, 503 before, passes with 502; its twin with the id of the earlier request was green before.

--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -59,6 +59,50 @@
                 }));
 }
 
+/// @return a refusal as not run, with these header lines
+static std::string refusal(const std::string &lines)
+{
+    return "HTTP/1.1 503 Busy\r\nX-Galenafold-Not-Executed: 1\r\n" + lines + "Content-Length: 0\r\n\r\n";
+}
+
+/// The replica refuses the first request, keeps the connection, and writes that refusal again before it answers the
+/// next one.
+static ReplicaScript repeatedRefusal(const std::string &firstLines, const std::string &repeatedLines)
+{
+    return [=](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        if (request.field("X-Galenafold-Attempt-Id") == "id-1") {
+            reply->send(refusal(firstLines));
+            return;
+        }
+        reply->send(refusal(repeatedLines));
+        reply->sendResponse(request, 201, "good");
+    };
+}
+
+TEST(NodeResponseIntegrity, ARepeatedRefusalOfAnEarlierRequestIsSkipped)
+{
+    const std::string lines = "X-Galenafold-Attempt-Id: id-1\r\n";
+    LONGS_EQUAL(503, statusFor(repeatedRefusal(lines, lines)));
+    std::this_thread::sleep_for(milliseconds(100)); // a refusal keeps requests away for a moment
+    const auto caller = fixture.send(encodeCallerRequest("/once/x", "id-2"));
+    CHECK(caller->read());
+    LONGS_EQUAL(201, caller->status());
+    LONGS_EQUAL(1, fixture.replicas[0]->connections());
+}
+
+/// It says of no request that it was not run, and the request that was sent last may be running.
+TEST(NodeResponseIntegrity, ARepeatedRefusalWithoutAnIdIsNoRefusalOfTheNextRequest)
+{
+    LONGS_EQUAL(503, statusFor(repeatedRefusal("X-Galenafold-Attempt-Id: id-1\r\n", "")));
+    std::this_thread::sleep_for(milliseconds(100)); // a refusal keeps requests away for a moment
+    FakeReplica &other = fixture.addReplica("b", repeatedRefusal("", ""));
+    const auto caller = fixture.send(encodeCallerRequest("/once/x", "id-2"));
+    CHECK(caller->read());
+    LONGS_EQUAL(1, fixture.replicas[0]->connections());
+    LONGS_EQUAL(502, caller->status());
+    LONGS_EQUAL(0, other.requests().size());
+}
+
 TEST(NodeResponseIntegrity, AConnectionWithExcessBytesIsNotReused)
 {
     FakeReplica &replica =
--- a/traffic/endpointconnection.cpp
+++ b/traffic/endpointconnection.cpp
@@ -152,6 +152,16 @@
     return !response.request.isEmpty() && response.request != m_request;
 }
 
+/// On a connection that served another request before, a refusal without an id may be that request's, written once
+/// more. The replica may be running this request.
+void EndpointConnection::ignoreUnattributableRefusal()
+{
+    const bool isReused = m_sentBefore > 0;
+    if (isReused && m_responseFields.request.isEmpty()) {
+        m_responseFields.reportsNotRun = false;
+    }
+}
+
 void EndpointConnection::readResponse(std::string_view bytes)
 {
     const auto self = shared_from_this();
@@ -167,6 +177,7 @@
         }
         if (!m_hasDeliveredHead) {
             m_responseFields = m_headerCodec.decodeResponse(m_parser->response());
+            ignoreUnattributableRefusal();
         }
         const bool isInterim = m_parser->response().status < firstFinalStatus;
         if (isInterim || (!m_hasDeliveredHead && isForOtherRequest(m_responseFields))) {
--- a/traffic/endpointconnection.h
+++ b/traffic/endpointconnection.h
@@ -71,6 +71,7 @@
     void onEnd(StreamEnd how);
     void readResponse(std::string_view bytes);
     bool isForOtherRequest(const ResponseFields &response) const;
+    void ignoreUnattributableRefusal();
     void finish();
     void fail(RequestProgress progress);
     void resetParser();
