--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -10,15 +10,10 @@
 {
 
 constexpr auto loadReportLifetime = std::chrono::milliseconds(1500); // typical duration of a generation
-constexpr auto peerDatagramDelay = std::chrono::milliseconds(10);    // delivery of a datagram between busy routers
 constexpr double endedUnreportedFraction = 0.1; // of the requests that peers report, as some have already ended
-constexpr int unexpectedLoad = 3;               // requests in progress beyond those that peers can know of
-constexpr double nearlyFullFraction = 0.6;      // of the bound on load; below it late counts do no harm
-constexpr auto peerReportFreshness = std::chrono::milliseconds(400);    // of a full engine, of which peers tell again
-constexpr auto unexpectedLoadLifetime = std::chrono::milliseconds(300); // about the time in which short requests end
-constexpr double slowdownWeight = 0.3;                                  // of the newest report in the smoothed slowdown
-constexpr double slowdownThreshold = 2.4; // a lower slowdown may come from noisy neighbours on the same machine
-constexpr double stallSlowdown = 15;      // one sample of it lifts the smoothed slowdown above the threshold
+constexpr double slowdownWeight = 0.3;          // of the newest report in the smoothed slowdown
+constexpr double slowdownThreshold = 2.4;       // a lower slowdown may come from noisy neighbours on the same machine
+constexpr double stallSlowdown = 15;            // one sample of it lifts the smoothed slowdown above the threshold
 constexpr auto stallLifetime = std::chrono::seconds(1);    // of a detected stall; a longer one is detected again
 constexpr auto slowdownLifetime = std::chrono::seconds(2); // of the smoothed slowdown without a report
 constexpr double demandWindowSeconds = 2.5;                // over which the demand for an engine is smoothed
@@ -403,15 +398,6 @@
     state.smoothedLoadExpiry = now + smoothedLoadLifetime;
 }
 
-void LoadBalancer::noteUnexpectedLoad(Instant now, const EndpointState &state, int inProgress)
-{
-    const bool isUnexpected = inProgress >= load(now, state) + unexpectedLoad;
-    const bool isNearlyFull = inProgress > nearlyFullFraction * state.bound;
-    if (m_peersHeard > 0 && state.servesPrompts && isUnexpected && isNearlyFull) {
-        m_unexpectedLoads[state.nameHash] = {inProgress, now + unexpectedLoadLifetime};
-    }
-}
-
 /// @param inProgress requests of all routers, as the engine has just reported
 void LoadBalancer::applyReport(Instant now, EndpointState &state, int inProgress) const
 {
@@ -420,40 +406,6 @@
     state.loadExpiry = now + loadReportLifetime;
 }
 
-bool LoadBalancer::hasUrgentNews(Instant now) const
-{
-    const auto isRecent = [now](const auto &entry) { return now < entry.second.until; };
-    return m_hasUnsentStall || std::any_of(m_unexpectedLoads.begin(), m_unexpectedLoads.end(), isRecent);
-}
-
-std::vector<ReportedLoad> LoadBalancer::takeUnexpectedLoads(Instant now)
-{
-    std::vector<ReportedLoad> reported;
-    for (const auto &[hash, load] : m_unexpectedLoads) {
-        if (now < load.until) {
-            reported.push_back({hash, static_cast<std::uint16_t>(load.inProgress)});
-        }
-    }
-    m_unexpectedLoads.clear();
-    return reported;
-}
-
-void LoadBalancer::onReportedLoads(Instant now, const std::vector<ReportedLoad> &reported)
-{
-    if (reported.empty()) {
-        return;
-    }
-    for (auto &[id, state] : m_endpoints) {
-        for (const ReportedLoad &load : reported) {
-            if (load.endpointHash == state.nameHash) {
-                applyReport(now, state, load.inProgress);
-                state.loadFreshUntil = now + peerReportFreshness;
-                m_unexpectedLoads.erase(state.nameHash); // that peer has told the others as well
-            }
-        }
-    }
-}
-
 bool LoadBalancer::onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond)
 {
     const auto found = m_endpoints.find(id);
@@ -556,68 +508,4 @@
     return stats;
 }
 
-void LoadBalancer::setActivePeers(int peers, Duration reportDelay, Duration reportLifetime)
-{
-    m_peerReportLifetime = reportLifetime;
-    m_peersHeard = peers;
-    m_peerReportDelay = std::chrono::duration<double>(reportDelay + peerDatagramDelay).count();
-}
-
-void LoadBalancer::onPeerLoads(Instant now, std::uint32_t peer, const std::vector<PeerLoad> &loads)
-{
-    m_peerCounts[peer] = {now + m_peerReportLifetime, loads};
-    sumPeerLoads(now);
-    for (auto &[id, state] : m_endpoints) {
-        for (const PeerLoad &load : loads) {
-            if (load.endpointHash == state.nameHash && load.slowdown > 0) {
-                updateSlowdown(now, state, load.slowdown);
-            }
-        }
-    }
-}
-
-void LoadBalancer::sumPeerLoads(Instant now)
-{
-    std::unordered_map<std::uint32_t, int> sums;
-    for (auto peer = m_peerCounts.begin(); peer != m_peerCounts.end();) {
-        if (now >= peer->second.until) {
-            peer = m_peerCounts.erase(peer);
-            continue;
-        }
-        for (const PeerLoad &load : peer->second.loads) {
-            sums[load.endpointHash] += load.total;
-        }
-        ++peer;
-    }
-    for (auto &[id, state] : m_endpoints) {
-        const auto sum = sums.find(state.nameHash);
-        state.peersInFlight = sum == sums.end() ? 0 : sum->second;
-    }
-}
-
-std::vector<PeerLoad> LoadBalancer::ownLoads() const
-{
-    std::vector<PeerLoad> loads;
-    for (const auto &[id, state] : m_endpoints) {
-        if (state.ownInFlight > 0 && state.servesPrompts) {
-            loads.push_back({state.nameHash, static_cast<std::uint16_t>(state.ownInFlight), 0, 0});
-        }
-    }
-    return loads;
-}
-
-std::vector<PeerLoad> LoadBalancer::consumeLoads()
-{
-    std::vector<PeerLoad> loads;
-    for (auto &[id, state] : m_endpoints) {
-        const bool isReported = state.servesPrompts && (state.ownInFlight > 0 || state.unsentSlowdown > 0);
-        if (isReported) {
-            loads.push_back({state.nameHash, static_cast<std::uint16_t>(state.ownInFlight), 0, state.unsentSlowdown});
-        }
-        state.unsentSlowdown = 0;
-    }
-    m_hasUnsentStall = false;
-    return loads;
-}
-
 } // namespace galenafold
