Keep to the places in use until a router has written again after a restore

Found on reading the change: after a restore a router keeps its places, but a peer that had not noticed yet claimed to have read further, so that the router read again, found nothing new, and took over the copy's places until the leader had written.

Change: what is stored counts as the copy's until a router writes to the topic. The handling of the store's responses loses a placeholder text on the way.

--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -91,7 +91,10 @@
 TopicSubscriptionHooks SharedState::subscriptionHooks()
 {
     TopicSubscriptionHooks hooks;
-    hooks.topic.onRecord = [this](const KeyedRecord &record) { applyRecord(record); };
+    hooks.topic.onRecord = [this](const KeyedRecord &record) {
+        m_isRestored = false; // the leader has written again
+        applyRecord(record);
+    };
     hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
         m_places.clear();
         m_blocks.clear();
@@ -102,9 +105,7 @@
     };
     hooks.topic.onCaughtUp = [this](Instant) {
         m_hasRead = true;
-        const bool isRestored = m_isRestored;
-        m_isRestored = false;
-        notify(isRestored ? onRestored : onRead);
+        notify(m_isRestored ? onRestored : onRead);
     };
     hooks.onRestored = [this](Instant) { m_isRestored = true; };
     hooks.onLost = [](Instant) {};
@@ -195,6 +196,7 @@
             applyRecord(record);
         }
         m_end = *end;
+        m_isRestored = false;
         notify(onRead);
     };
     hooks.onFailure = [this, count = records.size()](const char *reason) {
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -46,8 +46,8 @@
     /// before `start`.
     StoredStateHook onRead;
 
-    /// Called instead of `onRead` with what is stored after the store was restored from a copy. It may be older than
-    /// what the routers use, which the leader then saves again.
+    /// Called instead of `onRead`, from a restore of the store from a copy until a router has written again. What is
+    /// stored may be older than what the routers use, which the leader then saves.
     StoredStateHook onRestored;
 
 private:
@@ -64,7 +64,7 @@
     LogOffset m_end = 0;                          // of the topic, as last read or written
     bool m_hasRead = false;                       // the topic was read to its end at least once
     bool m_isSaving = false;
-    bool m_isRestored = false; // the store was restored, and the topic has not been read since
+    bool m_isRestored = false; // the store was restored, and no router has written to the topic since
 };
 
 } // namespace galenafold
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -93,32 +93,28 @@
     return isRestored;
 }
 
-/// @return why the response is of no use; null if it is
-const char *TopicSubscription::handleResponse(Instant now, const StoreResponse &response)
+/// @return false if the body is malformed
+bool TopicSubscription::handleAnswer(Instant now, const StoreResponse &response)
 {
-    if (response.status == statusGone) {
-        LogLine line("history_cut");
-        line.text("topic", text(m_topic)).number("from", m_request.from);
-        m_log.write(line, LogPriority::Notable);
-        m_consumer.onOffsetOutOfRange();
-        return nullptr;
-    }
-    if (response.status != statusOk) {
-        return "status";
+    if (response.status != statusGone) {
+        return decodeBody(now, response.body);
     }
-    return decodeBody(now, response.body) ? nullptr : "unreadable";
+    LogLine line("history_cut");
+    line.text("topic", text(m_topic)).number("from", m_request.from);
+    m_log.write(line, LogPriority::Notable);
+    m_consumer.onOffsetOutOfRange();
+    return true;
 }
 
-/// What the store has read for an offset of the era before is ignored: a listing follows.
+/// What the store answers for an offset of the era before is ignored: a listing follows.
 void TopicSubscription::onResponse(const StoreResponse &response)
 {
     const Instant now = clockNow();
-    const bool isAnswered = response.status == statusOk || response.status == statusGone;
     const bool isRestored = noteEra(now, response);
-    const char *fault = isRestored && isAnswered ? nullptr : handleResponse(now, response);
-    if (fault) {
+    const bool isAnswered = response.status == statusOk || response.status == statusGone;
+    if (!isAnswered || (!isRestored && !handleAnswer(now, response))) {
         m_connection.disconnect();
-        onFailure(isAnswered ? fault : std::to_string(response.status).c_str());
+        onFailure(isAnswered ? "unreadable" : std::to_string(response.status).c_str());
         return;
     }
     if (m_isLost) {
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -35,7 +35,7 @@
     void sendRequest();
     void onResponse(const StoreResponse &response);
     bool noteEra(Instant now, const StoreResponse &response);
-    const char *handleResponse(Instant now, const StoreResponse &response);
+    bool handleAnswer(Instant now, const StoreResponse &response);
     bool decodeBody(Instant now, const std::string &body);
     void onFailure(const char *reason);
 
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -1,6 +1,7 @@
 // Tests of a store that comes back from a copy some seconds old: what was written since is lost, offsets go back and
 // are given out again, and the writers of the desired state and of the registry write again.
 #include "control/replicadirectory.h"
+#include "runtime/sharedstate.h"
 #include "tests/nodefixture.h"
 
 using namespace galenafold;
@@ -72,6 +73,48 @@
     LONGS_EQUAL(before, a.requests().size());
 }
 
+// Places
+
+/// All routers took over the copy's older places, and prompts moved to other engines.
+TEST(RestoredStore, PlacesInUseStayUntilARouterHasWrittenAgain)
+{
+    asio::io_context io;
+    EventLogSettings logSettings;
+    logSettings.fd = -1;
+    EventLog log(logSettings);
+    SharedState state(io, fixture.store.address(), log, 1);
+    std::vector<std::string> events;
+    const auto record = [&events](const char *name) {
+        return [&events, name](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &, LogOffset) {
+            events.push_back(name + std::to_string(places.size()));
+        };
+    };
+    state.onRead = record("read ");
+    state.onRestored = record("restored ");
+    const auto runUntil = [&](const std::string &event) {
+        events.clear();
+        const Instant deadline = clockNow() + eventTimeout;
+        while ((events.empty() || events.back() != event) && clockNow() < deadline) {
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+        CHECK_TEXT(!events.empty() && events.back() == event, event.c_str());
+    };
+    const std::vector<PlaceRecord> places = {{{"llm"}, 7, {"e7"}}};
+    state.start();
+    runUntil("read 0");
+    fixture.store.backUp();
+    state.savePlaces(places);
+    runUntil("read 1");
+    fixture.store.restore();
+    for (int i = 0; i < 2; ++i) { // the second time since a peer that knows nothing yet claims to have read further
+        state.readNow();
+        runUntil("restored 0");
+        LONGS_EQUAL(1, events.size());
+    }
+    state.savePlaces(places);
+    runUntil("read 1");
+}
+
 // Directory
 
 TEST_GROUP(RestoredRegistry)
