Let all news of peers use the part of the byte budget that starts leave

Starts leave room for one broadcast since the news of full engines. News of crashes and of limits waited for twice that room, though they are as urgent. A list of reported loads is bounded, as other lists in beacons are.

--- a/filters/loadbalancerpeers.cpp
+++ b/filters/loadbalancerpeers.cpp
@@ -10,7 +10,8 @@
 constexpr auto peerDatagramDelay = std::chrono::milliseconds(10); // delivery of a datagram between busy routers
 constexpr int unexpectedLoad = 3;          // requests in progress beyond those that peers can know of
 constexpr double nearlyFullFraction = 0.6; // of the bound on load; below it late counts do no harm
-constexpr auto peerReportFreshness = std::chrono::milliseconds(400);    // of a full engine, of which peers tell again
+constexpr auto peerReportFreshness = std::chrono::milliseconds(400); // of a full engine, of which peers tell again
+constexpr int maxReportedLoad = 65535;
 constexpr auto unexpectedLoadLifetime = std::chrono::milliseconds(300); // about the time in which short requests end
 
 void LoadBalancer::setActivePeers(int peers, Duration reportDelay, Duration reportLifetime)
@@ -97,7 +98,7 @@
     std::vector<ReportedLoad> reported;
     for (const auto &[hash, load] : m_unexpectedLoads) {
         if (now < load.until) {
-            reported.push_back({hash, static_cast<std::uint16_t>(load.inProgress)});
+            reported.push_back({hash, static_cast<std::uint16_t>(std::min(load.inProgress, maxReportedLoad))});
         }
     }
     m_unexpectedLoads.clear();
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -94,7 +94,7 @@
 
 static void fillReportedLoads(wire::BeaconNews::Builder root, const std::vector<ReportedLoad> &reported)
 {
-    auto loads = root.initLoads(static_cast<unsigned>(reported.size()));
+    auto loads = root.initLoads(static_cast<unsigned>(std::min(reported.size(), maxLoads)));
     for (unsigned i = 0; i < loads.size(); ++i) {
         loads[i].setEndpointHash(reported[i].endpointHash);
         loads[i].setInProgress(reported[i].inProgress);
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -209,8 +209,8 @@
 {
     const bool maySendEnds =
         now >= m_lastSentAt + endReportInterval && m_beaconBudget.hasReserveAfter(now, broadcastBytes());
-    const bool isUrgent = m_loadBalancer.hasUrgentNews(now);
-    const bool hasNews = isUrgent || m_queryOfDeath.hasUnsentNews() || m_loadBalancer.rateLimits().hasUnsentNews();
+    const bool hasNews = m_loadBalancer.hasUrgentNews(now) || m_queryOfDeath.hasUnsentNews()
+        || m_loadBalancer.rateLimits().hasUnsentNews();
     const bool isDue = m_unsentStartAt || hasNews || maySendEnds || now >= m_lastSentAt + heartbeatInterval;
     if (m_peers.empty() || !isDue) {
         return;
@@ -220,12 +220,12 @@
     };
     const std::vector<PeerLoad> loads = m_loadBalancer.ownLoads();
     const bool hasChanged =
-        isUrgent || !std::equal(loads.begin(), loads.end(), m_lastSentLoads.begin(), m_lastSentLoads.end(), isSame);
+        hasNews || !std::equal(loads.begin(), loads.end(), m_lastSentLoads.begin(), m_lastSentLoads.end(), isSame);
     if (!hasChanged) {
         m_unsentStartAt.reset(); // the counts are as last sent: a request that ended offsets the start
     }
-    const bool isSent = isUrgent ? m_beaconBudget.take(now, broadcastBytes(), true)
-                                 : m_beaconBudget.takeLeavingOne(now, broadcastBytes(), hasChanged || hasNews);
+    const bool isSent = hasNews ? m_beaconBudget.take(now, broadcastBytes(), true)
+                                : m_beaconBudget.takeLeavingOne(now, broadcastBytes(), hasChanged);
     if (isSent) {
         m_lastSentLoads = loads;
         send(now);
