--- a/filters/loadbalancerpeers.cpp
+++ b/filters/loadbalancerpeers.cpp
@@ -10,8 +10,9 @@
 constexpr auto peerDatagramDelay = std::chrono::milliseconds(10); // delivery of a datagram between busy routers
 constexpr int unexpectedLoad = 3;          // requests in progress beyond those that peers can know of
 constexpr double nearlyFullFraction = 0.6; // of the bound on load; below it late counts do no harm
-constexpr auto peerReportFreshness = std::chrono::milliseconds(400); // of a full engine, of which peers tell again
-constexpr int maxReportedLoad = 65535;
+constexpr auto peerReportFreshness = std::chrono::milliseconds(400); // of a report that a peer told of; if the engine
+                                                                     // is fuller by then, another one tells
+constexpr int maxReportedLoad = 65535;                               // requests in progress; 16 bits on the wire
 constexpr auto unexpectedLoadLifetime = std::chrono::milliseconds(300); // about the time in which short requests end
 
 void LoadBalancer::setActivePeers(int peers, Duration reportDelay, Duration reportLifetime)
