Log how much of the store's answer had come when it was given up

Change: bytes received in 'store_lost', a line 'store_still_lost' where bytes had come, a line 'store_transfer' for answers of over 64 KB, two byte counters a topic. No behaviour changed.

--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -344,13 +344,16 @@
     add("calls_refused_total", counts.refused);
     add("calls_failed_total", counts.failed);
     add("calls_streaming", counts.streaming);
-    const auto addStore = [&add](StoreTopic topic, std::int64_t calls, std::int64_t failures) {
-        add("store_calls_total", calls, label("topic", text(topic)));
-        add("store_failures_total", failures, label("topic", text(topic)));
+    const auto addStore = [&add](StoreTopic topic, const auto &reader) {
+        const std::string labels = label("topic", text(topic));
+        add("store_calls_total", reader.calls(), labels);
+        add("store_failures_total", reader.failures(), labels);
+        add("store_bytes_total", reader.bytes(), labels);
+        add("store_abandoned_bytes_total", reader.abandonedBytes(), labels);
     };
-    addStore(StoreTopic::DesiredState, m_desiredState.calls(), m_desiredState.failures());
-    addStore(StoreTopic::Registry, m_registry.calls(), m_registry.failures());
-    addStore(StoreTopic::Places, m_sharedState.calls(), m_sharedState.failures());
+    addStore(StoreTopic::DesiredState, m_desiredState);
+    addStore(StoreTopic::Registry, m_registry);
+    addStore(StoreTopic::Places, m_sharedState);
     add("store_records_total", m_storeRecords);
     add("store_restored_total", m_storeRestores);
     add("store_lost", (m_isDesiredStateLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -42,6 +42,12 @@
     std::int64_t failures() const { return m_subscription.failures() + m_writer.failures(); }
     std::int64_t calls() const { return m_subscription.calls() + m_writer.calls(); } ///< @return reads and writes sent
 
+    std::int64_t bytes() const { return m_subscription.bytes(); } ///< @return bytes of responses to reads
+    std::int64_t abandonedBytes() const
+    {
+        return m_subscription.abandonedBytes();
+    } ///< @return of these, of failed ones
+
     /// Called after each read and each successful write, with all that is stored and the end of the topic. Must be set
     /// before `start`.
     StoredStateHook onRead;
--- a/runtime/storeconnection.cpp
+++ b/runtime/storeconnection.cpp
@@ -19,6 +19,7 @@
     m_isCalling = true;
     m_request = std::move(request);
     m_hooks = std::move(hooks);
+    m_transfer = StoreTransfer();
     m_timer.expires_at(deadline);
     m_timer.async_wait([this, generation](const asio::error_code &error) {
         if (!error && generation == m_generation && m_isCalling) {
@@ -77,6 +78,10 @@
         disconnect(); // unsolicited bytes
         return;
     }
+    if (!m_transfer.firstBytesAt) {
+        m_transfer.firstBytesAt = clockNow();
+    }
+    m_transfer.bytes += bytes.size();
     const std::size_t used = m_parser->feed(bytes);
     if (m_parser->fault() != ParseFault::None || used < bytes.size()) {
         fail("malformed");
--- a/runtime/storeconnection.h
+++ b/runtime/storeconnection.h
@@ -16,6 +16,12 @@
     std::string body;
 };
 
+/// What has come of the response to one call.
+struct StoreTransfer {
+    std::size_t bytes = 0;               // with its head
+    std::optional<Instant> firstBytesAt; // nothing: no byte yet
+};
+
 /// Callbacks of one call. Exactly one of them is called, once.
 struct StoreCallHooks {
     std::function<void(const StoreResponse &)> onResponse;
@@ -39,6 +45,9 @@
     std::int64_t calls() const { return m_calls; }       ///< @return calls sent since the start
     std::int64_t failures() const { return m_failures; } ///< @return failed calls, also ones that were never sent
 
+    /// @return the response of the current call, or of the last one if none is in progress
+    const StoreTransfer &transfer() const { return m_transfer; }
+
 private:
     void connect();
     void send();
@@ -54,6 +63,7 @@
     std::unique_ptr<MessageParser> m_parser;
     std::string m_request;
     StoreCallHooks m_hooks;
+    StoreTransfer m_transfer;
     std::uint64_t m_generation = 0; // of the current call; late events of earlier ones are ignored
     std::int64_t m_calls = 0;
     std::int64_t m_failures = 0;
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr auto responseTimeout = std::chrono::milliseconds(700); // in addition to the long-poll timeout
+constexpr std::size_t loggedTransferBytes = 64 << 10;            // of a response that gets a log line of its own
 
 TopicSubscription::TopicSubscription(asio::io_context &io, StoreTopic topic, const std::string &address,
                                      const TopicTiming &timing, TopicSubscriptionHooks hooks, EventLog &log,
@@ -77,6 +78,21 @@
     return read.has_value();
 }
 
+/// A large response takes long where the link is slow, or where many routers share the store's rate.
+void TopicSubscription::noteTransfer(Instant now)
+{
+    const StoreTransfer &transfer = m_connection.transfer();
+    m_bytes += static_cast<std::int64_t>(transfer.bytes);
+    if (transfer.bytes < loggedTransferBytes) {
+        return;
+    }
+    LogLine line("store_transfer");
+    line.text("topic", text(m_topic)).flag("listing", m_request.isListing);
+    line.number("bytes", static_cast<std::int64_t>(transfer.bytes));
+    line.millis("waited_ms", *transfer.firstBytesAt - m_sentAt).millis("took_ms", now - *transfer.firstBytesAt);
+    m_log.write(line, LogPriority::Notable);
+}
+
 /// @return true if the store has been restored since the last response
 bool TopicSubscription::noteEra(Instant now, const StoreResponse &response)
 {
@@ -110,6 +126,7 @@
 void TopicSubscription::onResponse(const StoreResponse &response)
 {
     const Instant now = clockNow();
+    noteTransfer(now);
     const bool isRestored = noteEra(now, response);
     const bool isAnswered = response.status == statusOk || response.status == statusGone;
     if (!isAnswered || (!isRestored && !handleAnswer(now, response))) {
@@ -128,11 +145,17 @@
 {
     const Instant now = clockNow();
     ++m_failures;
-    if (!m_isLost) {
-        m_isLost = true;
-        LogLine line("store_lost");
+    const auto received = static_cast<std::int64_t>(m_connection.transfer().bytes);
+    m_bytes += received;
+    m_abandonedBytes += received;
+    if (!m_isLost || received > 0) {
+        LogLine line(m_isLost ? "store_still_lost" : "store_lost");
         line.text("topic", text(m_topic)).text("why", reason).millis("after_ms", now - m_sentAt);
+        line.number("received", received);
         m_log.write(line, LogPriority::Notable);
+    }
+    if (!m_isLost) {
+        m_isLost = true;
         m_hooks.onLost(now);
     }
     m_consumer.onFailure(now);
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -29,11 +29,14 @@
     void readNow(); ///< Sends the next call without waiting for the pause or backoff, unless one is in progress.
     std::int64_t calls() const { return m_connection.calls(); } ///< @return calls sent since the start
     std::int64_t failures() const { return m_failures; }        ///< @return failed or refused calls, also unsent ones
+    std::int64_t bytes() const { return m_bytes; }              ///< @return bytes of responses received
+    std::int64_t abandonedBytes() const { return m_abandonedBytes; } ///< @return of these, of failed calls
 
 private:
     void scheduleNext();
     void sendRequest();
     void onResponse(const StoreResponse &response);
+    void noteTransfer(Instant now);
     bool noteEra(Instant now, const StoreResponse &response);
     bool handleAnswer(Instant now, const StoreResponse &response);
     bool decodeBody(Instant now, const std::string &body);
@@ -48,6 +51,8 @@
     TopicRequest m_request; // the current or next call
     Instant m_sentAt{};     // of the last call
     std::int64_t m_failures = 0;
+    std::int64_t m_bytes = 0;
+    std::int64_t m_abandonedBytes = 0;
     std::optional<StoreEra> m_era; // of the last response
     bool m_isLost = false;         // the last call failed
 };
