--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -11,6 +11,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t pieceBytes = 8192; // of a body that is sent at a limited rate
+
 std::string sampleDesiredState(int version, const std::vector<SampleRoute> &routes,
                                const std::vector<std::string> &keys)
 {
@@ -111,6 +113,40 @@
     m_changed.notify_all();
 }
 
+void FakeTopicStore::setRate(std::int64_t bytesPerSecond)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_bytesPerSecond = bytesPerSecond;
+    m_changed.notify_all();
+}
+
+/// Waits until the rate allows more after these bytes. Responses in progress take turns. @return false if the store is
+/// stopping
+bool FakeTopicStore::waitForTurn(std::size_t bytes)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    if (m_bytesPerSecond == 0) {
+        return !m_isStopping;
+    }
+    const std::chrono::duration<double> needed(static_cast<double>(bytes) / static_cast<double>(m_bytesPerSecond));
+    m_busyUntil = std::max(m_busyUntil, clockNow()) + std::chrono::duration_cast<Duration>(needed);
+    m_bytesServed += static_cast<std::int64_t>(bytes);
+    const Instant turn = m_busyUntil;
+    return !m_changed.wait_until(lock, turn, [this] { return m_isStopping; });
+}
+
+/// Sends a body at the store's rate, in small pieces.
+void FakeTopicStore::sendBody(httplib::Response &response, std::string body, const char *contentType)
+{
+    const std::size_t size = body.size();
+    response.set_content_provider(
+        size, contentType,
+        [this, body = std::move(body)](std::size_t offset, std::size_t length, httplib::DataSink &sink) {
+            const std::size_t piece = std::min(length, pieceBytes);
+            return sink.write(body.data() + offset, piece) && waitForTurn(piece);
+        });
+}
+
 void FakeTopicStore::truncateHistory(const std::string &topic)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -181,7 +217,7 @@
         appendBigEndian(body, record.key.size(), 1);
         body += record.key + record.value;
     }
-    response.set_content(body, "application/octet-stream");
+    sendBody(response, std::move(body), "application/octet-stream");
 }
 
 /// Removes a big-endian integer of `size` bytes from the front.
@@ -256,7 +292,7 @@
         items.push_back({{"key", key}, {"value", encodeBase64(topic.records[offset].value)}, {"offset", offset}});
     }
     const Json page{{"items", items}, {"truncated", isTruncated}, {"end", topic.records.size()}};
-    response.set_content(page.dump(), "application/json");
+    sendBody(response, page.dump(), "application/json");
 }
 
 } // namespace galenafold
--- a/fakes/topicstore.h
+++ b/fakes/topicstore.h
@@ -1,6 +1,6 @@
 // Fake of the users' platform's store over HTTP, in memory: topics of keyed records, long-poll reads, paged listings of
-// the newest record of each key, conditional appends, truncated history, restores from a copy and injected faults. Also
-// a sample desired state.
+// the newest record of each key, conditional appends, a limited rate, truncated history, restores from a copy and
+// injected faults. Also a sample desired state.
 #pragma once
 
 #include "clients/http.h"
@@ -55,6 +55,12 @@
     /// Excludes the present records from reads. Listings still contain them.
     void truncateHistory(const std::string &topic);
 
+    /// Limits the rate at which all responses to reads and listings together are sent. A response takes its part also
+    /// after its reader has gone. @param bytesPerSecond 0: no limit
+    void setRate(std::int64_t bytesPerSecond);
+
+    std::int64_t bytesServed() const { return m_bytesServed; } ///< @return bytes of bodies sent while a rate was set
+
     void backUp(); ///< Keeps a copy of all topics for `restore`.
 
     /// Brings back the copy: what came since is lost, and its offsets are given out again. Then appends what its
@@ -79,6 +85,8 @@
     void read(const httplib::Request &request, httplib::Response &response);
     void list(const httplib::Request &request, httplib::Response &response);
     void append(const httplib::Request &request, httplib::Response &response);
+    void sendBody(httplib::Response &response, std::string body, const char *contentType);
+    bool waitForTurn(std::size_t bytes);
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -87,6 +95,9 @@
     int m_era = 1; // rises with each restore
     StoreFault m_fault = StoreFault::None;
     std::size_t m_pageSize = 500;
+    std::int64_t m_bytesPerSecond = 0; // of all responses together; 0: no limit
+    Instant m_busyUntil{};             // the bytes so far are sent then
+    std::atomic<std::int64_t> m_bytesServed{0};
     std::atomic<std::int64_t> m_requestCount{0};
     bool m_isStopping = false;
     HttpServer m_server;
