Let a response of the store take as long as it makes progress; skip replaced versions

Cause: a call to the store had one deadline for its whole response, 0.7 s beyond the long poll. A large version, or several missed ones, needed longer on a link of 10 Mbit/s or where all routers shared the store's rate; the response was thrown away and the same bytes were asked for again, for ever. Class: a time limit on the size of an answer, with a retry that adds to the load it fails under.

Change: a response has to begin by a deadline, and then to go on; only silence is given up (700 ms, as before). What had come by the time the timer fires counts. After a failure the topic's end is asked for first, so that the store's return is noticed by a small answer, and nothing is read where nothing was missed; a router that missed more versions than the topic has keys lists the newest; of versions in one read the last is decoded. A store that tells the end, yet begins large answers late, is given longer each time.

--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -7,24 +7,29 @@
 namespace galenafold
 {
 
-TopicConsumer::TopicConsumer(const TopicTiming &timing, TopicHooks hooks, std::uint64_t seed)
-    : m_timing(timing)
+TopicConsumer::TopicConsumer(const TopicSettings &settings, TopicHooks hooks, std::uint64_t seed)
+    : m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_random(seed)
-    , m_backoff(timing.initialBackoff)
+    , m_backoff(settings.initialBackoff)
+    , m_responseTimeout(settings.responseTimeout)
 {
 }
 
 TopicRequest TopicConsumer::next(Instant now) const
 {
     TopicRequest request;
-    request.isListing = m_isListing;
     request.notBefore = std::max(now, m_notBefore);
-    if (m_isListing) {
+    request.responseTimeout = m_responseTimeout;
+    if (m_mustAskForEnd) {
+        request.kind = TopicRequestKind::End;
+        request.responseTimeout = m_settings.responseTimeout;
+    } else if (m_isListing) {
+        request.kind = TopicRequestKind::Listing;
         request.after = m_listedRecords.empty() ? "" : m_listedRecords.back().key;
     } else {
         request.from = m_nextOffset;
-        request.longPollTimeout = m_skipsLongPoll ? Duration{} : m_timing.longPollTimeout;
+        request.longPollTimeout = m_skipsLongPoll ? Duration{} : m_settings.longPollTimeout;
     }
     return request;
 }
@@ -37,34 +42,83 @@
     }
     const bool isLast = !page.isTruncated || page.records.empty();
     std::move(page.records.begin(), page.records.end(), std::back_inserter(m_listedRecords));
-    m_backoff = m_timing.initialBackoff;
-    m_notBefore = now;
+    onRecords(now);
     if (!isLast) {
         return;
     }
     m_isListing = false;
     m_nextOffset = *m_listingOffset;
+    m_keys = std::max<LogOffset>(1, static_cast<LogOffset>(m_listedRecords.size()));
     m_hooks.onListed(m_listedRecords, *m_listingOffset);
     m_hooks.onCaughtUp(m_listingSentAt);
     m_listedRecords.clear();
     m_listingOffset.reset();
 }
 
+/// @return true if a later record of the read has the same key
+static bool isReplaced(const std::vector<KeyedRecord> &records, std::size_t index)
+{
+    const auto later = records.begin() + static_cast<std::ptrdiff_t>(index) + 1;
+    return std::any_of(later, records.end(),
+                       [&](const KeyedRecord &record) { return record.key == records[index].key; });
+}
+
 void TopicConsumer::onRead(Instant sentAt, Instant now, const TopicRead &read)
 {
-    for (const KeyedRecord &record : read.records) {
-        m_hooks.onRecord(record);
+    for (std::size_t i = 0; i < read.records.size(); ++i) {
+        const KeyedRecord &record = read.records[i];
+        if (!m_settings.needsNewestOnly || !isReplaced(read.records, i)) {
+            m_hooks.onRecord(record);
+        }
         m_nextOffset = record.offset + 1;
     }
-    m_backoff = m_timing.initialBackoff;
+    onRecords(now);
     m_skipsLongPoll = false;
-    const bool isAtEnd = m_nextOffset >= read.end;
-    m_notBefore = isAtEnd ? now + m_timing.pollInterval : now;
-    if (isAtEnd) {
-        m_hooks.onCaughtUp(sentAt);
+    if (m_nextOffset >= read.end) {
+        onCaughtUp(sentAt, now);
+    } else if (isBehind(read.end)) {
+        listAgain();
+    }
+}
+
+void TopicConsumer::onEnd(Instant sentAt, Instant now, LogOffset end)
+{
+    m_mustAskForEnd = false;
+    m_hasToldEnd = true;
+    m_backoff = m_settings.initialBackoff;
+    m_notBefore = now;
+    if (m_isListing) {
+        return;
+    }
+    if (end == m_nextOffset) {
+        m_skipsLongPoll = false;
+        onCaughtUp(sentAt, now);
+    } else if (end < m_nextOffset || isBehind(end)) {
+        listAgain();
     }
 }
 
+/// A listing or read was answered.
+void TopicConsumer::onRecords(Instant now)
+{
+    m_hasToldEnd = false;
+    m_backoff = m_settings.initialBackoff;
+    m_responseTimeout = m_settings.responseTimeout;
+    m_notBefore = now;
+}
+
+void TopicConsumer::onCaughtUp(Instant sentAt, Instant now)
+{
+    m_notBefore = now + m_settings.pollInterval;
+    m_hooks.onCaughtUp(sentAt);
+}
+
+/// @return true if more records are to be read than a listing has
+bool TopicConsumer::isBehind(LogOffset end) const
+{
+    return m_settings.needsNewestOnly && end - m_nextOffset > m_keys;
+}
+
 void TopicConsumer::listAgain()
 {
     m_isListing = true;
@@ -81,6 +135,7 @@
 void TopicConsumer::onStoreRestored()
 {
     listAgain();
+    m_mustAskForEnd = false;
     m_notBefore = Instant{};
 }
 
@@ -88,8 +143,18 @@
 {
     const boost::random::uniform_real_distribution<double> jitter(0.5, 1.0);
     m_notBefore = now + Duration(static_cast<Duration::rep>(static_cast<double>(m_backoff.count()) * jitter(m_random)));
-    m_backoff = std::min(m_backoff * 2, m_timing.maxBackoff);
+    m_backoff = std::min(m_backoff * 2, m_settings.maxBackoff);
     m_skipsLongPoll = true;
+    m_mustAskForEnd = m_settings.needsNewestOnly;
+    m_hasToldEnd = false;
+}
+
+void TopicConsumer::onNoResponse(Instant now)
+{
+    if (m_hasToldEnd) {
+        m_responseTimeout = std::min(m_responseTimeout * 2, m_settings.maxResponseTimeout);
+    }
+    onFailure(now);
 }
 
 } // namespace galenafold
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -6,6 +6,12 @@
 // with jitter, the deletion of unread records by a new listing. So is the restore of the store from a copy: it gives
 // out offsets again, so that what is read on from the last offset may lack records.
 //
+// Load pattern: records of hundreds of kilobytes, which all daemons read at once over slow links, come faster than they
+// can be read, or while the store is away. Where only the newest record of a key matters, the consumer first asks for
+// no more than the topic's end after a failure, and lists the topic if it has fallen behind, so that its bytes do not
+// grow with what was missed. A store that answers, yet begins its large responses late, is given longer each time: to
+// give such a response up and to ask for it again would only add to its load.
+//
 // Sections of this file: Records, Requests, Consumer.
 #pragma once
 
@@ -39,20 +45,35 @@
 
 // Requests
 
+enum class TopicRequestKind : std::uint8_t {
+    Listing, // the newest record of each key
+    Read,    // records from an offset on
+    End,     // no records, only the topic's end
+};
+
 /// The next request to the store.
 struct TopicRequest {
-    bool isListing = false;     // false: a read
+    TopicRequestKind kind = TopicRequestKind::Read;
     std::string after;          // listing: last key of the previous page
     LogOffset from = 0;         // read: first offset
     Duration longPollTimeout{}; // read: long-poll timeout; zero: a plain poll
+    Duration responseTimeout{}; // until the response begins, in addition to the long-poll timeout
     Instant notBefore{};        // earliest time to send it
 };
 
-struct TopicTiming {
+struct TopicSettings {
     Duration longPollTimeout{};                              // long-poll timeout of a read; zero: a plain poll
     Duration pollInterval{};                                 // before the next read once the end was reached
     Duration initialBackoff = std::chrono::milliseconds(50); // after a failure; doubles with each further one
     Duration maxBackoff = std::chrono::milliseconds(800);
+
+    /// Until a response begins. Doubles up to the maximum with each large response that does not, while the store
+    /// answers requests for the end.
+    Duration responseTimeout = std::chrono::milliseconds(700);
+    Duration maxResponseTimeout = std::chrono::milliseconds(5600);
+
+    /// Records that are followed by a newer one of the same key need not be delivered.
+    bool needsNewestOnly = false;
 };
 
 struct TopicHooks {
@@ -70,7 +91,7 @@
 class TopicConsumer
 {
 public:
-    TopicConsumer(const TopicTiming &timing, TopicHooks hooks, std::uint64_t seed);
+    TopicConsumer(const TopicSettings &settings, TopicHooks hooks, std::uint64_t seed);
 
     TopicRequest next(Instant now) const; ///< @return the request to send next
 
@@ -80,14 +101,23 @@
     /// @param sentAt when the request was sent; the response confirms the state as of then
     void onRead(Instant sentAt, Instant now, const TopicRead &read);
 
+    /// @param sentAt when the request for the end was sent @param end of the topic
+    void onEnd(Instant sentAt, Instant now, LogOffset end);
+
     void onOffsetOutOfRange();   ///< The next record to read was deleted: lists again.
     void onStoreRestored();      ///< All offsets so far are void: lists again.
     void onFailure(Instant now); ///< The request was refused, or its response was lost, late or unreadable.
 
+    /// Like `onFailure`: the response had not begun in time.
+    void onNoResponse(Instant now);
+
 private:
     void listAgain();
+    void onCaughtUp(Instant sentAt, Instant now);
+    void onRecords(Instant now);
+    bool isBehind(LogOffset end) const;
 
-    TopicTiming m_timing;
+    TopicSettings m_settings;
     TopicHooks m_hooks;
     mutable boost::random::mt19937_64 m_random;
     bool m_isListing = true;
@@ -97,7 +127,11 @@
     LogOffset m_nextOffset = 0;
     Instant m_notBefore{};
     Duration m_backoff{};
+    Duration m_responseTimeout{}; // of the next listing or read
+    LogOffset m_keys = 1;         // in the last listing
     bool m_skipsLongPoll = false; // the last request failed: the next read is a plain poll
+    bool m_mustAskForEnd = false; // the last request failed: what was missed is not known
+    bool m_hasToldEnd = false;    // the last response was to a request for the end
 };
 
 } // namespace galenafold
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -49,22 +49,23 @@
     return traffic;
 }
 
-static TopicTiming desiredStateTiming(const RouterSettings &settings)
+static TopicSettings desiredStateTopic(const RouterSettings &settings)
 {
-    TopicTiming timing;
-    timing.longPollTimeout = scaled(settings.maxRecoveryTime, recoveryWaitFactor);
+    TopicSettings topic;
+    topic.needsNewestOnly = true;
+    topic.longPollTimeout = scaled(settings.maxRecoveryTime, recoveryWaitFactor);
     if (settings.maxRevocationDelay > Duration{}) {
-        timing.longPollTimeout =
-            std::min(timing.longPollTimeout, scaled(settings.maxRevocationDelay, revocationWaitFactor));
+        topic.longPollTimeout =
+            std::min(topic.longPollTimeout, scaled(settings.maxRevocationDelay, revocationWaitFactor));
     }
-    return timing;
+    return topic;
 }
 
-static TopicTiming registryTiming(const RouterSettings &settings)
+static TopicSettings registryTopic(const RouterSettings &settings)
 {
-    TopicTiming timing;
-    timing.pollInterval = scaled(settings.maxDrainDelay, registryPauseFactor);
-    return timing;
+    TopicSettings topic;
+    topic.pollInterval = scaled(settings.maxDrainDelay, registryPauseFactor);
+    return topic;
 }
 
 RouterNode::RouterNode(const RouterSettings &settings, const EventLogSettings &log)
@@ -75,9 +76,9 @@
     , m_traffic(trafficSettings(settings), platformHeaderCodec(), m_log)
     , m_directory(settings.reregistrationTimeout)
     , m_proof(settings.maxRevocationDelay)
-    , m_desiredState(m_io, StoreTopic::DesiredState, settings.store, desiredStateTiming(settings), desiredStateHooks(),
+    , m_desiredState(m_io, StoreTopic::DesiredState, settings.store, desiredStateTopic(settings), desiredStateHooks(),
                      m_log, hashName(settings.name.text))
-    , m_registry(m_io, StoreTopic::Registry, settings.store, registryTiming(settings), registryHooks(), m_log,
+    , m_registry(m_io, StoreTopic::Registry, settings.store, registryTopic(settings), registryHooks(), m_log,
                  hashName(settings.name.text) + 1)
     , m_sharedState(m_io, settings.store, m_log, hashName(settings.name.text) + 2)
     , m_admin(m_io)
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -68,17 +68,17 @@
     return place;
 }
 
-static TopicTiming topicTiming()
+static TopicSettings topicSettings()
 {
-    TopicTiming timing;
-    timing.pollInterval = readInterval;
-    timing.maxBackoff = readInterval; // no request waits for the places
-    return timing;
+    TopicSettings topic;
+    topic.pollInterval = readInterval;
+    topic.maxBackoff = readInterval; // no request waits for the places
+    return topic;
 }
 
 SharedState::SharedState(asio::io_context &io, const std::string &address, EventLog &log, std::uint64_t seed)
     : m_log(log)
-    , m_subscription(io, StoreTopic::Places, address, topicTiming(), subscriptionHooks(), log, seed)
+    , m_subscription(io, StoreTopic::Places, address, topicSettings(), subscriptionHooks(), log, seed)
     , m_writer(io, address)
 {
 }
--- a/runtime/storeconnection.cpp
+++ b/runtime/storeconnection.cpp
@@ -5,6 +5,8 @@
 {
 
 constexpr std::uint64_t maxResponseBytes = 32U << 20U;
+constexpr auto progressTimeout = std::chrono::milliseconds(700); // for the next `progressBytes` of a response
+constexpr std::size_t progressBytes = 16 << 10;                  // a slower response counts as stopped
 
 StoreConnection::StoreConnection(asio::io_context &io, std::string address)
     : m_io(io)
@@ -15,17 +17,14 @@
 
 void StoreConnection::call(std::string request, Instant deadline, StoreCallHooks hooks)
 {
-    const std::uint64_t generation = ++m_generation;
+    ++m_generation;
     m_isCalling = true;
     m_request = std::move(request);
     m_hooks = std::move(hooks);
     m_transfer = StoreTransfer();
-    m_timer.expires_at(deadline);
-    m_timer.async_wait([this, generation](const asio::error_code &error) {
-        if (!error && generation == m_generation && m_isCalling) {
-            fail("timeout");
-        }
-    });
+    m_deadline = deadline;
+    m_bytesAtDeadline = 0;
+    armTimer();
     if (m_stream && m_stream->isOpen()) {
         send();
     } else {
@@ -33,6 +32,54 @@
     }
 }
 
+/// For an earlier deadline the timer is re-armed at once; a later one is applied when it fires.
+void StoreConnection::armTimer()
+{
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([this, generation = m_generation](const asio::error_code &error) {
+        if (!error && generation == m_generation && m_isCalling) {
+            onTimer();
+        }
+    });
+}
+
+/// After a VM suspension, or a long step of this thread, the timer may fire before input that has arrived.
+void StoreConnection::onTimer()
+{
+    const std::uint64_t generation = m_generation;
+    if (m_stream) {
+        const auto stream = m_stream; // reading may end the call
+        stream->poll();
+    }
+    if (generation != m_generation || !m_isCalling) {
+        return;
+    }
+    if (clockNow() < m_deadline) {
+        armTimer();
+    } else {
+        fail("timeout");
+    }
+}
+
+void StoreConnection::noteProgress(std::size_t bytes)
+{
+    const Instant now = clockNow();
+    const bool isFirst = !m_transfer.firstBytesAt;
+    m_transfer.bytes += bytes;
+    if (isFirst) {
+        m_transfer.firstBytesAt = now;
+    }
+    if (!isFirst && m_transfer.bytes < m_bytesAtDeadline + progressBytes) {
+        return;
+    }
+    m_bytesAtDeadline = m_transfer.bytes;
+    const Instant before = m_deadline;
+    m_deadline = now + progressTimeout;
+    if (m_deadline < before) {
+        armTimer();
+    }
+}
+
 void StoreConnection::connect()
 {
     const auto address = parseAddress(m_address);
@@ -78,10 +125,7 @@
         disconnect(); // unsolicited bytes
         return;
     }
-    if (!m_transfer.firstBytesAt) {
-        m_transfer.firstBytesAt = clockNow();
-    }
-    m_transfer.bytes += bytes.size();
+    noteProgress(bytes.size());
     const std::size_t used = m_parser->feed(bytes);
     if (m_parser->fault() != ParseFault::None || used < bytes.size()) {
         fail("malformed");
@@ -93,6 +137,7 @@
 void StoreConnection::finish()
 {
     m_isCalling = false;
+    m_transfer.isComplete = true;
     m_timer.cancel();
     const std::unique_ptr<MessageParser> parser = std::move(m_parser);
     const StoreCallHooks hooks = std::move(m_hooks);
--- a/runtime/storeconnection.h
+++ b/runtime/storeconnection.h
@@ -1,5 +1,8 @@
-// HTTP connection to the platform's store: one call at a time, each with a deadline. Any failure closes the connection
-// and the next call opens a new one.
+// HTTP connection to the platform's store: one call at a time. Any failure closes the connection and the next call
+// opens a new one.
+//
+// A response has to begin by a deadline, and must not stop before its end. How long it takes as a whole has no limit
+// but a lowest rate: what has come of it would have to be sent once more, over the same link.
 #pragma once
 
 #include "net/message.h"
@@ -20,6 +23,7 @@
 struct StoreTransfer {
     std::size_t bytes = 0;               // with its head
     std::optional<Instant> firstBytesAt; // nothing: no byte yet
+    bool isComplete = false;
 };
 
 /// Callbacks of one call. Exactly one of them is called, once.
@@ -35,7 +39,7 @@
     StoreConnection(asio::io_context &io, std::string address);
 
     /// Sends a call. No other call may be in progress.
-    /// @param request the complete HTTP request @param deadline for the complete response
+    /// @param request the complete HTTP request @param deadline for the first bytes of the response
     void call(std::string request, Instant deadline, StoreCallHooks hooks);
 
     void disconnect(); ///< Closes the connection; the next call opens a new one.
@@ -52,6 +56,9 @@
     void connect();
     void send();
     void onBytes(std::string_view bytes);
+    void armTimer();
+    void onTimer();
+    void noteProgress(std::size_t bytes);
     void finish();
     void fail(const char *reason);
 
@@ -64,7 +71,9 @@
     std::string m_request;
     StoreCallHooks m_hooks;
     StoreTransfer m_transfer;
-    std::uint64_t m_generation = 0; // of the current call; late events of earlier ones are ignored
+    Instant m_deadline{};              // for the first bytes, then for the next `progressBytes`
+    std::size_t m_bytesAtDeadline = 0; // of the response when `m_deadline` was set
+    std::uint64_t m_generation = 0;    // of the current call; late events of earlier ones are ignored
     std::int64_t m_calls = 0;
     std::int64_t m_failures = 0;
     bool m_isCalling = false;
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -6,15 +6,14 @@
 namespace galenafold
 {
 
-constexpr auto responseTimeout = std::chrono::milliseconds(700); // in addition to the long-poll timeout
-constexpr std::size_t loggedTransferBytes = 64 << 10;            // of a response that gets a log line of its own
+constexpr std::size_t loggedTransferBytes = 64 << 10; // of a response that gets a log line of its own
 
 TopicSubscription::TopicSubscription(asio::io_context &io, StoreTopic topic, const std::string &address,
-                                     const TopicTiming &timing, TopicSubscriptionHooks hooks, EventLog &log,
+                                     const TopicSettings &settings, TopicSubscriptionHooks hooks, EventLog &log,
                                      std::uint64_t seed)
     : m_topic(topic)
     , m_connection(io, address)
-    , m_consumer(timing, hooks.topic, seed)
+    , m_consumer(settings, hooks.topic, seed)
     , m_hooks(std::move(hooks))
     , m_log(log)
     , m_timer(io)
@@ -58,15 +57,17 @@
     hooks.onResponse = [this](const StoreResponse &response) { onResponse(response); };
     hooks.onFailure = [this](const char *reason) { onFailure(reason); };
     m_connection.call(encodeTopicRequest(m_request, m_topic, m_connection.address()),
-                      m_sentAt + m_request.longPollTimeout + responseTimeout, std::move(hooks));
+                      m_sentAt + m_request.longPollTimeout + m_request.responseTimeout, std::move(hooks));
 }
 
 /// Passes the body to the consumer. @return false if it is malformed
 bool TopicSubscription::decodeBody(Instant now, const std::string &body)
 {
-    if (m_request.isListing) {
+    if (m_request.kind != TopicRequestKind::Read) {
         auto page = decodeListingPage(body);
-        if (page) {
+        if (page && m_request.kind == TopicRequestKind::End) {
+            m_consumer.onEnd(m_sentAt, now, page->end);
+        } else if (page) {
             m_consumer.onPage(m_sentAt, now, std::move(*page));
         }
         return page.has_value();
@@ -87,7 +88,7 @@
         return;
     }
     LogLine line("store_transfer");
-    line.text("topic", text(m_topic)).flag("listing", m_request.isListing);
+    line.text("topic", text(m_topic)).flag("listing", m_request.kind == TopicRequestKind::Listing);
     line.number("bytes", static_cast<std::int64_t>(transfer.bytes));
     line.millis("waited_ms", *transfer.firstBytesAt - m_sentAt).millis("took_ms", now - *transfer.firstBytesAt);
     m_log.write(line, LogPriority::Notable);
@@ -145,20 +146,25 @@
 {
     const Instant now = clockNow();
     ++m_failures;
-    const auto received = static_cast<std::int64_t>(m_connection.transfer().bytes);
-    m_bytes += received;
-    m_abandonedBytes += received;
-    if (!m_isLost || received > 0) {
+    const StoreTransfer &transfer = m_connection.transfer();
+    const std::int64_t abandoned = transfer.isComplete ? 0 : static_cast<std::int64_t>(transfer.bytes);
+    m_bytes += abandoned;
+    m_abandonedBytes += abandoned;
+    if (!m_isLost || abandoned > 0) {
         LogLine line(m_isLost ? "store_still_lost" : "store_lost");
         line.text("topic", text(m_topic)).text("why", reason).millis("after_ms", now - m_sentAt);
-        line.number("received", received);
+        line.number("received", abandoned);
         m_log.write(line, LogPriority::Notable);
     }
     if (!m_isLost) {
         m_isLost = true;
         m_hooks.onLost(now);
     }
-    m_consumer.onFailure(now);
+    if (transfer.bytes == 0) {
+        m_consumer.onNoResponse(now);
+    } else {
+        m_consumer.onFailure(now);
+    }
     scheduleNext();
 }
 
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -22,7 +22,7 @@
 {
 public:
     /// @param seed for the jitter of the backoff
-    TopicSubscription(asio::io_context &io, StoreTopic topic, const std::string &address, const TopicTiming &timing,
+    TopicSubscription(asio::io_context &io, StoreTopic topic, const std::string &address, const TopicSettings &settings,
                       TopicSubscriptionHooks hooks, EventLog &log, std::uint64_t seed);
 
     void start();
