--- a/filters/headerfields.h
+++ b/filters/headerfields.h
@@ -53,6 +53,7 @@
     bool hasChecksum = false;   // carries the replica's checksum
     bool reportsNotRun = false; // the replica did not and will not run the request
     bool isEncoded = false;     // the body has a content encoding
+    bool isLeaving = false;     // the replica takes no new requests and will stop
     std::optional<ReplicaLoad> load;
     std::optional<double> rateLimit;          // requests per second that the replica takes from all routers together
     std::optional<Duration> keepAliveTimeout; // how long the replica keeps an idle connection open
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -80,6 +80,7 @@
             state = EndpointState();
             state.ownInFlight = own;
             state.nameHash = vmHash({record.id.text});
+            state.incarnation = incarnationHash(record);
             m_rateLimits.forget(state.nameHash);
         }
         state.record = record;
@@ -412,6 +413,17 @@
     return found != m_endpoints.end() && m_rateLimits.onAnswer(now, found->second.nameHash, perSecond);
 }
 
+bool LoadBalancer::onLeaving(const EndpointId &id, std::uint32_t incarnation)
+{
+    const auto found = m_endpoints.find(id);
+    const bool isNews =
+        found != m_endpoints.end() && found->second.incarnation == incarnation && !found->second.isLeaving;
+    if (isNews) {
+        found->second.isLeaving = true;
+    }
+    return isNews;
+}
+
 void LoadBalancer::onStreamEvent(Instant now, const EndpointId &id)
 {
     const auto found = m_endpoints.find(id);
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -49,6 +49,8 @@
     ReplicaRecord record;
     std::optional<std::uint64_t> place; // position for rendezvous hashing; none: serves only spilled requests
     std::uint32_t nameHash = 0;         // identifies the replica in messages between routers
+    std::uint32_t incarnation = 0;      // identifies this run of its process
+    bool isLeaving = false;             // an answer of it has announced that it will stop
     bool servesPrompts = false;         // gets requests with prompts; these run long enough to be reported to peers
     int ownInFlight = 0;                // requests in progress from this router
     double othersInFlight = 0;          // requests in progress from other routers, from the replica's last load report
@@ -149,6 +151,10 @@
     /// @return true if that has changed
     bool onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond);
 
+    /// An answer of the replica announced that it will stop. @param incarnation run of its process that answered
+    /// @return true if that is news
+    bool onLeaving(const EndpointId &id, std::uint32_t incarnation);
+
     ReplicaRateLimits &rateLimits() { return m_rateLimits; } ///< @return limits of replicas, by `nameHash`
 
     void onStreamEvent(Instant now, const EndpointId &id); ///< A stream event was received from the replica.
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -368,6 +368,7 @@
         }
     }
     noteRateLimit();
+    noteLeaving();
 }
 
 void RequestHandler::onBody(std::string &body)
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -70,6 +70,7 @@
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void noteRateLimit();
+    void noteLeaving();
     void onBody(std::string &body);
     void onDone();
     void onFailed(RequestProgress progress);
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -167,6 +167,17 @@
     m_state.log.write(line, LogPriority::Notable);
 }
 
+/// Each answer of a replica that leaves says so; the first one is logged.
+void RequestHandler::noteLeaving()
+{
+    if (!m_responseFields.isLeaving || !m_state.loadBalancer.onLeaving(m_endpoint, m_incarnation)) {
+        return;
+    }
+    LogLine line("replica_leaving");
+    line.text("replica", m_endpoint.text).text("request", m_fields.request.text);
+    m_state.log.write(line, LogPriority::Notable);
+}
+
 // Metrics
 
 void RequestHandler::recordMetrics(Instant now, std::string_view outcome, EndReason const *reason)
