Send nothing new to a replica whose answers announce that it leaves

What callers saw: requests to a replica that had said that it leaves, up to its stop, while the store was away or late (DRAIN).

Cause: the announcement in answers was read nowhere, so a router went by the registry alone. Class: a fact that two sources tell, of which one is ignored.

Change: the first such answer holds that run of the replica's process: no new request, retry or resumption goes there, its idle connections are closed. The mark outlives a lapse of the registry's entry and ends with the next run's entry.

--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -157,13 +157,25 @@
 {
     std::vector<EndpointState *> healthy;
     std::vector<EndpointState *> avoidedReplicas;
+    int leaving = 0;
     for (auto &[id, state] : m_endpoints) {
         if (state.record.service != request.service || request.excluded.count(id) > 0) {
             continue;
         }
+        if (m_holds.isLeaving(state.incarnation)) {
+            ++leaving;
+            continue;
+        }
         (now < state.avoidUntil ? avoidedReplicas : healthy).push_back(&state);
     }
-    const std::vector<EndpointState *> &candidates = healthy.empty() ? avoidedReplicas : healthy;
+    ReplicaChoice choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
+    choice.skippedLeaving = leaving;
+    return choice;
+}
+
+ReplicaChoice LoadBalancer::chooseAmong(Instant now, const SelectionRequest &request,
+                                        const std::vector<EndpointState *> &candidates)
+{
     if (request.affinity) {
         return chooseByAffinity(now, request, candidates);
     }
@@ -413,17 +425,6 @@
     return found != m_endpoints.end() && m_rateLimits.onAnswer(now, found->second.nameHash, perSecond);
 }
 
-bool LoadBalancer::onLeaving(const EndpointId &id, std::uint32_t incarnation)
-{
-    const auto found = m_endpoints.find(id);
-    const bool isNews =
-        found != m_endpoints.end() && found->second.incarnation == incarnation && !found->second.isLeaving;
-    if (isNews) {
-        found->second.isLeaving = true;
-    }
-    return isNews;
-}
-
 void LoadBalancer::onStreamEvent(Instant now, const EndpointId &id)
 {
     const auto found = m_endpoints.find(id);
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -18,6 +18,7 @@
 
 #include "control/gossip.h"
 #include "control/ratelimits.h"
+#include "control/replicaholds.h"
 #include "filters/headerfields.h"
 #include "filters/placetable.h"
 
@@ -50,7 +51,6 @@
     std::optional<std::uint64_t> place; // position for rendezvous hashing; none: serves only spilled requests
     std::uint32_t nameHash = 0;         // identifies the replica in messages between routers
     std::uint32_t incarnation = 0;      // identifies this run of its process
-    bool isLeaving = false;             // an answer of it has announced that it will stop
     bool servesPrompts = false;         // gets requests with prompts; these run long enough to be reported to peers
     int ownInFlight = 0;                // requests in progress from this router
     double othersInFlight = 0;          // requests in progress from other routers, from the replica's last load report
@@ -95,6 +95,7 @@
     int skippedFull = 0;                     // engines skipped because they were at the bound on load
     int skippedAvoided = 0;                  // engines skipped because they fail or were already tried
     int skippedLimited = 0;                  // replicas skipped because of the rate that they take
+    int skippedLeaving = 0;                  // replicas skipped because their answers announced that they will stop
     double bound = 0;                        // load above which no engine was to be chosen; 0: chosen without a bound
 
     explicit operator bool() const { return endpoint != nullptr; }
@@ -151,9 +152,7 @@
     /// @return true if that has changed
     bool onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond);
 
-    /// An answer of the replica announced that it will stop. @param incarnation run of its process that answered
-    /// @return true if that is news
-    bool onLeaving(const EndpointId &id, std::uint32_t incarnation);
+    ReplicaHolds &holds() { return m_holds; } ///< @return replicas whose own answers keep requests away, by incarnation
 
     ReplicaRateLimits &rateLimits() { return m_rateLimits; } ///< @return limits of replicas, by `nameHash`
 
@@ -215,6 +214,8 @@
     void applyReport(Instant now, EndpointState &state, int inProgress) const;
     static void updateSlowdown(Instant now, EndpointState &state, double slowdown);
     std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
+    ReplicaChoice chooseAmong(Instant now, const SelectionRequest &request,
+                              const std::vector<EndpointState *> &candidates);
     ReplicaChoice chooseByAffinity(Instant now, const SelectionRequest &request,
                                    const std::vector<EndpointState *> &candidates);
     const EndpointState *leastLoaded(Instant now, const std::vector<EndpointState *> &candidates);
@@ -226,6 +227,7 @@
     DataCentreId m_localDataCentre;
     boost::random::mt19937_64 m_random;
     ReplicaRateLimits m_rateLimits;
+    ReplicaHolds m_holds;
     struct DrainingEngine {
         std::uint64_t place = 0; // the place that it had
         std::string address;     // IP:PORT
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -401,7 +401,11 @@
 void RequestHandler::onDone()
 {
     const Instant now = clockNow();
-    m_state.connectionPool.release(m_endpoint, m_connection);
+    if (m_responseFields.isLeaving) {
+        m_connection->cancel(); // it would stay idle
+    } else {
+        m_state.connectionPool.release(m_endpoint, m_connection);
+    }
     if (m_responseFields.reportsNotRun) {
         m_refusedBy.insert(m_endpoint);
         endAttempt(AttemptOutcome::Refused);
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -61,7 +61,7 @@
     line.number("bound", static_cast<std::int64_t>(choice.bound));
     line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
-    line.number("passed_limited", choice.skippedLimited);
+    line.number("passed_limited", choice.skippedLimited).number("passed_leaving", choice.skippedLeaving);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogPriority::Routine);
@@ -167,12 +167,13 @@
     m_state.log.write(line, LogPriority::Notable);
 }
 
-/// Each answer of a replica that leaves says so; the first one is logged.
+/// Each answer of a replica that leaves says so; the first one takes effect.
 void RequestHandler::noteLeaving()
 {
-    if (!m_responseFields.isLeaving || !m_state.loadBalancer.onLeaving(m_endpoint, m_incarnation)) {
+    if (!m_responseFields.isLeaving || !m_state.loadBalancer.holds().onLeaving(m_incarnation)) {
         return;
     }
+    m_state.connectionPool.closeIdle(m_endpoint);
     LogLine line("replica_leaving");
     line.text("replica", m_endpoint.text).text("request", m_fields.request.text);
     m_state.log.write(line, LogPriority::Notable);
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -213,6 +213,8 @@
             writeMetric(out, "replica_load", labels, m_state.loadBalancer.load(now, *state));
             writeMetric(out, "replica_slowdown", labels, LoadBalancer::slowdown(now, *state));
             writeMetric(out, "replica_avoided", labels, now < state->avoidUntil ? 1 : 0);
+            writeMetric(out, "replica_leaving", labels,
+                        m_state.loadBalancer.holds().isLeaving(state->incarnation) ? 1 : 0);
         }
     }
     return out;
