Leave time for a second read of the registry within the drain delay

What callers could see: requests to a replica whose leaving the store had confirmed longer ago than the drain delay (DRAIN).

Cause: the pause between reads was three quarters of the delay, so one read that was late or lost (0.7 s) used up the rest. On links of 10 Mbit/s a large desired state alone delays a read by 0.3 to 0.7 s. Class: a period that leaves no room for one failure. Change: the pause is 0.6 of the delay; how topics are followed has a file of its own. Calls of a router for the registry rise by a quarter.

Evidence: ALostReadAndTheNextOneFitIntoTheDrainDelay failed at 0.75 and passes.

--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -4,6 +4,7 @@
 #include "runtime/routernode.h"
 
 #include "control/loadview.h"
+#include "control/storetopics.h"
 #include "net/status.h"
 #include "platform/documents.h"
 #include "platform/headers.h"
@@ -20,18 +21,8 @@
 constexpr auto balancerNoticeTime = std::chrono::milliseconds(2500); // two failed probes at 1 s intervals, and a margin
 constexpr auto drainMargin = std::chrono::milliseconds(400);         // before the platform kills the process
 
-// Timing of calls to the store, as fractions of the maximum delays in the settings.
-constexpr double revocationWaitFactor = 0.4; // a proof is as old as its call; two calls must fit into the delay
-constexpr double recoveryWaitFactor = 0.55;  // a silent connection is detected within this part of the recovery time
-constexpr double registryPauseFactor = 0.75; // between registry reads, so that a draining endpoint is noticed in time
-
 // Settings
 
-static Duration scaled(Duration span, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
-}
-
 static TrafficSettings trafficSettings(const RouterSettings &settings)
 {
     TrafficSettings traffic;
@@ -49,25 +40,6 @@
     return traffic;
 }
 
-static TopicSettings desiredStateTopic(const RouterSettings &settings)
-{
-    TopicSettings topic;
-    topic.needsNewestOnly = true;
-    topic.longPollTimeout = scaled(settings.maxRecoveryTime, recoveryWaitFactor);
-    if (settings.maxRevocationDelay > Duration{}) {
-        topic.longPollTimeout =
-            std::min(topic.longPollTimeout, scaled(settings.maxRevocationDelay, revocationWaitFactor));
-    }
-    return topic;
-}
-
-static TopicSettings registryTopic(const RouterSettings &settings)
-{
-    TopicSettings topic;
-    topic.pollInterval = scaled(settings.maxDrainDelay, registryPauseFactor);
-    return topic;
-}
-
 RouterNode::RouterNode(const RouterSettings &settings, const EventLogSettings &log)
     : m_settings(settings)
     , m_log(log)
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -3,7 +3,7 @@
 //
 // Sections of this file: Messages, Event streams, Routes, Replica directory, Topic consumption, Retries.
 #include "control/replicadirectory.h"
-#include "control/topicconsumer.h"
+#include "control/storetopics.h"
 #include "filters/eventsplitter.h"
 #include "filters/retry.h"
 #include "net/message.h"
@@ -380,6 +380,17 @@
     CHECK(topic.next(at(2)).kind == TopicRequestKind::Listing);
 }
 
+/// After a pause of three quarters of the delay there was no time for a second read.
+TEST(RegistryDirectory, ALostReadAndTheNextOneFitIntoTheDrainDelay)
+{
+    for (const Duration delay : {seconds(2), seconds(3)}) {
+        RouterSettings settings;
+        settings.maxDrainDelay = delay;
+        const TopicSettings topic = registryTopic(settings);
+        CHECK(topic.pollInterval + topic.responseTimeout + topic.initialBackoff < delay);
+    }
+}
+
 // Retries
 
 TEST_GROUP(RetryRules){};
