Test that a head which stops midway is never an answer

Other operators reported that clients got a 200 with an empty or short body when a replica stopped in the middle of its answer's head and closed. It does not happen here: a 200's head that is cut after each of its bytes, on a plain and on a streaming route, gives 502 each time.

--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -36,6 +36,29 @@
                 }));
 }
 
+/// On other systems callers got a 200 with an empty body.
+TEST(NodeResponseIntegrity, AHeadThatStopsMidwayIsNeverAnAnswer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n"
+                             "X-Galenafold-Response-Seal: s\r\nX-Galenafold-Attempt-Id: ";
+    fixture.addReplica("a", [&head](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        const std::size_t size = std::stoul(request.body);
+        const std::string whole = head + request.field("X-Galenafold-Attempt-Id") + "\r\n\r\n";
+        reply->send(whole.substr(0, size));
+        reply->closeGracefully();
+    });
+    fixture.startAndWaitReady();
+    const std::string id = "idid";
+    for (std::size_t size = 1; size < head.size() + id.size() + 4; ++size) { // the last one lacks one byte of the head
+        for (const char *path : {"/once/x", "/frail/x"}) {
+            const std::string request = encodeCallerRequest(path, id, "k1", 20000, "", std::to_string(size));
+            const auto caller = fixture.send(request);
+            CHECK(caller->read());
+            LONGS_EQUAL(502, caller->status());
+        }
+    }
+}
+
 TEST(NodeResponseIntegrity, ACloseDelimitedBodyThatIsResetIsRejected)
 {
     LONGS_EQUAL(502, statusFor([](const auto &, const std::shared_ptr<ReplicaReply> &reply) {
