Answer what a drain cannot finish; refuse late what may not end in it

What callers saw on other systems, and could see here: requests that came late in the grace were passed on and cut at its end with no answer, also ones that may not be repeated (LOST).

Cause: after the balancer's notice idle connections are closed, but a request whose body was still coming was passed on whatever time was left, and the end of the grace closed all connections. Class: work accepted without a look at the time that is left.

Change: from then on a request whose deadline is after the end is refused as not run; what is in progress at the end gets 503 or 502, by whether a replica may have run it, 250 ms before the process ends.

Evidence: ARequestThatMayNotEndInTheGraceIsRefused (passed on: 504 after its 20 s) and ARequestInProgressAtTheEndOfTheGraceGetsAnAnswer (cut) failed before and pass.

--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -19,7 +19,8 @@
 constexpr auto logFlushDelay = std::chrono::milliseconds(200);
 constexpr auto drainCheckInterval = std::chrono::milliseconds(100);
 constexpr auto balancerNoticeTime = std::chrono::milliseconds(2500); // two failed probes at 1 s intervals, and a margin
-constexpr auto drainMargin = std::chrono::milliseconds(400);         // before the platform kills the process
+constexpr auto drainMargin = std::chrono::milliseconds(400); // requests are ended so long before the process is killed
+constexpr auto stopMargin = std::chrono::milliseconds(150); // the process ends so long before; answers are sent by then
 
 // Settings
 
@@ -380,18 +381,21 @@
     });
 }
 
-/// New connections are accepted until the load balancer has noticed the drain. A call accepted later might not end
-/// before the drain timeout.
+/// New connections are accepted until the load balancer has noticed the drain. From then on only requests are taken
+/// whose deadline is before the end of the drain. What is still in progress then is answered before the process ends.
 void RouterNode::checkDrain()
 {
     const Instant now = clockNow();
+    const Instant killedAt = m_drainBegan + m_settings.drainTimeout;
     const bool hasBalancerNoticed = now >= m_drainBegan + balancerNoticeTime;
-    const bool mustEnd = now >= m_drainBegan + m_settings.drainTimeout - drainMargin;
     if (hasBalancerNoticed) {
-        m_traffic.stopAccepting(); // at each check: closes the connections that are idle by now
+        m_traffic.stopAccepting(killedAt - drainMargin); // at each check: closes the connections that are idle by now
+    }
+    if (now >= killedAt - drainMargin) {
+        m_traffic.endRequests();
     }
     const bool isQuiet = hasBalancerNoticed && m_traffic.counts().callers == 0;
-    if (isQuiet || mustEnd) {
+    if (isQuiet || now >= killedAt - stopMargin) {
         LogLine line("stop");
         line.number("in_progress", m_traffic.counts().inProgress);
         m_log.write(line, LogPriority::Notable);
--- a/tests/routernode.cpp
+++ b/tests/routernode.cpp
@@ -526,3 +526,53 @@
     fixture.thread.join();
     LONGS_EQUAL(1, replica.requests().size());
 }
+
+/// Requests that came late in the grace were passed on, and cut without an answer at its end.
+TEST(NodeDraining, ARequestThatMayNotEndInTheGraceIsRefused)
+{
+    FakeReplica &replica = fixture.addReplica("a", [](const auto &, const auto &) {});
+    fixture.settings.drainTimeout = milliseconds(6000);
+    fixture.startAndWaitReady();
+    const auto idle = fixture.send("");
+    const std::string request = encodeCallerRequest("/once/x", "i");
+    const auto slow = fixture.send(request.substr(0, request.size() - 1));
+    fixture.node->beginDrain();
+    CHECK(!idle->read()); // idle connections are closed by now
+    slow->send(request.substr(request.size() - 1));
+    CHECK(slow->read());
+    LONGS_EQUAL(503, slow->status());
+    fixture.thread.join();
+    LONGS_EQUAL(0, replica.requests().size());
+}
+
+TEST(NodeDraining, ARequestThatEndsInTheGraceIsServed)
+{
+    fixture.addReplica("a", respondOk);
+    fixture.settings.drainTimeout = milliseconds(8000);
+    fixture.startAndWaitReady();
+    const auto idle = fixture.send("");
+    const std::string request = encodeCallerRequest("/once/x", "i", "k1", 5000);
+    const auto slow = fixture.send(request.substr(0, request.size() - 1));
+    fixture.node->beginDrain();
+    CHECK(!idle->read());
+    slow->send(request.substr(request.size() - 1));
+    CHECK(slow->read());
+    LONGS_EQUAL(200, slow->status());
+    fixture.thread.join();
+}
+
+/// What is still in progress at the end of the grace was cut without an answer.
+TEST(NodeDraining, ARequestInProgressAtTheEndOfTheGraceGetsAnAnswer)
+{
+    FakeReplica &replica = fixture.addReplica("a", [](const auto &, const auto &) {});
+    fixture.settings.drainTimeout = milliseconds(3500);
+    fixture.startAndWaitReady();
+    const auto busy = fixture.send(encodeCallerRequest("/once/x", "i"));
+    CHECK(waitFor([&] { return replica.requests().size() == 1; }));
+    fixture.node->beginDrain();
+    fixture.thread.join();
+    fixture.node.reset(); // as at the end of the process
+    CHECK(busy->read());
+    LONGS_EQUAL(502, busy->status());
+    STRCMP_EQUAL("close", busy->field("Connection").c_str());
+}
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -1,4 +1,4 @@
-// Processing of one request on the users' platform. Sections of this file: Routing, Attempts, Responding.
+// Processing of one request on the users' platform: routing and attempts. Sections of this file: Routing, Attempts.
 #include "traffic/requesthandler.h"
 
 #include "control/loadview.h"
@@ -11,11 +11,7 @@
 
 constexpr auto defaultCallerTimeout = std::chrono::seconds(30);   // if the caller sends no deadline
 constexpr auto minTimeForAttempt = std::chrono::milliseconds(10); // no attempt is made with less time left
-constexpr auto retryDelay = std::chrono::milliseconds(250); // Retry-After; also between requests for a denied retry
-constexpr auto staleStateRetryDelay = std::chrono::milliseconds(1000); // Retry-After while the state is unconfirmed
-constexpr auto blockedRetryDelay = std::chrono::minutes(10);           // Retry-After of a prompt that crashes replicas
-constexpr auto limitedRetryDelay = std::chrono::seconds(1); // Retry-After while all replicas get what they take
-constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
+constexpr auto deniedRetryDelay = std::chrono::milliseconds(250); // between requests for a retry that was denied
 constexpr double attemptTimeoutFactor = 1.5; // times the latency objective: time limit of an attempt without progress
 constexpr auto minAttemptTimeout = std::chrono::milliseconds(250); // lower limit, also used at a stalled replica
 constexpr int stallCheckFactor = 2;    // times the gap objective: check whether the replica is stalled
@@ -31,10 +27,12 @@
     , m_timer(state.io)
 {
     ++m_state.counts.inProgress;
+    m_state.requests.insert(this);
 }
 
 RequestHandler::~RequestHandler()
 {
+    m_state.requests.erase(this);
     --m_state.counts.inProgress;
     m_state.counts.streaming -= m_attempts.isStreaming ? 1 : 0;
 }
@@ -56,6 +54,10 @@
     }
     m_deadline =
         m_request.arrival + std::min<Duration>(m_fields.callerTimeout.value_or(defaultCallerTimeout), m_route->timeout);
+    if (m_state.stopsAt && m_deadline > *m_state.stopsAt) {
+        refuse(statusUnavailable, EndReason::Stopping);
+        return;
+    }
     m_attempts.isRetryable = m_route->isRetryable();
     m_attempts.isResumable = m_route->isResumable;
     m_attempts.maxAttempts = m_route->maxAttempts;
@@ -71,6 +73,14 @@
     dispatch(now);
 }
 
+void RequestHandler::end()
+{
+    if (!m_isFinished) {
+        abandonAttempt(AttemptOutcome::Abandoned);
+        giveUp(EndReason::Stopping);
+    }
+}
+
 void RequestHandler::waitForStart()
 {
     LogLine line("queued");
@@ -85,7 +95,7 @@
 bool RequestHandler::findRoute(Instant now)
 {
     if (!m_table) {
-        refuse(statusUnavailable, EndReason::NoDesiredState, retryDelay);
+        refuse(statusUnavailable, EndReason::NoDesiredState);
         return false;
     }
     const std::string &target = m_request.head.target;
@@ -97,9 +107,9 @@
         return true;
     }
     if (m_state.proof.isValid(now)) {
-        refuse(statusNotFound, EndReason::NoRoute, Duration{});
+        refuse(statusNotFound, EndReason::NoRoute);
     } else {
-        refuse(statusUnavailable, EndReason::NoRoute, staleStateRetryDelay);
+        refuse(statusUnavailable, EndReason::NoRoute);
     }
     return false;
 }
@@ -110,12 +120,12 @@
         return true;
     }
     if (!m_state.proof.isValid(now)) {
-        refuse(statusUnavailable, EndReason::StaleKeys, staleStateRetryDelay);
+        refuse(statusUnavailable, EndReason::StaleKeys);
         return false;
     }
     m_account = m_table->account(m_fields.apiKey);
     if (!m_account) {
-        refuse(statusUnauthorized, EndReason::UnknownApiKey, Duration{});
+        refuse(statusUnauthorized, EndReason::UnknownApiKey);
         return false;
     }
     return true;
@@ -312,7 +322,7 @@
     m_selection.excluded.insert(m_endpoint);
     const ReplicaChoice next = takeRetry(now);
     if (!next) {
-        m_noRetryBefore = now + retryDelay;
+        m_noRetryBefore = now + deniedRetryDelay;
         armTimer();
         return;
     }
@@ -479,127 +489,4 @@
     return true;
 }
 
-// Responding
-
-void RequestHandler::relayEvents(std::string &body)
-{
-    const std::string events = m_events.feed(body);
-    const Instant now = clockNow();
-    if (m_attempts.isStreaming) {
-        m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
-    }
-    if (!hasReceivedEvents()) {
-        m_state.queryOfDeath.onAnswered(now, m_prompt);
-    }
-    m_lastEventAt = now;
-    m_state.loadBalancer.onStreamEvent(now, m_endpoint);
-    if (std::min(progressDeadline(), nextStallCheck()) < m_timer.expiry()) {
-        armTimer();
-    }
-    if (events.empty() || m_events.hasGap()) {
-        return; // a gap in event ids counts as a failure when the attempt ends
-    }
-    if (!m_attempts.isStreaming) {
-        m_attempts.isStreaming = true;
-        ++m_state.counts.streaming;
-        m_firstByteAt = clockNow();
-        m_caller->beginStream(m_head.status, endToEndFields(m_head.fields));
-        m_caller->onDrained = [self = shared_from_this()] {
-            if (self->m_connection) {
-                self->m_connection->pauseReading(false);
-            }
-        };
-    }
-    m_caller->streamBytes(events);
-    if (m_caller->pending() > maxCallerBacklogBytes && m_connection) {
-        m_connection->pauseReading(true);
-    }
-}
-
-void RequestHandler::forwardResponse()
-{
-    const int status = m_head.status;
-    m_firstByteAt = clockNow();
-    m_caller->sendResponse(status, endToEndFields(m_head.fields), m_body);
-    finish("served", status, nullptr);
-}
-
-/// @return the span in seconds with three decimals
-static std::string seconds(Duration span)
-{
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-    std::string fraction = std::to_string(millis % 1000);
-    fraction.insert(0, 3 - fraction.size(), '0');
-    return std::to_string(millis / 1000) + '.' + fraction;
-}
-
-void RequestHandler::refuse(int status, EndReason reason, Duration retryAfter)
-{
-    HttpFields fields;
-    if (retryAfter > Duration{}) {
-        fields.push_back({"Retry-After", seconds(retryAfter)});
-    }
-    m_caller->sendResponse(status, fields, "");
-    finish("refused", status, &reason);
-}
-
-/// @return when a caller that was refused for this reason may be served
-static Duration retryAfter(EndReason reason)
-{
-    if (reason == EndReason::QueryOfDeath) {
-        return blockedRetryDelay;
-    }
-    if (reason == EndReason::ReplicaLimits) {
-        return limitedRetryDelay;
-    }
-    return reason == EndReason::StaleKeys ? staleStateRetryDelay : retryDelay;
-}
-
-/// Ends the request without a further attempt. The status depends on whether any attempt may have run, not only
-/// the last one.
-void RequestHandler::giveUp(EndReason reason)
-{
-    if (m_attempts.isStreaming) {
-        abortResponse(reason);
-        return;
-    }
-    if (!m_attempts.mayHaveRun) {
-        refuse(statusUnavailable, reason, retryAfter(reason));
-        return;
-    }
-    const int status = reason == EndReason::Expired ? statusGatewayTimeout : statusBadGateway;
-    m_caller->sendResponse(status, {}, "");
-    finish("failed", status, &reason);
-}
-
-void RequestHandler::abortResponse(EndReason reason)
-{
-    m_caller->abortResponse();
-    finish("broken", m_head.status, &reason);
-}
-
-/// Closing the connection to the replica makes it stop its work, as the response is no longer needed.
-void RequestHandler::onCallerDisconnected()
-{
-    if (m_isFinished) {
-        return;
-    }
-    const EndReason reason = EndReason::CallerDisconnected;
-    abandonAttempt(AttemptOutcome::Abandoned);
-    finish("gone", 0, &reason);
-}
-
-void RequestHandler::finish(std::string_view outcome, int status, EndReason const *reason)
-{
-    const auto self = shared_from_this();
-    m_isFinished = true;
-    m_timer.cancel();
-    const bool isServed = outcome == "served";
-    (isServed ? m_state.counts.served : m_attempts.mayHaveRun ? m_state.counts.failed : m_state.counts.refused)++;
-    const Instant now = clockNow();
-    logEnd(now, outcome, status, reason);
-    recordMetrics(now, outcome, reason);
-    m_caller->onDisconnected = nullptr;
-}
-
 } // namespace galenafold
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -24,6 +24,7 @@
     AttemptTimeout,     // an attempt timed out without progress
     ReplicaError,       // the replica responded with a server error
     CallerDisconnected, // the caller disconnected
+    Stopping,           // this router stops before the response may be complete
 };
 
 const char *text(EndReason reason); ///< @return the reason's name in logs and metrics
@@ -38,6 +39,7 @@
     RequestHandler &operator=(const RequestHandler &) = delete;
 
     void begin(); ///< Starts processing. Called again when the startup gate no longer holds the request.
+    void end();   ///< Ends processing without a further attempt, as this router stops. The caller gets an answer.
 
 private:
     // Routing.
@@ -83,7 +85,7 @@
 
     void relayEvents(std::string &body);
     void forwardResponse();
-    void refuse(int status, EndReason reason, Duration retryAfter);
+    void refuse(int status, EndReason reason);
     void giveUp(EndReason reason);
     void abortResponse(EndReason reason);
     void onCallerDisconnected();
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -44,6 +44,8 @@
         return "replica_error";
     case EndReason::CallerDisconnected:
         return "caller_gone";
+    case EndReason::Stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- /dev/null
+++ b/traffic/requestresponse.cpp
@@ -0,0 +1,142 @@
+// What the caller of one request gets: a replica's response as a whole or as a stream, a refusal, or an error.
+#include "net/status.h"
+#include "traffic/requesthandler.h"
+
+#include <algorithm>
+
+namespace galenafold
+{
+
+constexpr auto retryDelay = std::chrono::milliseconds(250);            // Retry-After
+constexpr auto staleStateRetryDelay = std::chrono::milliseconds(1000); // the same, while the state is unconfirmed
+constexpr auto blockedRetryDelay = std::chrono::minutes(10);           // of a prompt that crashes replicas
+constexpr auto limitedRetryDelay = std::chrono::seconds(1);            // while all replicas get what they take
+constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
+
+void RequestHandler::relayEvents(std::string &body)
+{
+    const std::string events = m_events.feed(body);
+    const Instant now = clockNow();
+    if (m_attempts.isStreaming) {
+        m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
+    }
+    if (!hasReceivedEvents()) {
+        m_state.queryOfDeath.onAnswered(now, m_prompt);
+    }
+    m_lastEventAt = now;
+    m_state.loadBalancer.onStreamEvent(now, m_endpoint);
+    if (std::min(progressDeadline(), nextStallCheck()) < m_timer.expiry()) {
+        armTimer();
+    }
+    if (events.empty() || m_events.hasGap()) {
+        return; // a gap in event ids counts as a failure when the attempt ends
+    }
+    if (!m_attempts.isStreaming) {
+        m_attempts.isStreaming = true;
+        ++m_state.counts.streaming;
+        m_firstByteAt = clockNow();
+        m_caller->beginStream(m_head.status, endToEndFields(m_head.fields));
+        m_caller->onDrained = [self = shared_from_this()] {
+            if (self->m_connection) {
+                self->m_connection->pauseReading(false);
+            }
+        };
+    }
+    m_caller->streamBytes(events);
+    if (m_caller->pending() > maxCallerBacklogBytes && m_connection) {
+        m_connection->pauseReading(true);
+    }
+}
+
+void RequestHandler::forwardResponse()
+{
+    const int status = m_head.status;
+    m_firstByteAt = clockNow();
+    m_caller->sendResponse(status, endToEndFields(m_head.fields), m_body);
+    finish("served", status, nullptr);
+}
+
+/// @return the span in seconds with three decimals
+static std::string seconds(Duration span)
+{
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    std::string fraction = std::to_string(millis % 1000);
+    fraction.insert(0, 3 - fraction.size(), '0');
+    return std::to_string(millis / 1000) + '.' + fraction;
+}
+
+/// @return when a caller that was refused for this reason may be served
+static Duration retryAfter(EndReason reason)
+{
+    switch (reason) {
+    case EndReason::QueryOfDeath:
+        return blockedRetryDelay;
+    case EndReason::ReplicaLimits:
+        return limitedRetryDelay;
+    case EndReason::NoRoute:
+    case EndReason::StaleKeys:
+        return staleStateRetryDelay;
+    default:
+        return retryDelay;
+    }
+}
+
+/// Only a refusal that may be repeated tells when.
+void RequestHandler::refuse(int status, EndReason reason)
+{
+    HttpFields fields;
+    if (status == statusUnavailable) {
+        fields.push_back({"Retry-After", seconds(retryAfter(reason))});
+    }
+    m_caller->sendResponse(status, fields, "");
+    finish("refused", status, &reason);
+}
+
+/// Ends the request without a further attempt. The status depends on whether any attempt may have run, not only
+/// the last one.
+void RequestHandler::giveUp(EndReason reason)
+{
+    if (m_attempts.isStreaming) {
+        abortResponse(reason);
+        return;
+    }
+    if (!m_attempts.mayHaveRun) {
+        refuse(statusUnavailable, reason);
+        return;
+    }
+    const int status = reason == EndReason::Expired ? statusGatewayTimeout : statusBadGateway;
+    m_caller->sendResponse(status, {}, "");
+    finish("failed", status, &reason);
+}
+
+void RequestHandler::abortResponse(EndReason reason)
+{
+    m_caller->abortResponse();
+    finish("broken", m_head.status, &reason);
+}
+
+/// Closing the connection to the replica makes it stop its work, as the response is no longer needed.
+void RequestHandler::onCallerDisconnected()
+{
+    if (m_isFinished) {
+        return;
+    }
+    const EndReason reason = EndReason::CallerDisconnected;
+    abandonAttempt(AttemptOutcome::Abandoned);
+    finish("gone", 0, &reason);
+}
+
+void RequestHandler::finish(std::string_view outcome, int status, EndReason const *reason)
+{
+    const auto self = shared_from_this();
+    m_isFinished = true;
+    m_timer.cancel();
+    const bool isServed = outcome == "served";
+    (isServed ? m_state.counts.served : m_attempts.mayHaveRun ? m_state.counts.failed : m_state.counts.refused)++;
+    const Instant now = clockNow();
+    logEnd(now, outcome, status, reason);
+    recordMetrics(now, outcome, reason);
+    m_caller->onDisconnected = nullptr;
+}
+
+} // namespace galenafold
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -294,9 +294,25 @@
     asio::post(m_io, [this] { m_state.isDraining = true; });
 }
 
-void TrafficThread::stopAccepting()
+void TrafficThread::stopAccepting(Instant stopsAt)
 {
-    asio::post(m_io, [this] { m_listener.stopAccepting(); });
+    asio::post(m_io, [this, stopsAt] {
+        m_state.stopsAt = stopsAt;
+        m_listener.stopAccepting();
+    });
+}
+
+void TrafficThread::endRequests()
+{
+    asio::post(m_io, [this] {
+        std::vector<std::shared_ptr<RequestHandler>> requests; // ending one removes it from the set
+        for (RequestHandler *request : m_state.requests) {
+            requests.push_back(request->shared_from_this());
+        }
+        for (const auto &request : requests) {
+            request->end();
+        }
+    });
 }
 
 } // namespace galenafold
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -67,6 +67,8 @@
     std::shared_ptr<const RouteTable> table; // null until a desired state is known
     FreshnessProof proof;                    // when `table` was last confirmed to be the newest
     bool isDraining = false;
+    std::optional<Instant> stopsAt;      // set late in a drain: requests with a later deadline are refused
+    std::set<RequestHandler *> requests; // in progress
     StartupGate gate;
     std::vector<std::shared_ptr<RequestHandler>> waiting; // requests that `gate` holds
     LoadBalancer loadBalancer;
@@ -110,7 +112,10 @@
     void setStoreLost(); ///< The store is unreachable: routers that reach it come first as leader; no request waits.
     void setProof(Instant provedAt); ///< The desired state was confirmed to be the newest at this time.
     void beginDrain();               ///< From now on, each response closes its connection.
-    void stopAccepting();            ///< Stops accepting connections and closes idle ones.
+    /// Stops accepting connections and closes idle ones. @param stopsAt when requests in progress are ended
+    void stopAccepting(Instant stopsAt);
+
+    void endRequests(); ///< Ends all requests in progress; callers get an answer, streams break visibly.
 
     /// Called on the traffic thread, at most once a second, while this router is the leader, with the places that are
     /// missing from the store or differ there. Set before `start`.
