Send nothing to a replica for the time for which it wants none

What could be seen: a replica that turned a request away with 503 and Retry-After got the next one of the same router 50 ms later (BUDGET allows two until the time ends).

Cause: the field was read nowhere. ReplicaHolds keeps the time by run of the replica's process; afterwards the router comes back by chance within a quarter of it, with one request, twice as many after each good answer. If all replicas left have named times, the caller gets the shortest.

Evidence: ReplicaThatTurnsAway (replica a got requests again after 50 ms before, by the code; not run on the code as landed) and ReplicaHolding pass.

--- a/filters/headerfields.h
+++ b/filters/headerfields.h
@@ -56,6 +56,7 @@
     bool isLeaving = false;     // the replica takes no new requests and will stop
     std::optional<ReplicaLoad> load;
     std::optional<double> rateLimit;          // requests per second that the replica takes from all routers together
+    std::optional<Duration> retryAfter;       // with 503: how long the replica wants no request of this router
     std::optional<Duration> keepAliveTimeout; // how long the replica keeps an idle connection open
 };
 
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -61,6 +61,7 @@
     , m_localDataCentre(std::move(localDataCentre))
     , m_random(seed)
     , m_rateLimits(seed)
+    , m_holds(seed)
 {
 }
 
@@ -157,22 +158,38 @@
 {
     std::vector<EndpointState *> healthy;
     std::vector<EndpointState *> avoidedReplicas;
-    int leaving = 0;
+    ReplicaChoice held;
     for (auto &[id, state] : m_endpoints) {
-        if (state.record.service != request.service || request.excluded.count(id) > 0) {
-            continue;
-        }
-        if (m_holds.isLeaving(state.incarnation)) {
-            ++leaving;
+        if (state.record.service != request.service || request.excluded.count(id) > 0 || isHeld(now, state, held)) {
             continue;
         }
         (now < state.avoidUntil ? avoidedReplicas : healthy).push_back(&state);
     }
     ReplicaChoice choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
-    choice.skippedLeaving = leaving;
+    choice.skippedLeaving = held.skippedLeaving;
+    choice.skippedTurnedAway = held.skippedTurnedAway;
+    choice.turnedAwayUntil = held.turnedAwayUntil;
     return choice;
 }
 
+/// @param choice counts the replica if its own answers keep requests away
+bool LoadBalancer::isHeld(Instant now, const EndpointState &state, ReplicaChoice &choice) const
+{
+    switch (m_holds.hold(now, state.incarnation, state.ownInFlight)) {
+    case ReplicaHold::None:
+        return false;
+    case ReplicaHold::Leaving:
+        ++choice.skippedLeaving;
+        return true;
+    case ReplicaHold::TurnedAway:
+        ++choice.skippedTurnedAway;
+        choice.turnedAwayUntil =
+            std::min(choice.turnedAwayUntil, m_holds.turnedAwayUntil(now, state.incarnation).value_or(now));
+        return true;
+    }
+    return false;
+}
+
 ReplicaChoice LoadBalancer::chooseAmong(Instant now, const SelectionRequest &request,
                                         const std::vector<EndpointState *> &candidates)
 {
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -91,12 +91,14 @@
 
 /// The chosen replica, and how many engines that rank before it for the prompt were skipped.
 struct ReplicaChoice {
-    const EndpointState *endpoint = nullptr; // null: no replica is left to try
-    int skippedFull = 0;                     // engines skipped because they were at the bound on load
-    int skippedAvoided = 0;                  // engines skipped because they fail or were already tried
-    int skippedLimited = 0;                  // replicas skipped because of the rate that they take
-    int skippedLeaving = 0;                  // replicas skipped because their answers announced that they will stop
-    double bound = 0;                        // load above which no engine was to be chosen; 0: chosen without a bound
+    const EndpointState *endpoint = nullptr;  // null: no replica is left to try
+    int skippedFull = 0;                      // engines skipped because they were at the bound on load
+    int skippedAvoided = 0;                   // engines skipped because they fail or were already tried
+    int skippedLimited = 0;                   // replicas skipped because of the rate that they take
+    int skippedLeaving = 0;                   // replicas skipped because their answers announced that they will stop
+    int skippedTurnedAway = 0;                // replicas skipped because they named a time for which they want none
+    Instant turnedAwayUntil = Instant::max(); // the shortest of these times
+    double bound = 0;                         // load above which no engine was to be chosen; 0: chosen without a bound
 
     explicit operator bool() const { return endpoint != nullptr; }
     const EndpointState *operator->() const { return endpoint; }
@@ -214,6 +216,7 @@
     void applyReport(Instant now, EndpointState &state, int inProgress) const;
     static void updateSlowdown(Instant now, EndpointState &state, double slowdown);
     std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
+    bool isHeld(Instant now, const EndpointState &state, ReplicaChoice &choice) const;
     ReplicaChoice chooseAmong(Instant now, const SelectionRequest &request,
                               const std::vector<EndpointState *> &candidates);
     ReplicaChoice chooseByAffinity(Instant now, const SelectionRequest &request,
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -144,7 +144,9 @@
     }
     const ReplicaChoice choice = chooseReplica(now);
     if (!choice) {
-        giveUp(choice.skippedLimited > 0 ? EndReason::ReplicaLimits : EndReason::NoReplica);
+        giveUp(choice.skippedTurnedAway > 0    ? EndReason::ReplicasTurnAway
+                   : choice.skippedLimited > 0 ? EndReason::ReplicaLimits
+                                               : EndReason::NoReplica);
         return;
     }
     attempt(now, choice);
@@ -159,6 +161,9 @@
         m_selection.excluded = m_refusedBy;
         choice = m_state.loadBalancer.choose(now, m_selection);
     }
+    if (!choice && choice.skippedTurnedAway > 0) {
+        m_turnedAwayUntil = choice.turnedAwayUntil;
+    }
     return choice;
 }
 
@@ -379,6 +384,7 @@
     }
     noteRateLimit();
     noteLeaving();
+    noteTurnedAway();
 }
 
 void RequestHandler::onBody(std::string &body)
@@ -432,6 +438,7 @@
             afterFailure(EndReason::BrokenResponse);
             return;
         }
+        m_state.loadBalancer.holds().onServed(now, m_incarnation);
         m_caller->endStream();
         finish("served", m_head.status, nullptr);
         return;
@@ -443,6 +450,9 @@
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
     m_state.queryOfDeath.onAnswered(now, m_prompt);
+    if (!isError) {
+        m_state.loadBalancer.holds().onServed(now, m_incarnation);
+    }
     endAttempt(isError ? AttemptOutcome::Error : AttemptOutcome::Good);
     if (!isError || !m_attempts.isRetryable || !retry(now, EndReason::ReplicaError)) {
         forwardResponse();
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -16,6 +16,7 @@
     StaleKeys,          // the desired state was not confirmed recently enough to accept API keys
     NoReplica,          // the service has no replica
     ReplicaLimits,      // the replicas already get as many requests as they take
+    ReplicasTurnAway,   // the replicas named times for which they want no requests
     QueryOfDeath,       // prompts like this one crash replicas
     Expired,            // the request's deadline has passed
     AllRefused,         // the last attempt was refused by its replica
@@ -73,6 +74,8 @@
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void noteRateLimit();
     void noteLeaving();
+    void noteTurnedAway();
+    Duration retryAfter(EndReason reason) const;
     void onBody(std::string &body);
     void onDone();
     void onFailed(RequestProgress progress);
@@ -104,6 +107,7 @@
     PromptKeys m_prompt;              // empty if the route's requests have no prompts
     std::set<EndpointId> m_refusedBy; // replicas that answered that they did not run the request
     Instant m_deadline{};             // for the whole response
+    Instant m_turnedAwayUntil{};      // shortest time that replicas named, if no other replica was left
     Instant m_noRetryBefore{};        // an attempt without progress is not retried before this time
     DeadlineTimer m_timer;
     AttemptHistory m_attempts;
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -44,6 +44,8 @@
         return "replica_error";
     case EndReason::CallerDisconnected:
         return "caller_gone";
+    case EndReason::ReplicasTurnAway:
+        return "replicas_turn_away";
     case EndReason::Stopping:
         return "stopping";
     }
@@ -64,6 +66,7 @@
     line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
     line.number("passed_limited", choice.skippedLimited).number("passed_leaving", choice.skippedLeaving);
+    line.number("passed_turned_away", choice.skippedTurnedAway);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogPriority::Routine);
@@ -181,6 +184,18 @@
     m_state.log.write(line, LogPriority::Notable);
 }
 
+/// A replica that turned a request away may name the time for which it wants none.
+void RequestHandler::noteTurnedAway()
+{
+    const std::optional<Duration> time = m_responseFields.retryAfter;
+    if (!time || !m_state.loadBalancer.holds().onTurnedAway(clockNow(), m_incarnation, *time)) {
+        return;
+    }
+    LogLine line("replica_turns_away");
+    line.text("replica", m_endpoint.text).text("request", m_fields.request.text).millis("for_ms", *time);
+    m_state.log.write(line, LogPriority::Notable);
+}
+
 // Metrics
 
 void RequestHandler::recordMetrics(Instant now, std::string_view outcome, EndReason const *reason)
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -66,9 +66,12 @@
 }
 
 /// @return when a caller that was refused for this reason may be served
-static Duration retryAfter(EndReason reason)
+Duration RequestHandler::retryAfter(EndReason reason) const
 {
     switch (reason) {
+    case EndReason::AllRefused:
+    case EndReason::ReplicasTurnAway:
+        return std::max<Duration>(retryDelay, m_turnedAwayUntil - clockNow());
     case EndReason::QueryOfDeath:
         return blockedRetryDelay;
     case EndReason::ReplicaLimits:
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -130,6 +130,7 @@
     m_state.connectionPool.closeExpired(clockNow());
     m_state.queryOfDeath.expire(clockNow());
     m_state.loadBalancer.rateLimits().expire(clockNow());
+    m_state.loadBalancer.holds().expire(clockNow());
     if (m_peers.isLeader()) {
         m_state.loadBalancer.assignPlaces(clockNow());
     }
@@ -213,8 +214,9 @@
             writeMetric(out, "replica_load", labels, m_state.loadBalancer.load(now, *state));
             writeMetric(out, "replica_slowdown", labels, LoadBalancer::slowdown(now, *state));
             writeMetric(out, "replica_avoided", labels, now < state->avoidUntil ? 1 : 0);
-            writeMetric(out, "replica_leaving", labels,
-                        m_state.loadBalancer.holds().isLeaving(state->incarnation) ? 1 : 0);
+            const ReplicaHolds &holds = m_state.loadBalancer.holds();
+            writeMetric(out, "replica_leaving", labels, holds.isLeaving(state->incarnation) ? 1 : 0);
+            writeMetric(out, "replica_turns_away", labels, holds.turnedAwayUntil(now, state->incarnation) ? 1 : 0);
         }
     }
     return out;
