End requests by their caller's connection, without a list of them

Cause: the list of requests in progress, added with the end of a drain, was destroyed before the event loop, whose pending timers hold requests that would then have removed themselves from it. Found by reading; no run has shown it. Change: callers' connections carry a hook for it beside the one for a disconnect.

--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -251,6 +251,7 @@
 {
     onDisconnected = nullptr;
     onDrained = nullptr;
+    onStopping = nullptr;
     if (m_state == State::Closed) {
         return;
     }
@@ -283,6 +284,15 @@
     }
 }
 
+void CallerConnection::endRequest()
+{
+    const auto callback = std::move(onStopping);
+    onStopping = nullptr;
+    if (callback) {
+        callback();
+    }
+}
+
 void CallerConnection::onEnd()
 {
     const auto callback = std::move(onDisconnected);
@@ -300,6 +310,7 @@
     m_state = State::Closed;
     onDisconnected = nullptr;
     onDrained = nullptr;
+    onStopping = nullptr;
     m_timer.cancel();
     m_stream->close();
     m_hooks.onClosed(shared_from_this());
--- a/traffic/callerconnection.h
+++ b/traffic/callerconnection.h
@@ -57,9 +57,11 @@
 
     std::size_t pending() const { return m_stream->pending(); } ///< @return bytes in the send buffer
     void closeIfIdle(); ///< Closes the connection if no request is being read or processed.
+    void endRequest();  ///< Calls `onStopping`, if a request is in progress.
 
     std::function<void()> onDisconnected; // the caller disconnected while its request was in progress
     std::function<void()> onDrained;      // the send buffer has become empty
+    std::function<void()> onStopping;     // the request must be ended now, as the process stops
 
 private:
     enum class State : std::uint8_t {
--- a/traffic/listener.cpp
+++ b/traffic/listener.cpp
@@ -91,4 +91,12 @@
     }
 }
 
+void CallerListener::endRequests()
+{
+    const auto connections = m_connections; // a copy, as ending a request may close its connection
+    for (const auto &connection : connections) {
+        connection->endRequest();
+    }
+}
+
 } // namespace galenafold
--- a/traffic/listener.h
+++ b/traffic/listener.h
@@ -25,6 +25,7 @@
     bool start(const std::string &address);
 
     void stopAccepting(); ///< Stops accepting and closes idle connections.
+    void endRequests();   ///< Has all requests in progress ended, as the process stops.
 
     int port() const { return m_port; }                        ///< @return the bound port
     std::size_t count() const { return m_connections.size(); } ///< @return number of open connections
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -27,12 +27,10 @@
     , m_timer(state.io)
 {
     ++m_state.counts.inProgress;
-    m_state.requests.insert(this);
 }
 
 RequestHandler::~RequestHandler()
 {
-    m_state.requests.erase(this);
     --m_state.counts.inProgress;
     m_state.counts.streaming -= m_attempts.isStreaming ? 1 : 0;
 }
@@ -67,18 +65,16 @@
         m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
     }
     m_events.skipUpTo(m_fields.resumeAfter);
-    m_caller->onDisconnected = [self = shared_from_this()] { self->onCallerDisconnected(); };
+    watchCaller();
     armTimer();
     m_state.budget.onFirstAttempt(now, m_selection.service);
     dispatch(now);
 }
 
-void RequestHandler::end()
+void RequestHandler::watchCaller()
 {
-    if (!m_isFinished) {
-        abandonAttempt(AttemptOutcome::Abandoned);
-        giveUp(EndReason::Stopping);
-    }
+    m_caller->onDisconnected = [self = shared_from_this()] { self->onCallerDisconnected(); };
+    m_caller->onStopping = [self = shared_from_this()] { self->onStopping(); };
 }
 
 void RequestHandler::waitForStart()
@@ -86,7 +82,7 @@
     LogLine line("queued");
     line.text("request", m_fields.request.text).text("reason", text(EndReason::NoDesiredState));
     m_state.log.write(line, LogPriority::Notable);
-    m_caller->onDisconnected = [self = shared_from_this()] { self->onCallerDisconnected(); };
+    watchCaller();
     m_state.waiting.push_back(shared_from_this());
 }
 
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -40,11 +40,11 @@
     RequestHandler &operator=(const RequestHandler &) = delete;
 
     void begin(); ///< Starts processing. Called again when the startup gate no longer holds the request.
-    void end();   ///< Ends processing without a further attempt, as this router stops. The caller gets an answer.
 
 private:
     // Routing.
 
+    void watchCaller();
     void waitForStart();
     bool findRoute(Instant now);
     bool checkApiKey(Instant now);
@@ -92,6 +92,7 @@
     void giveUp(EndReason reason);
     void abortResponse(EndReason reason);
     void onCallerDisconnected();
+    void onStopping();
     void finish(std::string_view outcome, int status, EndReason const *reason);
     void logEnd(Instant now, std::string_view outcome, int status, EndReason const *reason);
     void recordMetrics(Instant now, std::string_view outcome, EndReason const *reason);
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -129,6 +129,15 @@
     finish("gone", 0, &reason);
 }
 
+/// The process ends soon. The caller gets an answer, or sees that its stream breaks off.
+void RequestHandler::onStopping()
+{
+    if (!m_isFinished) {
+        abandonAttempt(AttemptOutcome::Abandoned);
+        giveUp(EndReason::Stopping);
+    }
+}
+
 void RequestHandler::finish(std::string_view outcome, int status, EndReason const *reason)
 {
     const auto self = shared_from_this();
@@ -140,6 +149,7 @@
     logEnd(now, outcome, status, reason);
     recordMetrics(now, outcome, reason);
     m_caller->onDisconnected = nullptr;
+    m_caller->onStopping = nullptr;
 }
 
 } // namespace galenafold
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -306,15 +306,7 @@
 
 void TrafficThread::endRequests()
 {
-    asio::post(m_io, [this] {
-        std::vector<std::shared_ptr<RequestHandler>> requests; // ending one removes it from the set
-        for (RequestHandler *request : m_state.requests) {
-            requests.push_back(request->shared_from_this());
-        }
-        for (const auto &request : requests) {
-            request->end();
-        }
-    });
+    asio::post(m_io, [this] { m_listener.endRequests(); });
 }
 
 } // namespace galenafold
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -67,8 +67,7 @@
     std::shared_ptr<const RouteTable> table; // null until a desired state is known
     FreshnessProof proof;                    // when `table` was last confirmed to be the newest
     bool isDraining = false;
-    std::optional<Instant> stopsAt;      // set late in a drain: requests with a later deadline are refused
-    std::set<RequestHandler *> requests; // in progress
+    std::optional<Instant> stopsAt; // set late in a drain: requests with a later deadline are refused
     StartupGate gate;
     std::vector<std::shared_ptr<RequestHandler>> waiting; // requests that `gate` holds
     LoadBalancer loadBalancer;
