Notice a lost read of the registry sooner, in place of reading more often

Change: the pause is 0.75 again; the first read has 350 ms until its answer begins, further ones 700 ms until the store is as quick again, so that a second read fits into the delay all the same. ALostReadAndTheNextOneFitIntoTheDrainDelay holds unchanged; ASlowStoreIsGivenLongerUntilItIsQuickAgain is new.

--- a/control/storetopics.cpp
+++ b/control/storetopics.cpp
@@ -8,7 +8,9 @@
 
 constexpr double revocationWaitFactor = 0.4; // a proof is as old as its call; two calls must fit into the delay
 constexpr double recoveryWaitFactor = 0.55;  // a silent connection is detected within this part of the recovery time
-constexpr double registryPauseFactor = 0.6;  // a lost read and the next one must fit into the drain delay as well
+constexpr double registryPauseFactor = 0.75; // a lost read and the next one must fit into the drain delay as well
+constexpr auto registryResponseTimeout = std::chrono::milliseconds(350); // short for the same reason
+constexpr auto maxRegistryResponseTimeout = std::chrono::milliseconds(700);
 
 static Duration scaled(Duration span, double factor)
 {
@@ -31,6 +33,8 @@
 {
     TopicSettings topic;
     topic.pollInterval = scaled(settings.maxDrainDelay, registryPauseFactor);
+    topic.responseTimeout = registryResponseTimeout;
+    topic.maxResponseTimeout = maxRegistryResponseTimeout;
     return topic;
 }
 
--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -42,7 +42,7 @@
     }
     const bool isLast = !page.isTruncated || page.records.empty();
     std::move(page.records.begin(), page.records.end(), std::back_inserter(m_listedRecords));
-    onRecords(now);
+    onRecords(sentAt, now);
     if (!isLast) {
         return;
     }
@@ -72,7 +72,7 @@
         }
         m_nextOffset = record.offset + 1;
     }
-    onRecords(now);
+    onRecords(sentAt, now);
     m_skipsLongPoll = false;
     if (m_nextOffset >= read.end) {
         onCaughtUp(sentAt, now);
@@ -99,12 +99,14 @@
 }
 
 /// A listing or read was answered.
-void TopicConsumer::onRecords(Instant now)
+void TopicConsumer::onRecords(Instant sentAt, Instant now)
 {
     m_hasToldEnd = false;
     m_backoff = m_settings.initialBackoff;
-    m_responseTimeout = m_settings.responseTimeout;
     m_notBefore = now;
+    if (m_settings.needsNewestOnly || now < sentAt + m_settings.responseTimeout) {
+        m_responseTimeout = m_settings.responseTimeout;
+    }
 }
 
 void TopicConsumer::onCaughtUp(Instant sentAt, Instant now)
@@ -151,7 +153,7 @@
 
 void TopicConsumer::onNoResponse(Instant now)
 {
-    if (m_hasToldEnd) {
+    if (m_hasToldEnd || !m_settings.needsNewestOnly) {
         m_responseTimeout = std::min(m_responseTimeout * 2, m_settings.maxResponseTimeout);
     }
     onFailure(now);
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -67,8 +67,8 @@
     Duration initialBackoff = std::chrono::milliseconds(50); // after a failure; doubles with each further one
     Duration maxBackoff = std::chrono::milliseconds(800);
 
-    /// Until a response begins. Doubles up to the maximum with each large response that does not, while the store
-    /// answers requests for the end.
+    /// Until a response begins. Doubles up to the maximum with each one that does not, and goes back once the store is
+    /// as quick again. While it answers requests for the end, only large responses count.
     Duration responseTimeout = std::chrono::milliseconds(700);
     Duration maxResponseTimeout = std::chrono::milliseconds(5600);
 
@@ -114,7 +114,7 @@
 private:
     void listAgain();
     void onCaughtUp(Instant sentAt, Instant now);
-    void onRecords(Instant now);
+    void onRecords(Instant sentAt, Instant now);
     bool isBehind(LogOffset end) const;
 
     TopicSettings m_settings;
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -391,6 +391,26 @@
     }
 }
 
+/// A store that is slower than the short time of the first read is not lost for good, nor lost again at each read.
+TEST(RegistryDirectory, ASlowStoreIsGivenLongerUntilItIsQuickAgain)
+{
+    TopicHooks hooks;
+    hooks.onRecord = [](const KeyedRecord &) {};
+    hooks.onListed = [](const std::vector<KeyedRecord> &, LogOffset) {};
+    hooks.onCaughtUp = [](Instant) {};
+    const TopicSettings settings = registryTopic(RouterSettings());
+    TopicConsumer topic(settings, hooks, 1);
+    topic.onPage(at(0), at(0.01), {{}, false, 0});
+    for (int i = 0; i < 3; ++i) {
+        topic.onNoResponse(at(1));
+        CHECK(topic.next(at(1)).responseTimeout == settings.maxResponseTimeout);
+    }
+    topic.onRead(at(2), at(2.4), {{}, 0});
+    CHECK(topic.next(at(3)).responseTimeout == settings.maxResponseTimeout);
+    topic.onRead(at(4), at(4.01), {{}, 0});
+    CHECK(topic.next(at(5)).responseTimeout == settings.responseTimeout);
+}
+
 // Retries
 
 TEST_GROUP(RetryRules){};
