Read all versions that were missed: the last record may be an older one

What callers could see: a version that a later, late write of an older one hid, until the next change (CONFIG, KEYS).

Cause: since a router that was behind listed the newest record, and skipped records that the same read replaced. The last record of a key need not be the highest version: the test ARevokedKeyIsRefusedOnceTheNewVersionIsRead writes an older one last.

Change: both shortcuts are taken out; progress of responses and the question for the end stay.

--- a/control/storetopics.cpp
+++ b/control/storetopics.cpp
@@ -20,7 +20,7 @@
 TopicSettings desiredStateTopic(const RouterSettings &settings)
 {
     TopicSettings topic;
-    topic.needsNewestOnly = true;
+    topic.hasLargeRecords = true;
     topic.longPollTimeout = scaled(settings.maxRecoveryTime, recoveryWaitFactor);
     if (settings.maxRevocationDelay > Duration{}) {
         topic.longPollTimeout =
--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -48,36 +48,22 @@
     }
     m_isListing = false;
     m_nextOffset = *m_listingOffset;
-    m_keys = std::max<LogOffset>(1, static_cast<LogOffset>(m_listedRecords.size()));
     m_hooks.onListed(m_listedRecords, *m_listingOffset);
     m_hooks.onCaughtUp(m_listingSentAt);
     m_listedRecords.clear();
     m_listingOffset.reset();
 }
 
-/// @return true if a later record of the read has the same key
-static bool isReplaced(const std::vector<KeyedRecord> &records, std::size_t index)
-{
-    const auto later = records.begin() + static_cast<std::ptrdiff_t>(index) + 1;
-    return std::any_of(later, records.end(),
-                       [&](const KeyedRecord &record) { return record.key == records[index].key; });
-}
-
 void TopicConsumer::onRead(Instant sentAt, Instant now, const TopicRead &read)
 {
-    for (std::size_t i = 0; i < read.records.size(); ++i) {
-        const KeyedRecord &record = read.records[i];
-        if (!m_settings.needsNewestOnly || !isReplaced(read.records, i)) {
-            m_hooks.onRecord(record);
-        }
+    for (const KeyedRecord &record : read.records) {
+        m_hooks.onRecord(record);
         m_nextOffset = record.offset + 1;
     }
     onRecords(sentAt, now);
     m_skipsLongPoll = false;
     if (m_nextOffset >= read.end) {
         onCaughtUp(sentAt, now);
-    } else if (isBehind(read.end)) {
-        listAgain();
     }
 }
 
@@ -93,7 +79,7 @@
     if (end == m_nextOffset) {
         m_skipsLongPoll = false;
         onCaughtUp(sentAt, now);
-    } else if (end < m_nextOffset || isBehind(end)) {
+    } else if (end < m_nextOffset) {
         listAgain();
     }
 }
@@ -104,7 +90,7 @@
     m_hasToldEnd = false;
     m_backoff = m_settings.initialBackoff;
     m_notBefore = now;
-    if (m_settings.needsNewestOnly || now < sentAt + m_settings.responseTimeout) {
+    if (m_settings.hasLargeRecords || now < sentAt + m_settings.responseTimeout) {
         m_responseTimeout = m_settings.responseTimeout;
     }
 }
@@ -115,12 +101,6 @@
     m_hooks.onCaughtUp(sentAt);
 }
 
-/// @return true if more records are to be read than a listing has
-bool TopicConsumer::isBehind(LogOffset end) const
-{
-    return m_settings.needsNewestOnly && end - m_nextOffset > m_keys;
-}
-
 void TopicConsumer::listAgain()
 {
     m_isListing = true;
@@ -147,13 +127,13 @@
     m_notBefore = now + Duration(static_cast<Duration::rep>(static_cast<double>(m_backoff.count()) * jitter(m_random)));
     m_backoff = std::min(m_backoff * 2, m_settings.maxBackoff);
     m_skipsLongPoll = true;
-    m_mustAskForEnd = m_settings.needsNewestOnly;
+    m_mustAskForEnd = m_settings.hasLargeRecords;
     m_hasToldEnd = false;
 }
 
 void TopicConsumer::onNoResponse(Instant now)
 {
-    if (m_hasToldEnd || !m_settings.needsNewestOnly) {
+    if (m_hasToldEnd || !m_settings.hasLargeRecords) {
         m_responseTimeout = std::min(m_responseTimeout * 2, m_settings.maxResponseTimeout);
     }
     onFailure(now);
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -6,11 +6,12 @@
 // with jitter, the deletion of unread records by a new listing. So is the restore of the store from a copy: it gives
 // out offsets again, so that what is read on from the last offset may lack records.
 //
-// Load pattern: records of hundreds of kilobytes, which all daemons read at once over slow links, come faster than they
-// can be read, or while the store is away. Where only the newest record of a key matters, the consumer first asks for
-// no more than the topic's end after a failure, and lists the topic if it has fallen behind, so that its bytes do not
-// grow with what was missed. A store that answers, yet begins its large responses late, is given longer each time: to
-// give such a response up and to ask for it again would only add to its load.
+// Load pattern: records of hundreds of kilobytes, which all daemons read at once over slow links, while the store is
+// away now and then. After a failure the consumer first asks for no more than the topic's end: a small answer tells
+// that the store is back, and nothing is read where nothing was missed. A store that answers, yet begins its large
+// responses late, is given longer each time: to give such a response up and to ask for it again would only add to its
+// load. All records that were missed are read, as the last record of a key may be an older version that was written
+// late.
 //
 // Sections of this file: Records, Requests, Consumer.
 #pragma once
@@ -72,8 +73,7 @@
     Duration responseTimeout = std::chrono::milliseconds(700);
     Duration maxResponseTimeout = std::chrono::milliseconds(5600);
 
-    /// Records that are followed by a newer one of the same key need not be delivered.
-    bool needsNewestOnly = false;
+    bool hasLargeRecords = false; // after a failure, asks for the end before it reads or lists
 };
 
 struct TopicHooks {
@@ -115,7 +115,6 @@
     void listAgain();
     void onCaughtUp(Instant sentAt, Instant now);
     void onRecords(Instant sentAt, Instant now);
-    bool isBehind(LogOffset end) const;
 
     TopicSettings m_settings;
     TopicHooks m_hooks;
@@ -128,7 +127,6 @@
     Instant m_notBefore{};
     Duration m_backoff{};
     Duration m_responseTimeout{}; // of the next listing or read
-    LogOffset m_keys = 1;         // in the last listing
     bool m_skipsLongPoll = false; // the last request failed: the next read is a plain poll
     bool m_mustAskForEnd = false; // the last request failed: what was missed is not known
     bool m_hasToldEnd = false;    // the last response was to a request for the end
