--- a/tests/leavingreplica.cpp
+++ b/tests/leavingreplica.cpp
@@ -30,6 +30,20 @@
             return replica.requests().size() > before;
         }));
     }
+    /// Starts the router with replicas a and b. @return replica a
+    FakeReplica &startWithTwo()
+    {
+        FakeReplica &a = fixture.addReplica("a", script(aIsLeaving));
+        fixture.addReplica("b", script(bIsLeaving));
+        fixture.startAndWaitReady();
+        return a;
+    }
+    /// Has the router receive the announcement of replica a.
+    void announceLeaving(const FakeReplica &a)
+    {
+        aIsLeaving = true;
+        callUntilReached(a);
+    }
     /// @return requests that the replica receives of twenty
     std::size_t shareOfTwenty(const FakeReplica &replica)
     {
@@ -48,23 +62,17 @@
 /// It got requests until the registry told of it.
 TEST(LeavingReplica, GetsNoRequestsWhileTheStoreIsAway)
 {
-    FakeReplica &a = fixture.addReplica("a", script(aIsLeaving));
-    fixture.addReplica("b", script(bIsLeaving));
-    fixture.startAndWaitReady();
+    FakeReplica &a = startWithTwo();
     callUntilReached(a); // over connections that are kept
     fixture.store.setFault(StoreFault::NoResponse);
-    aIsLeaving = true;
-    callUntilReached(a);
+    announceLeaving(a);
     LONGS_EQUAL(0, shareOfTwenty(a));
 }
 
 TEST(LeavingReplica, GetsNoRequestsThoughTheRegistryNamesItAgain)
 {
-    FakeReplica &a = fixture.addReplica("a", script(aIsLeaving));
-    fixture.addReplica("b", script(bIsLeaving));
-    fixture.startAndWaitReady();
-    aIsLeaving = true;
-    callUntilReached(a);
+    FakeReplica &a = startWithTwo();
+    announceLeaving(a);
     fixture.store.put("keyed.servers", "a", "");
     CHECK(waitFor([this] { return fixture.metric("replicas_usable") == 1; }));
     fixture.store.put("keyed.servers", "a", a.entry());
@@ -74,11 +82,8 @@
 
 TEST(LeavingReplica, GetsRequestsAfterItHasStartedAgain)
 {
-    FakeReplica &a = fixture.addReplica("a", script(aIsLeaving));
-    fixture.addReplica("b", script(bIsLeaving));
-    fixture.startAndWaitReady();
-    aIsLeaving = true;
-    callUntilReached(a);
+    FakeReplica &a = startWithTwo();
+    announceLeaving(a);
     aIsLeaving = false;
     fixture.store.put("keyed.servers", "a", a.entry("ready", 2));
     callUntilReached(a);
@@ -86,11 +91,8 @@
 
 TEST(LeavingReplica, DoesNotPassTheMarkOnToAnotherReplicaAtItsAddress)
 {
-    FakeReplica &a = fixture.addReplica("a", script(aIsLeaving));
-    fixture.addReplica("b", script(bIsLeaving));
-    fixture.startAndWaitReady();
-    aIsLeaving = true;
-    callUntilReached(a);
+    FakeReplica &a = startWithTwo();
+    announceLeaving(a);
     aIsLeaving = false;
     fixture.store.put("keyed.servers", "a", "");
     fixture.store.put("keyed.servers", "c", a.entry());
