Refuse malformed idempotency keys; end only the request whose handler throws

Cause: the layout check of an Idempotency-Key let dashes stand for digits, std::stoll threw, nothing caught it, and one request ended the process. Whole numbers in settings were converted before the check of their range, which is undefined for inf, nan and 1e300.

Change: a key is 8-4-4-4-12 hexadecimal digits, parsed without exceptions; the range is checked first. An exception in the handler of one request is logged as its rejection and answered 500, which says nothing of whether it has run.

--- a/control/claims.cpp
+++ b/control/claims.cpp
@@ -2,10 +2,12 @@
 #include "control/claims.h"
 
 #include "control/loadview.h"
+#include "galenafold/hex.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cctype>
 
 namespace galenafold
 {
@@ -32,17 +34,24 @@
     return "claims-" + std::to_string(partition);
 }
 
+/// @return true if the text is 8-4-4-4-12 hexadecimal digits, separated by dashes
+static bool hasUuidLayout(std::string_view text)
+{
+    constexpr std::string_view layout = "xxxxxxxx-xxxx-xxxx-xxxx-xxxxxxxxxxxx";
+    const auto fits = [](char byte, char place) {
+        return place == '-' ? byte == '-' : std::isxdigit(static_cast<unsigned char>(byte)) != 0;
+    };
+    return text.size() == layout.size() && std::equal(text.begin(), text.end(), layout.begin(), fits);
+}
+
 std::optional<UnixMillis> uuidV7Time(const std::string &uuidV7)
 {
-    constexpr std::size_t uuidLength = 36;
     constexpr std::size_t versionDigitAt = 14;
-    const bool hasUuidLayout = uuidV7.size() == uuidLength && uuidV7[8] == '-' && uuidV7[13] == '-' && uuidV7[18] == '-'
-        && uuidV7[23] == '-' && uuidV7[versionDigitAt] == '7';
-    const bool isHex = uuidV7.find_first_not_of("0123456789abcdefABCDEF-") == std::string::npos;
-    if (!hasUuidLayout || !isHex) {
+    if (!hasUuidLayout(uuidV7) || uuidV7[versionDigitAt] != '7') {
         return std::nullopt;
     }
-    return UnixMillis(std::stoll(uuidV7.substr(0, 8) + uuidV7.substr(9, 4), nullptr, 16));
+    const auto millis = parseHex(uuidV7.substr(0, 8) + uuidV7.substr(9, 4));
+    return millis ? std::optional(UnixMillis(static_cast<UnixMillis::rep>(*millis))) : std::nullopt;
 }
 
 /// @return the idempotency key that the caller sent, the last part of a full key
--- a/galenafold/ini.cpp
+++ b/galenafold/ini.cpp
@@ -3,6 +3,7 @@
 
 #include <ini.h>
 
+#include <cmath>
 #include <cstdlib>
 #include <sstream>
 
@@ -66,8 +67,8 @@
 {
     return [&target, min, max](const std::string &value) -> std::optional<std::string> {
         const auto number = parseNumber(value);
-        const bool isWhole = number && *number == static_cast<double>(static_cast<long long>(*number));
-        if (!isWhole || *number < min || *number > max) {
+        const bool isInRange = number && *number >= min && *number <= max; // false for what is not a number
+        if (!isInRange || *number != std::trunc(*number)) {
             return "must be whole: " + rangeText(min, max);
         }
         target = static_cast<int>(*number);
--- a/net/status.h
+++ b/net/status.h
@@ -16,6 +16,7 @@
 inline constexpr int statusContentTooLarge = 413;
 inline constexpr int statusMisdirectedRequest = 421;
 inline constexpr int statusFieldsTooLarge = 431;
+inline constexpr int statusInternalError = 500;
 inline constexpr int statusBadGateway = 502;
 inline constexpr int statusUnavailable = 503;
 inline constexpr int statusGatewayTimeout = 504;
--- a/tests/httpfrontend.cpp
+++ b/tests/httpfrontend.cpp
@@ -129,6 +129,15 @@
     LONGS_EQUAL(0, small.fleet.service(0).executionsByRequest().size());
 }
 
+/// One request with such a key ended the process: the layout check let dashes stand for digits, and the conversion threw.
+TEST(BadInput, anIdempotencyKeyWithDashesForDigitsIsRefused)
+{
+    checkError(small.reserve(std::string(14, '-') + '7' + std::string(21, '-')), 400, "bad_request", "no");
+    checkError(small.reserve("0189d3a2-7a0c-7d6c-9d63-0a1b2c3d4e-f"), 400, "bad_request", "no");
+    checkError(small.reserve("0189d3a2-7a0-c7d6c-9d63-0a1b2c3d4e5f"), 400, "bad_request", "no");
+    LONGS_EQUAL(0, small.fleet.service(0).executionsByRequest().size());
+}
+
 TEST(BadInput, aCallerDisconnectCancelsTheEngineStream)
 {
     httplib::Client client("127.0.0.1", small.fleet.daemon(0).httpPort());
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -38,6 +38,14 @@
     CHECK(errors[2].message().find("[queue] capacity = '-1'") != std::string::npos);
 }
 
+TEST(Settings, wholeNumbersOutOfRangeAreErrors)
+{
+    for (const char *value : {"inf", "-inf", "nan", "1e300", "-1e300", "2.5", "1000001", ""}) {
+        LONGS_EQUAL_TEXT(1, errorsOf(validSettings + "[queue]\ncapacity = " + value + "\n").size(), value);
+    }
+    LONGS_EQUAL(0, errorsOf(validSettings + "[queue]\ncapacity = 1e6\n").size());
+}
+
 TEST(Settings, missingKeysAreErrors)
 {
     LONGS_EQUAL(7, errorsOf("").size());
--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -121,7 +121,13 @@
     m_keepsAlive = request.head.keepsAlive;
     m_acceptsChunks = request.head.isHttp11;
     m_isHeadRequest = request.head.method == "HEAD";
-    m_hooks.onRequest(shared_from_this(), std::move(request));
+    try {
+        m_hooks.onRequest(shared_from_this(), std::move(request));
+    } catch (const std::exception &error) { // an invariant of this request is broken: the others go on
+        m_hooks.onRejected(statusInternalError, error.what());
+        m_keepsAlive = false;
+        sendResponse(statusInternalError, {}, ""); // says nothing of whether it has run
+    }
 }
 
 void CallerConnection::reject(int status, const char *why)
