Name the HTTP connection of the store's calls for what it is

Change: StoreConnection, StoreResponse, StoreCallHooks and StoreTransfer become HttpClientConnection, ClientResponse, ClientCallHooks and ResponseTransfer, in runtime/httpclientconnection. Nothing else.

--- a/runtime/storeconnection.cpp
+++ b/runtime/httpclientconnection.cpp
@@ -1,5 +1,5 @@
 // HTTP connection to the platform's store.
-#include "runtime/storeconnection.h"
+#include "runtime/httpclientconnection.h"
 
 namespace galenafold
 {
@@ -8,20 +8,20 @@
 constexpr auto progressTimeout = std::chrono::milliseconds(700); // for the next `progressBytes` of a response
 constexpr std::size_t progressBytes = 16 << 10;                  // a slower response counts as stopped
 
-StoreConnection::StoreConnection(asio::io_context &io, std::string address)
+HttpClientConnection::HttpClientConnection(asio::io_context &io, std::string address)
     : m_io(io)
     , m_address(std::move(address))
     , m_timer(io)
 {
 }
 
-void StoreConnection::call(std::string request, Instant deadline, StoreCallHooks hooks)
+void HttpClientConnection::call(std::string request, Instant deadline, ClientCallHooks hooks)
 {
     ++m_generation;
     m_isCalling = true;
     m_request = std::move(request);
     m_hooks = std::move(hooks);
-    m_transfer = StoreTransfer();
+    m_transfer = ResponseTransfer();
     m_deadline = deadline;
     m_bytesAtDeadline = 0;
     armTimer();
@@ -33,7 +33,7 @@
 }
 
 /// For an earlier deadline the timer is re-armed at once; a later one is applied when it fires.
-void StoreConnection::armTimer()
+void HttpClientConnection::armTimer()
 {
     m_timer.expires_at(m_deadline);
     m_timer.async_wait([this, generation = m_generation](const asio::error_code &error) {
@@ -44,7 +44,7 @@
 }
 
 /// After a VM suspension, or a long step of this thread, the timer may fire before input that has arrived.
-void StoreConnection::onTimer()
+void HttpClientConnection::onTimer()
 {
     const std::uint64_t generation = m_generation;
     if (m_stream) {
@@ -61,7 +61,7 @@
     }
 }
 
-void StoreConnection::noteProgress(std::size_t bytes)
+void HttpClientConnection::noteProgress(std::size_t bytes)
 {
     const Instant now = clockNow();
     const bool isFirst = !m_transfer.firstBytesAt;
@@ -80,7 +80,7 @@
     }
 }
 
-void StoreConnection::connect()
+void HttpClientConnection::connect()
 {
     const auto address = parseAddress(m_address);
     if (!address) {
@@ -110,7 +110,7 @@
     });
 }
 
-void StoreConnection::send()
+void HttpClientConnection::send()
 {
     ++m_calls;
     ParseLimits limits;
@@ -119,7 +119,7 @@
     m_stream->write(m_request);
 }
 
-void StoreConnection::onBytes(std::string_view bytes)
+void HttpClientConnection::onBytes(std::string_view bytes)
 {
     if (!m_isCalling) {
         disconnect(); // unsolicited bytes
@@ -134,31 +134,31 @@
     }
 }
 
-void StoreConnection::finish()
+void HttpClientConnection::finish()
 {
     m_isCalling = false;
     m_transfer.isComplete = true;
     m_timer.cancel();
     const std::unique_ptr<MessageParser> parser = std::move(m_parser);
-    const StoreCallHooks hooks = std::move(m_hooks);
+    const ClientCallHooks hooks = std::move(m_hooks);
     if (!parser->response().keepsAlive) {
         disconnect();
     }
     hooks.onResponse({parser->response().status, parser->response().fields, std::move(parser->body())});
 }
 
-void StoreConnection::fail(const char *reason)
+void HttpClientConnection::fail(const char *reason)
 {
     m_isCalling = false;
     ++m_failures;
     ++m_generation;
     m_timer.cancel();
     disconnect();
-    const StoreCallHooks hooks = std::move(m_hooks);
+    const ClientCallHooks hooks = std::move(m_hooks);
     hooks.onFailure(reason);
 }
 
-void StoreConnection::disconnect()
+void HttpClientConnection::disconnect()
 {
     if (m_pendingSocket) {
         asio::error_code ignored; // the connection attempt is abandoned
--- a/runtime/storeconnection.h
+++ b/runtime/httpclientconnection.h
@@ -13,34 +13,34 @@
 {
 
 /// Complete response of the store, of any HTTP status.
-struct StoreResponse {
+struct ClientResponse {
     int status = 0;
     HttpFields fields;
     std::string body;
 };
 
 /// What has come of the response to one call.
-struct StoreTransfer {
+struct ResponseTransfer {
     std::size_t bytes = 0;               // with its head
     std::optional<Instant> firstBytesAt; // nothing: no byte yet
     bool isComplete = false;
 };
 
 /// Callbacks of one call. Exactly one of them is called, once.
-struct StoreCallHooks {
-    std::function<void(const StoreResponse &)> onResponse;
+struct ClientCallHooks {
+    std::function<void(const ClientResponse &)> onResponse;
     std::function<void(const char *reason)> onFailure; // no complete response; the call may have had its effect
 };
 
 /// Not thread-safe: used on one event loop. A call is one request and its response.
-class StoreConnection
+class HttpClientConnection
 {
 public:
-    StoreConnection(asio::io_context &io, std::string address);
+    HttpClientConnection(asio::io_context &io, std::string address);
 
     /// Sends a call. No other call may be in progress.
     /// @param request the complete HTTP request @param deadline for the first bytes of the response
-    void call(std::string request, Instant deadline, StoreCallHooks hooks);
+    void call(std::string request, Instant deadline, ClientCallHooks hooks);
 
     void disconnect(); ///< Closes the connection; the next call opens a new one.
 
@@ -50,7 +50,7 @@
     std::int64_t failures() const { return m_failures; } ///< @return failed calls, also ones that were never sent
 
     /// @return the response of the current call, or of the last one if none is in progress
-    const StoreTransfer &transfer() const { return m_transfer; }
+    const ResponseTransfer &transfer() const { return m_transfer; }
 
 private:
     void connect();
@@ -69,8 +69,8 @@
     std::shared_ptr<TcpStream> m_stream;
     std::unique_ptr<MessageParser> m_parser;
     std::string m_request;
-    StoreCallHooks m_hooks;
-    StoreTransfer m_transfer;
+    ClientCallHooks m_hooks;
+    ResponseTransfer m_transfer;
     Instant m_deadline{};              // for the first bytes, then for the next `progressBytes`
     std::size_t m_bytesAtDeadline = 0; // of the response when `m_deadline` was set
     std::uint64_t m_generation = 0;    // of the current call; late events of earlier ones are ignored
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -181,8 +181,8 @@
         return;
     }
     m_isSaving = true;
-    StoreCallHooks hooks;
-    hooks.onResponse = [this, records](const StoreResponse &response) {
+    ClientCallHooks hooks;
+    hooks.onResponse = [this, records](const ClientResponse &response) {
         m_isSaving = false;
         const auto end = response.status == statusOk ? decodeAppendEnd(response.body) : std::nullopt;
         LogLine line("places_saved");
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -64,7 +64,7 @@
 
     EventLog &m_log;
     TopicSubscription m_subscription;
-    StoreConnection m_writer;
+    HttpClientConnection m_writer;
     std::map<std::string, PlaceRecord> m_places;  // by key
     std::map<std::string, std::int64_t> m_blocks; // Unix time in ms of the last crash, by key
     LogOffset m_end = 0;                          // of the topic, as last read or written
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -53,8 +53,8 @@
 void TopicSubscription::sendRequest()
 {
     m_sentAt = clockNow();
-    StoreCallHooks hooks;
-    hooks.onResponse = [this](const StoreResponse &response) { onResponse(response); };
+    ClientCallHooks hooks;
+    hooks.onResponse = [this](const ClientResponse &response) { onResponse(response); };
     hooks.onFailure = [this](const char *reason) { onFailure(reason); };
     m_connection.call(encodeTopicRequest(m_request, m_topic, m_connection.address()),
                       m_sentAt + m_request.longPollTimeout + m_request.responseTimeout, std::move(hooks));
@@ -82,7 +82,7 @@
 /// A large response takes long where the link is slow, or where many routers share the store's rate.
 void TopicSubscription::noteTransfer(Instant now)
 {
-    const StoreTransfer &transfer = m_connection.transfer();
+    const ResponseTransfer &transfer = m_connection.transfer();
     m_bytes += static_cast<std::int64_t>(transfer.bytes);
     if (transfer.bytes < loggedTransferBytes) {
         return;
@@ -95,7 +95,7 @@
 }
 
 /// @return true if the store has been restored since the last response
-bool TopicSubscription::noteEra(Instant now, const StoreResponse &response)
+bool TopicSubscription::noteEra(Instant now, const ClientResponse &response)
 {
     const auto era = decodeStoreEra(response.fields);
     const bool isRestored = era && m_era && *era != *m_era;
@@ -111,7 +111,7 @@
 }
 
 /// @return false if the body is malformed
-bool TopicSubscription::handleAnswer(Instant now, const StoreResponse &response)
+bool TopicSubscription::handleAnswer(Instant now, const ClientResponse &response)
 {
     if (response.status != statusGone) {
         return decodeBody(now, response.body);
@@ -124,7 +124,7 @@
 }
 
 /// What the store answers for an offset of the era before is ignored: a listing follows.
-void TopicSubscription::onResponse(const StoreResponse &response)
+void TopicSubscription::onResponse(const ClientResponse &response)
 {
     const Instant now = clockNow();
     noteTransfer(now);
@@ -146,7 +146,7 @@
 {
     const Instant now = clockNow();
     ++m_failures;
-    const StoreTransfer &transfer = m_connection.transfer();
+    const ResponseTransfer &transfer = m_connection.transfer();
     const std::int64_t abandoned = transfer.isComplete ? 0 : static_cast<std::int64_t>(transfer.bytes);
     m_bytes += abandoned;
     m_abandonedBytes += abandoned;
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -3,7 +3,7 @@
 
 #include "galenafold/eventlog.h"
 #include "platform/store.h"
-#include "runtime/storeconnection.h"
+#include "runtime/httpclientconnection.h"
 
 namespace galenafold
 {
@@ -35,15 +35,15 @@
 private:
     void scheduleNext();
     void sendRequest();
-    void onResponse(const StoreResponse &response);
+    void onResponse(const ClientResponse &response);
     void noteTransfer(Instant now);
-    bool noteEra(Instant now, const StoreResponse &response);
-    bool handleAnswer(Instant now, const StoreResponse &response);
+    bool noteEra(Instant now, const ClientResponse &response);
+    bool handleAnswer(Instant now, const ClientResponse &response);
     bool decodeBody(Instant now, const std::string &body);
     void onFailure(const char *reason);
 
     StoreTopic m_topic;
-    StoreConnection m_connection;
+    HttpClientConnection m_connection;
     TopicConsumer m_consumer;
     TopicSubscriptionHooks m_hooks;
     EventLog &m_log;
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -157,7 +157,7 @@
     }
 }
 
-TEST(PlatformProtocol, TruncatedStoreResponsesAreNotReadAsEmpty)
+TEST(PlatformProtocol, TruncatedClientResponsesAreNotReadAsEmpty)
 {
     const std::string end(7, '\0');
     const std::string complete = end + "\x02" + end + std::string(1, '\0') + std::string("\0\0\0\x04\x02kkv", 8);
--- a/tests/routernode.cpp
+++ b/tests/routernode.cpp
@@ -119,7 +119,7 @@
 }
 
 /// After a restart of all routers at once, callers reconnect before the store has answered.
-TEST(NodeForwarding, ARequestBeforeTheFirstStoreResponseWaitsForIt)
+TEST(NodeForwarding, ARequestBeforeTheFirstClientResponseWaitsForIt)
 {
     fixture.addReplica("a", respondOk);
     fixture.store.put("keyed.op", "config", desiredState(1));
