--- a/control/gossip.h
+++ b/control/gossip.h
@@ -11,6 +11,7 @@
 #include "control/membership.h"
 #include "control/queryofdeath.h"
 #include "control/ratelimits.h"
+#include "control/topicsources.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <optional>
@@ -85,6 +86,8 @@
     bool isStartNotice = false; // true: this is a start notice and only `start` is set
     StartNotice start;
     std::vector<std::uint32_t> peers; // IPv4 addresses, as numbers, of routers that the sender receives beacons from
+    std::vector<RouterSite> peerSites; // of the peers, in the same order; empty: not told
+    RouterSite site;                   // of the sender; no data centre: as told before
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
     std::vector<PeerLoad> loads;        // endpoints with longer calls of the sender; brief calls go as start notices
     std::vector<ReportedLoad> reported; // endpoints that are fuller than the counts of all routers tell
--- a/control/storetopics.h
+++ b/control/storetopics.h
@@ -1,4 +1,4 @@
-// How the topics of the platform's store are followed, so that the promised delays are kept.
+// The topics of the platform's store, and how they are followed so that the promised delays are kept.
 #pragma once
 
 #include "control/topicconsumer.h"
@@ -6,6 +6,18 @@
 namespace galenafold
 {
 
+/// Topics of the store that the router reads or writes.
+enum class StoreTopic : std::uint8_t {
+    DesiredState, // route configuration, written by operators
+    Registry,     // service registry, written by the replicas
+    Places,       // engines' places (positions for rendezvous hashing), written by routers
+};
+
+const char *text(StoreTopic topic); ///< @return the topic's name in logs and metrics
+
+/// Number of times that the store has been restored from a copy. Offsets of different eras cannot be compared.
+using StoreEra = std::int64_t;
+
 /// @return for the topic of the desired state: a long poll
 TopicSettings desiredStateTopic(const RouterSettings &settings);
 
--- /dev/null
+++ b/control/topiccache.cpp
@@ -0,0 +1,105 @@
+// Keeps the records of one topic that tell something new.
+#include "control/topiccache.h"
+
+#include <algorithm>
+
+namespace galenafold
+{
+
+TopicCache::TopicCache(TopicCacheSettings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+void TopicCache::setListing(const std::vector<KeyedRecord> &records, LogOffset begin)
+{
+    m_changes.clear();
+    m_lastChange.clear();
+    m_bytes = 0;
+    m_isFilled = true;
+    m_completeFrom = begin;
+    m_end = begin;
+    for (const KeyedRecord &record : records) {
+        m_changes[record.offset] = {std::nullopt, record};
+        m_lastChange[record.key] = std::max(m_lastChange[record.key], record.offset);
+        m_bytes += record.value.size();
+    }
+}
+
+void TopicCache::add(const KeyedRecord &record)
+{
+    const auto last = m_lastChange.find(record.key);
+    Change change{std::nullopt, record};
+    if (last != m_lastChange.end() && !m_settings.keepsVersions) {
+        const auto before = m_changes.find(last->second);
+        const std::string &value = before->second.record.value;
+        const bool bothExist = !value.empty() && !record.value.empty();
+        if (bothExist && m_settings.isSameMeaning && m_settings.isSameMeaning(value, record.value)) {
+            before->second.record = record;
+            setEnd(record.offset + 1);
+            return;
+        }
+        if (record.value.empty()) {
+            change.before = before->second.record;
+        }
+        m_changes.erase(before);
+    }
+    m_bytes += record.value.size();
+    m_changes[record.offset] = std::move(change);
+    m_lastChange[record.key] = record.offset;
+    setEnd(record.offset + 1);
+    forgetOldVersions();
+}
+
+void TopicCache::setEnd(LogOffset end)
+{
+    m_end = std::max(m_end, end);
+}
+
+void TopicCache::forgetOldVersions()
+{
+    auto change = m_changes.begin();
+    while (m_settings.keepsVersions && m_bytes > m_settings.versionBytes && change != m_changes.end()) {
+        const KeyedRecord &record = change->second.record;
+        if (m_lastChange[record.key] == change->first) {
+            ++change;
+            continue;
+        }
+        m_bytes -= record.value.size();
+        m_completeFrom = std::max(m_completeFrom, change->first + 1);
+        change = m_changes.erase(change);
+    }
+}
+
+bool TopicCache::hasChangesSince(LogOffset from) const
+{
+    return from < m_completeFrom || m_changes.lower_bound(from) != m_changes.end();
+}
+
+std::optional<std::vector<KeyedRecord>> TopicCache::changesSince(LogOffset from) const
+{
+    if (from < m_completeFrom) {
+        return std::nullopt;
+    }
+    std::vector<KeyedRecord> records;
+    for (auto change = m_changes.lower_bound(from); change != m_changes.end(); ++change) {
+        if (change->second.before) {
+            records.push_back(*change->second.before);
+        }
+        records.push_back(change->second.record);
+    }
+    return records;
+}
+
+std::vector<KeyedRecord> TopicCache::all() const
+{
+    std::vector<KeyedRecord> records;
+    for (const auto &[offset, change] : m_changes) {
+        if (!change.record.value.empty()) {
+            records.push_back(change.record);
+        }
+    }
+    return records;
+}
+
+} // namespace galenafold
--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -29,7 +29,7 @@
         request.after = m_listedRecords.empty() ? "" : m_listedRecords.back().key;
     } else {
         request.from = m_nextOffset;
-        request.longPollTimeout = m_skipsLongPoll ? Duration{} : m_settings.longPollTimeout;
+        request.longPollTimeout = m_skipsLongPoll || pollsForOthers() ? Duration{} : m_settings.longPollTimeout;
     }
     return request;
 }
@@ -84,6 +84,41 @@
     }
 }
 
+bool TopicConsumer::onFollowed(Instant provedAt, Instant now, const TopicRead &read)
+{
+    if (read.end < m_nextOffset) {
+        return false;
+    }
+    for (const KeyedRecord &record : read.records) {
+        m_hooks.onRecord(record);
+    }
+    m_nextOffset = read.end;
+    m_skipsLongPoll = false;
+    m_mustAskForEnd = false;
+    m_backoff = m_settings.initialBackoff;
+    m_notBefore = m_settings.sharedInterval > Duration{} ? now : now + m_settings.pollInterval;
+    m_hooks.onCaughtUp(provedAt);
+    return true;
+}
+
+Instant TopicConsumer::nextFollowing(Instant now) const
+{
+    return m_settings.sharedInterval > Duration{} ? now : std::max(now, m_notBefore);
+}
+
+bool TopicConsumer::pollsForOthers() const
+{
+    return m_isShared && m_settings.sharedInterval > Duration{};
+}
+
+void TopicConsumer::setShared(Instant now, bool isShared, bool isFirst)
+{
+    m_isShared = isShared;
+    if (isFirst && pollsForOthers()) {
+        m_notBefore = std::min(m_notBefore, now);
+    }
+}
+
 /// A listing or read was answered.
 void TopicConsumer::onRecords(Instant sentAt, Instant now)
 {
@@ -97,7 +132,7 @@
 
 void TopicConsumer::onCaughtUp(Instant sentAt, Instant now)
 {
-    m_notBefore = now + m_settings.pollInterval;
+    m_notBefore = now + (pollsForOthers() ? m_settings.sharedInterval : m_settings.pollInterval);
     m_hooks.onCaughtUp(sentAt);
 }
 
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -65,6 +65,9 @@
 struct TopicSettings {
     Duration longPollTimeout{};                              // long-poll timeout of a read; zero: a plain poll
     Duration pollInterval{};                                 // before the next read once the end was reached
+    Duration sharedInterval{};                               // the same while other routers follow this one, with plain
+                                                             // polls, so that proofs stay young; zero: no difference
+    Duration maxSourceAge = std::chrono::hours(1);           // another router whose proof is older is of no use
     Duration initialBackoff = std::chrono::milliseconds(50); // after a failure; doubles with each further one
     Duration maxBackoff = std::chrono::milliseconds(800);
 
@@ -104,6 +107,20 @@
     /// @param sentAt when the request for the end was sent @param end of the topic
     void onEnd(Instant sentAt, Instant now, LogOffset end);
 
+    /// Another router told what it knows that is new. Its records are all that changed up to the end, so there may be
+    /// gaps between their offsets.
+    /// @param provedAt the topic ended there then @return false if that end is before what this router has read
+    bool onFollowed(Instant provedAt, Instant now, const TopicRead &read);
+
+    /// Other routers follow this one, or do so no longer.
+    /// @param isFirst the next read does not wait for the interval that held so far
+    void setShared(Instant now, bool isShared, bool isFirst);
+
+    Instant nextFollowing(Instant now) const; ///< @return when to ask another router next
+
+    bool isListing() const { return m_isListing; }         ///< @return true until a listing is complete
+    LogOffset nextOffset() const { return m_nextOffset; } ///< @return offset up to which records were delivered
+
     void onOffsetOutOfRange();   ///< The next record to read was deleted: lists again.
     void onStoreRestored();      ///< All offsets so far are void: lists again.
     void onFailure(Instant now); ///< The request was refused, or its response was lost, late or unreadable.
@@ -113,6 +130,7 @@
 
 private:
     void listAgain();
+    bool pollsForOthers() const;
     void onCaughtUp(Instant sentAt, Instant now);
     void onRecords(Instant sentAt, Instant now);
 
@@ -127,6 +145,7 @@
     Instant m_notBefore{};
     Duration m_backoff{};
     Duration m_responseTimeout{}; // of the next listing or read
+    bool m_isShared = false;      // other routers follow this one
     bool m_skipsLongPoll = false; // the last request failed: the next read is a plain poll
     bool m_mustAskForEnd = false; // the last request failed: what was missed is not known
     bool m_hasToldEnd = false;    // the last response was to a request for the end
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -317,8 +317,10 @@
     std::string callers;                                        // IP:PORT to listen on for callers
     std::string admin;                                          // IP:PORT to listen on for readiness and metrics
     std::string store;                                          // IP:PORT of the platform's store
-    std::string peers;                                          // IP:PORT for load beacons between routers; "": none
+    std::string peers;                                          // IP:PORT, UDP and TCP, for the other routers; "": none
     std::vector<std::string> seeds;                             // IP:PORT of the routers that get the first beacons
+    double linkMegabits = 0;                                    // rate of the VM's link in Mbit/s; 0: not known. Routers
+                                                                // with wide links read the store for others
     Duration maxRevocationDelay{};                              // limit on a revoked API key's acceptance; 0: unlimited
     Duration maxDrainDelay = std::chrono::milliseconds(2000);   // until a draining replica gets no more requests
     Duration maxRecoveryTime = std::chrono::milliseconds(3000); // until all guarantees hold again after a VM fault
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -107,6 +107,7 @@
         {"listen", "callers", textField(settings.callers), true},
         {"listen", "admin", textField(settings.admin), true},
         {"listen", "peers", textField(settings.peers)},
+        {"listen", "link_mbps", numberField(settings.linkMegabits, 0, 1e6)},
         {"peers", "seeds", textListField(settings.seeds)},
         {"store", "address", textField(settings.store), true},
         {"promises", "revoke_within_ms", millisField(settings.maxRevocationDelay, 0, dayMillis)},
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -110,6 +110,37 @@
     return reported;
 }
 
+constexpr unsigned linkClassBits = 8;
+
+/// @return the data centre in the upper 24 bits, the link class in the lower 8
+static std::uint32_t encodeSite(const RouterSite &site)
+{
+    return site.dataCentre << linkClassBits | static_cast<std::uint32_t>(site.linkClass);
+}
+
+static RouterSite decodeSite(std::uint32_t site)
+{
+    return {site >> linkClassBits, static_cast<int>(site & ((1U << linkClassBits) - 1))};
+}
+
+static void fillSites(wire::BeaconNews::Builder root, const std::vector<RouterSite> &sites)
+{
+    std::vector<std::uint32_t> different;
+    auto positions = root.initPeerSites(static_cast<unsigned>(std::min(sites.size(), maxListedPeers)));
+    for (unsigned i = 0; i < positions.size(); ++i) {
+        const std::uint32_t site = encodeSite(sites[i]);
+        const auto found = std::find(different.begin(), different.end(), site);
+        positions.set(i, static_cast<std::uint8_t>(found - different.begin()));
+        if (found == different.end()) {
+            different.push_back(site);
+        }
+    }
+    auto list = root.initSites(static_cast<unsigned>(different.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list.set(i, different[i]);
+    }
+}
+
 static void fillBeacon(wire::LoadBeacon::Builder root, const LoadBeacon &beacon)
 {
     root.setFrom(beacon.from);
@@ -130,6 +161,7 @@
     const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), maxListedPeers));
     auto peerList = root.initPeers(peers);
     root.setPlacesUpTo(beacon.placesUpTo ? *beacon.placesUpTo + 1 : 0); // 0 on the wire: not set
+    root.setSite(encodeSite(beacon.site));
     for (unsigned i = 0; i < peers; ++i) {
         peerList.set(i, beacon.peers[i]);
     }
@@ -150,13 +182,14 @@
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
     const bool hasNews = !beacon.news.isEmpty() || !beacon.limits.isEmpty() || !beacon.reported.empty();
-    if (beacon.isStarting || hasNews) {
+    if (beacon.isStarting || hasNews || !beacon.peerSites.empty()) {
         capnp::MallocMessageBuilder newsBuilder;
         auto news = newsBuilder.initRoot<wire::BeaconNews>();
         news.setIsStarting(beacon.isStarting);
         fillNews(news, beacon.news);
         fillLimits(news, beacon.limits);
         fillReportedLoads(news, beacon.reported);
+        fillSites(news, beacon.peerSites);
         capnp::writePackedMessage(out, newsBuilder);
     }
     const auto bytes = out.getArray();
@@ -181,6 +214,7 @@
     if (root.getPlacesUpTo() > 0) {
         beacon.placesUpTo = root.getPlacesUpTo() - 1;
     }
+    beacon.site = decodeSite(root.getSite());
     const auto peers = root.getPeers();
     for (unsigned i = 0; i < std::min<unsigned>(peers.size(), maxListedPeers); ++i) {
         beacon.peers.push_back(peers[i]);
@@ -204,6 +238,11 @@
     readNews(news, beacon.news);
     readLimits(news, beacon.limits);
     beacon.reported = readReportedLoads(news);
+    const auto sites = news.getSites();
+    for (const std::uint8_t position : news.getPeerSites()) {
+        beacon.peerSites.push_back(position < sites.size() ? decodeSite(sites[position]) : RouterSite());
+    }
+    beacon.peerSites.resize(std::min(beacon.peerSites.size(), beacon.peers.size()));
 }
 
 bool decodeBeacon(const std::string &bytes, LoadBeacon &beacon)
--- /dev/null
+++ b/net/topicmessages.h
@@ -0,0 +1,43 @@
+// What routers of one data centre ask each other about a topic of the store.
+//
+// Load pattern: a router must know how old the state is that another one tells, while questions and answers may wait on
+// the way, either VM may be suspended at any point, and no two clocks agree. The asked router states when its state was
+// known to be the newest, counted from the arrival of the question. The asker counts from the moment at which it sent
+// the question, which was not later: so what it takes for the age is never too small, however long the answer took.
+#pragma once
+
+#include "control/storetopics.h"
+
+namespace galenafold
+{
+
+struct TopicQuestion {
+    StoreTopic topic = StoreTopic::DesiredState;
+    std::optional<StoreEra> era;   // nothing: no response of the store has told it yet
+    std::optional<LogOffset> from; // the asker knows the topic up to here; nothing: it wants all records
+    Duration wait{};               // the answer may wait so long for news
+};
+
+struct TopicAnswer {
+    bool isKnown = false;     // otherwise the asked router has not read the topic yet
+    bool isListing = false;   // all records, not only changes
+    bool isStoreLost = false; // the asked router gets no answer of the store
+    std::optional<StoreEra> era;
+    LogOffset end = 0;
+    Duration provedAfter{};   // from the question's arrival to the last proof that the topic ends there; may be negative
+    Duration sinceReturned{}; // since the store came back after it had been lost, `longestReturn` at most
+    std::vector<KeyedRecord> records;
+};
+
+constexpr auto longestReturn = std::chrono::minutes(1); // older returns of the store matter to nobody
+
+std::string encodeTopicQuestion(const TopicQuestion &question); ///< @return the body of a request
+std::string encodeTopicAnswer(const TopicAnswer &answer);       ///< @return the body of a response
+
+/// @return nothing if the bytes, which may come from anyone, are no question
+std::optional<TopicQuestion> decodeTopicQuestion(const std::string &bytes);
+
+/// @return nothing if the bytes are no answer
+std::optional<TopicAnswer> decodeTopicAnswer(const std::string &bytes);
+
+} // namespace galenafold
--- a/runtime/httpclientconnection.cpp
+++ b/runtime/httpclientconnection.cpp
@@ -1,4 +1,4 @@
-// HTTP connection to the platform's store.
+// HTTP connection to the platform's store, or to another router.
 #include "runtime/httpclientconnection.h"
 
 namespace galenafold
@@ -158,6 +158,23 @@
     hooks.onFailure(reason);
 }
 
+void HttpClientConnection::abandon()
+{
+    m_isCalling = false;
+    ++m_generation;
+    m_timer.cancel();
+    m_hooks = ClientCallHooks();
+    disconnect();
+}
+
+void HttpClientConnection::setAddress(const std::string &address)
+{
+    if (address != m_address) {
+        disconnect();
+        m_address = address;
+    }
+}
+
 void HttpClientConnection::disconnect()
 {
     if (m_pendingSocket) {
--- a/runtime/httpclientconnection.h
+++ b/runtime/httpclientconnection.h
@@ -1,5 +1,5 @@
-// HTTP connection to the platform's store: one call at a time. Any failure closes the connection and the next call
-// opens a new one.
+// HTTP connection to the platform's store, or to another router: one call at a time. Any failure closes the connection
+// and the next call opens a new one.
 //
 // A response has to begin by a deadline, and must not stop before its end. How long it takes as a whole has no limit
 // but a lowest rate: what has come of it would have to be sent once more, over the same link.
@@ -12,7 +12,7 @@
 namespace galenafold
 {
 
-/// Complete response of the store, of any HTTP status.
+/// Complete response, of any HTTP status.
 struct ClientResponse {
     int status = 0;
     HttpFields fields;
@@ -32,7 +32,8 @@
     std::function<void(const char *reason)> onFailure; // no complete response; the call may have had its effect
 };
 
-/// Not thread-safe: used on one event loop. A call is one request and its response.
+/// Not thread-safe: used on one event loop, whose handlers refer to this object: it must live as long as the loop runs.
+/// A call is one request and its response.
 class HttpClientConnection
 {
 public:
@@ -43,6 +44,10 @@
     void call(std::string request, Instant deadline, ClientCallHooks hooks);
 
     void disconnect(); ///< Closes the connection; the next call opens a new one.
+    void abandon();    ///< Ends the call in progress without calling its hooks, and disconnects.
+
+    /// Sets where the next call goes. No call may be in progress. @param address IP:PORT
+    void setAddress(const std::string &address);
 
     bool isCalling() const { return m_isCalling; }
     const std::string &address() const { return m_address; }
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -37,10 +37,18 @@
     traffic.retry.window = settings.retryWindow;
     traffic.peers.address = settings.peers;
     traffic.peers.seeds = settings.seeds;
+    traffic.peers.site = makeRouterSite(settings.dataCentre, static_cast<int>(settings.linkMegabits));
     traffic.seed = hashName(settings.name.text) ^ static_cast<std::uint64_t>(clockNow().time_since_epoch().count());
     return traffic;
 }
 
+/// @return TCP port on which routers of a data centre ask each other, the same on all; 0: they do not
+static int peerPort(const RouterSettings &settings)
+{
+    const auto address = parseAddress(settings.peers);
+    return address ? address->port() : 0;
+}
+
 RouterNode::RouterNode(const RouterSettings &settings, const EventLogSettings &log)
     : m_settings(settings)
     , m_log(log)
@@ -49,11 +57,10 @@
     , m_traffic(trafficSettings(settings), platformHeaderCodec(), m_log)
     , m_directory(settings.reregistrationTimeout)
     , m_proof(settings.maxRevocationDelay)
-    , m_desiredState(m_io, StoreTopic::DesiredState, settings.store, desiredStateTopic(settings), desiredStateHooks(),
-                     m_log, hashName(settings.name.text))
-    , m_registry(m_io, StoreTopic::Registry, settings.store, registryTopic(settings), registryHooks(), m_log,
-                 hashName(settings.name.text) + 1)
-    , m_sharedState(m_io, settings.store, m_log, hashName(settings.name.text) + 2)
+    , m_desiredState(m_io, subscriptionSettings(StoreTopic::DesiredState), desiredStateHooks(), m_log)
+    , m_registry(m_io, subscriptionSettings(StoreTopic::Registry), registryHooks(), m_log)
+    , m_sharedState(m_io, settings.store, peerPort(settings), m_log, hashName(settings.name.text) + 2)
+    , m_relay(m_io, [this](StoreTopic topic) -> FollowedTopic & { return subscription(topic); }, m_log)
     , m_admin(m_io)
     , m_flushTimer(m_io)
     , m_expiryTimer(m_io)
@@ -75,6 +82,12 @@
         m_traffic.setStoredPlaces(places, end);
         m_traffic.setStoredBlocks(blocks);
     };
+    m_traffic.onDataCentreChanged = [this](const DataCentreRouter &self, const std::vector<DataCentreRouter> &others) {
+        asio::post(m_io, [this, self, others] { setDataCentre(self, others); });
+    };
+    for (const StoreTopic relayed : {StoreTopic::DesiredState, StoreTopic::Registry, StoreTopic::Places}) {
+        subscription(relayed).onProgress = [this, relayed] { m_relay.onProgress(relayed); };
+    }
     m_traffic.onNewerPlaces = [this] { asio::post(m_io, [this] { m_sharedState.readNow(); }); };
     m_traffic.onPlacesToSave = [this](std::vector<PlaceRecord> places) {
         asio::post(m_io, [this, places = std::move(places)] { m_sharedState.savePlaces(places); });
@@ -94,6 +107,43 @@
 
 // Store
 
+TopicSubscription &RouterNode::subscription(StoreTopic topic)
+{
+    switch (topic) {
+    case StoreTopic::DesiredState:
+        return m_desiredState;
+    case StoreTopic::Registry:
+        return m_registry;
+    case StoreTopic::Places:
+        break;
+    }
+    return m_sharedState.topic();
+}
+
+TopicSubscriptionSettings RouterNode::subscriptionSettings(StoreTopic topic) const
+{
+    const bool isRegistry = topic == StoreTopic::Registry;
+    TopicSubscriptionSettings subscription;
+    subscription.topic = topic;
+    subscription.store = m_settings.store;
+    subscription.peerPort = peerPort(m_settings);
+    subscription.reading = isRegistry ? registryTopic(m_settings) : desiredStateTopic(m_settings);
+    subscription.seed = hashName(m_settings.name.text) + static_cast<std::uint64_t>(topic);
+    if (isRegistry) {
+        subscription.cache.isSameMeaning = isOnlyHeartbeat;
+    } else {
+        subscription.cache.keepsVersions = true;
+    }
+    return subscription;
+}
+
+void RouterNode::setDataCentre(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)
+{
+    m_desiredState.setRouters(self, others);
+    m_registry.setRouters(self, others);
+    m_sharedState.setRouters(self, others);
+}
+
 TopicSubscriptionHooks RouterNode::desiredStateHooks()
 {
     TopicSubscriptionHooks hooks;
@@ -198,7 +248,7 @@
         m_hasRegistryChanged = m_directory.applyListing(clockNow(), listing, begin) || m_hasRegistryChanged;
     };
     hooks.topic.onCaughtUp = [this](Instant provedAt) {
-        m_registryProvedAt = provedAt;
+        m_registryProvedAt = std::max(m_registryProvedAt, provedAt);
         afterRegistryRead();
     };
     hooks.onLost = [this](Instant) {
@@ -263,7 +313,8 @@
     m_admin.hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request) {
         onAdminRequest(caller, request);
     };
-    if (!m_admin.start(m_settings.admin) || !m_traffic.start()) {
+    const bool listensToPeers = peerPort(m_settings) == 0 || m_relay.start(m_settings.peers);
+    if (!m_admin.start(m_settings.admin) || !listensToPeers || !m_traffic.start()) {
         return false;
     }
     LogLine line("start");
@@ -318,16 +369,23 @@
     add("calls_refused_total", counts.refused);
     add("calls_failed_total", counts.failed);
     add("calls_streaming", counts.streaming);
-    const auto addStore = [&add](StoreTopic topic, const auto &reader) {
+    const auto addTopic = [&add](StoreTopic topic, const TopicSubscriptionStats &stats) {
         const std::string labels = label("topic", text(topic));
-        add("store_calls_total", reader.calls(), labels);
-        add("store_failures_total", reader.failures(), labels);
-        add("store_bytes_total", reader.bytes(), labels);
-        add("store_abandoned_bytes_total", reader.abandonedBytes(), labels);
+        const auto proofAge = std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - stats.provedAt);
+        add("store_calls_total", stats.calls, labels);
+        add("store_failures_total", stats.failures, labels);
+        add("store_bytes_total", stats.bytes, labels);
+        add("store_abandoned_bytes_total", stats.abandonedBytes, labels);
+        add("topic_questions_total", stats.questions, labels);
+        add("topic_useless_answers_total", stats.uselessAnswers, labels);
+        add("topic_follows_router", stats.followsRouter ? 1 : 0, labels);
+        add("topic_proof_age_ms", proofAge.count(), labels);
     };
-    addStore(StoreTopic::DesiredState, m_desiredState);
-    addStore(StoreTopic::Registry, m_registry);
-    addStore(StoreTopic::Places, m_sharedState);
+    addTopic(StoreTopic::DesiredState, m_desiredState.stats());
+    addTopic(StoreTopic::Registry, m_registry.stats());
+    addTopic(StoreTopic::Places, m_sharedState.stats());
+    add("topic_answers_total", m_relay.answers());
+    add("topic_answer_bytes_total", m_relay.answerBytes());
     add("store_records_total", m_storeRecords);
     add("store_restored_total", m_storeRestores);
     add("store_lost", (m_isDesiredStateLost ? 1 : 0) + (m_isRegistryLost ? 1 : 0));
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -36,6 +36,9 @@
     bool isReady() const;
 
 private:
+    TopicSubscriptionSettings subscriptionSettings(StoreTopic topic) const;
+    TopicSubscription &subscription(StoreTopic topic);
+    void setDataCentre(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others);
     TopicSubscriptionHooks desiredStateHooks();
     TopicSubscriptionHooks registryHooks();
     void applyDesiredState(const std::string &json, LogOffset offset);
@@ -58,6 +61,7 @@
     TopicSubscription m_desiredState;
     TopicSubscription m_registry;
     SharedState m_sharedState;
+    TopicRelay m_relay; // to routers that follow this one
     CallerListener m_admin;
     DeadlineTimer m_flushTimer;
     DeadlineTimer m_expiryTimer;
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -68,17 +68,22 @@
     return place;
 }
 
-static TopicSettings topicSettings()
+static TopicSubscriptionSettings subscriptionSettings(const std::string &address, int peerPort, std::uint64_t seed)
 {
-    TopicSettings topic;
-    topic.pollInterval = readInterval;
-    topic.maxBackoff = readInterval; // no request waits for the places
-    return topic;
+    TopicSubscriptionSettings settings;
+    settings.topic = StoreTopic::Places;
+    settings.store = address;
+    settings.peerPort = peerPort;
+    settings.reading.pollInterval = readInterval;
+    settings.reading.maxBackoff = readInterval; // no request waits for the places
+    settings.seed = seed;
+    return settings;
 }
 
-SharedState::SharedState(asio::io_context &io, const std::string &address, EventLog &log, std::uint64_t seed)
+SharedState::SharedState(asio::io_context &io, const std::string &address, int peerPort, EventLog &log,
+                         std::uint64_t seed)
     : m_log(log)
-    , m_subscription(io, StoreTopic::Places, address, topicSettings(), subscriptionHooks(), log, seed)
+    , m_subscription(io, subscriptionSettings(address, peerPort, seed), subscriptionHooks(), log)
     , m_writer(io, address)
 {
 }
@@ -149,6 +154,19 @@
     hook(places, blocks, m_end);
 }
 
+void SharedState::setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)
+{
+    m_subscription.setRouters(self, others);
+}
+
+TopicSubscriptionStats SharedState::stats() const
+{
+    TopicSubscriptionStats stats = m_subscription.stats();
+    stats.calls += m_writer.calls();
+    stats.failures += m_writer.failures();
+    return stats;
+}
+
 void SharedState::readNow()
 {
     m_subscription.readNow();
@@ -189,7 +207,7 @@
         line.number("places", static_cast<std::int64_t>(records.size())).number("status", response.status);
         m_log.write(line, LogPriority::Notable);
         if (!end) {
-            m_subscription.readNow(); // conflict with another router's write, or refused by the store
+            m_subscription.readStoreNow(); // conflict with another router's write, or refused by the store
             return;
         }
         for (const KeyedRecord &record : records) {
@@ -204,7 +222,7 @@
         LogLine line("places_not_saved");
         line.number("places", static_cast<std::int64_t>(count)).text("why", reason);
         m_log.write(line, LogPriority::Notable);
-        m_subscription.readNow(); // the write may have succeeded
+        m_subscription.readStoreNow(); // the write may have succeeded
     };
     m_writer.call(encodeAppendRequest(records, m_end, StoreTopic::Places, m_writer.address()), clockNow() + saveTimeout,
                   std::move(hooks));
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -23,7 +23,8 @@
 class SharedState
 {
 public:
-    SharedState(asio::io_context &io, const std::string &address, EventLog &log, std::uint64_t seed);
+    /// @param address of the store @param peerPort TCP port of the other routers; 0: none is followed
+    SharedState(asio::io_context &io, const std::string &address, int peerPort, EventLog &log, std::uint64_t seed);
 
     void start();
 
@@ -38,15 +39,12 @@
     /// store is available again.
     void readNow();
 
-    /// @return failed or refused reads and failed writes, also ones that were never sent
-    std::int64_t failures() const { return m_subscription.failures() + m_writer.failures(); }
-    std::int64_t calls() const { return m_subscription.calls() + m_writer.calls(); } ///< @return reads and writes sent
+    /// Sets the routers of this data centre that are heard; one of them reads the topic for the others.
+    void setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others);
 
-    std::int64_t bytes() const { return m_subscription.bytes(); } ///< @return bytes of responses to reads
-    std::int64_t abandonedBytes() const
-    {
-        return m_subscription.abandonedBytes();
-    } ///< @return of these, of failed ones
+    TopicSubscription &topic() { return m_subscription; } ///< @return for routers that follow this one
+
+    TopicSubscriptionStats stats() const; ///< @return those of the reads, with the calls and failures of the writes
 
     /// Called after each read and each successful write, with all that is stored and the end of the topic. Must be set
     /// before `start`.
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -1,25 +1,64 @@
 // Subscription to one topic of the platform's store.
+//
+// Sections of this file: Calls, Store, Other routers, Followers.
 #include "runtime/topicsubscription.h"
 
 #include "net/status.h"
 
+#include <algorithm>
+#include <asio/ip/address_v4.hpp>
+
 namespace galenafold
 {
 
 constexpr std::size_t loggedTransferBytes = 64 << 10; // of a response that gets a log line of its own
+constexpr auto sharedTime = std::chrono::seconds(3);  // for which the topic is read often after a router has asked
+constexpr auto waitMargin = std::chrono::milliseconds(200);      // that a router waits for its next read beyond its interval
+constexpr auto answerTimeout = std::chrono::milliseconds(300);   // beyond the wait for news
+constexpr auto returnTolerance = std::chrono::milliseconds(500); // between two routers' words on one return of the store
+
+static std::string addressText(const TopicSource &source)
+{
+    return source.isStore() ? "store" : asio::ip::address_v4(*source.router).to_string();
+}
 
-TopicSubscription::TopicSubscription(asio::io_context &io, StoreTopic topic, const std::string &address,
-                                     const TopicSettings &settings, TopicSubscriptionHooks hooks, EventLog &log,
-                                     std::uint64_t seed)
-    : m_topic(topic)
-    , m_connection(io, address)
-    , m_consumer(settings, hooks.topic, seed)
+TopicSubscription::TopicSubscription(asio::io_context &io, const TopicSubscriptionSettings &settings,
+                                     TopicSubscriptionHooks hooks, EventLog &log)
+    : m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_log(log)
+    , m_store(io, settings.store)
+    , m_router(io, "")
+    , m_cache(settings.cache)
+    , m_consumer(settings.reading, cachingHooks(), settings.seed)
+    , m_sources(text(settings.topic), settings.seed)
     , m_timer(io)
 {
 }
 
+/// @return the hooks of the topic, which also keep the records for routers that follow this one
+TopicHooks TopicSubscription::cachingHooks()
+{
+    TopicHooks hooks;
+    hooks.onRecord = [this](const KeyedRecord &record) {
+        m_cache.add(record);
+        m_hooks.topic.onRecord(record);
+    };
+    hooks.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+        m_cache.setListing(records, begin);
+        m_hooks.topic.onListed(records, begin);
+    };
+    hooks.onCaughtUp = [this](Instant provedAt) {
+        m_cache.setEnd(m_consumer.nextOffset());
+        m_stats.provedAt = std::max(m_stats.provedAt, provedAt);
+        m_renewedAt = clockNow();
+        m_hooks.topic.onCaughtUp(provedAt);
+    };
+    return hooks;
+}
+
+// Calls
+
 void TopicSubscription::start()
 {
     scheduleNext();
@@ -27,37 +66,83 @@
 
 void TopicSubscription::readNow()
 {
-    if (!m_connection.isCalling()) {
+    const bool isCalling = m_store.isCalling() || m_router.isCalling();
+    if (!isCalling) {
         m_timer.cancel();
-        m_request = m_consumer.next(clockNow());
-        sendRequest();
+        chooseSource(clockNow());
+        send();
     }
 }
 
+void TopicSubscription::readStoreNow()
+{
+    m_mustAskStore = true;
+    readNow();
+}
+
+void TopicSubscription::setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)
+{
+    if (m_settings.peerPort != 0) {
+        m_sources.setRouters(self, others);
+    }
+}
+
+void TopicSubscription::chooseSource(Instant now)
+{
+    const TopicSource source = m_mustAskStore ? TopicSource() : m_sources.next(now);
+    if (source.router != m_source.router) {
+        LogLine line("topic_source");
+        line.text("topic", text(m_settings.topic)).text("from", addressText(source));
+        line.text("before", addressText(m_source)).text("why", m_sourceReason);
+        line.millis("proof_age_ms", now - m_stats.provedAt);
+        m_log.write(line, LogPriority::Notable);
+    }
+    m_source = source;
+    m_sourceReason = "preferred";
+    m_stats.followsRouter = !source.isStore();
+    m_consumer.setShared(now, now < m_sharedUntil, false);
+    m_request = m_consumer.next(now);
+}
+
 void TopicSubscription::scheduleNext()
 {
     const Instant now = clockNow();
-    m_request = m_consumer.next(now);
-    if (m_request.notBefore <= now) {
-        sendRequest();
+    chooseSource(now);
+    const Instant paced = m_source.isStore() ? m_request.notBefore : m_consumer.nextFollowing(now);
+    const Instant notBefore = m_mustAskStore ? now : std::max(paced, m_source.notBefore);
+    if (notBefore <= now) {
+        send();
         return;
     }
-    m_timer.expires_at(m_request.notBefore);
+    m_timer.expires_at(notBefore);
     m_timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
-            sendRequest();
+            chooseSource(clockNow());
+            send();
         }
     });
 }
 
-void TopicSubscription::sendRequest()
+void TopicSubscription::send()
 {
     m_sentAt = clockNow();
+    if (m_source.isStore()) {
+        m_mustAskStore = false;
+        askStore();
+    } else {
+        askRouter(*m_source.router);
+    }
+}
+
+// Store
+
+void TopicSubscription::askStore()
+{
     ClientCallHooks hooks;
     hooks.onResponse = [this](const ClientResponse &response) { onResponse(response); };
-    hooks.onFailure = [this](const char *reason) { onFailure(reason); };
-    m_connection.call(encodeTopicRequest(m_request, m_topic, m_connection.address()),
-                      m_sentAt + m_request.longPollTimeout + m_request.responseTimeout, std::move(hooks));
+    hooks.onFailure = [this](const char *reason) { onStoreFailure(reason); };
+    m_store.call(encodeTopicRequest(m_request, m_settings.topic, m_store.address()),
+                 m_sentAt + m_request.longPollTimeout + m_request.responseTimeout, std::move(hooks));
 }
 
 /// Passes the body to the consumer. @return false if it is malformed
@@ -82,32 +167,29 @@
 /// A large response takes long where the link is slow, or where many routers share the store's rate.
 void TopicSubscription::noteTransfer(Instant now)
 {
-    const ResponseTransfer &transfer = m_connection.transfer();
-    m_bytes += static_cast<std::int64_t>(transfer.bytes);
+    const ResponseTransfer &transfer = m_store.transfer();
+    m_stats.bytes += static_cast<std::int64_t>(transfer.bytes);
     if (transfer.bytes < loggedTransferBytes) {
         return;
     }
     LogLine line("store_transfer");
-    line.text("topic", text(m_topic)).flag("listing", m_request.kind == TopicRequestKind::Listing);
+    line.text("topic", text(m_settings.topic)).flag("listing", m_request.kind == TopicRequestKind::Listing);
     line.number("bytes", static_cast<std::int64_t>(transfer.bytes));
     line.millis("waited_ms", *transfer.firstBytesAt - m_sentAt).millis("took_ms", now - *transfer.firstBytesAt);
     m_log.write(line, LogPriority::Notable);
 }
 
-/// @return true if the store has been restored since the last response
-bool TopicSubscription::noteEra(Instant now, const ClientResponse &response)
+/// A store that has been restored since the last response has given out offsets again: a listing follows.
+void TopicSubscription::noteEra(Instant now, const std::optional<StoreEra> &era)
 {
-    const auto era = decodeStoreEra(response.fields);
-    const bool isRestored = era && m_era && *era != *m_era;
-    if (isRestored) {
+    if (era && m_era && *era != *m_era) {
         LogLine line("store_restored");
-        line.text("topic", text(m_topic)).number("era", *era).number("before", *m_era);
+        line.text("topic", text(m_settings.topic)).number("era", *era).number("before", *m_era);
         m_log.write(line, LogPriority::Notable);
         m_consumer.onStoreRestored();
         m_hooks.onRestored(now);
     }
     m_era = era ? era : m_era;
-    return isRestored;
 }
 
 /// @return false if the body is malformed
@@ -117,7 +199,7 @@
         return decodeBody(now, response.body);
     }
     LogLine line("history_cut");
-    line.text("topic", text(m_topic)).number("from", m_request.from);
+    line.text("topic", text(m_settings.topic)).number("from", m_request.from);
     m_log.write(line, LogPriority::Notable);
     m_consumer.onOffsetOutOfRange();
     return true;
@@ -128,44 +210,212 @@
 {
     const Instant now = clockNow();
     noteTransfer(now);
-    const bool isRestored = noteEra(now, response);
+    const auto before = m_era;
+    noteEra(now, decodeStoreEra(response.fields));
+    const bool isRestored = before && before != m_era;
     const bool isAnswered = response.status == statusOk || response.status == statusGone;
     if (!isAnswered || (!isRestored && !handleAnswer(now, response))) {
-        m_connection.disconnect();
-        onFailure(isAnswered ? "unreadable" : std::to_string(response.status).c_str());
+        m_store.disconnect();
+        onStoreFailure(isAnswered ? "unreadable" : std::to_string(response.status).c_str());
         return;
     }
+    m_sources.onUseful(m_source);
     if (m_isLost) {
-        m_isLost = false;
-        m_hooks.onRegained(now);
+        m_sources.onStoreRegained();
+        regain(now);
     }
+    m_stats.calls = m_store.calls();
+    onProgress();
     scheduleNext();
 }
 
-void TopicSubscription::onFailure(const char *reason)
+void TopicSubscription::onStoreFailure(const char *reason)
 {
     const Instant now = clockNow();
-    ++m_failures;
-    const ResponseTransfer &transfer = m_connection.transfer();
+    const ResponseTransfer &transfer = m_store.transfer();
     const std::int64_t abandoned = transfer.isComplete ? 0 : static_cast<std::int64_t>(transfer.bytes);
-    m_bytes += abandoned;
-    m_abandonedBytes += abandoned;
+    m_stats.calls = m_store.calls();
+    ++m_stats.failures;
+    m_stats.bytes += abandoned;
+    m_stats.abandonedBytes += abandoned;
     if (!m_isLost || abandoned > 0) {
         LogLine line(m_isLost ? "store_still_lost" : "store_lost");
-        line.text("topic", text(m_topic)).text("why", reason).millis("after_ms", now - m_sentAt);
+        line.text("topic", text(m_settings.topic)).text("why", reason).millis("after_ms", now - m_sentAt);
         line.number("received", abandoned);
         m_log.write(line, LogPriority::Notable);
     }
+    if (transfer.bytes == 0) {
+        m_consumer.onNoResponse(now);
+    } else {
+        m_consumer.onFailure(now);
+    }
+    m_sources.onStoreFailed(m_consumer.next(now).notBefore);
+    m_sourceReason = reason;
+    lose(now);
+    onProgress();
+    scheduleNext();
+}
+
+void TopicSubscription::lose(Instant now)
+{
     if (!m_isLost) {
         m_isLost = true;
         m_hooks.onLost(now);
     }
-    if (transfer.bytes == 0) {
-        m_consumer.onNoResponse(now);
+}
+
+void TopicSubscription::regain(Instant returnedAt)
+{
+    m_isLost = false;
+    m_returnedAt = returnedAt;
+    m_hooks.onRegained(returnedAt);
+}
+
+// Other routers
+
+void TopicSubscription::askRouter(std::uint32_t router)
+{
+    const std::string address =
+        asio::ip::address_v4(router).to_string() + ':' + std::to_string(m_settings.peerPort);
+    m_router.setAddress(address);
+    TopicQuestion question;
+    question.topic = m_settings.topic;
+    question.era = m_era;
+    if (!m_consumer.isListing()) {
+        question.from = m_consumer.nextOffset();
+    }
+    const Duration interval = m_settings.reading.sharedInterval;
+    question.wait = interval > Duration{} ? interval + waitMargin : Duration{};
+    const std::string body = encodeTopicQuestion(question);
+    std::string request = "POST /topic HTTP/1.1\r\n";
+    appendField(request, "Host", address);
+    appendField(request, "Content-Length", std::to_string(body.size()));
+    ClientCallHooks hooks;
+    hooks.onResponse = [this](const ClientResponse &response) { onRouterResponse(response); };
+    hooks.onFailure = [this](const char *reason) { onUselessRouter(reason); };
+    ++m_stats.questions;
+    m_router.call(request + "\r\n" + body, m_sentAt + question.wait + answerTimeout, std::move(hooks));
+}
+
+void TopicSubscription::onRouterResponse(const ClientResponse &response)
+{
+    const Instant now = clockNow();
+    const auto answer = response.status == statusOk ? decodeTopicAnswer(response.body) : std::nullopt;
+    if (!answer) {
+        m_router.disconnect();
+        onUselessRouter("unreadable");
+        return;
+    }
+    if (!answer->isKnown || !applyAnswer(now, *answer)) {
+        onUselessRouter(answer->isStoreLost ? "store_lost" : answer->isKnown ? "stale" : "unknown");
+        return;
+    }
+    m_sources.onUseful(m_source);
+    onProgress();
+    scheduleNext();
+}
+
+/// @return true if it tells more than was known, and its proof is young enough
+bool TopicSubscription::applyAnswer(Instant now, const TopicAnswer &answer)
+{
+    constexpr Duration longestAge = std::chrono::hours(1); // keeps sums with what another process tells in range
+    const bool isBeforeRestore = answer.era && m_era && *answer.era < *m_era;
+    if (isBeforeRestore) {
+        return false;
+    }
+    noteEra(now, answer.era);
+    if (!answer.isListing && m_consumer.isListing()) {
+        return false; // it tells changes only, and all records are wanted
+    }
+    const Instant provedBefore = m_stats.provedAt;
+    const Instant provedAt = std::min<Instant>(now, m_sentAt + std::clamp(answer.provedAfter, -longestAge, longestAge));
+    const bool tellsOfReturn = answer.sinceReturned < longestReturn;
+    const Instant returnedAt = tellsOfReturn ? now - answer.sinceReturned : now;
+    if (tellsOfReturn && returnedAt > m_returnedAt + returnTolerance) {
+        lose(now); // what lapsed meanwhile may return, as if this router had read the store itself
+    }
+    bool isTold = true;
+    if (answer.isListing) {
+        m_consumer.onOffsetOutOfRange();
+        m_consumer.onPage(provedAt, now, {answer.records, false, answer.end});
     } else {
-        m_consumer.onFailure(now);
+        isTold = m_consumer.onFollowed(provedAt, now, {answer.records, answer.end});
+    }
+    const bool needsNews = m_settings.reading.sharedInterval > Duration{}; // the question waited for a younger proof
+    const bool isNews = provedAt > provedBefore || !answer.records.empty() || !needsNews;
+    const bool isUseful = isTold && isNews && !answer.isStoreLost && now < provedAt + m_settings.reading.maxSourceAge;
+    if (m_isLost && isUseful) {
+        regain(returnedAt);
     }
+    return isUseful;
+}
+
+void TopicSubscription::onUselessRouter(const char *reason)
+{
+    ++m_stats.uselessAnswers;
+    m_sources.onUseless(clockNow(), m_source);
+    m_sourceReason = reason;
     scheduleNext();
 }
 
+// Followers
+
+void TopicSubscription::onAsked(Instant now)
+{
+    const bool isFirst = now >= m_sharedUntil;
+    m_sharedUntil = now + sharedTime;
+    if (!isFirst) {
+        return;
+    }
+    m_consumer.setShared(now, true, true);
+    const bool isLongPoll = m_store.isCalling() && m_request.longPollTimeout > Duration{};
+    if (isLongPoll) {
+        m_store.abandon();
+    }
+    const bool isWaiting = !m_store.isCalling() && !m_router.isCalling();
+    if (isWaiting && !m_isLost) {
+        m_timer.cancel();
+        scheduleNext();
+    }
+}
+
+bool TopicSubscription::hasNews(const TopicQuestion &question, Instant waitsSince) const
+{
+    if (m_isLost) {
+        return true; // the asker goes on to the next router
+    }
+    if (!m_cache.isFilled()) {
+        return false;
+    }
+    const bool isOtherEra = question.era && m_era && *question.era != *m_era;
+    if (isOtherEra || !question.from) {
+        return true;
+    }
+    const bool hasCaughtUp = m_cache.end() >= *question.from;
+    return hasCaughtUp && (m_renewedAt > waitsSince || m_cache.hasChangesSince(*question.from));
+}
+
+TopicAnswer TopicSubscription::answer(const TopicQuestion &question, Instant arrivedAt) const
+{
+    TopicAnswer answer;
+    answer.isKnown = m_cache.isFilled();
+    answer.isStoreLost = m_isLost;
+    answer.era = m_era;
+    answer.end = m_cache.end();
+    answer.provedAfter = m_stats.provedAt - arrivedAt;
+    answer.sinceReturned = std::min<Duration>(clockNow() - m_returnedAt, longestReturn);
+    if (question.era && m_era && *question.era > *m_era) {
+        return answer; // the asker knows more
+    }
+    const bool isSameEra = !question.era || !m_era || *question.era == *m_era;
+    const auto changes = question.from && isSameEra ? m_cache.changesSince(*question.from) : std::nullopt;
+    answer.isListing = answer.isKnown && !changes;
+    if (answer.isListing) {
+        answer.records = m_cache.all();
+    } else if (changes) {
+        answer.records = *changes;
+    }
+    return answer;
+}
+
 } // namespace galenafold
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -1,60 +1,119 @@
-// Subscription to one topic of the platform's store: sends the calls that `TopicConsumer` decides on.
+// Subscription to one topic of the platform's store: sends the calls that `TopicConsumer` decides on, to the store or to
+// the router of this data centre that `TopicSources` names, and keeps the records for routers that follow this one.
+//
+// Sections of this file: Settings, Subscription.
 #pragma once
 
+#include "control/topiccache.h"
+#include "control/topicsources.h"
 #include "galenafold/eventlog.h"
 #include "platform/store.h"
 #include "runtime/httpclientconnection.h"
+#include "runtime/topicrelay.h"
 
 namespace galenafold
 {
 
+// Settings
+
 struct TopicSubscriptionHooks {
     TopicHooks topic;
-    std::function<void(Instant)> onLost;     // the first failure after a success or after the start
-    std::function<void(Instant)> onRegained; // the first success after a failure
+    std::function<void(Instant)> onLost;     // the store cannot be read, and no router has told of it since
+    std::function<void(Instant)> onRegained; // it can be read again, by this router or by the one that it follows
 
     /// The store has been restored from a copy: offsets so far are void, and a listing of the topic follows.
     std::function<void(Instant)> onRestored = [](Instant) {};
 };
 
+struct TopicSubscriptionSettings {
+    StoreTopic topic = StoreTopic::DesiredState;
+    std::string store; // IP:PORT
+    int peerPort = 0;  // TCP port of the routers that may be followed; 0: none is
+    TopicSettings reading;
+    TopicCacheSettings cache;
+    std::uint64_t seed = 0; // for the jitter of pauses
+};
+
+/// Counters for metrics.
+struct TopicSubscriptionStats {
+    std::int64_t calls = 0;          // sent to the store since the start
+    std::int64_t failures = 0;       // of these, failed or refused ones, also ones that were never sent
+    std::int64_t bytes = 0;          // of the store's responses
+    std::int64_t abandonedBytes = 0; // of these, of failed calls
+    std::int64_t questions = 0;      // sent to other routers since the start
+    std::int64_t uselessAnswers = 0; // of these, without an answer or with an old proof
+    bool followsRouter = false;      // the source of the current or next call is another router
+    Instant provedAt{};              // the topic was known completely as of then
+};
+
+// Subscription
+
 /// Reads a topic from `start` on until destroyed. Everything runs on the event loop.
-class TopicSubscription
+class TopicSubscription : public FollowedTopic
 {
 public:
-    /// @param seed for the jitter of the backoff
-    TopicSubscription(asio::io_context &io, StoreTopic topic, const std::string &address, const TopicSettings &settings,
-                      TopicSubscriptionHooks hooks, EventLog &log, std::uint64_t seed);
+    TopicSubscription(asio::io_context &io, const TopicSubscriptionSettings &settings, TopicSubscriptionHooks hooks,
+                      EventLog &log);
 
     void start();
-    void readNow(); ///< Sends the next call without waiting for the pause or backoff, unless one is in progress.
-    std::int64_t calls() const { return m_connection.calls(); } ///< @return calls sent since the start
-    std::int64_t failures() const { return m_failures; }        ///< @return failed or refused calls, also unsent ones
-    std::int64_t bytes() const { return m_bytes; }              ///< @return bytes of responses received
-    std::int64_t abandonedBytes() const { return m_abandonedBytes; } ///< @return of these, of failed calls
+
+    // Both send the next call without waiting for the pause or backoff, unless one is in progress.
+
+    void readNow();
+    void readStoreNow(); ///< The next call goes to the store, as what another router tells may be older.
+
+    /// Sets the routers of this data centre that are heard. @param self this router
+    void setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others);
+
+    const TopicSubscriptionStats &stats() const { return m_stats; }
+
+    // For routers that follow this one
+    void onAsked(Instant now) override;
+    bool hasNews(const TopicQuestion &question, Instant waitsSince) const override;
+    TopicAnswer answer(const TopicQuestion &question, Instant arrivedAt) const override;
+
+    std::function<void()> onProgress = [] {}; // there are new records, or a younger proof, or the store is lost
 
 private:
+    TopicHooks cachingHooks();
     void scheduleNext();
-    void sendRequest();
+    void chooseSource(Instant now);
+    void send();
+    void askStore();
+    void askRouter(std::uint32_t router);
+
     void onResponse(const ClientResponse &response);
+    void onStoreFailure(const char *reason);
+    void onRouterResponse(const ClientResponse &response);
+    void onUselessRouter(const char *reason);
+    bool applyAnswer(Instant now, const TopicAnswer &answer);
     void noteTransfer(Instant now);
-    bool noteEra(Instant now, const ClientResponse &response);
+    void noteEra(Instant now, const std::optional<StoreEra> &era);
     bool handleAnswer(Instant now, const ClientResponse &response);
     bool decodeBody(Instant now, const std::string &body);
-    void onFailure(const char *reason);
+    void lose(Instant now);
+    void regain(Instant returnedAt);
 
-    StoreTopic m_topic;
-    HttpClientConnection m_connection;
-    TopicConsumer m_consumer;
+    TopicSubscriptionSettings m_settings;
     TopicSubscriptionHooks m_hooks;
     EventLog &m_log;
+    HttpClientConnection m_store;
+    HttpClientConnection m_router; // to the router that was asked last
+    TopicCache m_cache;
+    TopicConsumer m_consumer;
+    TopicSources m_sources;
+    TopicSource m_source;   // of the current or next call
     DeadlineTimer m_timer;  // of the next call
-    TopicRequest m_request; // the current or next call
+    TopicRequest m_request; // the current or next call, if it goes to the store
     Instant m_sentAt{};     // of the last call
-    std::int64_t m_failures = 0;
-    std::int64_t m_bytes = 0;
-    std::int64_t m_abandonedBytes = 0;
+    Instant m_renewedAt{};  // when the last proof came
+    Instant m_sharedUntil{}; // a router has asked this one shortly before
+    Instant m_returnedAt{};  // when the store came back after it was last lost
     std::optional<StoreEra> m_era; // of the last response
-    bool m_isLost = false;         // the last call failed
+    std::string m_sourceReason = "start"; // why the source was changed last, for logs
+    bool m_isLost = false;
+    bool m_mustAskStore = false; // the next call
+    TopicSubscriptionStats m_stats;
 };
 
 } // namespace galenafold
--- a/tests/queryofdeath.cpp
+++ b/tests/queryofdeath.cpp
@@ -130,12 +130,12 @@
     int restarted = 0;
     Instant next = clockNow() + std::chrono::seconds(2);
     fleet.sendFor(std::chrono::seconds(11), [&] {
-        if (restarted < RouterFleet::routerCount && clockNow() >= next) {
+        if (restarted < fleet.routerCount && clockNow() >= next) {
             fleet.restart(restarted);
             ++restarted;
             next += std::chrono::seconds(2);
         }
     });
-    LONGS_EQUAL(RouterFleet::routerCount, restarted);
+    LONGS_EQUAL(fleet.routerCount, restarted);
     checkPromises();
 }
--- a/tests/replicaratelimit.cpp
+++ b/tests/replicaratelimit.cpp
@@ -119,7 +119,7 @@
 {
     const Instant known = clockNow() + RouterFleet::recoveryTime;
     std::thread restarts([this] {
-        for (int router = 0; router < RouterFleet::routerCount; ++router) {
+        for (int router = 0; router < fleet.routerCount; ++router) {
             std::this_thread::sleep_for(seconds(2));
             fleet.restart(router);
         }
--- a/tests/routerfleet.h
+++ b/tests/routerfleet.h
@@ -34,6 +34,7 @@
             settings.seeds = {peerAddress(0, port), peerAddress(1, port)};
             settings.maxRecoveryTime = recoveryTime;
             settings.retryRatio = 1000; // high, so that the retry budget does not hide a fault
+            adjust(i, settings);
             routers.push_back(std::make_unique<Router>(settings));
         }
         for (const auto &router : routers) {
@@ -108,7 +109,29 @@
         std::thread thread;
     };
 
-    static constexpr int routerCount = 4;
+    /// @param name with its labels, without the prefix "galenafold_" @return a router's metric, rounded; -1 if absent
+    int metric(int router, const std::string &name)
+    {
+        RawCaller caller(routers[static_cast<std::size_t>(router)]->node->adminPort());
+        caller.send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string page = caller.read() ? '\n' + caller.body() : std::string();
+        const std::string key = "\ngalenafold_" + name + ' ';
+        const std::size_t at = page.find(key);
+        return at == std::string::npos ? -1 : std::stoi(page.substr(at + key.size()));
+    }
+    /// @return true if the condition holds for all routers
+    bool everywhere(const std::function<bool(int)> &condition) const
+    {
+        for (int i = 0; i < routerCount; ++i) {
+            if (!condition(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int routerCount = 4;
+    std::function<void(int, RouterSettings &)> adjust = [](int, RouterSettings &) {}; // before a router is made
     static constexpr auto recoveryTime = std::chrono::seconds(3);
     FakeTopicStore store;
     std::vector<std::unique_ptr<FakeReplica>> replicas;
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -82,7 +82,7 @@
     EventLogSettings logSettings;
     logSettings.fd = -1;
     EventLog log(logSettings);
-    SharedState state(io, fixture.store.address(), log, 1);
+    SharedState state(io, fixture.store.address(), 0, log, 1);
     std::vector<std::string> events;
     const auto record = [&events](const char *name) {
         return [&events, name](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &, LogOffset) {
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -92,13 +92,22 @@
     }
     peer.number = beacon.number;
     peer.heardAt = now;
+    if (beacon.site.dataCentre != 0) { // told for some seconds after a start; others learn it from peer lists
+        peer.site = beacon.site;
+    }
     ++m_beaconsReceived;
     m_queryOfDeath.onNews(now, beacon.news);
     m_loadBalancer.rateLimits().onReport(now, from, beacon.limits);
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
             // is sent beacons from now on; expires if it stays silent
-            m_peers.try_emplace(other, Peer{now, 0, 0, false, {}});
+            m_peers.try_emplace(other, Peer{now, 0, 0, false, {}, {}});
+        }
+    }
+    for (std::size_t i = 0; i < beacon.peerSites.size(); ++i) {
+        const auto other = m_peers.find(beacon.peers[i]);
+        if (other != m_peers.end() && other->second.site.dataCentre == 0) {
+            other->second.site = beacon.peerSites[i];
         }
     }
     if (beacon.placesUpTo) {
@@ -120,6 +129,21 @@
     }
 }
 
+void PeerLoadExchange::reportDataCentre(Instant now)
+{
+    std::vector<DataCentreRouter> others;
+    for (const auto &[address, peer] : m_peers) {
+        const bool isHeard = peer.number > 0 && now < peer.heardAt + peerTimeout();
+        if (isHeard && m_settings.site.dataCentre != 0 && peer.site.dataCentre == m_settings.site.dataCentre) {
+            others.push_back({address, peer.site.linkClass});
+        }
+    }
+    if (onDataCentreChanged && others != m_dataCentre) {
+        m_dataCentre = others;
+        onDataCentreChanged({m_ownAddress, m_settings.site.linkClass}, others);
+    }
+}
+
 void PeerLoadExchange::tick()
 {
     const Instant now = clockNow();
@@ -129,6 +153,7 @@
         peer = now >= peer->second.heardAt + std::max<Duration>(peerExpiry, peerTimeout()) ? m_peers.erase(peer)
                                                                                            : std::next(peer);
     }
+    reportDataCentre(now);
     m_peersHeard = heard;
     m_maxPeersHeard = std::max(m_maxPeersHeard, heard);
     m_fleetSize.observe(now, static_cast<int>(m_peers.size()), heard);
@@ -238,6 +263,9 @@
     beacon.isStarting = now < m_startingUntil;
     beacon.number = ++m_beaconNumber;
     beacon.placesUpTo = m_placesUpTo;
+    if (now < m_startIdToldUntil) {
+        beacon.site = m_settings.site;
+    }
     return beacon;
 }
 
@@ -263,18 +291,23 @@
     }
 }
 
-/// @return addresses of peers that were heard, a random choice if there are more than a list holds
-std::vector<std::uint32_t> PeerLoadExchange::samplePeers()
+/// @return addresses of peers that were heard: a random choice if there are more than a list holds, half of them in the
+/// receiver's data centre
+std::vector<std::uint32_t> PeerLoadExchange::samplePeers(const Peer &receiver)
 {
-    std::vector<std::uint32_t> heard;
+    std::vector<std::uint32_t> near;
+    std::vector<std::uint32_t> others;
     for (const auto &[address, peer] : m_peers) {
         if (peer.number > 0) {
-            heard.push_back(address);
+            (peer.site.dataCentre == receiver.site.dataCentre ? near : others).push_back(address);
         }
     }
-    std::shuffle(heard.begin(), heard.end(), m_random);
-    heard.resize(std::min(heard.size(), maxListedPeers));
-    return heard;
+    std::shuffle(near.begin(), near.end(), m_random);
+    std::shuffle(others.begin(), others.end(), m_random);
+    near.resize(std::min(near.size(), maxListedPeers - std::min(others.size(), maxListedPeers / 2)));
+    others.resize(std::min(others.size(), maxListedPeers - near.size()));
+    near.insert(near.end(), others.begin(), others.end());
+    return near;
 }
 
 /// @return the peer that gets the next list: a newcomer, or now and then any peer
@@ -311,7 +344,13 @@
 {
     LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.ownLoads();
-    beacon.peers = samplePeers();
+    beacon.site = m_settings.site;
+    beacon.peers = samplePeers(m_peers[receiver]);
+    if (m_settings.site.dataCentre != 0) {
+        for (const std::uint32_t address : beacon.peers) {
+            beacon.peerSites.push_back(m_peers[address].site);
+        }
+    }
     beacon.news = m_queryOfDeath.knownBlocks(now);
     beacon.limits = m_loadBalancer.rateLimits().fullReport(now);
     beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -28,6 +28,7 @@
     std::string address;            // IP:PORT for load beacons between routers; "": none
     std::vector<std::string> seeds; // IP:PORT of the routers that get the first beacons; may include this one
     int bytesPerSecond = 7000;      // limit on sent bytes per second, of which beacons use a part
+    RouterSite site = {};           // of this router; no data centre: peers are not told
 };
 
 /// State of the exchange, for logs and metrics.
@@ -67,6 +68,9 @@
     std::function<void()> onNewerPlaces;          // a peer has read or written newer places
     std::function<void()> onListReceived = [] {}; // a peer has told which peers and blocked prompts it knows
 
+    /// The routers of this router's data centre that are heard have changed.
+    std::function<void(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)> onDataCentreChanged;
+
     PeerExchangeStats stats() const;
 
 private:
@@ -76,6 +80,7 @@
         std::uint32_t placesUpTo = 0; // from its last beacon
         bool isNewcomer = false;      // has started and was sent no peer list yet
         Instant listSentAt{};         // last peer list
+        RouterSite site;              // no data centre: not known yet
     };
 
     void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
@@ -87,7 +92,8 @@
     void armTimer(Instant now);
     LoadBeacon nextBeacon(Instant now);
     void send(Instant now);
-    std::vector<std::uint32_t> samplePeers();
+    std::vector<std::uint32_t> samplePeers(const Peer &receiver);
+    void reportDataCentre(Instant now);
     int broadcastBytes() const;
     Duration peerTimeout() const;
 
@@ -114,6 +120,7 @@
     int m_port = 0;                         // UDP port, the same on all routers
     double m_beaconBytes = 100;             // smoothed size of one datagram
     FleetSizeEstimate m_fleetSize;
+    std::vector<DataCentreRouter> m_dataCentre; // heard routers of this data centre, as last reported
     int m_peersHeard = 0;
     int m_maxPeersHeard = 0;
     std::int64_t m_beaconsSent = 0;
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -42,6 +42,11 @@
             onNewerPlaces();
         }
     };
+    m_peers.onDataCentreChanged = [this](const DataCentreRouter &self, const std::vector<DataCentreRouter> &others) {
+        if (onDataCentreChanged) {
+            onDataCentreChanged(self, others);
+        }
+    };
     m_peers.onListReceived = [this] {
         m_state.gate.onBlocksKnown();
         releaseWaiting();
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -126,6 +126,9 @@
     /// Called on the traffic thread when a peer has read or written newer places. Set before `start`.
     std::function<void()> onNewerPlaces;
 
+    /// Called on the traffic thread when the routers of this data centre that are heard change. Set before `start`.
+    std::function<void(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)> onDataCentreChanged;
+
     /// Requests the metrics in Prometheus text format. @param callback called with them on the traffic thread
     void requestMetrics(std::function<void(std::string)> callback);
 
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -19,6 +19,7 @@
   slowdowns @10 :List(UInt8);  # empty, or newly reported service time per endpoint, in 1/16 of the usual one; 0: none
   placesUpTo @9 :UInt32;   # 0: not set; 1: the sender cannot reach the store; else 2 + the store offset
                            # up to which the sender has read the places topic
+  site @11 :UInt32;        # where the sender runs, as in BeaconNews.peerSites; 0: as told before
 }
 
 # Follows a load beacon in the same datagram if there is any news: an empty field would cost bytes in each beacon.
@@ -31,6 +32,9 @@
   limitedSends @5 :List(LimitedSends);
   loads @7 :List(ReportedLoad); # endpoints that are fuller than the totals of all routers tell
   startId @6 :UInt32;           # differs after each start of the sender; 0: as told before
+  sites @8 :List(UInt32);       # different sites of the beacon's peers: hash of the data centre in the upper 24 bits,
+                                # link class in the lower 8; 0: not known
+  peerSites @9 :List(UInt8);    # of the beacon's peers, in the same order: position in `sites`
 }
 
 # Calls of all routers in progress at an endpoint, as it has just reported.
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -73,7 +73,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -466,6 +466,8 @@
   inline bool hasSlowdowns() const;
   inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getSlowdowns() const;
 
+  inline  ::uint32_t getSite() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -552,6 +554,9 @@
   inline void adoptSlowdowns(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownSlowdowns();
 
+  inline  ::uint32_t getSite();
+  inline void setSite( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -617,6 +622,12 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool hasSites() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getSites() const;
+
+  inline bool hasPeerSites() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getPeerSites() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -693,6 +704,22 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::ReportedLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool hasSites();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getSites();
+  inline void setSites( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSites(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initSites(unsigned int size);
+  inline void adoptSites(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownSites();
+
+  inline bool hasPeerSites();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getPeerSites();
+  inline void setPeerSites( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPeerSites(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initPeerSites(unsigned int size);
+  inline void adoptPeerSites(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownPeerSites();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2967,6 +2994,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t LoadBeacon::Reader::getSite() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadBeacon::Builder::getSite() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LoadBeacon::Builder::setSite( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BeaconNews::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3199,6 +3240,82 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool BeaconNews::Reader::hasSites() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasSites() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader BeaconNews::Reader::getSites() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder BeaconNews::Builder::getSites() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setSites( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void BeaconNews::Builder::setSites(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder BeaconNews::Builder::initSites(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptSites(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> BeaconNews::Builder::disownSites() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool BeaconNews::Reader::hasPeerSites() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasPeerSites() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader BeaconNews::Reader::getPeerSites() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder BeaconNews::Builder::getPeerSites() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setPeerSites( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void BeaconNews::Builder::setPeerSites(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder BeaconNews::Builder::initPeerSites(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptPeerSites(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> BeaconNews::Builder::disownPeerSites() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t ReportedLoad::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
