Send lists of peers to several newcomers at once

Cause: a router sent one list of peers a tick (150 ms), and one to each router that it heard for the first time.

Change: up to eight lists a tick, as the byte budget allows, and only to newcomers that ask for one.

--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -122,3 +122,23 @@
     const std::uint32_t later = firstBeaconNumber(startTime + std::chrono::seconds(1));
     CHECK(isNewerBeacon(later, first + 50)); // fifty beacons in a second are more than the byte budget allows
 }
+
+/// A router sent one list a tick, so that of a hundred that start at once most heard few others for over ten seconds.
+/// Until they hear each other they exceed bounds and follow nobody.
+TEST(PeerBeacons, AFleetThatStartsAtOnceSoonHearsItself)
+{
+    constexpr int count = 100;
+    const std::string port = freePort();
+    std::vector<std::unique_ptr<TestRouter>> routers;
+    for (int i = 0; i < count; ++i) {
+        const std::string address = "127.0.1." + std::to_string(i + 1) + ':' + port;
+        routers.push_back(std::make_unique<TestRouter>(io, address, "127.0.1.1:" + port));
+    }
+    const Instant start = clockNow();
+    CHECK(runUntil([&] {
+        return std::all_of(routers.begin(), routers.end(),
+                           [](const auto &router) { return router->exchange.stats().heard >= count * 9 / 10; });
+    }));
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - start).count();
+    CHECK_TEXT(taken < 10000, std::to_string(taken).c_str()); // callers come 10 to 14 s after the start
+}
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -12,6 +12,7 @@
 constexpr auto endReportInterval = std::chrono::milliseconds(150); // ends only free capacity, so they are less urgent
 constexpr auto startRetryInterval = std::chrono::milliseconds(50); // while a start waits for the budget
 constexpr double startDelayWeight = 0.2;                           // smoothing factor for the delay of a new start
+constexpr int maxListsPerTick = 8;
 constexpr auto peerListInterval = std::chrono::seconds(3);         // while there are no newcomers
 constexpr auto heartbeatInterval = std::chrono::milliseconds(700); // between beacons without a change
 constexpr auto peerExpiry = std::chrono::seconds(10); // a silent peer is kept for this long, as it may be partitioned
@@ -85,7 +86,7 @@
     Peer &peer = entry->second;
     const bool asksForList =
         beacon.isStarting && now >= m_startingUntil && now >= peer.listSentAt + repeatedListInterval;
-    peer.isNewcomer = peer.isNewcomer || isNew;
+    peer.isNewcomer = peer.isNewcomer || (isNew && beacon.isStarting); // one that has a list needs no second one
     const bool isRestarted = now >= peer.heardAt + peerTimeout();
     if (peer.number > 0 && !isNewerBeacon(beacon.number, peer.number) && !isRestarted) {
         return;
@@ -165,7 +166,7 @@
     m_loadBalancer.rateLimits().setFleet(now, std::max(m_fleetSize.routers(), static_cast<int>(m_peers.size()) + 1),
                                          reportDelay);
     sendIfDue(now);
-    sendPeerList(now);
+    sendPeerLists(now);
     armTimer(now);
 }
 
@@ -331,16 +332,20 @@
     return candidates[m_random() % candidates.size()];
 }
 
-/// A peer list goes with the sender's loads, as each beacon replaces the one before.
-void PeerLoadExchange::sendPeerList(Instant now)
+/// Of many routers that start at once, several get their lists in one step.
+void PeerLoadExchange::sendPeerLists(Instant now)
 {
-    const auto receiver = nextListReceiver(now);
-    if (receiver) {
-        sendPeerListTo(now, *receiver);
+    for (int lists = 0; lists < maxListsPerTick; ++lists) {
+        const auto receiver = nextListReceiver(now);
+        if (!receiver || !sendPeerListTo(now, *receiver)) {
+            return;
+        }
     }
 }
 
-void PeerLoadExchange::sendPeerListTo(Instant now, std::uint32_t receiver)
+/// A peer list goes with the sender's loads, as each beacon replaces the one before.
+/// @return false if the budget does not allow it yet
+bool PeerLoadExchange::sendPeerListTo(Instant now, std::uint32_t receiver)
 {
     LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.ownLoads();
@@ -357,12 +362,13 @@
     const std::string payload = encodeBeacon(beacon);
     m_peers[receiver].isNewcomer = true; // until the budget allows the list
     if (!m_beaconBudget.takeMessage(now, datagramBytes(payload))) {
-        return;
+        return false;
     }
     m_nextPeerListAt = now + peerListInterval;
     m_peers[receiver].isNewcomer = false;
     m_peers[receiver].listSentAt = now;
     m_socket.send(payload, asio::ip::address_v4(receiver).to_string(), m_port);
+    return true;
 }
 
 } // namespace galenafold
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -86,8 +86,8 @@
     void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
     void tick();
     void sendIfDue(Instant now);
-    void sendPeerList(Instant now);
-    void sendPeerListTo(Instant now, std::uint32_t receiver);
+    void sendPeerLists(Instant now);
+    bool sendPeerListTo(Instant now, std::uint32_t receiver);
     std::optional<std::uint32_t> nextListReceiver(Instant now);
     void armTimer(Instant now);
     LoadBeacon nextBeacon(Instant now);
