Have large records read from the store where the reader's link is narrow; format, lint

Cause: a desired state of hundreds of kilobytes that a router with a narrow link tells to forty others takes longer than the time in which it must be in force. Some new lines were not as the formatter and the linter want them.

Change: a router tells records only if its link can send them to all routers of its data centre within a second; else it says that they are too large, and the asker reads the store once.

Measured: DataCentre.ALargeDesiredStateIsReadFromTheStoreByEach (ten routers with links of 1 Mbit/s; the store serves the state ten to twelve times); not run on the code before, which has no such answer.

--- a/control/gossip.h
+++ b/control/gossip.h
@@ -85,7 +85,7 @@
     std::uint32_t number = 0;   // sequence number; older beacons are ignored
     bool isStartNotice = false; // true: this is a start notice and only `start` is set
     StartNotice start;
-    std::vector<std::uint32_t> peers; // IPv4 addresses, as numbers, of routers that the sender receives beacons from
+    std::vector<std::uint32_t> peers;  // IPv4 addresses, as numbers, of routers that the sender receives beacons from
     std::vector<RouterSite> peerSites; // of the peers, in the same order; empty: not told
     RouterSite site;                   // of the sender; no data centre: as told before
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
--- a/control/storetopics.cpp
+++ b/control/storetopics.cpp
@@ -6,13 +6,13 @@
 namespace galenafold
 {
 
-constexpr double revocationWaitFactor = 0.4; // a proof is as old as its call; two calls must fit into the delay
-constexpr double recoveryWaitFactor = 0.55;  // a silent connection is detected within this part of the recovery time
+constexpr double revocationWaitFactor = 0.4;   // a proof is as old as its call; two calls must fit into the delay
+constexpr double recoveryWaitFactor = 0.55;    // a silent connection is detected within this part of the recovery time
 constexpr double sharedRevocationFactor = 0.1; // between reads for others; a proof must outlast a silence of seconds
-constexpr double staleRevocationFactor = 0.25; // an older proof of another router leaves too little time to try the next
-constexpr double sharedRegistryFactor = 0.25;  // a read for others, a silent router and the next one's answer must fit
-constexpr double staleRegistryFactor = 0.4;    // into the drain delay
-constexpr double registryPauseFactor = 0.75; // a lost read and the next one must fit into the drain delay as well
+constexpr double staleRevocationFactor = 0.25; // for a proof of another router; the next one must still be in time
+constexpr double sharedRegistryFactor = 0.25;  // a read, a silent router and the next one's answer must fit
+constexpr double staleRegistryFactor = 0.4;    // for a proof of another router, likewise
+constexpr double registryPauseFactor = 0.75;   // a lost read and the next one must fit into the drain delay as well
 constexpr auto registryResponseTimeout = std::chrono::milliseconds(350); // short for the same reason
 constexpr auto maxRegistryResponseTimeout = std::chrono::milliseconds(700);
 
--- a/control/topiccache.h
+++ b/control/topiccache.h
@@ -1,8 +1,8 @@
 // The records of one topic, kept for routers that follow this one in place of the store.
 //
-// Load pattern: forty routers of a data centre ask twice a second what has changed, while the heartbeats of thousands of
-// replicas add hundreds of records a second that mean the same as those before. Such a record replaces the one before
-// and is told to nobody. A router that was away for longer than the kept history gets all records once.
+// Load pattern: forty routers of a data centre ask twice a second what has changed, while the heartbeats of thousands
+// of replicas add hundreds of records a second that mean the same as those before. Such a record replaces the one
+// before and is told to nobody. A router that was away for longer than the kept history gets all records once.
 #pragma once
 
 #include "control/topicconsumer.h"
--- a/control/topicsources.cpp
+++ b/control/topicsources.cpp
@@ -79,9 +79,8 @@
     if (available != sources.end()) {
         return *available;
     }
-    return *std::min_element(sources.begin(), sources.end(), [](const TopicSource &a, const TopicSource &b) {
-        return a.notBefore < b.notBefore;
-    });
+    return *std::min_element(sources.begin(), sources.end(),
+                             [](const TopicSource &a, const TopicSource &b) { return a.notBefore < b.notBefore; });
 }
 
 void TopicSources::onUseful(const TopicSource &source)
--- a/control/topicsources.h
+++ b/control/topicsources.h
@@ -8,8 +8,8 @@
 // reader more, nothing worse.
 //
 // Load pattern: the store turns some routers away, or is silent for all. A source that fails, or whose news is old, is
-// left alone for a while that doubles each time, so that a router is served by the next one at once and the store gets no
-// more calls than if each router read it.
+// left alone for a while that doubles each time, so that a router is served by the next one at once and the store gets
+// no more calls than if each router read it.
 //
 // Sections of this file: Routers, Sources.
 #pragma once
--- a/net/topicmessages.cpp
+++ b/net/topicmessages.cpp
@@ -63,8 +63,9 @@
 std::optional<TopicQuestion> decodeTopicQuestion(const std::string &bytes)
 {
     TopicQuestion question;
-    const bool isReadable = readMessage<wire::TopicQuestion>(bytes, [&question](wire::TopicQuestion::Reader root) {
-        KJ_REQUIRE(root.getTopic() <= static_cast<std::uint8_t>(StoreTopic::Places));
+    bool isKnownTopic = false;
+    const bool isReadable = readMessage<wire::TopicQuestion>(bytes, [&](wire::TopicQuestion::Reader root) {
+        isKnownTopic = root.getTopic() <= static_cast<std::uint8_t>(StoreTopic::Places);
         question.topic = static_cast<StoreTopic>(root.getTopic());
         if (root.getHasEra()) {
             question.era = root.getEra();
@@ -74,7 +75,7 @@
         }
         question.wait = std::chrono::milliseconds(std::min(root.getWaitMillis(), longestWaitMillis));
     });
-    return isReadable ? std::optional(question) : std::nullopt;
+    return isReadable && isKnownTopic ? std::optional(question) : std::nullopt;
 }
 
 std::string encodeTopicAnswer(const TopicAnswer &answer)
@@ -84,11 +85,13 @@
     root.setIsKnown(answer.isKnown);
     root.setIsListing(answer.isListing);
     root.setIsStoreLost(answer.isStoreLost);
+    root.setIsTooLarge(answer.isTooLarge);
     root.setHasEra(answer.era.has_value());
     root.setEra(answer.era.value_or(0));
     root.setEnd(answer.end);
     root.setProvedMicros(answer.provedAfter.count());
-    root.setReturnedMillis(static_cast<std::uint32_t>(millisOf(std::min<Duration>(answer.sinceReturned, longestReturn))));
+    root.setReturnedMillis(
+        static_cast<std::uint32_t>(millisOf(std::min<Duration>(answer.sinceReturned, longestReturn))));
     auto records = root.initRecords(static_cast<unsigned>(answer.records.size()));
     for (unsigned i = 0; i < records.size(); ++i) {
         records[i].setKey(data(answer.records[i].key));
@@ -105,6 +108,7 @@
         answer.isKnown = root.getIsKnown();
         answer.isListing = root.getIsListing();
         answer.isStoreLost = root.getIsStoreLost();
+        answer.isTooLarge = root.getIsTooLarge();
         if (root.getHasEra()) {
             answer.era = root.getEra();
         }
--- a/net/topicmessages.h
+++ b/net/topicmessages.h
@@ -22,9 +22,10 @@
     bool isKnown = false;     // otherwise the asked router has not read the topic yet
     bool isListing = false;   // all records, not only changes
     bool isStoreLost = false; // the asked router gets no answer of the store
+    bool isTooLarge = false;  // the records are left out: its link is too narrow to send them to all in time
     std::optional<StoreEra> era;
     LogOffset end = 0;
-    Duration provedAfter{};   // from the question's arrival to the last proof that the topic ends there; may be negative
+    Duration provedAfter{}; // from the question's arrival to the last proof that the topic ends there; may be negative
     Duration sinceReturned{}; // since the store came back after it had been lost, `longestReturn` at most
     std::vector<KeyedRecord> records;
 };
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -60,7 +60,8 @@
     , m_desiredState(m_io, subscriptionSettings(StoreTopic::DesiredState), desiredStateHooks(), m_log)
     , m_registry(m_io, subscriptionSettings(StoreTopic::Registry), registryHooks(), m_log)
     , m_sharedState(m_io, settings.store, peerPort(settings), m_log, hashName(settings.name.text) + 2)
-    , m_relay(m_io, [this](StoreTopic topic) -> FollowedTopic & { return subscription(topic); }, m_log)
+    , m_relay(
+          m_io, [this](StoreTopic topic) -> FollowedTopic & { return subscription(topic); }, m_log)
     , m_admin(m_io)
     , m_flushTimer(m_io)
     , m_expiryTimer(m_io)
--- a/runtime/topicrelay.cpp
+++ b/runtime/topicrelay.cpp
@@ -64,7 +64,8 @@
 /// The asker's hooks end with its request.
 void TopicRelay::send(const Waiting &waiting)
 {
-    const std::string body = encodeTopicAnswer(m_topic(waiting.question.topic).answer(waiting.question, waiting.arrivedAt));
+    const std::string body =
+        encodeTopicAnswer(m_topic(waiting.question.topic).answer(waiting.question, waiting.arrivedAt));
     ++m_answers;
     m_answerBytes += static_cast<std::int64_t>(body.size());
     waiting.asker->sendResponse(statusOk, {}, body);
@@ -101,9 +102,8 @@
 void TopicRelay::armTimer()
 {
     const auto endOf = [](const Waiting &waiting) { return waiting.arrivedAt + waiting.question.wait; };
-    const auto earliest = std::min_element(m_waiting.begin(), m_waiting.end(), [&](const auto &a, const auto &b) {
-        return endOf(a) < endOf(b);
-    });
+    const auto earliest = std::min_element(m_waiting.begin(), m_waiting.end(),
+                                           [&](const auto &a, const auto &b) { return endOf(a) < endOf(b); });
     if (earliest == m_waiting.end()) {
         return;
     }
--- a/runtime/topicrelay.h
+++ b/runtime/topicrelay.h
@@ -1,5 +1,5 @@
-// Answers routers of the data centre that follow this one, in place of the store. Any router may be asked; what it tells
-// is what it has itself, with the age of its proof.
+// Answers routers of the data centre that follow this one, in place of the store. Any router may be asked; what it
+// tells is what it has itself, with the age of its proof.
 //
 // Sections of this file: Source, Relay.
 #pragma once
@@ -23,7 +23,8 @@
 
     virtual void onAsked(Instant now) = 0; ///< A router follows this one: from now on the topic is read more often.
 
-    /// @param waitsSince when the question arrived @return true if there is something to tell that makes a wait needless
+    /// @param waitsSince when the question arrived @return true if there is something to tell that makes a wait
+    /// needless
     virtual bool hasNews(const TopicQuestion &question, Instant waitsSince) const = 0;
 
     virtual TopicAnswer answer(const TopicQuestion &question, Instant arrivedAt) const = 0; ///< @return what is known
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -13,9 +13,10 @@
 
 constexpr std::size_t loggedTransferBytes = 64 << 10; // of a response that gets a log line of its own
 constexpr auto sharedTime = std::chrono::seconds(3);  // for which the topic is read often after a router has asked
-constexpr auto waitMargin = std::chrono::milliseconds(200);      // that a router waits for its next read beyond its interval
-constexpr auto answerTimeout = std::chrono::milliseconds(300);   // beyond the wait for news
-constexpr auto returnTolerance = std::chrono::milliseconds(500); // between two routers' words on one return of the store
+constexpr auto waitMargin = std::chrono::milliseconds(200); // that a router waits for its next read beyond its interval
+constexpr auto answerTimeout = std::chrono::milliseconds(300); // beyond the wait for news
+constexpr auto returnTolerance =
+    std::chrono::milliseconds(500); // between two routers' words on one return of the store
 
 static std::string addressText(const TopicSource &source)
 {
@@ -82,9 +83,13 @@
 
 void TopicSubscription::setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)
 {
-    if (m_settings.peerPort != 0) {
-        m_sources.setRouters(self, others);
+    if (m_settings.peerPort == 0) {
+        return;
     }
+    constexpr std::size_t megabitBytes = 125000;
+    const std::size_t bytesPerSecond = megabitBytes << static_cast<unsigned>(self.linkClass);
+    m_maxAnswerBytes = bytesPerSecond / (others.size() + 1); // all of them may ask at once, and are told in a second
+    m_sources.setRouters(self, others);
 }
 
 void TopicSubscription::chooseSource(Instant now)
@@ -275,8 +280,7 @@
 
 void TopicSubscription::askRouter(std::uint32_t router)
 {
-    const std::string address =
-        asio::ip::address_v4(router).to_string() + ':' + std::to_string(m_settings.peerPort);
+    const std::string address = asio::ip::address_v4(router).to_string() + ':' + std::to_string(m_settings.peerPort);
     m_router.setAddress(address);
     TopicQuestion question;
     question.topic = m_settings.topic;
@@ -306,7 +310,12 @@
         onUselessRouter("unreadable");
         return;
     }
-    if (!answer->isKnown || !applyAnswer(now, *answer)) {
+    if (answer->isTooLarge && !m_isLost) {
+        m_mustAskStore = true;
+        scheduleNext();
+        return;
+    }
+    if (!answer->isKnown || answer->isTooLarge || !applyAnswer(now, *answer)) {
         onUselessRouter(answer->isStoreLost ? "store_lost" : answer->isKnown ? "stale" : "unknown");
         return;
     }
@@ -395,6 +404,15 @@
     return hasCaughtUp && (m_renewedAt > waitsSince || m_cache.hasChangesSince(*question.from));
 }
 
+static std::size_t sizeOf(const std::vector<KeyedRecord> &records)
+{
+    std::size_t bytes = 0;
+    for (const KeyedRecord &record : records) {
+        bytes += record.key.size() + record.value.size();
+    }
+    return bytes;
+}
+
 TopicAnswer TopicSubscription::answer(const TopicQuestion &question, Instant arrivedAt) const
 {
     TopicAnswer answer;
@@ -415,6 +433,10 @@
     } else if (changes) {
         answer.records = *changes;
     }
+    answer.isTooLarge = sizeOf(answer.records) > m_maxAnswerBytes;
+    if (answer.isTooLarge) {
+        answer.records.clear();
+    }
     return answer;
 }
 
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -1,5 +1,5 @@
-// Subscription to one topic of the platform's store: sends the calls that `TopicConsumer` decides on, to the store or to
-// the router of this data centre that `TopicSources` names, and keeps the records for routers that follow this one.
+// Subscription to one topic of the platform's store: sends the calls that `TopicConsumer` decides on, to the store or
+// to the router of this data centre that `TopicSources` names, and keeps the records for routers that follow this one.
 //
 // Sections of this file: Settings, Subscription.
 #pragma once
@@ -102,14 +102,15 @@
     TopicCache m_cache;
     TopicConsumer m_consumer;
     TopicSources m_sources;
-    TopicSource m_source;   // of the current or next call
-    DeadlineTimer m_timer;  // of the next call
-    TopicRequest m_request; // the current or next call, if it goes to the store
-    Instant m_sentAt{};     // of the last call
-    Instant m_renewedAt{};  // when the last proof came
-    Instant m_sharedUntil{}; // a router has asked this one shortly before
-    Instant m_returnedAt{};  // when the store came back after it was last lost
-    std::optional<StoreEra> m_era; // of the last response
+    TopicSource m_source;                 // of the current or next call
+    DeadlineTimer m_timer;                // of the next call
+    TopicRequest m_request;               // the current or next call, if it goes to the store
+    Instant m_sentAt{};                   // of the last call
+    Instant m_renewedAt{};                // when the last proof came
+    Instant m_sharedUntil{};              // a router has asked this one shortly before
+    Instant m_returnedAt{};               // when the store came back after it was last lost
+    std::optional<StoreEra> m_era;        // of the last response
+    std::size_t m_maxAnswerBytes = 0;     // of records that are told to another router
     std::string m_sourceReason = "start"; // why the source was changed last, for logs
     bool m_isLost = false;
     bool m_mustAskStore = false; // the next call
--- a/tests/callerconnection.cpp
+++ b/tests/callerconnection.cpp
@@ -6,7 +6,8 @@
 
 TEST_GROUP(CallerConnections){};
 
-/// An exception in the handler of one request went through the event loop and ended the process, with all other requests.
+/// An exception in the handler of one request went through the event loop and ended the process, with all other
+/// requests.
 TEST(CallerConnections, AHandlerThatThrowsEndsItsRequestOnly)
 {
     asio::io_context io;
--- a/tests/httpfrontend.cpp
+++ b/tests/httpfrontend.cpp
@@ -129,7 +129,8 @@
     LONGS_EQUAL(0, small.fleet.service(0).executionsByRequest().size());
 }
 
-/// One request with such a key ended the process: the layout check let dashes stand for digits, and the conversion threw.
+/// One request with such a key ended the process: the layout check let dashes stand for digits, and the conversion
+/// threw.
 TEST(BadInput, anIdempotencyKeyWithDashesForDigitsIsRefused)
 {
     checkError(small.reserve(std::string(14, '-') + '7' + std::string(21, '-')), 400, "bad_request", "no");
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -1,5 +1,5 @@
-// Tests how the routers of a data centre get the news of a topic: the records that one keeps for the others, whom a router
-// asks, the messages between them, and a data centre of router nodes on a fake of the store.
+// Tests how the routers of a data centre get the news of a topic: the records that one keeps for the others, whom a
+// router asks, the messages between them, and a data centre of router nodes on a fake of the store.
 //
 // Sections of this file: Records, Sources, Messages, Data centre.
 #include "net/topicmessages.h"
@@ -23,7 +23,8 @@
 {
     static std::string entry(int heartbeats, const std::string &state = "ready")
     {
-        return "{\"service\":\"svc\",\"state\":\"" + state + "\",\"seqNo\":" + std::to_string(heartbeats) + ",\"slots\":4}";
+        return "{\"service\":\"svc\",\"state\":\"" + state + "\",\"seqNo\":" + std::to_string(heartbeats)
+            + ",\"slots\":4}";
     }
     static std::string keysOf(const std::vector<KeyedRecord> &records)
     {
@@ -110,32 +111,30 @@
 
 // Sources
 
-TEST_GROUP(FollowedSources)
-{
+TEST_GROUP(FollowedSources){
     /// @return the sources of each of `count` routers that all hear each other; the first `wide` have wide links
-    static std::vector<TopicSources> dataCentre(std::uint32_t count, std::uint32_t wide)
-    {
-        std::vector<DataCentreRouter> all;
-        for (std::uint32_t i = 0; i < count; ++i) {
-            all.push_back({i + 1, i < wide ? 7 : 4});
-        }
-        std::vector<TopicSources> routers;
-        for (std::uint32_t i = 0; i < count; ++i) {
-            std::vector<DataCentreRouter> others = all;
-            others.erase(others.begin() + i);
-            routers.emplace_back("registry", i);
-            routers.back().setRouters(all[i], others);
-        }
-        return routers;
-    }
-    /// @return number of routers whose preferred source is the store
-    static std::size_t readers(const std::vector<TopicSources> &routers)
-    {
-        return static_cast<std::size_t>(std::count_if(routers.begin(), routers.end(), [](const TopicSources &router) {
-            return router.next(at(0)).isStore();
-        }));
-    }
-};
+    static std::vector<TopicSources> dataCentre(std::uint32_t count,
+                                                std::uint32_t wide){std::vector<DataCentreRouter> all;
+for (std::uint32_t i = 0; i < count; ++i) {
+    all.push_back({i + 1, i < wide ? 7 : 4});
+}
+std::vector<TopicSources> routers;
+for (std::uint32_t i = 0; i < count; ++i) {
+    std::vector<DataCentreRouter> others = all;
+    others.erase(others.begin() + i);
+    routers.emplace_back("registry", i);
+    routers.back().setRouters(all[i], others);
+}
+return routers;
+}
+/// @return number of routers whose preferred source is the store
+static std::size_t readers(const std::vector<TopicSources> &routers)
+{
+    return static_cast<std::size_t>(std::count_if(
+        routers.begin(), routers.end(), [](const TopicSources &router) { return router.next(at(0)).isStore(); }));
+}
+}
+;
 
 TEST(FollowedSources, OneRouterOfADataCentreReadsWhateverItsSize)
 {
@@ -382,6 +381,28 @@
     }));
 }
 
+/// Sent by a router with a narrow link to all others, it would be in force too late.
+TEST(DataCentre, ALargeDesiredStateIsReadFromTheStoreByEach)
+{
+    fleet.adjust = [adjust = fleet.adjust](int router, RouterSettings &settings) {
+        adjust(router, settings);
+        settings.linkMegabits = 1;
+    };
+    fleet.startAndWaitUntilFollowing();
+    std::vector<SampleRoute> routes = {{"chat", "streaming", 2, true, 20000, true}};
+    for (int i = 0; i < 1000; ++i) {
+        routes.push_back({"unused" + std::to_string(i), "idempotent"});
+    }
+    const std::string state = sampleDesiredState(2, routes, {"k1"});
+    fleet.store.setRate(static_cast<std::int64_t>(state.size()) * 1000); // counts the bytes that it serves
+    fleet.store.put("keyed.op", "config", state);
+    CHECK(waitFor([this] {
+        return fleet.everywhere([this](int router) { return fleet.metric(router, "desired_state_version") == 2; });
+    }));
+    const auto served = fleet.store.bytesServed() / static_cast<std::int64_t>(state.size());
+    CHECK_TEXT(served >= 10 && served <= 12, std::to_string(served).c_str()); // once by each of ten routers
+}
+
 /// In a data centre of four each router reads the store itself, and asks the others only when that fails.
 TEST(DataCentre, AlsoAFewRoutersHelpOneThatTheStoreTurnsAway)
 {
@@ -402,7 +423,8 @@
     LONGS_EQUAL(0, refused);
 }
 
-/// The reader of a topic stops: the others go on with the next one, and a key that is taken away then is refused in time.
+/// The reader of a topic stops: the others go on with the next one, and a key that is taken away then is refused in
+/// time.
 TEST(DataCentre, TheOthersGoOnWhenTheReaderStops)
 {
     fleet.startAndWaitUntilFollowing();
--- a/wire/topics.capnp
+++ b/wire/topics.capnp
@@ -25,6 +25,7 @@
                              # negative: before it
   returnedMillis @7 :UInt32; # since the store came back, after it had been lost; at most a minute is told
   records @8 :List(TopicRecord);
+  isTooLarge @9 :Bool;       # there are records, which the asker is to read from the store: the link is too narrow
 }
 
 struct TopicRecord { key @0 :Data; value @1 :Data; offset @2 :Int64; }
--- a/wire/topics.capnp.h
+++ b/wire/topics.capnp.h
@@ -210,6 +210,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::galenafold::wire::TopicRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline bool getIsTooLarge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -269,6 +271,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::galenafold::wire::TopicRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::TopicRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline bool getIsTooLarge();
+  inline void setIsTooLarge(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -623,6 +628,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool TopicAnswer::Reader::getIsTooLarge() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool TopicAnswer::Builder::getIsTooLarge() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TopicAnswer::Builder::setIsTooLarge(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TopicRecord::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
