--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -20,12 +20,13 @@
 {
     TopicRequest request;
     request.notBefore = std::max(now, m_notBefore);
-    request.responseTimeout = m_responseTimeout;
+    request.responseTimeout = std::min(m_responseTimeout, m_settings.maxResponseTimeout);
     if (m_mustAskForEnd) {
         request.kind = TopicRequestKind::End;
         request.responseTimeout = m_settings.responseTimeout;
     } else if (m_isListing) {
         request.kind = TopicRequestKind::Listing;
+        request.responseTimeout = m_responseTimeout;
         request.after = m_listedRecords.empty() ? "" : m_listedRecords.back().key;
     } else {
         request.from = m_nextOffset;
@@ -169,7 +170,8 @@
 void TopicConsumer::onNoResponse(Instant now)
 {
     if (m_hasToldEnd || !m_settings.hasLargeRecords) {
-        m_responseTimeout = std::min(m_responseTimeout * 2, m_settings.maxResponseTimeout);
+        const Duration longest = m_isListing ? m_settings.maxListingTimeout : m_settings.maxResponseTimeout;
+        m_responseTimeout = std::min(m_responseTimeout * 2, longest);
     }
     onFailure(now);
 }
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -75,6 +75,7 @@
     /// as quick again. While it answers requests for the end, only large responses count.
     Duration responseTimeout = std::chrono::milliseconds(700);
     Duration maxResponseTimeout = std::chrono::milliseconds(5600);
+    Duration maxListingTimeout = std::chrono::milliseconds(5600); // the same for listings: nothing is known without one
 
     bool hasLargeRecords = false; // after a failure, asks for the end before it reads or lists
 };
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -386,6 +386,24 @@
 }
 
 /// A store that is slower than the short time of the first read is not lost for good, nor lost again at each read.
+/// Hundreds of routers that start at once list thousands of replicas: the store begins its answers seconds late, and
+/// what was given up and asked for again delayed them further, without end.
+TEST(RegistryDirectory, AListingThatBeginsLateIsGivenMuchLonger)
+{
+    TopicHooks hooks;
+    hooks.onListed = [](const std::vector<KeyedRecord> &, LogOffset) {};
+    hooks.onCaughtUp = [](Instant) {};
+    const TopicSettings settings = registryTopic(RouterSettings());
+    TopicConsumer topic(settings, hooks, 1);
+    for (int i = 0; i < 5; ++i) {
+        topic.onNoResponse(at(i));
+    }
+    CHECK(topic.next(at(9)).kind == TopicRequestKind::Listing);
+    CHECK(topic.next(at(9)).responseTimeout >= seconds(4)); // a megabyte each for 300 routers, of 80 MB a second
+    topic.onPage(at(9), at(12), {{}, false, 0});
+    CHECK(topic.next(at(12)).responseTimeout == settings.maxResponseTimeout); // the drain delay counts again
+}
+
 TEST(RegistryDirectory, ASlowStoreIsGivenLongerUntilItIsQuickAgain)
 {
     TopicHooks hooks;
