Count only whole events as progress of a stream

Cause: any byte of a stream put its time limit off.

Change: bytes that complete no event are no progress, nor a first event.

Measured: NodeSlowResponses.AStreamThatDripsBytesIsResumedElsewhere failed before (no answer in 20 s), now 4 of 4: dripped streams go on elsewhere or end with their time, a dripped body ends with its route's, a slow stream that goes on is not cut. NodeStreams, NodeResponseIntegrity, StreamEvents, QueryOfDeath and ResponseSchedules green.

--- a/filters/eventsplitter.cpp
+++ b/filters/eventsplitter.cpp
@@ -48,6 +48,7 @@
          end = endOfEvent(m_partialEvent, from)) {
         const std::string_view event = std::string_view(m_partialEvent).substr(from, end - from);
         from = end;
+        ++m_count;
         const auto id = eventId(event);
         if (id && m_lastId) {
             if (*id <= *m_lastId) {
--- a/filters/eventsplitter.h
+++ b/filters/eventsplitter.h
@@ -26,11 +26,13 @@
     std::optional<std::int64_t> lastId() const { return m_lastId; }  ///< @return id of the last complete event
     bool hasPartialEvent() const { return !m_partialEvent.empty(); } ///< @return true if an event is incomplete
     bool hasGap() const { return m_hasGap; }                         ///< @return true if an event id was skipped
+    std::int64_t count() const { return m_count; } ///< @return complete events so far, also duplicates
 
 private:
     std::string m_partialEvent;
     std::optional<std::int64_t> m_lastId;
     bool m_hasGap = false;
+    std::int64_t m_count = 0;
 };
 
 } // namespace galenafold
--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -4,6 +4,7 @@
 
 using namespace galenafold;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST_GROUP(NodeResponseIntegrity)
 {
@@ -246,3 +247,96 @@
         std::this_thread::sleep_for(std::chrono::seconds(1)); // a replica that fails is avoided for a moment
     }
 }
+
+// Slow responses
+
+TEST_GROUP(NodeSlowResponses)
+{
+    /// Sends these bytes one by one, with a pause before each, and stops when they are sent or the connection ends.
+    static void drip(const std::shared_ptr<ReplicaReply> &reply, const std::string &bytes, milliseconds pause,
+                     std::size_t position = 0)
+    {
+        if (position == bytes.size() || reply->isClosed()) {
+            return;
+        }
+        reply->runAfter(pause, [=] {
+            reply->send(bytes.substr(position, 1));
+            drip(reply, bytes, pause, position + 1);
+        });
+    }
+    /// The first event comes at once, then a byte of the next one now and then, without end.
+    const ReplicaScript dripAfterAnEvent = [](const ReplicaRequest &request,
+                                              const std::shared_ptr<ReplicaReply> &reply) {
+        const bool isResumed = !request.field("Last-Event-Id").empty();
+        reply->beginStream(request);
+        reply->sendEvent(isResumed ? 1 : 0, "x");
+        if (isResumed) {
+            reply->endStream();
+        } else {
+            drip(reply, "ffff\r\nid: 1\ndata: " + std::string(100000, 'y'), milliseconds(50));
+        }
+    };
+    NodeFixture fixture;
+};
+
+/// On other systems such a stream never ended, as each byte counted as progress. Only whole events do here.
+TEST(NodeSlowResponses, AStreamThatDripsBytesIsResumedElsewhere)
+{
+    fixture.addReplica("a", dripAfterAnEvent);
+    fixture.addReplica("b", dripAfterAnEvent);
+    fixture.startAndWaitReady();
+    const auto caller = fixture.send(encodeCallerRequest("/live/x", "i"));
+    CHECK(caller->read());
+    STRCMP_EQUAL("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", caller->body().c_str());
+}
+
+/// Where it may not be resumed, it ends with the caller's time, visibly.
+TEST(NodeSlowResponses, AStreamThatDripsBytesEndsWithItsTime)
+{
+    FakeReplica &a = fixture.addReplica("a", dripAfterAnEvent);
+    fixture.startAndWaitReady();
+    const auto caller = fixture.send(encodeCallerRequest("/frail/x", "i", "k1", 1500));
+    const Instant sent = clockNow();
+    CHECK(!caller->read());
+    CHECK(clockNow() < sent + seconds(10)); // the stream alone would last for 5000 s
+    LONGS_EQUAL(200, caller->status());
+    CHECK(waitFor([&a] { return a.abortedRequests() == 1; }));
+}
+
+TEST(NodeSlowResponses, ABodyThatDripsBytesEndsWithItsRoutesTime)
+{
+    fixture.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        drip(reply,
+             "HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: " + request.field("X-Galenafold-Attempt-Id")
+                 + "\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'y'),
+             milliseconds(5));
+    });
+    fixture.startAndWaitReady();
+    const auto caller = fixture.send(encodeCallerRequest("/brief/x", "i")); // 300 ms
+    CHECK(caller->read());
+    LONGS_EQUAL(504, caller->status());
+}
+
+/// The pauses between the events are eight times the objective, and shorter than callers wait.
+TEST(NodeSlowResponses, ASlowStreamThatGoesOnIsNotCut)
+{
+    FakeReplica &a =
+        fixture.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+            reply->beginStream(request);
+            for (int i = 0; i < 6; ++i) {
+                reply->runAfter(milliseconds(800 * i), [reply, i] {
+                    reply->sendEvent(i, "x");
+                    if (i == 5) {
+                        reply->endStream();
+                    }
+                });
+            }
+        });
+    fixture.startAndWaitReady();
+    for (const char *route : {"/live/x", "/frail/x"}) {
+        const auto caller = fixture.send(encodeCallerRequest(route, route));
+        CHECK(caller->read());
+        CHECK(caller->body().find("id: 5\n") != std::string::npos);
+    }
+    LONGS_EQUAL(2, a.requests().size());
+}
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -13,9 +13,14 @@
 constexpr auto limitedRetryDelay = std::chrono::seconds(1);            // while all replicas get what they take
 constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
 
+/// Only whole events are progress: a replica that stands still may send a byte now and then.
 void RequestHandler::relayEvents(std::string &body)
 {
+    const std::int64_t countBefore = m_events.count();
     const std::string events = m_events.feed(body);
+    if (m_events.count() == countBefore) {
+        return;
+    }
     const Instant now = clockNow();
     if (m_attempts.isStreaming) {
         m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
