--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -94,10 +94,9 @@
         m_hooks.onRecord(record);
     }
     m_nextOffset = read.end;
-    m_skipsLongPoll = false;
-    m_mustAskForEnd = false;
-    m_backoff = m_settings.initialBackoff;
-    m_notBefore = m_settings.sharedInterval > Duration{} ? now : now + m_settings.pollInterval;
+    if (m_settings.sharedInterval == Duration{}) { // paced by this, as it does not wait for news at the other router
+        m_notBefore = now + m_settings.pollInterval;
+    }
     m_hooks.onCaughtUp(provedAt);
     return true;
 }
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -109,7 +109,7 @@
     void onEnd(Instant sentAt, Instant now, LogOffset end);
 
     /// Another router told what it knows that is new. Its records are all that changed up to the end, so there may be
-    /// gaps between their offsets.
+    /// gaps between their offsets. How the store's next call is made does not change: this tells nothing of its state.
     /// @param provedAt the topic ended there then @return false if that end is before what this router has read
     bool onFollowed(Instant provedAt, Instant now, const TopicRead &read);
 
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -378,11 +378,11 @@
     }
     m_consumer.setShared(now, true, true);
     const bool isLongPoll = m_store.isCalling() && m_request.longPollTimeout > Duration{};
+    const bool isWaiting = !m_store.isCalling() && !m_router.isCalling();
     if (isLongPoll) {
         m_store.abandon();
     }
-    const bool isWaiting = !m_store.isCalling() && !m_router.isCalling();
-    if (isWaiting && !m_isLost) {
+    if (isLongPoll || (isWaiting && !m_isLost)) {
         m_timer.cancel();
         scheduleNext();
     }
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -385,7 +385,24 @@
     }
 }
 
-/// A store that is slower than the short time of the first read is not lost for good, nor lost again at each read.
+/// What another router tells says nothing of the store: a long poll of a silent one would only end after seconds.
+TEST(TopicConsumption, WhatAnotherRouterTellsLeavesTheNextCallToTheStoreAsItWas)
+{
+    TopicHooks hooks;
+    hooks.onListed = [](const std::vector<KeyedRecord> &, LogOffset) {};
+    hooks.onCaughtUp = [](Instant) {};
+    TopicConsumer topic(desiredStateTopic(RouterSettings()), hooks, 1);
+    topic.onPage(at(0), at(0.1), {{}, false, 5});
+    topic.onFailure(at(1));
+    const TopicRequest before = topic.next(at(1));
+    CHECK(topic.onFollowed(at(1), at(1.01), {{}, 9}));
+    CHECK(topic.next(at(1.02)).longPollTimeout == Duration{});
+    CHECK(topic.next(at(1.02)).notBefore == before.notBefore);
+    CHECK(topic.next(at(9)).kind == TopicRequestKind::End);
+    LONGS_EQUAL(9, topic.nextOffset());
+    CHECK(!topic.onFollowed(at(1), at(1.01), {{}, 8})); // it knows less
+}
+
 /// Hundreds of routers that start at once list thousands of replicas: the store begins its answers seconds late, and
 /// what was given up and asked for again delayed them further, without end.
 TEST(RegistryDirectory, AListingThatBeginsLateIsGivenMuchLonger)
@@ -404,6 +421,7 @@
     CHECK(topic.next(at(12)).responseTimeout == settings.maxResponseTimeout); // the drain delay counts again
 }
 
+/// A store that is slower than the short time of the first read is not lost for good, nor lost again at each read.
 TEST(RegistryDirectory, ASlowStoreIsGivenLongerUntilItIsQuickAgain)
 {
     TopicHooks hooks;
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -381,6 +381,26 @@
     }));
 }
 
+/// Each asks the others while the store is silent. What they tell then is old: it must not keep a router from noticing
+/// that the store is back, and a router that is asked must go on reading.
+TEST(DataCentre, AFewRoutersThatAskEachOtherNoticeTheStoresReturn)
+{
+    fleet.routerCount = 4;
+    fleet.startStores();
+    fleet.start();
+    std::this_thread::sleep_for(seconds(2)); // hears where its peers run
+    for (int version = 2; version <= 3; ++version) {
+        fleet.store.setFault(StoreFault::NoResponse);
+        std::this_thread::sleep_for(seconds(15)); // they ask each other more and more rarely
+        fleet.store.setFault(StoreFault::None);
+        fleet.store.put("keyed.op", "config", fleet.state(version, "k1"));
+        CHECK(waitFor([&] {
+            return fleet.everywhere(
+                [&](int router) { return fleet.metric(router, "desired_state_version") == version; });
+        }));
+    }
+}
+
 /// Sent by a router with a narrow link to all others, it would be in force too late.
 TEST(DataCentre, ALargeDesiredStateIsReadFromTheStoreByEach)
 {
