--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -328,6 +328,11 @@
     DataCentreFleet fleet;
 };
 
+TEST_GROUP(DataCentreOutages)
+{
+    DataCentreFleet fleet;
+};
+
 /// Each router called the store on its own: eleven calls a second for ten routers.
 TEST(DataCentre, OneRouterReadsTheStoreForTheOthers)
 {
@@ -363,7 +368,7 @@
 }
 
 /// Its callers got 503 for want of a proof that their keys are still valid, although its neighbours could have told.
-TEST(DataCentre, ARouterThatTheStoreTurnsAwayServesByWhatItsNeighboursTell)
+TEST(DataCentreOutages, ARouterThatTheStoreTurnsAwayServesByWhatItsNeighboursTell)
 {
     fleet.turnedAway = {3, 4, 5};
     fleet.startAndWaitUntilFollowing();
@@ -383,7 +388,7 @@
 
 /// Each asks the others while the store is silent. What they tell then is old: it must not keep a router from noticing
 /// that the store is back, and a router that is asked must go on reading.
-TEST(DataCentre, AFewRoutersThatAskEachOtherNoticeTheStoresReturn)
+TEST(DataCentreOutages, AFewRoutersThatAskEachOtherNoticeTheStoresReturn)
 {
     fleet.routerCount = 4;
     fleet.startStores();
@@ -424,7 +429,7 @@
 }
 
 /// In a data centre of four each router reads the store itself, and asks the others only when that fails.
-TEST(DataCentre, AlsoAFewRoutersHelpOneThatTheStoreTurnsAway)
+TEST(DataCentreOutages, AlsoAFewRoutersHelpOneThatTheStoreTurnsAway)
 {
     fleet.routerCount = 4;
     fleet.turnedAway = {3};
@@ -445,7 +450,7 @@
 
 /// The reader of a topic stops: the others go on with the next one, and a key that is taken away then is refused in
 /// time.
-TEST(DataCentre, TheOthersGoOnWhenTheReaderStops)
+TEST(DataCentreOutages, TheOthersGoOnWhenTheReaderStops)
 {
     fleet.startAndWaitUntilFollowing();
     const int reader = fleet.readerOf("desired_state");
@@ -473,7 +478,7 @@
 }
 
 /// While the store is silent no key may be used for longer than the bound, whoever tells what.
-TEST(DataCentre, NobodyProlongsAProofWhileTheStoreIsSilent)
+TEST(DataCentreOutages, NobodyProlongsAProofWhileTheStoreIsSilent)
 {
     fleet.startAndWaitUntilFollowing();
     fleet.store.setFault(StoreFault::NoResponse);
