Answer waiting routers by one loop

Cause: the relay went through the routers that wait for news, and through those whose wait has ended, in two loops of one shape.

Change: one loop takes what is due off the list and sends it; what is due differs. Behaviour is as before.

--- a/runtime/topicrelay.cpp
+++ b/runtime/topicrelay.cpp
@@ -71,32 +71,33 @@
     waiting.asker->sendResponse(statusOk, {}, body);
 }
 
-void TopicRelay::onProgress(StoreTopic topic)
+/// Takes each entry that is due off the list, and then sends it.
+template<typename List, typename IsDue, typename Send>
+static void sendWhere(List &list, IsDue isDue, Send send)
 {
-    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
-        const bool isDue =
-            waiting->question.topic == topic && m_topic(topic).hasNews(waiting->question, waiting->arrivedAt);
-        if (!isDue) {
-            ++waiting;
+    for (auto entry = list.begin(); entry != list.end();) {
+        if (!isDue(*entry)) {
+            ++entry;
             continue;
         }
-        const Waiting due = *waiting;
-        waiting = m_waiting.erase(waiting);
+        const auto due = *entry;
+        entry = list.erase(entry);
         send(due);
     }
 }
 
+void TopicRelay::onProgress(StoreTopic topic)
+{
+    const auto hasNews = [&](const Waiting &waiting) {
+        return waiting.question.topic == topic && m_topic(topic).hasNews(waiting.question, waiting.arrivedAt);
+    };
+    sendWhere(m_waiting, hasNews, [this](const Waiting &due) { send(due); });
+}
+
 void TopicRelay::answerDue(Instant now)
 {
-    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
-        if (now < waiting->arrivedAt + waiting->question.wait) {
-            ++waiting;
-            continue;
-        }
-        const Waiting due = *waiting;
-        waiting = m_waiting.erase(waiting);
-        send(due);
-    }
+    const auto hasEnded = [now](const Waiting &waiting) { return now >= waiting.arrivedAt + waiting.question.wait; };
+    sendWhere(m_waiting, hasEnded, [this](const Waiting &due) { send(due); });
 }
 
 void TopicRelay::armTimer()
