--- a/review/testbed.cpp
+++ b/review/testbed.cpp
@@ -254,6 +254,7 @@
         const int log = ::open((m_folder + "/router.log").c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        ::close_range(STDERR_FILENO + 1, ~0U, 0); // the sockets of the stand-ins would stay open in the router
         ::execl(program, program, "--config", settings.c_str(), nullptr);
         ::_exit(exitNotRun);
     }
