Read no complete response from a connection that was closed without one

Cause: the parser of the review's callers took the end of a connection without any byte for the end of a response. Change: the end counts only after a head.

--- a/review/testbed.cpp
+++ b/review/testbed.cpp
@@ -140,7 +140,7 @@
         }
         const ssize_t size = ::recv(m_socket, bytes.data(), bytes.size(), 0);
         if (size <= 0) {
-            if (size == 0) {
+            if (size == 0 && parser.isHeadDone()) {
                 parser.feedEof();
             }
             response.end = parser.isDone() ? ResponseEnd::Complete : ResponseEnd::Closed;
