--- a/review/5/crashafterevent.cpp
+++ b/review/5/crashafterevent.cpp
@@ -80,6 +80,7 @@
 struct Engine {
     std::string id;
     FakeReplica *replica = nullptr;
+    Testbed *testbed = nullptr;
     Instant upAt{};
 };
 
@@ -89,6 +90,7 @@
     if (now >= engine.upAt) {
         engine.upAt = now + downTime;
         sightings.onCrash(engine.id);
+        engine.testbed->onCrash(engine.id, downTime);
         engine.replica->crash(downTime);
     }
 }
@@ -172,6 +174,7 @@
     for (int i = 0; i < replicas; ++i) {
         Engine &engine = engines[static_cast<std::size_t>(i)];
         engine.id = "i-assist-" + std::to_string(i + 1);
+        engine.testbed = &testbed;
         engine.replica = &testbed.addReplica(engine.id, "assist", [&](const auto &request, const auto &reply) {
             answer(engine, sightings, request, reply);
         });
--- a/review/testbed.cpp
+++ b/review/testbed.cpp
@@ -321,7 +321,6 @@
 Testbed::Testbed()
     : m_isStoreStarted(m_store.start())
     , m_router(m_store.address())
-    , m_startedMs(unixMillis())
 {
 }
 
@@ -333,40 +332,69 @@
     }
 }
 
+void Testbed::addEntry(Entry entry)
+{
+    entry.startedMs = unixMillis();
+    m_replicas.push_back(std::move(entry));
+}
+
 FakeReplica &Testbed::addReplica(const std::string &id, const std::string &service, ReplicaScript script)
 {
-    auto replica = std::make_unique<FakeReplica>(id, service, std::move(script));
-    replica->start();
-    const int port = replica->port();
-    m_replicas.push_back({id, service, port, std::move(replica)});
+    Entry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.replica = std::make_unique<FakeReplica>(id, service, std::move(script));
+    entry.replica->start();
+    entry.port = entry.replica->port();
+    addEntry(std::move(entry));
     return *m_replicas.back().replica;
 }
 
 void Testbed::addReplica(const std::string &id, const std::string &service, int port)
 {
-    m_replicas.push_back({id, service, port, nullptr});
+    Entry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.port = port;
+    addEntry(std::move(entry));
 }
 
-void Testbed::writeHeartbeats()
+void Testbed::onCrash(const std::string &id, Duration downTime)
 {
-    Instant next = clockNow();
-    for (std::int64_t count = 1; !m_isStopping; ++count) {
-        for (const Entry &entry : m_replicas) {
-            const Json json{{"service", entry.service},
-                            {"address", localAddress(entry.port)},
-                            {"zone", "kl-a"},
-                            {"version", "v1"},
-                            {"slots", 64},
-                            {"state", "ready"},
-                            {"coldLeftMs", 0},
-                            {"seqNo", count},
-                            {"born", m_startedMs}};
-            m_store.put("keyed.servers", entry.id, json.dump());
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (Entry &entry : m_replicas) {
+        if (entry.id == id) {
+            entry.startedMs = unixMillis() + millisOf(downTime);
+            entry.heartbeats = 0;
+            entry.nextHeartbeat = clockNow() + downTime;
         }
-        next += heartbeatInterval;
-        while (!m_isStopping && clockNow() < next) {
-            std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+void Testbed::writeHeartbeats()
+{
+    while (!m_isStopping) {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            for (Entry &entry : m_replicas) {
+                const Instant now = clockNow();
+                if (now < entry.nextHeartbeat) {
+                    continue;
+                }
+                entry.nextHeartbeat = now + heartbeatInterval;
+                const Json json{{"service", entry.service},
+                                {"address", localAddress(entry.port)},
+                                {"zone", "kl-a"},
+                                {"version", "v1"},
+                                {"slots", 64},
+                                {"state", "ready"},
+                                {"coldLeftMs", 0},
+                                {"seqNo", ++entry.heartbeats},
+                                {"born", entry.startedMs}};
+                m_store.put("keyed.servers", entry.id, json.dump());
+            }
         }
+        std::this_thread::sleep_for(pollInterval);
     }
 }
 
@@ -392,7 +420,11 @@
     for (const TestRoute &route : routes) {
         list.push_back(encodeRoute(route));
         if (named.insert(route.service).second) {
-            services.push_back({{"name", route.service}, {"healthPath", "/health"}, {"maxConns", 771}});
+            Json service{{"name", route.service}, {"healthPath", "/health"}, {"maxConns", 771}};
+            if (route.gapMs > 0) {
+                service["engine"] = {{"slots", 64}, {"kvCapacityTokens", 593541}};
+            }
+            services.push_back(service);
         }
     }
     const Json state{
--- a/review/testbed.h
+++ b/review/testbed.h
@@ -157,6 +157,9 @@
     /// `stableWindowMs`. @return false if that fails
     bool start(const std::vector<TestRoute> &routes);
 
+    /// A replica has crashed: it writes no heartbeat until it is back, as a new run of its process.
+    void onCrash(const std::string &id, Duration downTime);
+
     Router &router() { return m_router; }
 
 private:
@@ -168,14 +171,18 @@
         std::string service;
         int port = 0;
         std::unique_ptr<FakeReplica> replica; // null if the case runs it
+        std::int64_t startedMs = 0;           // start of its process, in Unix milliseconds
+        std::int64_t heartbeats = 0;          // since then
+        Instant nextHeartbeat{};
     };
+    void addEntry(Entry entry);
     FakeTopicStore m_store;
     bool m_isStoreStarted;
     Router m_router;
+    std::mutex m_mutex; // of the entries, once the heartbeats have begun
     std::vector<Entry> m_replicas;
     std::thread m_heartbeats;
     std::atomic<bool> m_isStopping{false};
-    std::int64_t m_startedMs;
 };
 
 } // namespace galenafold
