Never pass a stream that was cut off on as complete

Cause: whether a stream is complete was asked only once an event of it had been passed on, and an end of the connection, in good order also for a process that has crashed, counted as the end of the stream. Behind a gap in the ids, and inside the first event of a framed body, the same question was left out. An attempt after a gap was asked to go on behind it.

Change: EventSplitter::isComplete decides for all of them. An end of the connection completes a stream only if the attempt brought a new event; an end inside an event or behind a gap never does. What a stream is no longer depends on whether an event was passed on, and includes other successes than 200 of the type of a stream. answer_cut_off logs which reason held.

--- a/filters/eventsplitter.cpp
+++ b/filters/eventsplitter.cpp
@@ -39,6 +39,21 @@
     return std::nullopt;
 }
 
+void EventSplitter::beginAttempt()
+{
+    m_partialEvent.clear();
+    m_hasGap = false;
+    m_hasNewEvents = false;
+}
+
+bool EventSplitter::isComplete(BodyFraming framing) const
+{
+    if (hasPartialEvent() || m_hasGap) {
+        return false;
+    }
+    return framing == BodyFraming::Explicit || m_hasNewEvents;
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
     m_partialEvent.append(bytes);
@@ -49,20 +64,27 @@
         const std::string_view event = std::string_view(m_partialEvent).substr(from, end - from);
         from = end;
         ++m_count;
-        const auto id = eventId(event);
-        if (id && m_lastId) {
-            if (*id <= *m_lastId) {
-                continue; // a duplicate: the caller already has it
-            }
-            m_hasGap = m_hasGap || *id != *m_lastId + 1;
+        if (isNext(eventId(event))) {
+            complete.append(event);
         }
-        if (id) {
-            m_lastId = id;
-        }
-        complete.append(event);
     }
     m_partialEvent.erase(0, from);
     return complete;
 }
 
+/// Notes the id of an event. @return true if the event continues the stream; false for a duplicate and behind a gap
+bool EventSplitter::isNext(std::optional<std::int64_t> id)
+{
+    if (id && m_lastId && *id <= *m_lastId) {
+        return false; // the caller already has it
+    }
+    m_hasGap = m_hasGap || (id && m_lastId && *id != *m_lastId + 1);
+    if (m_hasGap) {
+        return false;
+    }
+    m_lastId = id ? id : m_lastId;
+    m_hasNewEvents = true;
+    return true;
+}
+
 } // namespace galenafold
--- a/filters/eventsplitter.h
+++ b/filters/eventsplitter.h
@@ -1,5 +1,5 @@
 // Splits a server-sent event stream into complete events, so that the caller never receives part of an event when a
-// replica fails in the middle of a stream.
+// replica fails in the middle of a stream, and decides whether a stream that has ended is complete.
 #pragma once
 
 #include <cstdint>
@@ -9,29 +9,44 @@
 namespace galenafold
 {
 
+/// What tells where the body of a response ends.
+enum class BodyFraming : std::uint8_t {
+    Explicit,       // a length or chunks
+    CloseDelimited, // the end of the connection, which may also be that of a replica's process
+};
+
 /// Buffers the incomplete event at the end of the bytes received so far.
 class EventSplitter
 {
 public:
-    /// Takes bytes of a stream. Events whose id is not above the last one are dropped as duplicates.
+    /// Takes bytes of a stream. Events whose id is not above the last one are dropped as duplicates; those that follow
+    /// a gap are dropped too.
     /// @return complete events, to be relayed
     std::string feed(std::string_view bytes);
 
-    /// Another replica continues the stream: drops the incomplete event of the previous one.
-    void dropPartialEvent() { m_partialEvent.clear(); }
+    /// Another attempt begins or continues the stream: drops what the previous one has left incomplete.
+    void beginAttempt();
+
+    /// Decides whether the stream is complete when the response of the current attempt has ended in good order. Where
+    /// only the end of the connection says so, an attempt that brought nothing new may have been cut off at any point.
+    /// @return false if the stream was cut off
+    bool isComplete(BodyFraming framing) const;
 
     /// Drops events up to this id, which the caller already has.
     void skipUpTo(std::optional<std::int64_t> id) { m_lastId = id; }
 
     std::optional<std::int64_t> lastId() const { return m_lastId; }  ///< @return id of the last complete event
     bool hasPartialEvent() const { return !m_partialEvent.empty(); } ///< @return true if an event is incomplete
-    bool hasGap() const { return m_hasGap; }                         ///< @return true if an event id was skipped
+    bool hasGap() const { return m_hasGap; }       ///< @return true if the current attempt has skipped an event id
     std::int64_t count() const { return m_count; } ///< @return complete events so far, also duplicates
 
 private:
+    bool isNext(std::optional<std::int64_t> id);
+
     std::string m_partialEvent;
     std::optional<std::int64_t> m_lastId;
     bool m_hasGap = false;
+    bool m_hasNewEvents = false; // from the current attempt
     std::int64_t m_count = 0;
 };
 
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -120,7 +120,7 @@
 {
     EventSplitter splitter;
     splitter.feed("id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\nda");
-    splitter.dropPartialEvent();
+    splitter.beginAttempt();
     STRCMP_EQUAL("id: 6\ndata: c\n\n", splitter.feed("id: 5\ndata: b\n\nid: 6\ndata: c\n\n").c_str());
     CHECK(!splitter.hasGap());
     splitter.feed("id: 9\ndata: x\n\n");
--- a/tests/nodefixture.h
+++ b/tests/nodefixture.h
@@ -50,6 +50,10 @@
             }
             char bytes[4096];
             const std::size_t size = m_socket.read_some(asio::buffer(bytes), m_error);
+            if (m_error == asio::error::eof && m_parser->isHeadDone()) {
+                m_parser->feedEof(); // completes a body that has neither a length nor chunks
+                return m_parser->isDone();
+            }
             if (m_error) {
                 return false;
             }
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -183,7 +183,7 @@
     m_incarnation = incarnationHash(endpoint.record);
     m_hasHead = false;
     m_body.clear();
-    m_events.dropPartialEvent();
+    m_events.beginAttempt();
     m_sentAt = now;
     ++m_attempts.sent;
     bool isNew = false;
@@ -383,11 +383,27 @@
     noteTurnedAway();
 }
 
+static bool hasEventStreamType(const ResponseHead &head)
+{
+    constexpr std::string_view eventStream = "text/event-stream";
+    const std::string *type = findField(head.fields, "Content-Type");
+    return type && equalsIgnoringCase(std::string_view(*type).substr(0, eventStream.size()), eventStream);
+}
+
+/// @return true if the current response can be relayed event by event. One that continues a stream has to have the
+/// status that its caller was sent.
+bool RequestHandler::isEventStream() const
+{
+    const bool isSuccess = m_head.status < firstNonSuccessStatus;
+    const bool isStream = m_head.status == statusOk || (isSuccess && hasEventStreamType(m_head));
+    const bool fitsCaller = !m_attempts.isStreaming || m_head.status == m_sentStatus;
+    return m_route->kind == RequestKind::Stream && isStream && fitsCaller && m_responseFields.hasChecksum
+        && !m_responseFields.isEncoded;
+}
+
 void RequestHandler::onBody(std::string &body)
 {
-    const bool isEventStream = m_route->kind == RequestKind::Stream && m_head.status == statusOk
-        && m_responseFields.hasChecksum && !m_responseFields.isEncoded;
-    if (isEventStream) {
+    if (isEventStream()) {
         relayEvents(body);
     } else {
         m_body += body;
@@ -405,11 +421,6 @@
     m_connection.reset();
 }
 
-bool RequestHandler::isStreamComplete() const
-{
-    return !m_events.hasPartialEvent() && !m_events.hasGap();
-}
-
 void RequestHandler::onDone()
 {
     const Instant now = clockNow();
@@ -426,20 +437,8 @@
     }
     ++m_attempts.possibleRuns;
     m_attempts.mayHaveRun = true;
-    const bool isSuccess = m_head.status < firstNonSuccessStatus;
-    const bool isTrusted = m_responseFields.hasChecksum && !(isSuccess && m_responseFields.isEncoded);
-    if (m_attempts.isStreaming) {
-        endAttempt(isStreamComplete() ? AttemptOutcome::Good : AttemptOutcome::Failed);
-        if (!isStreamComplete() || !isTrusted || m_head.status != statusOk) {
-            afterFailure(EndReason::BrokenResponse);
-            return;
-        }
-        m_state.loadBalancer.holds().onServed(now, m_incarnation);
-        m_caller->endStream();
-        finish("served", m_head.status, nullptr);
-        return;
-    }
-    if (!isTrusted) {
+    if (!isResponseComplete()) {
+        logCutOff();
         endAttempt(AttemptOutcome::Failed);
         afterFailure(EndReason::BrokenResponse);
         return;
@@ -450,11 +449,26 @@
         m_state.loadBalancer.holds().onServed(now, m_incarnation);
     }
     endAttempt(isError ? AttemptOutcome::Error : AttemptOutcome::Good);
-    if (!isError || !m_attempts.isRetryable || !retry(now, EndReason::ReplicaError)) {
+    if (m_attempts.isStreaming) {
+        m_caller->endStream();
+        finish("served", m_head.status, nullptr);
+    } else if (!isError || !m_attempts.isRetryable || !retry(now, EndReason::ReplicaError)) {
         forwardResponse();
     }
 }
 
+/// The response has ended in good order. @return true if it is the replica's whole response, and continues what the
+/// caller has received so far
+bool RequestHandler::isResponseComplete() const
+{
+    if (isEventStream()) {
+        return m_events.isComplete(m_head.isCloseDelimited ? BodyFraming::CloseDelimited : BodyFraming::Explicit);
+    }
+    const bool isSuccess = m_head.status < firstNonSuccessStatus;
+    const bool isTrusted = m_responseFields.hasChecksum && !(isSuccess && m_responseFields.isEncoded);
+    return isTrusted && !m_attempts.isStreaming;
+}
+
 void RequestHandler::onFailed(RequestProgress progress)
 {
     const bool mayHaveRun = progress != RequestProgress::NotSent && !(m_hasHead && m_responseFields.reportsNotRun);
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -68,6 +68,7 @@
     bool takeFromBudget(Instant now);
     void logRetry(EndReason reason) const;
     void logBroken() const;
+    void logCutOff() const;
     bool isBlocked(Instant now);
     void reportIfCrashed() const;
     void addBudget(LogLine &line, Instant now) const;
@@ -82,7 +83,8 @@
     void endAttempt(AttemptOutcome end);
     void afterFailure(EndReason reason);
     bool retry(Instant now, EndReason reason);
-    bool isStreamComplete() const;
+    bool isEventStream() const;
+    bool isResponseComplete() const;
 
     // Responding.
 
@@ -128,6 +130,7 @@
     std::string m_body;              // response body, unless it is relayed as a stream
 
     EventSplitter m_events;
+    int m_sentStatus = 0;    // of the stream to the caller, once it has begun
     Instant m_firstByteAt{}; // when the response to the caller began
     Duration m_longestGap{}; // between events of the stream
     bool m_isFinished = false;
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -133,6 +133,19 @@
     m_state.log.write(line, LogPriority::Notable);
 }
 
+/// A response that ended in good order and is not whole. Which of the reasons holds tells a replica's end inside a
+/// stream from an answer that has no place in it.
+void RequestHandler::logCutOff() const
+{
+    LogLine line("answer_cut_off");
+    line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
+    line.number("status", m_head.status).number("try", m_attempts.sent);
+    line.flag("is_stream", isEventStream()).flag("is_close_delimited", m_head.isCloseDelimited);
+    line.flag("has_partial_event", m_events.hasPartialEvent()).flag("has_gap", m_events.hasGap());
+    line.flag("had_event", hasReceivedEvents()).flag("was_streaming", m_attempts.isStreaming);
+    m_state.log.write(line, LogPriority::Notable);
+}
+
 // Replicas
 
 /// A connection may break without a crash. The prompt is a suspect only if the replica then accepts no connection, and
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -33,14 +33,15 @@
     if (std::min(progressDeadline(), nextStallCheck()) < m_timer.expiry()) {
         armTimer();
     }
-    if (events.empty() || m_events.hasGap()) {
-        return; // a gap in event ids counts as a failure when the attempt ends
+    if (events.empty()) {
+        return;
     }
     if (!m_attempts.isStreaming) {
         m_attempts.isStreaming = true;
         ++m_state.counts.streaming;
         m_firstByteAt = clockNow();
-        m_caller->beginStream(m_head.status, endToEndFields(m_head.fields));
+        m_sentStatus = m_head.status;
+        m_caller->beginStream(m_sentStatus, endToEndFields(m_head.fields));
         m_caller->onDrained = [self = shared_from_this()] {
             if (self->m_connection) {
                 self->m_connection->pauseReading(false);
