Limit chunk headers, chunk extensions and trailers

What was not parsed yet was kept whole, copied and parsed again with each read, so the time for a read grew with all that had come before.

It is no longer copied anew with each read.

--- a/net/message.cpp
+++ b/net/message.cpp
@@ -121,7 +121,8 @@
     RequestHead request;
     ResponseHead response;
     std::string body;
-    std::string unparsed; // input that Beast did not consume: part of a head or chunk header
+    std::string unparsed; // input that Beast did not consume: part of a head, chunk header or trailer
+    std::size_t maxUnparsedBytes = 0;
     ParseFault fault = ParseFault::None;
 };
 
@@ -134,6 +135,7 @@
 public:
     BeastParser(const ParseLimits &limits, bool skipsBody)
     {
+        this->maxUnparsedBytes = limits.headBytes;
         Parser::header_limit(limits.headBytes);
         Parser::body_limit(limits.bodyBytes);
         Parser::eager(true);
@@ -257,7 +259,8 @@
 MessageParser::~MessageParser() = default;
 
 /// Beast does not consume an incomplete line, but expects it again with the input that follows. So unconsumed input is
-/// kept in `unparsed` and put before the input of the next call.
+/// kept in `unparsed` and put before the input of the next call. Beast limits heads, but no chunk header and no
+/// trailer.
 std::size_t MessageParser::feed(std::string_view bytes)
 {
     Impl &impl = *m_impl;
@@ -279,7 +282,15 @@
         impl.unparsed.clear();
         return used > unparsedBefore ? used - unparsedBefore : 0;
     }
-    impl.unparsed = std::string(input.substr(used));
+    if (unparsedBefore > 0) {
+        impl.unparsed.erase(0, used);
+    } else {
+        impl.unparsed.assign(input.substr(used));
+    }
+    if (impl.unparsed.size() > impl.maxUnparsedBytes) {
+        impl.fault = ParseFault::HeadTooLarge;
+        impl.unparsed.clear();
+    }
     return bytes.size();
 }
 
--- a/net/message.h
+++ b/net/message.h
@@ -66,7 +66,7 @@
 
 /// Size limits of one message, in bytes.
 struct ParseLimits {
-    std::uint32_t headBytes = 16384;     // start line and header fields
+    std::uint32_t headBytes = 16384;     // start line and header fields; also each chunk's header, and the trailer
     std::uint64_t bodyBytes = 4U << 20U; // 4 MiB
 };
 
