Let other connections have a turn before all input of one is read

A peer that sends faster than its input is handled kept the event loop, with all timers and all other connections, whatever limits there are on what it sends. A caller that was told off and went on sending, whose input is discarded, could do the same.

Change: a connection reads 128 KiB a turn; 1 MiB where a timer asks what has arrived before it takes effect, so that an answer that came while the process stood still is not given up.

--- a/net/stream.cpp
+++ b/net/stream.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr std::size_t scratchBytes = 32768;                    // read buffer shared by the connections of a thread
+constexpr std::size_t maxTurnBytes = 4 * scratchBytes;         // read before the thread's other connections have a turn
+constexpr std::size_t maxPollBytes = 1 << 20;                  // the same for `poll`: about a kernel's receive buffer
 constexpr auto lingerTimeout = std::chrono::milliseconds(500); // limit on the wait for the peer to close
 
 TcpStream::TcpStream(asio::ip::tcp::socket socket)
@@ -36,16 +38,18 @@
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &error) {
         self->m_isWaitingReadable = false;
         if (error != asio::error::operation_aborted && !self->m_isPaused) {
-            self->readAvailable();
+            self->readAvailable(maxTurnBytes);
         }
     });
 }
 
-void TcpStream::readAvailable()
+/// Load pattern: a peer that sends faster than its input is handled, without end. The limit keeps it from holding the
+/// event loop.
+void TcpStream::readAvailable(std::size_t maxBytes)
 {
     static thread_local std::array<char, scratchBytes> scratch;
     const auto self = shared_from_this(); // a callback may release all other references
-    while (isOpen() && !m_isPaused) {
+    for (std::size_t total = 0; total < maxBytes && isOpen() && !m_isPaused;) {
         asio::error_code error;
         const std::size_t size = m_socket.read_some(asio::buffer(scratch), error);
         if (error == asio::error::would_block || error == asio::error::try_again) {
@@ -55,6 +59,7 @@
             end(error == asio::error::eof ? StreamEnd::Finished : StreamEnd::Broken);
             return;
         }
+        total += size;
         const auto hooks = m_hooks;
         if (!m_isDiscarding) {
             hooks->onBytes({scratch.data(), size});
@@ -69,7 +74,7 @@
 void TcpStream::poll()
 {
     if (isOpen() && !m_isPaused) {
-        readAvailable();
+        readAvailable(maxPollBytes);
     }
 }
 
--- a/net/stream.h
+++ b/net/stream.h
@@ -1,6 +1,7 @@
 // A non-blocking TCP connection on one event loop: input arrives through a callback, output goes through a send buffer.
 //
-// All connections of a thread read into one shared buffer, so an idle connection needs little memory. `sent` is the
+// All connections of a thread read into one shared buffer, so an idle connection needs little memory, and take turns
+// after a limited number of bytes, so none can keep the thread from the others and from its timers. `sent` is the
 // exact number of bytes that the kernel has accepted. The send buffer is unbounded: its owner applies back-pressure by
 // `pending`.
 #pragma once
@@ -38,7 +39,7 @@
     void pauseReading(bool isPaused);   ///< While paused, neither input nor the peer's close is detected.
     void close();                       ///< Closes at once; unsent bytes are discarded.
     void reset();                       ///< Closes with RST, so that the peer cannot mistake it for an orderly close.
-    void poll();                        ///< Reads available input and detects a close at once, not from the event loop.
+    void poll(); ///< Reads available input, up to about 1 MiB, and detects a close at once, not from the event loop.
     void closeWhenDrained(); ///< Sends the buffered rest and FIN, waits briefly for the peer to close, then closes.
 
     bool isOpen() const { return m_socket.is_open(); }
@@ -47,7 +48,7 @@
 
 private:
     void waitReadable();
-    void readAvailable();
+    void readAvailable(std::size_t maxBytes);
     void waitWritable();
     void flush();
     void end(StreamEnd how);
