Bound the memory of responses that cannot be passed on yet

Report of other operators: a machine kept all bytes of an endless answer and ran out of memory, and all its requests ended.

Change: responses that wait to be passed on hold a quarter of the VM's memory ([router] memory_mb; 512 MB if not told); beyond it the one that holds most is given up, so that small sound ones go on (filters/responsememory). One event holds 1 MiB at most. Interim and foreign responses are skipped up to 64 MiB. The search for an event's end goes on where it stopped. Log line answer_too_large, metrics response_bytes and response_bytes_peak.

--- a/filters/eventsplitter.cpp
+++ b/filters/eventsplitter.cpp
@@ -1,13 +1,16 @@
 // Splits a server-sent event stream into complete events.
 #include "filters/eventsplitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
 namespace galenafold
 {
 
-/// @return end of the event that begins at `from`, including its blank line; npos while it is incomplete
+constexpr std::size_t maxSeparatorBytes = 4; // CR LF CR LF
+
+/// @return end of the first event that ends behind `from`, including its blank line; npos while it is incomplete
 static std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
     const std::size_t lf = text.find("\n\n", from);
@@ -41,7 +44,8 @@
 
 void EventSplitter::beginAttempt()
 {
-    m_partialEvent.clear();
+    m_partialEvent = std::string();
+    m_searchedBytes = 0;
     m_hasGap = false;
     m_hasNewEvents = false;
 }
@@ -59,7 +63,7 @@
     m_partialEvent.append(bytes);
     std::string complete;
     std::size_t from = 0;
-    for (std::size_t end = endOfEvent(m_partialEvent, from); end != std::string::npos;
+    for (std::size_t end = endOfEvent(m_partialEvent, m_searchedBytes); end != std::string::npos;
          end = endOfEvent(m_partialEvent, from)) {
         const std::string_view event = std::string_view(m_partialEvent).substr(from, end - from);
         from = end;
@@ -69,6 +73,7 @@
         }
     }
     m_partialEvent.erase(0, from);
+    m_searchedBytes = m_partialEvent.size() - std::min(m_partialEvent.size(), maxSeparatorBytes - 1);
     return complete;
 }
 
--- a/filters/eventsplitter.h
+++ b/filters/eventsplitter.h
@@ -36,6 +36,7 @@
     void skipUpTo(std::optional<std::int64_t> id) { m_lastId = id; }
 
     std::optional<std::int64_t> lastId() const { return m_lastId; }  ///< @return id of the last complete event
+    std::size_t heldBytes() const { return m_partialEvent.size(); }  ///< @return bytes of the incomplete event
     bool hasPartialEvent() const { return !m_partialEvent.empty(); } ///< @return true if an event is incomplete
     bool hasGap() const { return m_hasGap; }       ///< @return true if the current attempt has skipped an event id
     std::int64_t count() const { return m_count; } ///< @return complete events so far, also duplicates
@@ -44,6 +45,7 @@
     bool isNext(std::optional<std::int64_t> id);
 
     std::string m_partialEvent;
+    std::size_t m_searchedBytes = 0; // of `m_partialEvent`, in which no event ends
     std::optional<std::int64_t> m_lastId;
     bool m_hasGap = false;
     bool m_hasNewEvents = false; // from the current attempt
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -321,6 +321,8 @@
     std::vector<std::string> seeds;                           // IP:PORT of the routers that get the first beacons
     double linkMegabits = 0;                                  // rate of the VM's link in Mbit/s; 0: not known. Routers
                                                               // with wide links read the store for others
+    double memoryMegabytes = 0;                               // of the VM, in MB; 0: not known. Responses that wait
+                                                              // to be passed on hold a quarter of it at most
     Duration maxRevocationDelay{};                            // limit on a revoked API key's acceptance; 0: unlimited
     Duration maxDrainDelay = std::chrono::milliseconds(2000); // until a draining replica gets no more requests
     Duration maxRecoveryTime = std::chrono::milliseconds(3000); // until all guarantees hold again after a VM fault
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -104,6 +104,7 @@
     return {
         {"router", "name", textField(settings.name.text), true},
         {"router", "data_centre", textField(settings.dataCentre.text), true},
+        {"router", "memory_mb", numberField(settings.memoryMegabytes, 0, 1e6)},
         {"listen", "callers", textField(settings.callers), true},
         {"listen", "admin", textField(settings.admin), true},
         {"listen", "peers", textField(settings.peers)},
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -24,12 +24,24 @@
 
 // Settings
 
+/// @return limit on the bytes that responses hold until they can be passed on: a part of the VM's memory, as they are
+/// held once more while they are sent
+static std::size_t maxResponseBytes(const RouterSettings &settings)
+{
+    constexpr double partOfMemory = 0.25;
+    constexpr double defaultMemoryMegabytes = 512; // if the settings do not tell
+    constexpr double bytesPerMegabyte = 1e6;
+    const double megabytes = settings.memoryMegabytes > 0 ? settings.memoryMegabytes : defaultMemoryMegabytes;
+    return static_cast<std::size_t>(megabytes * bytesPerMegabyte * partOfMemory);
+}
+
 static TrafficSettings trafficSettings(const RouterSettings &settings)
 {
     TrafficSettings traffic;
     traffic.listenAddress = settings.callers;
     traffic.dataCentre = settings.dataCentre;
     traffic.maxRevocationDelay = settings.maxRevocationDelay;
+    traffic.maxResponseBytes = maxResponseBytes(settings);
     traffic.startupWait = settings.startupWait;
     traffic.loadBalancer.loadBound = settings.loadBound;
     traffic.retry.ratio = settings.retryRatio;
--- a/tests/endlessanswers.cpp
+++ b/tests/endlessanswers.cpp
@@ -1,11 +1,15 @@
-// Peers that send bytes without end, or faster than their input is handled: others have their turn, memory is bounded.
+// Replicas that answer with bytes without end, and peers that send faster than their input is handled: other requests
+// go on, memory is bounded, and the caller of the endless answer is told that it failed.
 //
-// Sections of this file: Event loop, Memory.
+// Sections of this file: Event loop, Memory, Router.
+#include "filters/eventsplitter.h"
+#include "filters/responsememory.h"
 #include "tests/nodefixture.h"
 
 #include <netinet/tcp.h>
 
 using namespace galenafold;
+using std::chrono::milliseconds;
 
 // Event loop
 
@@ -103,3 +107,156 @@
         CHECK_TEXT(bytes <= limit, (beginning + ": " + std::to_string(bytes)).c_str());
     }
 }
+
+/// An event without end was searched from its start with each piece of it.
+TEST(EndlessMessages, AnEventInManyPiecesIsFound)
+{
+    EventSplitter splitter;
+    for (const std::string &event : {std::string("id: 0\ndata: abc\n\n"), std::string("id: 1\r\ndata: abc\r\n\r\n")}) {
+        std::string received;
+        for (const char byte : event) {
+            STRCMP_EQUAL("", received.c_str());
+            received = splitter.feed(std::string(1, byte));
+        }
+        STRCMP_EQUAL(event.c_str(), received.c_str());
+    }
+}
+
+TEST(EndlessMessages, TheResponseThatHoldsMostIsGivenUp)
+{
+    const auto memory = std::make_shared<ResponseMemory>(100);
+    ResponseMemory::Share small(memory);
+    ResponseMemory::Share large(memory);
+    ResponseMemory::Share last(memory);
+    std::vector<std::string> givenUp;
+    small.onGivenUp = [&] { givenUp.emplace_back("small"); };
+    large.onGivenUp = [&] { givenUp.emplace_back("large"); };
+    last.onGivenUp = [&] { givenUp.emplace_back("last"); };
+    small.resize(10);
+    large.resize(60);
+    last.resize(30);
+    LONGS_EQUAL(0, givenUp.size());
+    small.resize(11);
+    CHECK(givenUp == std::vector<std::string>{"large"});
+    LONGS_EQUAL(41, memory->bytes());
+    last.resize(90);
+    CHECK((givenUp == std::vector<std::string>{"large", "last"}));
+    LONGS_EQUAL(11, memory->bytes());
+}
+
+// Router
+
+/// An answer that begins so and goes on with `piece`, as fast as the connection takes it.
+struct EndlessAnswer {
+    const char *name = "";
+    std::string beginning;
+    std::string piece;
+};
+
+static std::string answerHead(const char *id, const std::string &fields)
+{
+    return std::string("HTTP/1.1 200 OK\r\nX-Galenafold-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+                       "X-Galenafold-Attempt-Id: ")
+        + id + "\r\n" + fields + "\r\n";
+}
+
+static std::vector<EndlessAnswer> endlessAnswers()
+{
+    const std::string rubbish(32 << 10, 'x');
+    const std::string chunked = answerHead("endless", "Transfer-Encoding: chunked\r\n");
+    const std::string otherChunked = answerHead("other", "Transfer-Encoding: chunked\r\n");
+    std::string chunk;
+    appendChunk(chunk, rubbish);
+    std::string interim;
+    for (int i = 0; i < 1000; ++i) {
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    return {{"no head", "", rubbish},
+            {"a header field", "HTTP/1.1 200 OK\r\nA: ", rubbish},
+            {"a chunk's header", chunked, rubbish},
+            {"a chunk's extension", chunked + "5;a=", rubbish},
+            {"a trailer", chunked + "5\r\nid: 0\r\n0\r\nA: ", rubbish},
+            {"interim responses", "", interim},
+            {"an event", chunked, chunk},
+            {"an event up to the end of the connection", answerHead("endless", ""), rubbish},
+            {"a response to another request", otherChunked, chunk}};
+}
+
+TEST_GROUP(EndlessAnswers)
+{
+    NodeFixture fixture;
+    EndlessAnswer answer;
+
+    static void sendOn(const std::shared_ptr<ReplicaReply> &reply, const std::string &piece)
+    {
+        constexpr std::size_t maxUnsentBytes = 1 << 20;
+        for (std::size_t sent = 0; !reply->isClosed() && reply->unsentBytes() < maxUnsentBytes && sent < maxUnsentBytes;
+             sent += piece.size()) {
+            reply->send(piece);
+        }
+        if (!reply->isClosed()) {
+            reply->runAfter(milliseconds(1), [reply, piece] { sendOn(reply, piece); });
+        }
+    }
+    /// Replies to requests of streams with `answer`, and to others at once.
+    void start()
+    {
+        const ReplicaScript script = [this](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+            if (request.head.target != "/frail/x") {
+                respondOk(request, reply);
+                return;
+            }
+            reply->send(answer.beginning);
+            sendOn(reply, answer.piece);
+        };
+        fixture.settings.memoryMegabytes = memoryMegabytes;
+        fixture.addReplica("a", script);
+        fixture.startAndWaitReady();
+    }
+    void checkOthersAreServed(const char *label)
+    {
+        for (int i = 0; i < 5; ++i) {
+            const auto caller = fixture.send(encodeCallerRequest("/any/x", "sound-" + std::to_string(i)));
+            CHECK_TEXT(caller->read(), label);
+            LONGS_EQUAL_TEXT(200, caller->status(), label);
+        }
+    }
+    static constexpr int memoryMegabytes = 32;
+};
+
+/// On other systems a router kept all bytes of an endless answer. Here it parsed them again and again, and answered
+/// nobody else meanwhile.
+TEST(EndlessAnswers, OtherRequestsAreServedAndTheCallerIsToldOfAFailure)
+{
+    start();
+    for (const EndlessAnswer &endless : endlessAnswers()) {
+        answer = endless;
+        const auto caller = fixture.send(encodeCallerRequest("/frail/x", "endless", "k1", 1500));
+        checkOthersAreServed(endless.name);
+        CHECK_TEXT(caller->read(), endless.name);
+        CHECK_TEXT(caller->status() == 502 || caller->status() == 504, endless.name);
+    }
+}
+
+/// Each answer is below the limit on one; all together they would fill the VM's memory.
+TEST(EndlessAnswers, ManyAnswersTogetherHoldAPartOfTheMemory)
+{
+    constexpr int answers = 60;
+    const std::string length = "Content-Length: 30000000\r\n";
+    answer = {"bodies", "HTTP/1.1 404 Not Found\r\nX-Galenafold-Response-Seal: s\r\n" + length + "\r\n",
+              std::string(32 << 10, 'x')};
+    start();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < answers; ++i) {
+        callers.push_back(fixture.send(encodeCallerRequest("/frail/x", "big-" + std::to_string(i), "k1", 5000)));
+    }
+    checkOthersAreServed("bodies");
+    for (const auto &caller : callers) {
+        CHECK(caller->read());
+        CHECK(caller->status() == 502 || caller->status() == 504);
+    }
+    const int quarter = memoryMegabytes / 4 * 1000000;
+    CHECK(fixture.metric("response_bytes_peak") > 0);
+    CHECK(fixture.metric("response_bytes_peak") <= quarter);
+    LONGS_EQUAL(0, fixture.metric("response_bytes"));
+}
--- a/traffic/endpointconnection.cpp
+++ b/traffic/endpointconnection.cpp
@@ -75,6 +75,7 @@
     m_expectsNoBody = expectsNoBody;
     m_request = std::move(request);
     m_hooks = std::move(hooks);
+    m_skippedBytes = 0;
     resetParser();
     if (!m_stream) {
         m_unsent = std::move(bytes);
@@ -166,8 +167,10 @@
 {
     const auto self = shared_from_this();
     while (!bytes.empty() && m_isBusy) {
-        bytes.remove_prefix(m_parser->feed(bytes));
-        if (m_parser->fault() != ParseFault::None) {
+        const std::size_t used = m_parser->feed(bytes);
+        bytes.remove_prefix(used);
+        m_skippedBytes += m_hasDeliveredHead ? 0 : used;
+        if (m_parser->fault() != ParseFault::None || m_skippedBytes > maxResponseBytes) {
             m_isUnusable = true;
             fail(m_hasDeliveredHead ? RequestProgress::HeadReceived : RequestProgress::MaybeSent);
             return;
--- a/traffic/endpointconnection.h
+++ b/traffic/endpointconnection.h
@@ -83,9 +83,10 @@
     std::unique_ptr<MessageParser> m_parser;
     std::string m_unsent; // request that waits for the connection to be established
     EndpointRequestHooks m_hooks;
-    RequestId m_request;             // current request
-    ResponseFields m_responseFields; // decoded from the response head
-    std::uint64_t m_sentBefore = 0;  // bytes sent on the connection before the current request
+    RequestId m_request;              // current request
+    ResponseFields m_responseFields;  // decoded from the response head
+    std::uint64_t m_sentBefore = 0;   // bytes sent on the connection before the current request
+    std::uint64_t m_skippedBytes = 0; // of interim responses, and of responses to other requests, since then
     bool m_isBusy = false;
     bool m_hasDeliveredHead = false; // to `onHead`
     bool m_expectsNoBody = false;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -17,6 +17,7 @@
 constexpr int stallCheckFactor = 2;    // times the gap objective: check whether the replica is stalled
 constexpr int streamTimeoutFactor = 4; // times the gap objective: time limit of a stream without an event
 constexpr auto minStreamTimeout = std::chrono::milliseconds(1200); // lower limit for streams
+constexpr std::size_t maxEventBytes = 1 << 20; // of one event; a stream's events hold some tokens each
 
 // Routing
 
@@ -25,8 +26,10 @@
     , m_caller(std::move(caller))
     , m_request(std::move(request))
     , m_timer(state.io)
+    , m_held(state.responseMemory)
 {
     ++m_state.counts.inProgress;
+    m_held.onGivenUp = [this] { onResponseGivenUp(); };
 }
 
 RequestHandler::~RequestHandler()
@@ -182,8 +185,7 @@
     m_endpoint = endpoint.record.id;
     m_incarnation = incarnationHash(endpoint.record);
     m_hasHead = false;
-    m_body.clear();
-    m_events.beginAttempt();
+    dropResponse();
     m_sentAt = now;
     ++m_attempts.sent;
     bool isNew = false;
@@ -409,6 +411,43 @@
         m_body += body;
     }
     body.clear();
+    noteHeldBytes();
+}
+
+/// Counts what the current response holds; an event that does not end is given up like a response that does not.
+void RequestHandler::noteHeldBytes()
+{
+    if (m_events.heldBytes() > maxEventBytes) {
+        onResponseGivenUp();
+        return;
+    }
+    m_held.resize(m_body.capacity() + m_events.heldBytes());
+}
+
+/// Frees what the current response holds.
+void RequestHandler::dropResponse()
+{
+    m_body = std::string();
+    m_events.beginAttempt();
+    m_held.resize(0);
+}
+
+/// Called for the response that holds most, possibly while another request's response is read.
+void RequestHandler::onResponseGivenUp()
+{
+    const auto self = shared_from_this();
+    if (m_isFinished) {
+        return;
+    }
+    LogLine line("answer_too_large");
+    line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
+    line.number("body", static_cast<std::int64_t>(m_body.size()));
+    line.number("event", static_cast<std::int64_t>(m_events.heldBytes()));
+    line.number("all_held", static_cast<std::int64_t>(m_state.responseMemory->bytes()));
+    m_state.log.write(line, LogPriority::Notable);
+    abandonAttempt(AttemptOutcome::Failed);
+    dropResponse();
+    afterFailure(EndReason::ResponseTooLarge);
 }
 
 void RequestHandler::endAttempt(AttemptOutcome end)
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -24,6 +24,7 @@
     BrokenResponse,     // the response to an attempt that may have run is lost or invalid
     AttemptTimeout,     // an attempt timed out without progress
     ReplicaError,       // the replica responded with a server error
+    ResponseTooLarge,   // the response holds more memory than a response, or an event of a stream, may
     CallerDisconnected, // the caller disconnected
     Stopping,           // this router stops before the response may be complete
 };
@@ -78,6 +79,9 @@
     void noteTurnedAway();
     Duration retryAfter(EndReason reason) const;
     void onBody(std::string &body);
+    void noteHeldBytes();
+    void dropResponse();
+    void onResponseGivenUp();
     void onDone();
     void onFailed(RequestProgress progress);
     void endAttempt(AttemptOutcome end);
@@ -128,6 +132,7 @@
     ResponseHead m_head;
     ResponseFields m_responseFields; // decoded from `m_head`
     std::string m_body;              // response body, unless it is relayed as a stream
+    ResponseMemory::Share m_held;    // `m_body` and the incomplete event
 
     EventSplitter m_events;
     int m_sentStatus = 0;    // of the stream to the caller, once it has begun
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -42,6 +42,8 @@
         return "silent";
     case EndReason::ReplicaError:
         return "replica_error";
+    case EndReason::ResponseTooLarge:
+        return "response_too_large";
     case EndReason::CallerDisconnected:
         return "caller_gone";
     case EndReason::ReplicasTurnAway:
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -149,6 +149,7 @@
     const auto self = shared_from_this();
     m_isFinished = true;
     m_timer.cancel();
+    dropResponse();
     const bool isServed = outcome == "served";
     (isServed ? m_state.counts.served : m_attempts.mayHaveRun ? m_state.counts.failed : m_state.counts.refused)++;
     const Instant now = clockNow();
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -23,6 +23,7 @@
     , loadBalancer(theSettings.loadBalancer, theSettings.dataCentre, theSettings.seed)
     , queryOfDeath(QueryOfDeathSettings(), theSettings.seed)
     , budget(theSettings.retry, clockNow())
+    , responseMemory(std::make_shared<ResponseMemory>(theSettings.maxResponseBytes))
     , connectionPool(theIo, headerCodec)
 {
 }
@@ -207,6 +208,8 @@
     writeMetric(out, "fleet_size", "", m_peers.fleetSize());
     writeMetric(out, "beacons_sent_total", "", static_cast<double>(peers.beaconsSent));
     writeMetric(out, "beacons_received_total", "", static_cast<double>(peers.beaconsReceived));
+    writeMetric(out, "response_bytes", "", static_cast<double>(m_state.responseMemory->bytes()));
+    writeMetric(out, "response_bytes_peak", "", static_cast<double>(m_state.responseMemory->peakBytes()));
     writeMetric(out, "prompts_blocked", "", m_state.queryOfDeath.blocks(now));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -9,6 +9,7 @@
 
 #include "control/freshness.h"
 #include "filters/loadbalancer.h"
+#include "filters/responsememory.h"
 #include "filters/retry.h"
 #include "filters/startupgate.h"
 #include "galenafold/eventlog.h"
@@ -29,7 +30,8 @@
 struct TrafficSettings {
     std::string listenAddress; // IP:PORT to listen on for callers
     DataCentreId dataCentre;
-    Duration maxRevocationDelay{};                         // limit on a revoked API key's acceptance; 0: unlimited
+    Duration maxRevocationDelay{};              // limit on a revoked API key's acceptance; 0: unlimited
+    std::size_t maxResponseBytes = 128U << 20U; // that responses of all requests hold until they can be passed on
     Duration startupWait = std::chrono::milliseconds(300); // limit on the wait of requests for the store at start
     Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
     LoadBalancerSettings loadBalancer;
@@ -73,6 +75,7 @@
     LoadBalancer loadBalancer;
     QueryOfDeathDetector queryOfDeath;
     RetryBudget budget;
+    std::shared_ptr<ResponseMemory> responseMemory; // shared with requests that outlive this state
     ConnectionPool connectionPool;
     TrafficCounts counts;
     TrafficMetrics metrics;
