Count crashes shortly after the first event against the prompt

Cause: the first event of an attempt was taken as proof that its prompt is harmless. No crash after it was reported, and it cleared the crashes before. A replica whose answers end with their connection was not suspected at all when it crashed.

Change: a prompt is on trial until a second after its first event at a replica (PromptTrial). A crash until then counts; what clears a prompt's parts is a complete response, or events for longer. Where only the end of the connection completes a response, a connection attempt tells whether the replica still lives.

Evidence: QueryOfDeath, APromptPartThatCrashesReplicasAfterTheirFirstEventIsSoonSentToNone failed before (60 late requests, 3 allowed) and passes.

--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -22,6 +22,7 @@
 constexpr auto answerInterval = std::chrono::milliseconds(500); // between broadcasts of answers of the same part
 constexpr auto savedAccuracy = std::chrono::minutes(1);         // of the time of the last crash in the store
 constexpr std::uint64_t staggerSteps = 1024;
+constexpr auto trialTime = std::chrono::seconds(1); // from the first event; engines write several in it
 
 // Prompt
 
@@ -42,6 +43,20 @@
     return keys;
 }
 
+// Trial
+
+void PromptTrial::onEvent(Instant now)
+{
+    if (!m_firstEventAt) {
+        m_firstEventAt = now;
+    }
+}
+
+bool PromptTrial::isOpen(Instant now) const
+{
+    return !m_firstEventAt || now < *m_firstEventAt + trialTime;
+}
+
 // Detector
 
 QueryOfDeathDetector::QueryOfDeathDetector(const QueryOfDeathSettings &settings, std::uint64_t seed)
--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -5,15 +5,17 @@
 // its own attempts only sees one or two crashes while the fleet loses an engine for each request, and again for each
 // retry.
 //
-// Each router reports to its peers the prompts that were waiting at a replica when it crashed, and the parts under
-// suspicion that it has seen answered since. A part is blocked once replicas have crashed with it and it was not
-// answered anywhere since. Sound requests that wait at the same replicas are answered at their next attempt, which
-// clears their parts. Replicas that are lost at the same moment, as in a power failure, count as one.
+// Each router reports to its peers the prompts that a replica had yet to answer, or had just begun to answer, when it
+// crashed, and the parts under suspicion that it has seen answered since. A part is blocked once replicas have crashed
+// with it and it was not answered anywhere since. A few events are no answer yet: such an engine may crash shortly
+// after the first one. A response that is complete, or that goes on for some time, is. Sound requests at the same
+// replicas are answered at their next attempt, which clears their parts. Replicas that are lost at the same moment, as
+// in a power failure, count as one.
 //
 // A block ends some time after the last crash. Routers end it one after the other, so that a request that still crashes
 // its replica costs one replica and not one for each router; a single further crash renews the block.
 //
-// Sections of this file: Prompt, News, Detector.
+// Sections of this file: Prompt, Trial, News, Detector.
 #pragma once
 
 #include "filters/headerfields.h"
@@ -39,9 +41,25 @@
 /// @return keys of a prompt at a service, as a part that crashes one service's replicas may be sound at another's
 PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts);
 
+// Trial
+
+/// What the events of one attempt tell of its prompt.
+class PromptTrial
+{
+public:
+    void begin() { m_firstEventAt.reset(); } ///< A replica gets the prompt.
+    void onEvent(Instant now);               ///< An event was received.
+
+    /// @return true while a crash of the replica may be due to the prompt: it has not written for long
+    bool isOpen(Instant now) const;
+
+private:
+    std::optional<Instant> m_firstEventAt;
+};
+
 // News
 
-/// A prompt that had no event yet when its replica crashed.
+/// A prompt whose answer had yet to come, or had just begun, when its replica crashed.
 struct CrashReport {
     std::uint32_t replica = 0; // hash of the replica's id and start time
     PromptKeys prompt;
@@ -104,10 +122,10 @@
     /// @param seed differs between routers; determines in which order they end a block
     QueryOfDeathDetector(const QueryOfDeathSettings &settings, std::uint64_t seed);
 
-    /// An attempt has delivered its first event, or a complete response.
+    /// An attempt has delivered a complete response, or events for so long that its trial has ended.
     void onAnswered(Instant now, const PromptKeys &prompt);
 
-    /// A replica crashed while an attempt had no event yet.
+    /// A replica crashed while the trial of an attempt was open.
     /// @param replica hash of its id and start time
     void onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt);
 
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -185,6 +185,7 @@
     m_endpoint = endpoint.record.id;
     m_incarnation = incarnationHash(endpoint.record);
     m_hasHead = false;
+    m_trial.begin();
     dropResponse();
     m_sentAt = now;
     ++m_attempts.sent;
@@ -478,12 +479,15 @@
     m_attempts.mayHaveRun = true;
     if (!isResponseComplete()) {
         logCutOff();
+        if (m_head.isCloseDelimited) {
+            reportIfCrashed(false);
+        }
         endAttempt(AttemptOutcome::Failed);
         afterFailure(EndReason::BrokenResponse);
         return;
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
-    m_state.queryOfDeath.onAnswered(now, m_prompt);
+    notePromptAnswered(now);
     if (!isError) {
         m_state.loadBalancer.holds().onServed(now, m_incarnation);
     }
@@ -517,7 +521,7 @@
     }
     if (mayHaveRun) {
         logBroken();
-        reportIfCrashed();
+        reportIfCrashed(false);
     }
     endAttempt(progress == RequestProgress::NotSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed);
     afterFailure(mayHaveRun ? EndReason::BrokenResponse : EndReason::Unreachable);
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -71,7 +71,8 @@
     void logBroken() const;
     void logCutOff() const;
     bool isBlocked(Instant now);
-    void reportIfCrashed() const;
+    void reportIfCrashed(bool isResponseComplete) const;
+    void notePromptAnswered(Instant now);
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void noteRateLimit();
@@ -128,6 +129,7 @@
     Instant m_sentAt{};
     Instant m_lastEventAt{};    // when the last bytes of a stream were received, from any attempt
     Instant m_stallCheckedAt{}; // last check whether the replica is stalled
+    PromptTrial m_trial;        // of the prompt at this replica
     bool m_hasHead = false;     // the head of the replica's response was received
     ResponseHead m_head;
     ResponseFields m_responseFields; // decoded from `m_head`
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -150,26 +150,38 @@
 
 // Replicas
 
-/// A connection may break without a crash. The prompt is a suspect only if the replica then accepts no connection, and
-/// if it had not begun to answer.
-void RequestHandler::reportIfCrashed() const
+/// The connection has ended, perhaps without a crash. The prompt is a suspect only if the replica then accepts no
+/// connection, and if its trial was open. Otherwise a complete response clears it.
+void RequestHandler::reportIfCrashed(bool isResponseComplete) const
 {
-    if (m_prompt.whole == 0 || hasReceivedEvents()) {
+    if (m_prompt.whole == 0 || !m_trial.isOpen(clockNow())) {
         return;
     }
     const auto onResult = [&state = m_state, prompt = m_prompt, replica = m_endpoint, incarnation = m_incarnation,
-                           brokenAt = clockNow(), request = m_fields.request](bool isReachable) {
+                           brokenAt = clockNow(), request = m_fields.request, isResponseComplete](bool isReachable) {
         LogLine line(isReachable ? "replica_reachable" : "replica_crashed");
         line.text("replica", replica.text).text("request", request.text);
         state.log.write(line, LogPriority::Notable);
         if (!isReachable) {
             state.queryOfDeath.onCrash(brokenAt, incarnation, prompt);
             state.onPeerNews();
+        } else if (isResponseComplete) {
+            state.queryOfDeath.onAnswered(brokenAt, prompt);
         }
     };
     probeConnect(m_state.io, m_address, crashProbeTimeout, onResult);
 }
 
+/// The response is complete. Where only the end of the connection says so, it may have been the replica's end too.
+void RequestHandler::notePromptAnswered(Instant now)
+{
+    if (m_head.isCloseDelimited) {
+        reportIfCrashed(true);
+    } else {
+        m_state.queryOfDeath.onAnswered(now, m_prompt);
+    }
+}
+
 /// An answer without checksum may come from elsewhere and does not end a limit.
 void RequestHandler::noteRateLimit()
 {
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -25,7 +25,9 @@
     if (m_attempts.isStreaming) {
         m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
     }
-    if (!hasReceivedEvents()) {
+    const bool wasOnTrial = m_trial.isOpen(m_lastEventAt);
+    m_trial.onEvent(now);
+    if (wasOnTrial && !m_trial.isOpen(now)) {
         m_state.queryOfDeath.onAnswered(now, m_prompt);
     }
     m_lastEventAt = now;
