Parse the bytes of a caller in the order in which they came

Where a balancer reuses one connection for many callers, one caller's text runs as another's request.

Cause: what came behind a request waits for the response, and then for a task of the event loop. Input that the loop already held was parsed before that task, in front of the bytes that had come first.

Change: as long as earlier input waits, later input is appended to it. The task resumes reading, which the appended input may have paused.

--- a/tests/callerconnection.cpp
+++ b/tests/callerconnection.cpp
@@ -36,3 +36,73 @@
     LONGS_EQUAL(200, good.status());
     LONGS_EQUAL(1, rejected.size());
 }
+
+/// One caller's connection, without a thread: the test decides in which order input and responses are handled.
+struct OneCaller {
+    OneCaller()
+    {
+        asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+        caller.connect(acceptor.local_endpoint());
+        hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &, CallerRequest &&request) {
+            targets.push_back(request.head.target);
+            bodies.push_back(request.body);
+        };
+        hooks.onClosed = [](const std::shared_ptr<CallerConnection> &) {};
+        hooks.onRejected = [this](int status, const char *) { rejected.push_back(status); };
+        hooks.limits = [] { return CallerLimits(); };
+        hooks.isDraining = [] { return false; };
+        connection = std::make_shared<CallerConnection>(io, acceptor.accept(), hooks);
+        connection->start();
+    }
+    void send(const std::string &bytes) { asio::write(caller, asio::buffer(bytes)); }
+    /// Handles all that is ready.
+    void poll()
+    {
+        io.restart();
+        while (io.poll() > 0) { }
+    }
+
+    asio::io_context io;
+    asio::ip::tcp::socket caller{io};
+    CallerConnectionHooks hooks;
+    std::shared_ptr<CallerConnection> connection;
+    std::vector<std::string> targets; // of the requests that were read
+    std::vector<std::string> bodies;
+    std::vector<int> rejected;
+};
+
+/// The response ends between the two parts of a request that was sent ahead, and the second part was parsed first: a
+/// caller's text was run as a request. Cut at every byte.
+TEST(CallerConnections, InputThatArrivesWithAResponseIsParsedBehindWhatCameBefore)
+{
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string second =
+        "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner;
+    for (std::size_t cut = 1; cut < second.size(); ++cut) {
+        OneCaller one;
+        one.send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n" + second.substr(0, cut));
+        CHECK(waitFor([&one] {
+            one.poll();
+            return one.targets.size() == 1;
+        }));
+        asio::ip::tcp::acceptor acceptor(one.io, {asio::ip::address_v4::loopback(), 0});
+        asio::ip::tcp::socket replica(one.io);
+        replica.connect(acceptor.local_endpoint());
+        asio::ip::tcp::socket response = acceptor.accept();
+        response.async_wait(asio::ip::tcp::socket::wait_read,
+                            [&one](const asio::error_code &) { one.connection->sendResponse(200, {}, ""); });
+        one.poll();
+        asio::write(replica, asio::buffer("x", 1)); // the response is ready first, then the second part
+        one.send(second.substr(cut));
+        CHECK(waitFor([&one] {
+            one.poll();
+            return one.targets.size() + one.rejected.size() >= 2;
+        }));
+        const std::string label = "cut at " + std::to_string(cut);
+        CHECK_TEXT(one.rejected.empty(), label.c_str());
+        STRCMP_EQUAL_TEXT("/second", one.targets[1].c_str(), label.c_str());
+        STRCMP_EQUAL_TEXT(inner.c_str(), one.bodies[1].c_str(), label.c_str());
+        one.caller.close();
+        one.poll();
+    }
+}
--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -39,7 +39,8 @@
 
 void CallerConnection::onBytes(std::string_view bytes)
 {
-    if (m_state == State::Processing) {
+    const bool isBehindOtherInput = !m_pipelined.empty(); // which waits for its turn on the event loop
+    if (m_state == State::Processing || isBehindOtherInput) {
         m_pipelined.append(bytes);
         if (m_pipelined.size() > maxPipelinedBytes) {
             m_stream->pauseReading(true);
@@ -277,6 +278,7 @@
             if (self->m_state == State::Idle && !self->m_pipelined.empty()) {
                 const std::string bytes = std::move(self->m_pipelined);
                 self->m_pipelined.clear();
+                self->m_stream->pauseReading(false);
                 self->feed(bytes);
             }
         });
