Ignore input behind the last request of a connection

What callers saw: a caller that had been told that its connection closes, and went on sending while a large response was still on its way, ended the router with signal 11; so did a draining router's callers.

Cause: the connection is in the state Closed, its parser is gone, and bytes were still given to it.

Change: bytes in that state are dropped. Evidence: CallerConnections, InputBehindTheLastRequestOfAConnectionIsIgnored ended the test's process with signal 11 before and passes.

--- a/tests/callerconnection.cpp
+++ b/tests/callerconnection.cpp
@@ -106,3 +106,25 @@
         one.poll();
     }
 }
+
+/// The process ended when a caller that had been told that its connection closes went on sending, while the rest of the
+/// response was still on its way.
+TEST(CallerConnections, InputBehindTheLastRequestOfAConnectionIsIgnored)
+{
+    OneCaller one;
+    one.send("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(waitFor([&one] {
+        one.poll();
+        return one.targets.size() == 1;
+    }));
+    one.connection->sendResponse(200, {}, std::string(32 << 20, 'x')); // more than the kernel takes
+    CHECK(one.connection->pending() > 0);
+    one.send("GET /more HTTP/1.1\r\nHost: h\r\n\r\n");
+    one.poll();
+    LONGS_EQUAL(1, one.targets.size());
+    one.caller.close();
+    CHECK(waitFor([&one] {
+        one.poll();
+        return one.connection.use_count() == 1;
+    }));
+}
--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -39,6 +39,9 @@
 
 void CallerConnection::onBytes(std::string_view bytes)
 {
+    if (m_state == State::Closed) {
+        return; // the rest of a response is still sent, and no request is read any more
+    }
     const bool isBehindOtherInput = !m_pipelined.empty(); // which waits for its turn on the event loop
     if (m_state == State::Processing || isBehindOtherInput) {
         m_pipelined.append(bytes);
