Let the replicas of the tests of rate limits answer streams with events

Cause: their route is a stream's, and they answered it with the body "x", which is no event. No check changed: the replicas send one event instead.

--- a/tests/replicaratelimit.cpp
+++ b/tests/replicaratelimit.cpp
@@ -37,7 +37,7 @@
         }
         reply->runAfter(milliseconds(20), [this, replica, request, reply] {
             const bool names = isLimiting && replica < limitedReplicas;
-            reply->sendResponse(request, 200, "x", names ? "Server-Limit: 3.0\r\n" : "");
+            reply->sendResponse(request, 200, "id: 0\ndata: x\n\n", names ? "Server-Limit: 3.0\r\n" : "");
         });
     }
     /// Calls all routers in turn, with a few prompts, from several threads.
