Write excess bytes with the response in the test of excess bytes

The stand-in writes its second response apart from the first; on a busy machine it is preempted between the two, the caller's next request is on the connection by then, and the late bytes carry its id too, as the test gives all requests the same one. No router can tell that response from the right one: the test did not bring about what its name says.

Change: both responses are one write. As strict: a second test sends the excess while the connection is idle, and waits until it has been closed.

--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -126,12 +126,49 @@
     LONGS_EQUAL(2, fixture.replicas[0]->requests().size()); // and it was not sent again
 }
 
+/// @return a complete success with this id
+static std::string success(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Galenafold-Attempt-Id: " + id
+        + "\r\nX-Galenafold-Response-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// In one piece: what the replica writes later may arrive behind the next request, and belong to it by its id.
 TEST(NodeResponseIntegrity, AConnectionWithExcessBytesIsNotReused)
 {
     FakeReplica &replica =
         fixture.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+            const std::string id = request.field("X-Galenafold-Attempt-Id");
+            reply->send(success(id, request.body) + success(id, "again"));
+        });
+    fixture.startAndWaitReady();
+    for (int i = 0; i < 4; ++i) {
+        const std::string body = "b" + std::to_string(i);
+        const auto caller = fixture.send(encodeCallerRequest("/any/x", "same-id", "k1", 20000, "", body));
+        CHECK(caller->read());
+        STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+    }
+    LONGS_EQUAL(4, replica.connections());
+}
+
+/// The excess arrives while the connection waits for its next request.
+TEST(NodeResponseIntegrity, AnIdleConnectionThatGetsExcessBytesIsNotReused)
+{
+    std::atomic<int> closed{0};
+    FakeReplica &replica =
+        fixture.addReplica("a", [&closed](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
             reply->sendResponse(request, 200, request.body);
-            reply->sendResponse(request, 200, "again");
+            const std::string excess = success(request.field("X-Galenafold-Attempt-Id"), "again");
+            reply->runAfter(milliseconds(20), [reply, excess] { reply->send(excess); });
+            const auto count = std::make_shared<std::function<void()>>();
+            *count = [&closed, reply, count] {
+                if (reply->isClosed()) {
+                    ++closed;
+                } else {
+                    reply->runAfter(milliseconds(5), *count);
+                }
+            };
+            reply->runAfter(milliseconds(25), *count);
         });
     fixture.startAndWaitReady();
     for (int i = 0; i < 4; ++i) {
@@ -139,6 +176,7 @@
         const auto caller = fixture.send(encodeCallerRequest("/any/x", "same-id", "k1", 20000, "", body));
         CHECK(caller->read());
         STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+        CHECK(waitFor([&] { return closed == i + 1; }));
     }
     LONGS_EQUAL(4, replica.connections());
 }
