Keep the retry budget in the windows that end after a retry

Cause: a router checked its budget in the window that ends with the retry. The limit holds in each window, and when a crest of requests has passed, later windows hold its retries and a part of the first attempts that allowed them.

Change: a retry is made only if the windows to come have room for it too, by the first attempts known now.

--- a/filters/retry.cpp
+++ b/filters/retry.cpp
@@ -1,10 +1,15 @@
 // Retry budget and the decision about what follows an attempt.
 #include "filters/retry.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
 namespace galenafold
 {
 
 constexpr int windowsWithoutShare = 2; // after a start: one for the others to count this router, one for their retries
+constexpr int windowsAhead = 16;       // windows to come that are checked, at equal distances
 constexpr int maxTotalAttempts = 4;    // of one request, including attempts that did not run
 
 // Budget
@@ -22,13 +27,42 @@
 
 void RetryBudget::dropExpired(Instant now, Usage &usage) const
 {
-    const auto trim = [windowStart = now - m_settings.window](std::deque<Instant> &times) {
-        while (!times.empty() && times.front() < windowStart) {
+    const auto trim = [](std::deque<Instant> &times, Instant begin) {
+        while (!times.empty() && times.front() < begin) {
             times.pop_front();
         }
     };
-    trim(usage.first);
-    trim(usage.extra);
+    trim(usage.first, now - 2 * m_settings.window);
+    trim(usage.extra, now - m_settings.window);
+}
+
+/// @return number of times from `begin` on, and not later than `end`
+static int countWithin(const std::deque<Instant> &times, Instant begin, Instant end)
+{
+    const auto first = std::lower_bound(times.begin(), times.end(), begin);
+    return static_cast<int>(std::upper_bound(first, times.end(), end) - first);
+}
+
+/// @return the higher of two counts, or their mean where chance may have made the difference: each router would choose
+/// the one that happens to be higher there, and the sum over all routers would exceed both
+static double higherCount(int a, int b)
+{
+    const double deviation = std::sqrt(a + b);
+    return std::abs(a - b) > deviation ? std::max(a, b) : (a + b) / 2.0;
+}
+
+/// @return first attempts by which the retries of a window are limited, as far as they are known now
+double RetryBudget::firstAttempts(const Usage &usage, Instant now, Instant end) const
+{
+    const Duration window = m_settings.window;
+    const int within = countWithin(usage.first, end - window, now);
+    if (end == now) {
+        return within;
+    }
+    const Instant halfBack = end - window / 2;
+    const int before = countWithin(usage.first, halfBack - window, std::min(halfBack, now));
+    const bool isNear = halfBack <= now; // more than half of the window is known
+    return higherCount(before, isNear ? within : countWithin(usage.first, end - 2 * window, end - window));
 }
 
 void RetryBudget::onFirstAttempt(Instant now, const ServiceId &service)
@@ -43,17 +77,24 @@
     Usage &usage = m_usage[service];
     dropExpired(now, usage);
     RetryBudgetUse use;
-    use.first = static_cast<int>(usage.first.size());
+    use.first = countWithin(usage.first, now - m_settings.window, now);
     use.extra = static_cast<int>(usage.extra.size());
     use.minShare = minShare(now);
-    use.allowed = m_settings.ratio * use.first + use.minShare;
+    use.remaining = remaining(now, service);
     return use;
 }
 
 double RetryBudget::remaining(Instant now, const ServiceId &service)
 {
-    const RetryBudgetUse current = use(now, service);
-    return current.allowed - current.extra;
+    Usage &usage = m_usage[service];
+    dropExpired(now, usage);
+    double least = std::numeric_limits<double>::max();
+    for (int step = 0; step < windowsAhead; ++step) {
+        const Instant end = now + m_settings.window / windowsAhead * step;
+        const double allowed = m_settings.ratio * firstAttempts(usage, now, end) + minShare(now);
+        least = std::min(least, allowed - countWithin(usage.extra, end - m_settings.window, now));
+    }
+    return least;
 }
 
 bool RetryBudget::take(Instant now, const ServiceId &service)
--- a/filters/retry.h
+++ b/filters/retry.h
@@ -6,6 +6,11 @@
 // within the budget. A router that has just started uses no share of it for two windows: its predecessor on the same
 // VM may have used one, and the others must have counted the new router for a whole window.
 //
+// The limit holds in each window, and a retry counts in all windows that end up to a window later. When a crest of
+// requests passes, those hold most of the retries and fewer first attempts. So a retry is made only if the windows to
+// come have room for it by the first attempts so far. A window's first attempts are those in it, or half a window or a
+// whole one before, whichever are most.
+//
 // Sections of this file: Budget, Decision.
 #pragma once
 
@@ -27,10 +32,10 @@
 
 /// Use of a service's retry budget on this router in the window that ends now.
 struct RetryBudgetUse {
-    int first = 0;       // first attempts
-    int extra = 0;       // extra attempts
-    double allowed = 0;  // limit on the extra attempts
-    double minShare = 0; // part of `allowed` that does not depend on the first attempts
+    int first = 0;        // first attempts
+    int extra = 0;        // extra attempts
+    double remaining = 0; // extra attempts that may still be made now
+    double minShare = 0;  // part of the limit that does not depend on the first attempts
 };
 
 /// Limits extra attempts per service within a sliding window.
@@ -56,6 +61,7 @@
 
     void dropExpired(Instant now, Usage &usage) const;
     double minShare(Instant now) const;
+    double firstAttempts(const Usage &usage, Instant now, Instant end) const;
 
     RetryBudgetSettings m_settings;
     Instant m_shareFrom{}; // no share of `minRetries` is used before
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <numeric>
+#include <random>
 
 using namespace galenafold;
 
@@ -216,6 +218,69 @@
     CHECK(mostRetries > 3 * 11 * fleetSize / 5 + 200); // the ratio in 11 s, and most of the fixed number
 }
 
+/// One day of a fleet whose requests come three times as often for a while, and whose callers want all retries that the
+/// budgets allow.
+struct CrestDay {
+    explicit CrestDay(double crestSeconds)
+        : first(steps)
+        , retries(steps)
+    {
+        GreedyFleet fleet;
+        for (std::size_t i = 0; i < fleetSize; ++i) {
+            fleet.start(i, -30);
+            fleet.routers.back().budget.setRouters(fleetSize);
+        }
+        std::mt19937 random(1);
+        for (std::size_t step = 0; step < steps; ++step) {
+            const double now = static_cast<double>(step) * stepSeconds;
+            const bool isCrest = now >= crestBegin && now < crestBegin + crestSeconds;
+            first[step] = std::poisson_distribution<int>(isCrest ? 60 : 20)(random);
+            for (int request = 0; request < first[step]; ++request) {
+                RetryBudget &budget = fleet.routers[random() % fleet.routers.size()].budget;
+                budget.onFirstAttempt(GreedyFleet::at(now), fleet.service);
+                for (int attempt = 0; attempt < 3 && now > crestBegin; ++attempt) {
+                    retries[step] += budget.take(GreedyFleet::at(now), fleet.service) ? 1 : 0;
+                }
+            }
+        }
+    }
+
+    static int sum(const std::vector<int> &counts, int end)
+    {
+        return std::accumulate(counts.begin() + std::max(end - window, 0), counts.begin() + std::max(end, 0), 0);
+    }
+
+    /// @return retries above the limit in the worst window
+    double worst() const
+    {
+        double worst = -GreedyFleet::minRetries;
+        for (int end = window; end <= static_cast<int>(steps); ++end) {
+            const int counted = std::max({sum(first, end), sum(first, end - window / 2), sum(first, end - window)});
+            worst = std::max(worst, sum(retries, end) - GreedyFleet::ratio * counted - GreedyFleet::minRetries);
+        }
+        return worst;
+    }
+
+    static constexpr double stepSeconds = 0.1;
+    static constexpr double crestBegin = 29;
+    static constexpr std::size_t steps = 500;
+    static constexpr int window = 100; // steps
+    std::vector<int> first;            // first attempts at each step
+    std::vector<int> retries;
+};
+
+/// When a crest of requests had passed, the windows that ended later held the retries that its first attempts had
+/// allowed, and fewer first attempts.
+TEST(RetryBudgetOfALargeFleet, TheLimitHoldsInWindowsThatEndAfterACrest)
+{
+    for (const double crestSeconds : {5, 7, 10, 12}) {
+        const CrestDay day(crestSeconds);
+        const std::string label = std::to_string(crestSeconds) + " s: " + std::to_string(day.worst());
+        CHECK_TEXT(day.worst() <= 0, label.c_str());
+        CHECK_TEXT(day.worst() > -GreedyFleet::minRetries / 3, label.c_str()); // and most of it can be used
+    }
+}
+
 /// The others count a new router within one window, and what they spent before is forgotten after another.
 TEST(RetryBudgetOfALargeFleet, ANewRouterTakesNoPartUntilTheOthersHaveMadeRoomForIt)
 {
