--- a/tests/callerconnection.cpp
+++ b/tests/callerconnection.cpp
@@ -1,5 +1,5 @@
 // Tests of the connections from callers, without a router behind them.
-#include "tests/nodefixture.h"
+#include "tests/onecaller.h"
 #include "traffic/listener.h"
 
 using namespace galenafold;
@@ -37,40 +37,6 @@
     LONGS_EQUAL(1, rejected.size());
 }
 
-/// One caller's connection, without a thread: the test decides in which order input and responses are handled.
-struct OneCaller {
-    OneCaller()
-    {
-        asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-        caller.connect(acceptor.local_endpoint());
-        hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &, CallerRequest &&request) {
-            targets.push_back(request.head.target);
-            bodies.push_back(request.body);
-        };
-        hooks.onClosed = [](const std::shared_ptr<CallerConnection> &) {};
-        hooks.onRejected = [this](int status, const char *) { rejected.push_back(status); };
-        hooks.limits = [] { return CallerLimits(); };
-        hooks.isDraining = [] { return false; };
-        connection = std::make_shared<CallerConnection>(io, acceptor.accept(), hooks);
-        connection->start();
-    }
-    void send(const std::string &bytes) { asio::write(caller, asio::buffer(bytes)); }
-    /// Handles all that is ready.
-    void poll()
-    {
-        io.restart();
-        while (io.poll() > 0) { }
-    }
-
-    asio::io_context io;
-    asio::ip::tcp::socket caller{io};
-    CallerConnectionHooks hooks;
-    std::shared_ptr<CallerConnection> connection;
-    std::vector<std::string> targets; // of the requests that were read
-    std::vector<std::string> bodies;
-    std::vector<int> rejected;
-};
-
 /// The response ends between the two parts of a request that was sent ahead, and the second part was parsed first: a
 /// caller's text was run as a request. Cut at every byte.
 TEST(CallerConnections, InputThatArrivesWithAResponseIsParsedBehindWhatCameBefore)
