Wait for responses that callers on slow links are receiving

Cause: a response counted as sent when it lay in the connection's send buffer. A connection that is kept was idle from then on; one that closes left the listener's count, so that the drain saw no callers.

Change: a connection is idle once the kernel has taken its last byte, and counts as open until the caller has taken all. A caller is given up by progress, as its kernel acknowledges bytes, after the idle timeout without any; an incomplete rest then ends with RST. Nothing is sent outside a request in progress. The daemon of contracts waits in the same way. A stop keeps requests that were sent ahead and wait for their turn.

--- a/fakes/service.cpp
+++ b/fakes/service.cpp
@@ -97,7 +97,10 @@
                                       [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
         return;
     }
-    const Json json{{"operation", request.matches[1].str()}, {"execution", execution}, {"vm", m_id.text}};
+    Json json{{"operation", request.matches[1].str()}, {"execution", execution}, {"vm", m_id.text}};
+    if (m_padding > 0) {
+        json["padding"] = std::string(m_padding, 'x');
+    }
     response.set_content(json.dump(), "application/json");
 }
 
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -37,6 +37,7 @@
 
     void setFaultHook(ServiceFaultHook hook);
     void setSlowFactor(double factor) { m_slowFactor = factor; } ///< Multiplies the execution time; default 1.
+    void setPadding(std::size_t bytes) { m_padding = bytes; }    ///< Lengthens each response; default 0.
 
     std::map<std::string, int> executionsByKey() const;     ///< @return executions by idempotency key
     std::map<std::string, int> executionsByRequest() const; ///< @return executions by request id
@@ -48,6 +49,7 @@
     const Incarnation m_incarnation;
     const std::chrono::milliseconds m_serviceTime;
     std::atomic<double> m_slowFactor{1};
+    std::atomic<std::size_t> m_padding{0};
     HttpServer m_server;
     mutable std::mutex m_mutex;
     ServiceFaultHook m_faultHook;
--- a/net/stream.cpp
+++ b/net/stream.cpp
@@ -1,11 +1,11 @@
 // A non-blocking TCP connection on one event loop.
 #include "net/stream.h"
 
-#include "net/timer.h"
-
 #include <array>
 #include <asio/buffer.hpp>
 #include <charconv>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace galenafold
 {
@@ -13,10 +13,12 @@
 constexpr std::size_t scratchBytes = 32768;                    // read buffer shared by the connections of a thread
 constexpr std::size_t maxTurnBytes = 4 * scratchBytes;         // read before the thread's other connections have a turn
 constexpr std::size_t maxPollBytes = 1 << 20;                  // the same for `poll`: about a kernel's receive buffer
-constexpr auto lingerTimeout = std::chrono::milliseconds(500); // limit on the wait for the peer to close
+constexpr auto lingerTimeout = std::chrono::milliseconds(500); // for a peer that has taken all to close
+constexpr auto closingCheckInterval = std::chrono::milliseconds(100); // between checks of what a peer has taken
 
 TcpStream::TcpStream(asio::ip::tcp::socket socket)
     : m_socket(std::move(socket))
+    , m_closingTimer(m_socket.get_executor())
 {
     asio::error_code ignored; // if the connection is already broken, the first read or write reports it
     m_socket.non_blocking(true, ignored);
@@ -115,7 +117,7 @@
     m_sendBuffer.clear();
     m_sendOffset = 0;
     if (m_closesWhenDrained) {
-        startLingeringClose();
+        shutDownSending();
         return;
     }
     const auto hooks = m_hooks;
@@ -150,6 +152,7 @@
 {
     asio::error_code ignored; // fails only if the connection is already closed
     m_socket.close(ignored);
+    m_closingTimer.cancel();
     m_hooks.reset();
 }
 
@@ -160,30 +163,88 @@
     close();
 }
 
-void TcpStream::closeWhenDrained()
+/// The kernel holds megabytes for a peer on a slow link, so what it has accepted is not yet what the peer has.
+std::size_t TcpStream::unacknowledged()
 {
-    m_closesWhenDrained = true;
-    if (isOpen() && pending() == 0) {
-        startLingeringClose();
+    int heldByKernel = 0;
+    if (!isOpen() || ioctl(m_socket.native_handle(), SIOCOUTQ, &heldByKernel) != 0) {
+        return pending();
     }
+    return pending() + static_cast<std::size_t>(heldByKernel);
 }
 
-/// Closing a socket with unread input sends RST, on which the peer loses data that it has not read yet. So only the
-/// sending side is shut down, and input is discarded until the peer closes or the linger timeout expires.
-void TcpStream::startLingeringClose()
+std::uint64_t TcpStream::acknowledged()
+{
+    const std::uint64_t written = m_bytesSent + pending();
+    return written - std::min<std::uint64_t>(written, unacknowledged()); // the kernel counts FIN as a byte
+}
+
+void TcpStream::closeWhenDrained(Duration stallTimeout)
 {
-    if (m_isDiscarding) {
+    if (!isOpen() || m_closesWhenDrained) {
         return;
     }
+    m_closesWhenDrained = true;
+    m_stallTimeout = stallTimeout;
+    m_takenBefore = acknowledged();
+    m_progressAt = clockNow();
+    if (pending() == 0) {
+        shutDownSending();
+    }
+    checkClosing();
+}
+
+/// Closing a socket with unread input sends RST, on which the peer loses data that it has not read yet. So only the
+/// sending side is shut down, and input is discarded until the peer closes.
+void TcpStream::shutDownSending()
+{
     m_isDiscarding = true;
     asio::error_code ignored; // a broken connection is closed by the next read
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    const auto timer = std::make_shared<DeadlineTimer>(m_socket.get_executor());
-    timer->expires_at(clockNow() + lingerTimeout);
-    timer->async_wait([self = shared_from_this(), timer](const asio::error_code &) { self->close(); });
     pauseReading(false);
 }
 
+/// Load pattern: callers on slow links, which need many seconds for what was written at once, beside callers that have
+/// gone without a word. Only progress tells them apart.
+void TcpStream::checkClosing()
+{
+    if (!isOpen()) {
+        return;
+    }
+    const Instant now = clockNow();
+    const std::uint64_t taken = acknowledged();
+    if (taken > m_takenBefore) {
+        m_takenBefore = taken;
+        m_progressAt = now;
+    }
+    const Duration limit = unacknowledged() == 0 ? Duration(lingerTimeout) : m_stallTimeout;
+    if (now >= m_progressAt + limit) {
+        giveUpClosing();
+        return;
+    }
+    m_closingTimer.expires_at(now + closingCheckInterval);
+    m_closingTimer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->checkClosing();
+        }
+    });
+}
+
+/// RST keeps the peer from taking a part of the rest for all of it.
+void TcpStream::giveUpClosing()
+{
+    const auto hooks = m_hooks;
+    const bool isIncomplete = pending() > 0;
+    if (isIncomplete) {
+        reset();
+    } else {
+        close();
+    }
+    if (hooks && hooks->onEnd) {
+        hooks->onEnd(isIncomplete ? StreamEnd::Broken : StreamEnd::Finished);
+    }
+}
+
 void TcpStream::end(StreamEnd how)
 {
     const auto hooks = m_hooks;
--- a/net/stream.h
+++ b/net/stream.h
@@ -2,10 +2,12 @@
 //
 // All connections of a thread read into one shared buffer, so an idle connection needs little memory, and take turns
 // after a limited number of bytes, so none can keep the thread from the others and from its timers. `sent` is the
-// exact number of bytes that the kernel has accepted. The send buffer is unbounded: its owner applies back-pressure by
-// `pending`.
+// exact number of bytes that the kernel has accepted, `unacknowledged` what the peer has not taken yet. The send buffer
+// is unbounded: its owner applies back-pressure by `pending`.
 #pragma once
 
+#include "net/timer.h"
+
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -40,19 +42,29 @@
     void close();                       ///< Closes at once; unsent bytes are discarded.
     void reset();                       ///< Closes with RST, so that the peer cannot mistake it for an orderly close.
     void poll(); ///< Reads available input, up to about 1 MiB, and detects a close at once, not from the event loop.
-    void closeWhenDrained(); ///< Sends the buffered rest and FIN, waits briefly for the peer to close, then closes.
+
+    /// Sends the buffered rest and FIN, and closes once the peer has taken all and closed, or has had a moment for
+    /// that. `onEnd` is called then. Input is discarded once FIN is sent.
+    /// @param stallTimeout a peer that takes nothing for so long is given up; an incomplete rest then ends with RST
+    void closeWhenDrained(Duration stallTimeout = std::chrono::seconds(15));
 
     bool isOpen() const { return m_socket.is_open(); }
     std::size_t pending() const { return m_sendBuffer.size() - m_sendOffset; } ///< @return bytes in the send buffer
     std::uint64_t sent() const { return m_bytesSent; } ///< @return bytes accepted by the kernel since the start
 
+    /// @return written bytes that the peer's kernel has not confirmed: in the send buffer, or held by this kernel
+    std::size_t unacknowledged();
+    std::uint64_t acknowledged(); ///< @return bytes that the peer's kernel has confirmed since the start
+
 private:
     void waitReadable();
     void readAvailable(std::size_t maxBytes);
     void waitWritable();
     void flush();
     void end(StreamEnd how);
-    void startLingeringClose();
+    void shutDownSending();
+    void checkClosing();
+    void giveUpClosing();
 
     asio::ip::tcp::socket m_socket;
     std::shared_ptr<Hooks> m_hooks; // shared with a running callback, which may close the connection
@@ -63,7 +75,11 @@
     bool m_isWaitingReadable = false;
     bool m_isWaitingWritable = false;
     bool m_closesWhenDrained = false;
-    bool m_isDiscarding = false; // the lingering close has begun: input is discarded
+    bool m_isDiscarding = false;     // FIN was sent: input is discarded
+    DeadlineTimer m_closingTimer;    // of the checks after `closeWhenDrained`
+    Duration m_stallTimeout{};       // passed to `closeWhenDrained`
+    std::uint64_t m_takenBefore = 0; // acknowledged at the last check that showed progress
+    Instant m_progressAt{};          // of that check
 };
 
 /// Opens, binds and starts a listening socket.
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -15,6 +15,7 @@
 constexpr auto pollInterval = std::chrono::milliseconds(5);        // of readiness and drain state
 constexpr auto drainQuietPeriod = std::chrono::milliseconds(1000); // without new calls: the load balancer has noticed
 constexpr auto drainReportInterval = std::chrono::seconds(30);
+constexpr auto sendingCheckInterval = std::chrono::milliseconds(50); // while responses are on their way to callers
 constexpr auto outcomeFlushTimeout = std::chrono::seconds(30); // for outcomes of idempotent calls to reach the log
 constexpr auto logFlushDelay = std::chrono::milliseconds(200);
 
@@ -32,6 +33,7 @@
     ~Impl();
 
     bool start();
+    void finishSending();
     void finishDrain();
 
     Settings settings;
@@ -167,6 +169,16 @@
     return true;
 }
 
+/// Waits until callers on slow links have taken their responses. A caller that takes nothing is given up by its
+/// connection.
+void Daemon::Impl::finishSending()
+{
+    do {
+        frontEnd.stopAccepting(); // each time: closes the connections that are idle by now
+        std::this_thread::sleep_for(sendingCheckInterval);
+    } while (frontEnd.openConnections() > 0);
+}
+
 /// Keeps serving new calls until none has come for `drainQuietPeriod`, because the load balancer may take a while to
 /// notice. Then waits for the calls in progress; there is no time limit and none is aborted.
 void Daemon::Impl::finishDrain()
@@ -186,7 +198,7 @@
         }
         std::this_thread::sleep_for(pollInterval);
     }
-    frontEnd.stopAccepting();
+    finishSending();
     LOG_IF(ERROR, !idempotency.flush(clockNow() + outcomeFlushTimeout))
         << "drain: the log did not confirm some idempotency-key outcomes in time; exiting without them";
     LOG(INFO) << "drain: '" << settings.name.text << "' has finished all calls";
--- a/runtime/httpfrontend.cpp
+++ b/runtime/httpfrontend.cpp
@@ -71,6 +71,7 @@
         limits.idleTimeout = idleTimeout;
         return limits;
     };
+    m_listener.onCountChanged = [this] { m_openConnections = static_cast<int>(m_listener.count()); };
     m_listener.hooks.isDraining = [this] { return m_hooks.isDraining(); };
     m_listener.hooks.describeRejection = [](int status, HttpFields &fields) {
         const Reason reason = status == statusContentTooLarge ? Reason::TooLarge : Reason::BadRequest;
--- a/runtime/httpfrontend.h
+++ b/runtime/httpfrontend.h
@@ -7,6 +7,7 @@
 #include "runtime/contractcall.h"
 #include "traffic/listener.h"
 
+#include <atomic>
 #include <thread>
 
 namespace galenafold
@@ -26,11 +27,12 @@
                  Metrics &metrics, Tracer &tracer, EventLog &log, FrontEndHooks hooks);
 
     bool start();         ///< Starts listening; called before the loop runs. @return false if the address is in use
-    void stopAccepting(); ///< Stops listening and closes idle caller connections.
+    void stopAccepting(); ///< Stops listening and closes the caller connections that are idle now.
     void executeActions(const Actions &actions); ///< Executes the control thread's decisions on the event loop.
 
     int port() const { return m_listener.port(); }
     int callsInProgress() const { return m_context.counters->inProgress; }
+    int openConnections() const { return m_openConnections; } ///< @return callers' connections
 
     /// @return when the latest call arrived
     Instant lastArrival() const { return Instant(Duration(m_context.counters->lastArrival)); }
@@ -56,6 +58,7 @@
     DeadlineTimer m_sweepTimer;
     std::map<CallKey, std::shared_ptr<ContractCall>> m_calls; // in progress
     std::uint64_t m_nextCallKey = 1;
+    std::atomic<int> m_openConnections{0};
     std::string m_requestIdPrefix;
 };
 
--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -27,11 +27,7 @@
     TcpStream::Hooks hooks;
     hooks.onBytes = [self = shared_from_this()](std::string_view bytes) { self->onBytes(bytes); };
     hooks.onEnd = [self = shared_from_this()](StreamEnd) { self->onEnd(); };
-    hooks.onDrained = [self = shared_from_this()] {
-        if (self->onDrained) {
-            self->onDrained();
-        }
-    };
+    hooks.onDrained = [self = shared_from_this()] { self->onStreamDrained(); };
     m_stream->start(std::move(hooks));
 }
 
@@ -39,8 +35,8 @@
 
 void CallerConnection::onBytes(std::string_view bytes)
 {
-    if (m_state == State::Closed) {
-        return; // the rest of a response is still sent, and no request is read any more
+    if (m_state == State::Finishing || m_state == State::Closed) {
+        return; // no request is read any more
     }
     const bool isBehindOtherInput = !m_pipelined.empty(); // which waits for its turn on the event loop
     if (m_state == State::Processing || isBehindOtherInput) {
@@ -159,22 +155,36 @@
 void CallerConnection::onTimer()
 {
     const Instant now = clockNow();
-    if (m_state == State::Closed) {
+    if (m_state == State::Finishing || m_state == State::Closed) {
         return;
     }
     if (m_state == State::Processing) {
         m_readDeadline = now + m_limits.idleTimeout;
     } else if (now >= m_readDeadline) {
-        if (m_state == State::Idle) {
-            close();
-        } else {
+        if (m_state == State::Reading) {
             reject(statusRequestTimeout, "read_timeout");
+            return;
         }
-        return;
+        if (!isStillTaking()) {
+            close();
+            return;
+        }
+        m_readDeadline = now + m_limits.idleTimeout;
     }
     armTimer();
 }
 
+/// Load pattern: a caller on a slow link needs longer than the idle timeout for a large response, and one that has gone
+/// without a word takes nothing at all. @return true if the caller has taken a part of a response since the last call,
+/// and not yet all of it
+bool CallerConnection::isStillTaking()
+{
+    const std::uint64_t taken = m_stream->acknowledged();
+    const bool hasTakenMore = taken > m_taken;
+    m_taken = taken;
+    return hasTakenMore && m_stream->unacknowledged() > 0;
+}
+
 // Responding
 
 bool CallerConnection::closesAfterResponse() const
@@ -215,6 +225,9 @@
 
 void CallerConnection::beginStream(int status, const HttpFields &fields)
 {
+    if (m_state != State::Processing) {
+        return;
+    }
     std::string bytes;
     if (!m_acceptsChunks) {
         m_keepsAlive = false; // the end of the connection delimits the body
@@ -229,6 +242,9 @@
 
 void CallerConnection::streamBytes(std::string_view bytes)
 {
+    if (m_state != State::Processing) {
+        return;
+    }
     if (!m_acceptsChunks) {
         m_stream->write(bytes);
         return;
@@ -240,6 +256,9 @@
 
 void CallerConnection::endStream()
 {
+    if (m_state != State::Processing) {
+        return;
+    }
     if (m_acceptsChunks) {
         m_stream->write(lastChunk);
     }
@@ -251,7 +270,8 @@
     if (m_state == State::Closed) {
         return;
     }
-    if (!m_acceptsChunks) {
+    const bool isIncomplete = m_state == State::Processing || m_stream->pending() > 0;
+    if (isIncomplete && !m_acceptsChunks) {
         m_stream->reset(); // an orderly close would look like a complete response
     }
     close();
@@ -262,14 +282,8 @@
     onDisconnected = nullptr;
     onDrained = nullptr;
     onStopping = nullptr;
-    if (m_state == State::Closed) {
-        return;
-    }
     if (!m_keepsAlive) {
-        m_state = State::Closed;
-        m_timer.cancel();
-        m_stream->closeWhenDrained();
-        m_hooks.onClosed(shared_from_this());
+        finishSending();
         return;
     }
     m_state = State::Idle;
@@ -288,9 +302,34 @@
     }
 }
 
-void CallerConnection::closeIfIdle()
+/// The connection counts as open until the caller has taken all, so that a drain waits for it.
+void CallerConnection::finishSending()
+{
+    m_state = State::Finishing;
+    m_timer.cancel();
+    m_stream->closeWhenDrained(m_limits.idleTimeout);
+}
+
+/// The idle timeout runs from the end of the last response.
+void CallerConnection::onStreamDrained()
 {
     if (m_state == State::Idle) {
+        m_readDeadline = clockNow() + m_limits.idleTimeout;
+    }
+    if (onDrained) {
+        onDrained();
+    }
+}
+
+void CallerConnection::closeIfIdle()
+{
+    const bool isIdle = m_state == State::Idle && m_pipelined.empty() && m_stream->pending() == 0;
+    if (!isIdle) {
+        return;
+    }
+    if (m_stream->unacknowledged() > 0) {
+        finishSending(); // closing now could cut off what the kernel still holds
+    } else {
         close();
     }
 }
--- a/traffic/callerconnection.h
+++ b/traffic/callerconnection.h
@@ -45,6 +45,7 @@
     void start(); ///< Starts to read. The connection keeps itself alive until it ends.
 
     // Responding to the current request. Exactly one of `sendResponse`, `endStream` and `abortResponse` completes it.
+    // Without a request in progress, as after its caller has left, these have no effect.
 
     /// Sends a complete response. The body is omitted for HEAD requests and the statuses 1xx, 204 and 304.
     void sendResponse(int status, const HttpFields &fields, std::string_view body);
@@ -56,7 +57,7 @@
     void abortResponse(); ///< Closes the connection so that the caller detects a truncated response.
 
     std::size_t pending() const { return m_stream->pending(); } ///< @return bytes in the send buffer
-    void closeIfIdle(); ///< Closes the connection if no request is being read or processed.
+    void closeIfIdle(); ///< Closes the connection if no request is being read or processed, and no response being sent.
     void endRequest();  ///< Calls `onStopping`, if a request is in progress.
 
     std::function<void()> onDisconnected; // the caller disconnected while its request was in progress
@@ -65,10 +66,11 @@
 
 private:
     enum class State : std::uint8_t {
-        Idle,       // no request is being read or processed
+        Idle,       // no request is being read or processed; a response may still be on its way to the caller
         Reading,    // part of a request was read
         Processing, // a request is being processed
-        Closed      // ended, or only sending the buffered rest
+        Finishing,  // the rest of the last response is on its way to the caller; no further request is read
+        Closed      // ended
     };
 
     void onBytes(std::string_view bytes);
@@ -79,6 +81,9 @@
     void reject(int status, const char *why);
     void armTimer();
     void onTimer();
+    bool isStillTaking();
+    void onStreamDrained();
+    void finishSending();
     void close();
     void appendHead(std::string &out, int status, const HttpFields &fields);
     bool closesAfterResponse() const;
@@ -90,10 +95,11 @@
     std::unique_ptr<MessageParser> m_parser;
     State m_state = State::Idle;
     Instant m_arrival{};
-    Instant m_readDeadline{}; // for the complete head, then for the next bytes of the body
-    std::string m_pipelined;  // input received after the current request
-    CallerLimits m_limits;    // in force since the current request began
-    bool m_hasHead = false;   // the head of the current request is complete
+    Instant m_readDeadline{};  // for the complete head, then for the next bytes of the body
+    std::uint64_t m_taken = 0; // bytes that the caller had taken when the connection last timed out
+    std::string m_pipelined;   // input received after the current request
+    CallerLimits m_limits;     // in force since the current request began
+    bool m_hasHead = false;    // the head of the current request is complete
     bool m_keepsAlive = true;
     bool m_acceptsChunks = true;  // HTTP/1.1 caller
     bool m_isHeadRequest = false; // HEAD: the response has no body
