Resume a replica's connection before its next request

What callers saw: a request on such a connection heard nothing until its deadline.

Cause: while a caller is slow its replica's connection is not read. If the stream's end is read in the same moment, the request is over, nobody resumes the connection, and it goes back to the pool as it is.

Change: whatever belongs to a request ends in one place, endRequest, the pause among it.

--- a/tests/slowcallers.cpp
+++ b/tests/slowcallers.cpp
@@ -277,6 +277,53 @@
     }
 }
 
+/// Sends a stream whose last event arrives late, together with the end of the stream.
+static void sendStream(const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply)
+{
+    constexpr std::size_t eventBytes = 250000;
+    constexpr std::size_t lastEventBytes = 400000; // more than a router holds for a slow caller
+    constexpr std::size_t tailBytes = 1000;
+    reply->beginStream(request);
+    const int count = std::stoi(request.body);
+    for (int id = 0; id < count; ++id) {
+        reply->sendEvent(id, std::string(eventBytes, 'x'));
+    }
+    const std::string event = "id: " + std::to_string(count) + "\ndata: " + std::string(lastEventBytes, 'x') + "\n\n";
+    std::string head;
+    std::string tail;
+    appendChunk(head, event.substr(0, event.size() - tailBytes));
+    appendChunk(tail, event.substr(event.size() - tailBytes));
+    reply->send(head);
+    reply->runAfter(milliseconds(50), [reply, tail] { reply->send(tail + std::string(lastChunk)); });
+}
+
+/// A stream that ended while its caller was slow left the replica's connection paused in the pool. The next request on
+/// it heard nothing until its deadline. It depends on the kernel at which length the last event makes the router pause.
+TEST(SlowCallersOfARouter, AConnectionOfASlowCallersStreamServesTheNextRequest)
+{
+    FakeReplica &replica =
+        fixture.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+            if (request.head.target == "/any/x") {
+                reply->sendResponse(request, 200, "next");
+            } else {
+                sendStream(request, reply);
+            }
+        });
+    fixture.startAndWaitReady();
+    for (int events = 4; events <= 24; ++events) {
+        const std::size_t requestsBefore = replica.requests().size();
+        SlowCaller slow(fixture.node->callerPort());
+        const std::string id = "s" + std::to_string(events);
+        slow.send(encodeCallerRequest("/frail/x", id, "k1", 20000, "", std::to_string(events)));
+        CHECK(waitFor([&] { return replica.requests().size() > requestsBefore; }));
+        std::this_thread::sleep_for(milliseconds(150)); // until the end is relayed, or the kernel takes no more
+        const auto next = fixture.send(encodeCallerRequest("/any/x", "n" + std::to_string(events), "k1", 3000));
+        CHECK(next->read());
+        LONGS_EQUAL_TEXT(200, next->status(), id.c_str());
+        CHECK(slow.read(1000000000) == ReadEnd::Complete);
+    }
+}
+
 // Contracts
 
 TEST_GROUP(SlowCallersOfAContract){};
--- a/traffic/endpointconnection.cpp
+++ b/traffic/endpointconnection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <utility>
 
 namespace galenafold
 {
@@ -75,7 +76,6 @@
     m_expectsNoBody = expectsNoBody;
     m_request = std::move(request);
     m_hooks = std::move(hooks);
-    m_skippedBytes = 0;
     resetParser();
     if (!m_stream) {
         m_unsent = std::move(bytes);
@@ -85,12 +85,20 @@
     m_stream->write(bytes);
 }
 
+/// Nothing that belongs to a request outlasts it: the next request on this connection starts afresh.
+EndpointRequestHooks EndpointConnection::endRequest()
+{
+    m_isBusy = false;
+    m_responseFields = ResponseFields();
+    m_skippedBytes = 0;
+    pauseReading(false); // the owner may have waited for its caller
+    return std::exchange(m_hooks, EndpointRequestHooks());
+}
+
 /// `cancel` may be called from one of the callbacks, so they are destroyed later, on the event loop.
 void EndpointConnection::cancel()
 {
-    asio::post(m_connecting.get_executor(), [hooks = std::move(m_hooks)] {});
-    m_hooks = EndpointRequestHooks();
-    m_isBusy = false;
+    asio::post(m_connecting.get_executor(), [hooks = endRequest()] {});
     m_isUnusable = true;
     m_timer.cancel();
     asio::error_code ignored; // fails if no connect is pending
@@ -238,12 +246,10 @@
 void EndpointConnection::finish()
 {
     const auto self = shared_from_this();
-    m_isBusy = false;
     const Duration idleTimeout =
         std::min<Duration>(m_responseFields.keepAliveTimeout.value_or(defaultIdleTimeout), maxIdleTimeout);
     m_reuseDeadline = clockNow() + std::max<Duration>(idleTimeout - idleMargin, idleTimeout / 2);
-    const EndpointRequestHooks hooks = std::move(m_hooks);
-    m_hooks = EndpointRequestHooks();
+    const EndpointRequestHooks hooks = endRequest();
     if (!isReusable() && m_stream) {
         m_stream->close();
     }
@@ -254,12 +260,10 @@
 {
     const auto self = shared_from_this();
     m_isUnusable = true;
-    m_isBusy = false;
     if (m_stream) {
         m_stream->close();
     }
-    const EndpointRequestHooks hooks = std::move(m_hooks);
-    m_hooks = EndpointRequestHooks();
+    const EndpointRequestHooks hooks = endRequest();
     if (hooks.onFailed) {
         hooks.onFailed(progress);
     }
--- a/traffic/endpointconnection.h
+++ b/traffic/endpointconnection.h
@@ -72,6 +72,7 @@
     void readResponse(std::string_view bytes);
     bool isForOtherRequest(const ResponseFields &response) const;
     void ignoreUnattributableRefusal();
+    EndpointRequestHooks endRequest();
     void finish();
     void fail(RequestProgress progress);
     void resetParser();
