--- a/runtime/topicrelay.h
+++ b/runtime/topicrelay.h
@@ -43,6 +43,7 @@
 
     void onProgress(StoreTopic topic); ///< A topic has news, or a younger proof: answers those who wait for it.
 
+    int port() const { return m_listener.port(); }             ///< @return the bound port
     std::int64_t answers() const { return m_answers; }         ///< @return answers sent since the start
     std::int64_t answerBytes() const { return m_answerBytes; } ///< @return their bytes
 
