Let grace periods of replicas count only while the store is there

What callers saw: all requests were refused: replicas that had lapsed in an outage of the store were dropped two seconds after its return, though it was away again by then.

Cause: the grace period to register again went on by the clock while the store could not be written.

Change: a loss of the store ends grace periods in progress, which start again with its return; and a read that is younger than the end of one removes a replica, not the clock. A timer asks for that read.

Evidence: RegistryDirectory, TheGracePeriodCountsOnlyWhileTheStoreIsThere and ReturnedStore, ReplicasHaveTheirTimeOnceItIsThereToStay (503 in place of 200) failed before and pass now.

--- a/control/replicadirectory.cpp
+++ b/control/replicadirectory.cpp
@@ -104,6 +104,11 @@
 void ReplicaDirectory::onStoreLost()
 {
     m_isStoreLost = true;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.removeAt) {
+            entry.removeAt = Instant::max(); // it cannot register again until the store is back
+        }
+    }
 }
 
 void ReplicaDirectory::onStoreRegained(Instant now)
@@ -126,11 +131,11 @@
     }
 }
 
-bool ReplicaDirectory::expire(Instant now)
+bool ReplicaDirectory::expire(Instant provedAt)
 {
     bool hasChanged = false;
     for (auto &[id, entry] : m_entries) {
-        if (entry.removeAt && now >= *entry.removeAt) {
+        if (entry.removeAt && provedAt >= *entry.removeAt) {
             hasChanged = isUsable(entry.record) || hasChanged;
             entry.record.reset();
             entry.removeAt.reset();
--- a/control/replicadirectory.h
+++ b/control/replicadirectory.h
@@ -57,7 +57,8 @@
     /// @param listedUpTo offset at which the listing began @return true if the set of usable replicas changed
     bool applyListing(Instant now, const std::vector<RegistryUpdate> &listing, LogOffset listedUpTo);
 
-    /// The store cannot be read. Until it can, entries may expire although their replicas are alive.
+    /// The store cannot be read. Until it can, entries may expire although their replicas are alive. Grace periods in
+    /// progress start again with the store's return.
     void onStoreLost();
 
     /// The store can be read again.
@@ -67,8 +68,9 @@
     /// grace period to register again; one that has left returns only by a record that it wrote later.
     void onStoreRestored(Instant now);
 
-    /// Removes replicas that did not register again within the grace period. @return true if the set changed
-    bool expire(Instant now);
+    /// Removes replicas that did not register again within the grace period.
+    /// @param provedAt all entries that were written until then are known @return true if the set changed
+    bool expire(Instant provedAt);
 
     /// @return replicas that may get new work
     std::vector<ReplicaRecord> usable() const;
@@ -76,7 +78,7 @@
     /// @return replicas that are draining: they only finish their requests in progress
     std::vector<ReplicaRecord> draining() const;
 
-    /// @return when to call `expire` next; nothing if no replica is in its grace period
+    /// @return from when on a read lets `expire` remove a replica; nothing if no replica is in its grace period
     std::optional<Instant> nextExpiry() const;
 
     std::size_t size() const { return m_entries.size(); } ///< @return known replicas, including removed ones
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -292,23 +292,23 @@
     m_traffic.setReplicas(std::move(usable), m_directory.draining());
 }
 
-/// Publishes the replicas if a complete read has changed them, and sets the timer that removes entries
-/// whose grace period has ended.
+/// Publishes the replicas if a complete read has changed them. Entries whose grace period has ended are removed by a
+/// read that is younger than its end, for which the timer asks: without one, the store may be away again.
 void RouterNode::afterRegistryRead()
 {
+    m_hasRegistryChanged = m_directory.expire(m_registryProvedAt) || m_hasRegistryChanged;
     if (m_hasRegistryChanged) {
         m_hasRegistryChanged = false;
         publishReplicas();
     }
     const auto next = m_directory.nextExpiry();
-    if (!next) {
+    if (!next || *next <= clockNow()) {
         return;
     }
     m_expiryTimer.expires_at(*next);
     m_expiryTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
-            m_hasRegistryChanged = m_directory.expire(clockNow()) || m_hasRegistryChanged;
-            afterRegistryRead();
+            m_registry.readNow();
         }
     });
 }
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -227,6 +227,25 @@
     LONGS_EQUAL(0, directory.usable().size());
 }
 
+/// The grace period went on while the store was away again, and all replicas were dropped two seconds after its return.
+TEST(RegistryDirectory, TheGracePeriodCountsOnlyWhileTheStoreIsThere)
+{
+    directory.apply(at(0), ready("a", 0));
+    directory.apply(at(0), ready("b", 1));
+    directory.onStoreLost();
+    directory.onStoreRegained(at(10));
+    directory.apply(at(10), removed("a", 2));
+    directory.onStoreLost();
+    CHECK(!directory.nextExpiry());
+    CHECK(!directory.expire(at(15)));
+    LONGS_EQUAL(2, directory.usable().size());
+    directory.onStoreRegained(at(20));
+    CHECK(directory.nextExpiry() == std::optional<Instant>(at(22)));
+    CHECK(!directory.expire(at(21.9)));
+    CHECK(directory.expire(at(22)));
+    LONGS_EQUAL(1, directory.usable().size());
+}
+
 // Topic consumption
 
 /// A topic consumer whose callbacks record the topic's state and the time as of which it is caught up.
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -73,6 +73,40 @@
     LONGS_EQUAL(before, a.requests().size());
 }
 
+// Return
+
+TEST_GROUP(ReturnedStore)
+{
+    NodeFixture fixture;
+};
+
+/// Replicas that lapsed while the store was away were dropped two seconds after its return, although it was away again
+/// by then: all requests were refused for it.
+TEST(ReturnedStore, ReplicasHaveTheirTimeOnceItIsThereToStay)
+{
+    FakeReplica &a = fixture.addReplica("a", respondOk);
+    fixture.settings.reregistrationTimeout = std::chrono::milliseconds(1500);
+    fixture.startAndWaitReady();
+    fixture.store.setFault(StoreFault::Unavailable);
+    CHECK(waitFor([this] { return fixture.metric("store_lost") == 2; }));
+    fixture.store.put("keyed.servers", "a", "");
+    fixture.store.setFault(StoreFault::None);
+    CHECK(waitFor([this] { return fixture.metric("store_lost") == 0; }));
+    fixture.store.setFault(StoreFault::Unavailable);
+    CHECK(waitFor([this] { return fixture.metric("store_lost") == 2; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000)); // longer than the time to register again
+    const auto caller = fixture.send(encodeCallerRequest("/any/x", "id1"));
+    CHECK(caller->read());
+    LONGS_EQUAL(200, caller->status());
+    fixture.store.setFault(StoreFault::None);
+    fixture.store.put("keyed.servers", "a", a.entry());
+    CHECK(waitFor([this] { return fixture.metric("store_lost") == 0; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    LONGS_EQUAL(1, fixture.metric("replicas_usable"));
+    fixture.store.put("keyed.servers", "a", "");
+    CHECK(waitFor([this] { return fixture.metric("replicas_usable") == 0; })); // without an outage, at once
+}
+
 // Places
 
 /// All routers took over the copy's older places, and prompts moved to other engines.
