Serve by no desired state that is older than the other routers'

What callers would see: a router that starts after a restore of the store, and before the operator has written again, honours API keys that have been taken away.

Cause: it takes the copy's state for the newest, as the store proves it to be, and nobody tells it otherwise.

Change: peer lists tell the version in force at their sender. A router that has just started serves by no older one: it refuses as not run and is not ready until it has read that version, for its recovery time at most. Then the store's word counts.

Evidence: StartAfterARestore, both tests pass. The first could not be run on the code before, which lacks the metric that it waits for.

--- a/control/gossip.h
+++ b/control/gossip.h
@@ -89,11 +89,12 @@
     std::vector<RouterSite> peerSites; // of the peers, in the same order; empty: not told
     RouterSite site;                   // of the sender; no data centre: as told before
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
-    std::vector<PeerLoad> loads;        // endpoints with longer calls of the sender; brief calls go as start notices
-    std::vector<ReportedLoad> reported; // endpoints that are fuller than the counts of all routers tell
-    PromptNews news;                    // of prompts that crash replicas
-    LimitReport limits;                 // of replicas that name a limit
-    bool isStarting = false;            // the sender has just started and does not know of blocked prompts
+    std::vector<PeerLoad> loads;           // endpoints with longer calls of the sender; brief calls go as start notices
+    std::vector<ReportedLoad> reported;    // endpoints that are fuller than the counts of all routers tell
+    PromptNews news;                       // of prompts that crash replicas
+    LimitReport limits;                    // of replicas that name a limit
+    bool isStarting = false;               // the sender has just started and does not know of blocked prompts
+    DesiredStateVersion stateVersion = -1; // in force at the sender; -1: not told
 };
 
 /// @return the sequence number of a router's first beacon, derived from the wall clock so that a restarted router
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -182,7 +182,7 @@
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
     const bool hasNews = !beacon.news.isEmpty() || !beacon.limits.isEmpty() || !beacon.reported.empty();
-    if (beacon.isStarting || hasNews || !beacon.peerSites.empty()) {
+    if (beacon.isStarting || hasNews || !beacon.peerSites.empty() || beacon.stateVersion >= 0) {
         capnp::MallocMessageBuilder newsBuilder;
         auto news = newsBuilder.initRoot<wire::BeaconNews>();
         news.setIsStarting(beacon.isStarting);
@@ -190,6 +190,7 @@
         fillLimits(news, beacon.limits);
         fillReportedLoads(news, beacon.reported);
         fillSites(news, beacon.peerSites);
+        news.setStateVersion(beacon.stateVersion + 1); // 0 on the wire: not told
         capnp::writePackedMessage(out, newsBuilder);
     }
     const auto bytes = out.getArray();
@@ -238,6 +239,7 @@
     readNews(news, beacon.news);
     readLimits(news, beacon.limits);
     beacon.reported = readReportedLoads(news);
+    beacon.stateVersion = std::max<DesiredStateVersion>(news.getStateVersion(), 0) - 1;
     const auto sites = news.getSites();
     for (const std::uint8_t position : news.getPeerSites()) {
         beacon.peerSites.push_back(position < sites.size() ? decodeSite(sites[position]) : RouterSite());
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -78,6 +78,8 @@
     , m_flushTimer(m_io)
     , m_expiryTimer(m_io)
     , m_drainTimer(m_io)
+    , m_versionTimer(m_io)
+    , m_newestVersion(settings.maxRecoveryTime)
 {
     m_sharedState.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &blocks,
                                   LogOffset end) {
@@ -101,6 +103,9 @@
     for (const StoreTopic relayed : {StoreTopic::DesiredState, StoreTopic::Registry, StoreTopic::Places}) {
         subscription(relayed).onProgress = [this, relayed] { m_relay.onProgress(relayed); };
     }
+    m_traffic.onStateVersionTold = [this](DesiredStateVersion version) {
+        asio::post(m_io, [this, version] { onVersionTold(version); });
+    };
     m_traffic.onNewerPlaces = [this] { asio::post(m_io, [this] { m_sharedState.readNow(); }); };
     m_traffic.onPlacesToSave = [this](std::vector<PlaceRecord> places) {
         asio::post(m_io, [this, places = std::move(places)] { m_sharedState.savePlaces(places); });
@@ -207,7 +212,8 @@
             m_log.write(line, LogPriority::Notable);
             if (table.version > m_version) {
                 m_version = table.version;
-                m_traffic.setRouteTable(std::make_shared<const RouteTable>(std::move(table)));
+                m_table = std::make_shared<const RouteTable>(std::move(table));
+                publishRouteTable();
             }
             return {};
         },
@@ -219,6 +225,39 @@
         [] {});
 }
 
+bool RouterNode::isOutdated() const
+{
+    return m_newestVersion.isOutdated(clockNow(), m_version);
+}
+
+/// No request is served by a state that is older than what other routers have in force.
+void RouterNode::publishRouteTable()
+{
+    const bool isWithheld = m_table && isOutdated();
+    m_traffic.setRouteTable(isWithheld ? nullptr : m_table);
+    if (!isWithheld) {
+        return;
+    }
+    LogLine line("desired_state_outdated");
+    line.number("version", m_version).number("told", m_newestVersion.told());
+    m_log.write(line, LogPriority::Notable);
+    m_versionTimer.expires_at(m_newestVersion.waitUntil());
+    m_versionTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            publishRouteTable();
+        }
+    });
+}
+
+void RouterNode::onVersionTold(DesiredStateVersion version)
+{
+    const bool wasOutdated = isOutdated();
+    m_newestVersion.onTold(clockNow(), version);
+    if (m_table && isOutdated() != wasOutdated) {
+        publishRouteTable();
+    }
+}
+
 /// An entry that cannot be decoded counts as removed.
 static RegistryUpdate registryUpdate(const KeyedRecord &record)
 {
@@ -317,7 +356,7 @@
 
 bool RouterNode::isReady() const
 {
-    const bool isKnown = m_version >= 0 && m_registryProvedAt != Instant{};
+    const bool isKnown = m_version >= 0 && !isOutdated() && m_registryProvedAt != Instant{};
     return isKnown && m_proof.isValid(clockNow()) && !m_isDraining;
 }
 
@@ -406,6 +445,7 @@
     add("peers_heard", counts.peers);
     add("peer_bytes_total", counts.peerBytes);
     add("desired_state_version", m_version);
+    add("desired_state_outdated", isOutdated() ? 1 : 0);
     add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_proof.provedAt()).count());
     add("log_lines_left_out_total", m_log.dropped());
     add("peak_memory_bytes", peakMemoryBytes());
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "control/freshness.h"
+#include "control/newestversion.h"
 #include "control/replicadirectory.h"
 #include "galenafold/galenafold.h"
 #include "runtime/sharedstate.h"
@@ -42,6 +43,9 @@
     TopicSubscriptionHooks desiredStateHooks();
     TopicSubscriptionHooks registryHooks();
     void applyDesiredState(const std::string &json, LogOffset offset);
+    void publishRouteTable();
+    void onVersionTold(DesiredStateVersion version);
+    bool isOutdated() const;
     void logReplica(const RegistryUpdate &update);
     void publishReplicas();
     void onAdminRequest(const std::shared_ptr<CallerConnection> &caller, const CallerRequest &request);
@@ -66,9 +70,12 @@
     DeadlineTimer m_flushTimer;
     DeadlineTimer m_expiryTimer;
     DeadlineTimer m_drainTimer;
-    DesiredStateVersion m_version = -1; // of the desired state in use; -1: none
-    std::int64_t m_storeRestores = 0;   // of the store from a copy
-    std::int64_t m_storeRecords = 0;    // read from the topic of the desired state
+    DeadlineTimer m_versionTimer;              // for the end of the wait for a newer desired state
+    NewestVersion m_newestVersion;             // that other routers have in force
+    std::shared_ptr<const RouteTable> m_table; // newest one read
+    DesiredStateVersion m_version = -1;        // of `m_table`; -1: none
+    std::int64_t m_storeRestores = 0;          // of the store from a copy
+    std::int64_t m_storeRecords = 0;           // read from the topic of the desired state
     bool m_isDesiredStateLost = false;
     bool m_isRegistryLost = false;
     Instant m_registryProvedAt{}; // the registry was read completely as of then
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -1,8 +1,9 @@
 // Tests of a store that comes back from a copy some seconds old: what was written since is lost, offsets go back and
 // are given out again, and the writers of the desired state and of the registry write again.
+#include "control/newestversion.h"
 #include "control/replicadirectory.h"
 #include "runtime/sharedstate.h"
-#include "tests/nodefixture.h"
+#include "tests/routerfleet.h"
 
 using namespace galenafold;
 
@@ -149,6 +150,73 @@
     runUntil("read 1");
 }
 
+// Routers that start
+
+TEST_GROUP(StartAfterARestore)
+{
+    /// @return HTTP status of a request with this API key
+    int call(int router, const std::string &key)
+    {
+        const auto caller = fleet.connect(router);
+        caller->send(encodeCallerRequest("/chat/x", "key" + std::to_string(++calls), key));
+        return caller->read() ? caller->status() : 0;
+    }
+    void putState(int version, const std::string &key)
+    {
+        fleet.store.put("keyed.op", "config",
+                        sampleDesiredState(version, {{"chat", "streaming", 2, true, 20000, true}}, {key}));
+    }
+    bool isInForce(int version)
+    {
+        return fleet.everywhere([&](int router) { return fleet.metric(router, "desired_state_version") == version; });
+    }
+
+    RouterFleet fleet;
+    int calls = 0;
+};
+
+/// A router that started before the operator had written again served by the copy, also for keys that had been taken
+/// away.
+TEST(StartAfterARestore, NoRequestIsServedByAnOlderStateThanTheOthersHave)
+{
+    fleet.routerCount = 3;
+    fleet.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->beginStream(request);
+        reply->sendEvent(0, "a");
+        reply->endStream();
+    });
+    fleet.start();
+    fleet.store.backUp();
+    putState(2, "k2");
+    CHECK(waitFor([this] { return isInForce(2); }));
+    fleet.store.restore();
+    fleet.restart(2);
+    CHECK(waitFor([this] { return fleet.metric(2, "desired_state_outdated") == 1; }));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(call(2, "k1") != 200);
+        LONGS_EQUAL(200, call(0, "k2"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    putState(2, "k2");
+    CHECK(waitFor([this] { return call(2, "k2") == 200; }));
+    LONGS_EQUAL(401, call(2, "k1"));
+}
+
+/// The word of the others counts for a limited time.
+TEST(StartAfterARestore, ANewerStateIsWaitedForOnlyForATime)
+{
+    NewestVersion newest(std::chrono::seconds(3));
+    CHECK(!newest.isOutdated(at(0), 5));
+    newest.onTold(at(0), 5);
+    CHECK(!newest.isOutdated(at(0), 5));
+    newest.onTold(at(1), 7);
+    CHECK(newest.isOutdated(at(1), 6));
+    CHECK(!newest.isOutdated(at(1), 7));
+    newest.onTold(at(2), 9); // does not prolong the wait
+    CHECK(newest.isOutdated(at(2.9), 8));
+    CHECK(!newest.isOutdated(at(3), 8));
+}
+
 // Directory
 
 TEST_GROUP(RestoredRegistry)
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -124,6 +124,9 @@
     if (asksForList) {
         sendPeerListTo(now, from);
     }
+    if (beacon.stateVersion >= 0 && now < m_startIdToldUntil) {
+        onStateVersionTold(beacon.stateVersion);
+    }
     if (!beacon.peers.empty() && !beacon.isStarting) {
         m_startingUntil = now;
         onListReceived();
@@ -357,6 +360,7 @@
         }
     }
     beacon.news = m_queryOfDeath.knownBlocks(now);
+    beacon.stateVersion = m_stateVersion;
     beacon.limits = m_loadBalancer.rateLimits().fullReport(now);
     beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
     const std::string payload = encodeBeacon(beacon);
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -68,6 +68,12 @@
     std::function<void()> onNewerPlaces;          // a peer has read or written newer places
     std::function<void()> onListReceived = [] {}; // a peer has told which peers and blocked prompts it knows
 
+    /// Sets the version of the desired state in force at this router, for the next peer list. @param version -1: none
+    void setStateVersion(DesiredStateVersion version) { m_stateVersion = version; }
+
+    /// Shortly after the start of this router: a peer has this version of the desired state in force.
+    std::function<void(DesiredStateVersion)> onStateVersionTold = [](DesiredStateVersion) {};
+
     /// The routers of this router's data centre that are heard have changed.
     std::function<void(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)> onDataCentreChanged;
 
@@ -103,22 +109,23 @@
     BeaconSocket m_socket;
     BeaconBudget m_beaconBudget;
     DeadlineTimer m_timer;
-    std::map<std::uint32_t, Peer> m_peers;  // by IPv4 address; includes known peers not heard yet
-    std::uint32_t m_ownAddress = 0;         // IPv4 address of this router
-    std::uint32_t m_beaconNumber = 0;       // number of the last beacon sent
-    std::vector<PeerLoad> m_lastSentLoads;  // loads in the last beacon
-    std::uint32_t m_startId = 0;            // differs after each start of this router
-    Instant m_startIdToldUntil{};           // peers are told of the start until then
-    Instant m_startingUntil{};              // peers are asked for their lists until then, or until one arrives
-    Instant m_nextPeerListAt{};             // when the next peer list is due if there is no newcomer
-    Instant m_nextPlacesNoticeAt{};         // earliest time of the next `onNewerPlaces`
-    boost::random::mt19937_64 m_random;     // chooses the receivers and the contents of peer lists
-    Instant m_lastSentAt{};                 // time of the last beacon
-    std::optional<Instant> m_unsentStartAt; // time of the oldest start not yet sent to peers
-    double m_startDelaySeconds = 0;         // smoothed delay from a start to its beacon
-    std::uint32_t m_placesUpTo = 0;         // end of the places topic as read, plus 1; 0: store unreachable
-    int m_port = 0;                         // UDP port, the same on all routers
-    double m_beaconBytes = 100;             // smoothed size of one datagram
+    std::map<std::uint32_t, Peer> m_peers;   // by IPv4 address; includes known peers not heard yet
+    std::uint32_t m_ownAddress = 0;          // IPv4 address of this router
+    std::uint32_t m_beaconNumber = 0;        // number of the last beacon sent
+    std::vector<PeerLoad> m_lastSentLoads;   // loads in the last beacon
+    std::uint32_t m_startId = 0;             // differs after each start of this router
+    Instant m_startIdToldUntil{};            // peers are told of the start until then
+    Instant m_startingUntil{};               // peers are asked for their lists until then, or until one arrives
+    Instant m_nextPeerListAt{};              // when the next peer list is due if there is no newcomer
+    Instant m_nextPlacesNoticeAt{};          // earliest time of the next `onNewerPlaces`
+    boost::random::mt19937_64 m_random;      // chooses the receivers and the contents of peer lists
+    Instant m_lastSentAt{};                  // time of the last beacon
+    std::optional<Instant> m_unsentStartAt;  // time of the oldest start not yet sent to peers
+    double m_startDelaySeconds = 0;          // smoothed delay from a start to its beacon
+    std::uint32_t m_placesUpTo = 0;          // end of the places topic as read, plus 1; 0: store unreachable
+    DesiredStateVersion m_stateVersion = -1; // in force at this router; -1: none
+    int m_port = 0;                          // UDP port, the same on all routers
+    double m_beaconBytes = 100;              // smoothed size of one datagram
     FleetSizeEstimate m_fleetSize;
     std::vector<DataCentreRouter> m_dataCentre; // heard routers of this data centre, as last reported
     int m_peersHeard = 0;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -177,7 +177,8 @@
         giveUp(EndReason::Expired);
         return;
     }
-    if (m_account && (!m_state.proof.isValid(now) || !m_state.table->account(m_fields.apiKey))) {
+    const bool isKeyKnown = m_state.table && m_state.table->account(m_fields.apiKey);
+    if (m_account && (!m_state.proof.isValid(now) || !isKeyKnown)) {
         giveUp(EndReason::StaleKeys);
         return;
     }
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -52,6 +52,7 @@
         m_state.gate.onBlocksKnown();
         releaseWaiting();
     };
+    m_peers.onStateVersionTold = [this](DesiredStateVersion version) { onStateVersionTold(version); };
     m_state.onPeerNews = [this] { m_peers.requestBeacon(); };
     m_state.queryOfDeath.onVerdict = [this](const PromptVerdict &verdict) { logVerdict(verdict); };
     CallerConnectionHooks &hooks = m_listener.hooks;
@@ -277,8 +278,11 @@
 {
     asio::post(m_io, [this, table = std::move(table)] {
         m_state.table = table;
-        m_state.gate.onDesiredState();
-        releaseWaiting();
+        m_peers.setStateVersion(table ? table->version : -1);
+        if (table) {
+            m_state.gate.onDesiredState();
+            releaseWaiting();
+        }
     });
 }
 
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -97,6 +97,7 @@
     // Called on the control thread; executed on the traffic thread.
 
     /// Replaces the desired state: routes, services, API keys and limits.
+    /// @param table null: none may be used; requests are refused
     void setRouteTable(std::shared_ptr<const RouteTable> table);
 
     /// Sets the replicas that may get new work.
@@ -129,6 +130,10 @@
     /// Called on the traffic thread when a peer has read or written newer places. Set before `start`.
     std::function<void()> onNewerPlaces;
 
+    /// Called on the traffic thread, shortly after the start, when a peer tells which version of the desired state it
+    /// has in force. Set before `start`.
+    std::function<void(DesiredStateVersion)> onStateVersionTold = [](DesiredStateVersion) {};
+
     /// Called on the traffic thread when the routers of this data centre that are heard change. Set before `start`.
     std::function<void(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)> onDataCentreChanged;
 
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -35,6 +35,7 @@
   sites @8 :List(UInt32);       # different sites of the beacon's peers: hash of the data centre in the upper 24 bits,
                                 # link class in the lower 8; 0: not known
   peerSites @9 :List(UInt8);    # of the beacon's peers, in the same order: position in `sites`
+  stateVersion @10 :Int64;      # 0: not told; else 1 + the version of the desired state in force at the sender
 }
 
 # Calls of all routers in progress at an endpoint, as it has just reported.
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -73,7 +73,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 1, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -628,6 +628,8 @@
   inline bool hasPeerSites() const;
   inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getPeerSites() const;
 
+  inline  ::int64_t getStateVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -720,6 +722,9 @@
   inline void adoptPeerSites(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownPeerSites();
 
+  inline  ::int64_t getStateVersion();
+  inline void setStateVersion( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3316,6 +3321,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t BeaconNews::Reader::getStateVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t BeaconNews::Builder::getStateVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BeaconNews::Builder::setStateVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ReportedLoad::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
