Never give two engines the same place

What callers saw: an engine that returned under its name after another one had taken its place got that same place when the engines were busy. Of the two, one was no prompt's home, and the leader wrote the place to the store each second, in turns.

Cause: a place of an engine's own was its name's hash, whoever had it. Found by reading.

Change: where another engine has it, the next one that follows from the name.

Evidence: EnginePlaces, AnEngineThatReturnsDoesNotShareThePlaceOfItsSuccessor failed before and passes now.

--- a/filters/placetable.cpp
+++ b/filters/placetable.cpp
@@ -29,6 +29,18 @@
     }
 }
 
+/// @return a place that no other engine of the service has, the same on all routers that know of the same engines
+static std::uint64_t freePlace(const std::map<EndpointId, std::uint64_t> &assigned, const EndpointId &id)
+{
+    const std::uint64_t name = hashName(id.text);
+    std::uint64_t place = name;
+    const auto isTaken = [&place](const auto &entry) { return entry.second == place; };
+    while (std::any_of(assigned.begin(), assigned.end(), isTaken)) {
+        place = rendezvousScore(place, name); // another engine took its place while it was gone
+    }
+    return place;
+}
+
 /// An engine that returns under the same name gets the place derived from its name again if that is vacant.
 void PlaceTable::add(Instant now, Service &service, const EndpointId &id) const
 {
@@ -37,17 +49,16 @@
     if (isKnown) {
         return;
     }
-    const std::uint64_t ownPlace = hashName(id.text);
-    const auto previous = std::find(service.vacant.begin(), service.vacant.end(), ownPlace);
+    const auto previous = std::find(service.vacant.begin(), service.vacant.end(), hashName(id.text));
     const bool isStartUp = now < service.since + m_settings.startUpPeriod;
-    if (previous != service.vacant.end() || isStartUp) {
-        if (previous != service.vacant.end()) {
-            service.vacant.erase(previous);
-        }
-        service.assigned[id] = ownPlace;
+    if (previous == service.vacant.end() && !isStartUp) {
+        service.waiting.push_back(id);
         return;
     }
-    service.waiting.push_back(id);
+    if (previous != service.vacant.end()) {
+        service.vacant.erase(previous);
+    }
+    service.assigned[id] = freePlace(service.assigned, id);
 }
 
 void PlaceTable::update(Instant now, const std::vector<ReplicaRecord> &records)
@@ -153,7 +164,7 @@
     }
     Service &service = found->second;
     for (const EndpointId &endpoint : service.waiting) {
-        service.assigned[endpoint] = hashName(endpoint.text);
+        service.assigned[endpoint] = freePlace(service.assigned, endpoint);
     }
     service.waiting.clear();
 }
