--- a/tests/connectionpairs.h
+++ b/tests/connectionpairs.h
@@ -65,7 +65,7 @@
     /// Lets timers of a few milliseconds expire.
     void wait()
     {
-        std::this_thread::sleep_for(milliseconds(10));
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
         poll();
     }
 
