Count an answered request before its caller can have read the response

Cause: SlowCallers, AStopDoesNotDropARequestThatWaitsForItsTurn failed once beside 15 other groups (3 expected, 2 counted): the handler counted after it had sent, and the caller's thread compared before that. Change: the handler counts first; the assertion is as it was.

--- a/tests/slowcallers.cpp
+++ b/tests/slowcallers.cpp
@@ -217,8 +217,8 @@
 TEST(SlowCallers, AStopDoesNotDropARequestThatWaitsForItsTurn)
 {
     listener->hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&) {
+        ++answered; // before its caller can have read the response
         caller->sendResponse(200, {}, "");
-        ++answered;
         listener->stopAccepting(); // before the next request is parsed
     };
     start();
