End a closing that is given up like any other end of a stream

Cause: giveUpClosing repeated what end does, and reset's socket option was reached only by closing as well. Change: one function sets the option, and end closes and tells the owner. Behaviour is the same. Result: SlowCallers, ConnectionStates, NodeDraining, NodeStreams, EndlessInput, StreamEnds and clang-tidy pass.

--- a/net/stream.cpp
+++ b/net/stream.cpp
@@ -156,10 +156,16 @@
     m_hooks.reset();
 }
 
-void TcpStream::reset()
+/// Makes the socket end with RST when it is closed.
+static void resetOnClose(asio::ip::tcp::socket &socket)
 {
     asio::error_code ignored; // if the option fails, the peer sees FIN in the middle of a message
-    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+void TcpStream::reset()
+{
+    resetOnClose(m_socket);
     close();
 }
 
@@ -233,16 +239,11 @@
 /// RST keeps the peer from taking a part of the rest for all of it.
 void TcpStream::giveUpClosing()
 {
-    const auto hooks = m_hooks;
     const bool isIncomplete = pending() > 0;
     if (isIncomplete) {
-        reset();
-    } else {
-        close();
-    }
-    if (hooks && hooks->onEnd) {
-        hooks->onEnd(isIncomplete ? StreamEnd::Broken : StreamEnd::Finished);
+        resetOnClose(m_socket);
     }
+    end(isIncomplete ? StreamEnd::Broken : StreamEnd::Finished);
 }
 
 void TcpStream::end(StreamEnd how)
