Drop expired attempts once for each look at the retry budget

Cause: RetryBudget::use dropped them, and remaining did so again. Change: use begins with remaining. Behaviour is the same.

--- a/filters/retry.cpp
+++ b/filters/retry.cpp
@@ -74,13 +74,12 @@
 
 RetryBudgetUse RetryBudget::use(Instant now, const ServiceId &service)
 {
-    Usage &usage = m_usage[service];
-    dropExpired(now, usage);
     RetryBudgetUse use;
+    use.remaining = remaining(now, service); // also drops what has expired
+    const Usage &usage = m_usage[service];
     use.first = countWithin(usage.first, now - m_settings.window, now);
     use.extra = static_cast<int>(usage.extra.size());
     use.minShare = minShare(now);
-    use.remaining = remaining(now, service);
     return use;
 }
 
