--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -133,6 +133,15 @@
         + "\r\nX-Galenafold-Response-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Sends a request whose response is its own body. All of them have the same id.
+static void checkEcho(NodeFixture &fixture, int number)
+{
+    const std::string body = "b" + std::to_string(number);
+    const auto caller = fixture.send(encodeCallerRequest("/any/x", "same-id", "k1", 20000, "", body));
+    CHECK(caller->read());
+    STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+}
+
 /// In one piece: what the replica writes later may arrive behind the next request, and belong to it by its id.
 TEST(NodeResponseIntegrity, AConnectionWithExcessBytesIsNotReused)
 {
@@ -143,10 +152,7 @@
         });
     fixture.startAndWaitReady();
     for (int i = 0; i < 4; ++i) {
-        const std::string body = "b" + std::to_string(i);
-        const auto caller = fixture.send(encodeCallerRequest("/any/x", "same-id", "k1", 20000, "", body));
-        CHECK(caller->read());
-        STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+        checkEcho(fixture, i);
     }
     LONGS_EQUAL(4, replica.connections());
 }
@@ -172,10 +178,7 @@
         });
     fixture.startAndWaitReady();
     for (int i = 0; i < 4; ++i) {
-        const std::string body = "b" + std::to_string(i);
-        const auto caller = fixture.send(encodeCallerRequest("/any/x", "same-id", "k1", 20000, "", body));
-        CHECK(caller->read());
-        STRCMP_EQUAL(body.c_str(), caller->body().c_str());
+        checkEcho(fixture, i);
         CHECK(waitFor([&] { return closed == i + 1; }));
     }
     LONGS_EQUAL(4, replica.connections());
