Agree on the interfaces of admission and of room at replicas

Cause: the parts for hard load are built side by side, so what they call of each other stands first. Result: nothing calls them yet; no behaviour changes.

--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -87,6 +87,7 @@
     ServiceId service;
     std::optional<std::uint64_t> affinity; // hash of the shared prompt parts
     std::set<EndpointId> excluded;         // replicas already tried
+    bool needsRoom = false;                // only replicas that can start the request at once
 };
 
 /// The chosen replica, and how many engines that rank before it for the prompt were skipped.
@@ -97,6 +98,7 @@
     int skippedLimited = 0;                   // replicas skipped because of the rate that they take
     int skippedLeaving = 0;                   // replicas skipped because their answers announced that they will stop
     int skippedTurnedAway = 0;                // replicas skipped because they named a time for which they want none
+    int skippedBusy = 0;                      // replicas skipped because they have no room; only with `needsRoom`
     Instant turnedAwayUntil = Instant::max(); // the shortest of these times
     double bound = 0;                         // load above which no engine was to be chosen; 0: chosen without a bound
 
@@ -143,6 +145,10 @@
 
     ReplicaChoice choose(Instant now, const SelectionRequest &request); ///< @return the replica to send to
 
+    /// @return requests that the service's replicas could start at once, by what is known of their load; negative if
+    /// requests already wait there
+    double freeSlots(Instant now, const ServiceId &service) const;
+
     void onSent(const EndpointId &id); ///< A request was sent to the replica.
 
     /// An attempt that was sent has ended. @return true if the replica is to be avoided from now on
