Settle at a start who lists the registry, and list it once a data centre

Cause: 300 routers that start at once did not know for ten seconds and more whom to follow. Three seeds sent each newcomer a list of up to 128 peers by chance, 700 bytes each, at 6 KB/s, so each router listed 3,000 replicas from the store (270 MB of 80 MB/s) and read all heartbeats (171 MB/s), and the readers that the others follow waited in the same queue. A listing was also too large for a link that serves a hundred.

Change: while many start, lists are short, begin with the routers that the newcomer will rank first, and go to each from one seed only; routers that a list told of may be asked before they are heard. A listing that goes on after its first page is left to the reader; the others ask it until it has all, and fall back on the store at times spread by chance. Large answers are packed with gzip once for all followers. In a data centre of 64 routers four are asked before the store, and of the registry only these read it at once when nobody tells them anything.

--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -119,7 +119,11 @@
 
     Instant nextFollowing(Instant now) const; ///< @return when to ask another router next
 
-    bool isListing() const { return m_isListing; }        ///< @return true until a listing is complete
+    bool isListing() const { return m_isListing; } ///< @return true until a listing is complete
+
+    /// @return true while a listing of more than one page is in progress
+    bool isListingLarge() const { return m_isListing && !m_listedRecords.empty(); }
+
     LogOffset nextOffset() const { return m_nextOffset; } ///< @return offset up to which records were delivered
 
     void onOffsetOutOfRange();   ///< The next record to read was deleted: lists again.
--- a/net/topicmessages.cpp
+++ b/net/topicmessages.cpp
@@ -1,6 +1,7 @@
 // Serialisation of the questions and answers about topics, in Cap'n Proto.
 #include "net/topicmessages.h"
 
+#include "net/gzip.h"
 #include "wire/topics.capnp.h"
 
 #include <algorithm>
@@ -12,13 +13,14 @@
 {
 
 constexpr std::uint32_t longestWaitMillis = 10000; // a longer wait of another process is cut
+constexpr std::size_t maxAnswerBytes = 32 << 20;   // unpacked; ten times the listing of 10,000 replicas
 
 static capnp::Data::Reader data(const std::string &bytes)
 {
     return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
 }
 
-static std::string text(capnp::Data::Reader bytes)
+static std::string textOf(capnp::Data::Reader bytes)
 {
     return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
 }
@@ -27,17 +29,19 @@
 {
     kj::VectorOutputStream out;
     capnp::writeMessage(out, message);
-    return text(out.getArray());
+    return textOf(out.getArray());
 }
 
-/// Reads a message of another process. @return false if the bytes are no such message
+/// Reads the messages of another process, one after the other. @return false if the bytes are no such messages
 template<typename Root, typename Read>
-static bool readMessage(const std::string &bytes, Read read)
+static bool readMessages(const std::string &bytes, Read read)
 {
     const auto failure = kj::runCatchingExceptions([&] {
         kj::ArrayInputStream in(data(bytes));
-        capnp::InputStreamMessageReader reader(in);
-        read(reader.getRoot<Root>());
+        do {
+            capnp::InputStreamMessageReader reader(in);
+            read(reader.getRoot<Root>());
+        } while (in.tryGetReadBuffer().size() > 0);
     });
     return failure == nullptr;
 }
@@ -64,7 +68,7 @@
 {
     TopicQuestion question;
     bool isKnownTopic = false;
-    const bool isReadable = readMessage<wire::TopicQuestion>(bytes, [&](wire::TopicQuestion::Reader root) {
+    const bool isReadable = readMessages<wire::TopicQuestion>(bytes, [&](wire::TopicQuestion::Reader root) {
         isKnownTopic = root.getTopic() <= static_cast<std::uint8_t>(StoreTopic::Places);
         question.topic = static_cast<StoreTopic>(root.getTopic());
         if (root.getHasEra()) {
@@ -78,6 +82,16 @@
     return isReadable && isKnownTopic ? std::optional(question) : std::nullopt;
 }
 
+static void fillRecords(wire::TopicAnswer::Builder root, const std::vector<KeyedRecord> &records)
+{
+    auto list = root.initRecords(static_cast<unsigned>(records.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setKey(data(records[i].key));
+        list[i].setValue(data(records[i].value));
+        list[i].setOffset(records[i].offset);
+    }
+}
+
 std::string encodeTopicAnswer(const TopicAnswer &answer)
 {
     capnp::MallocMessageBuilder message;
@@ -92,19 +106,27 @@
     root.setProvedMicros(answer.provedAfter.count());
     root.setReturnedMillis(
         static_cast<std::uint32_t>(millisOf(std::min<Duration>(answer.sinceReturned, longestReturn))));
-    auto records = root.initRecords(static_cast<unsigned>(answer.records.size()));
-    for (unsigned i = 0; i < records.size(); ++i) {
-        records[i].setKey(data(answer.records[i].key));
-        records[i].setValue(data(answer.records[i].value));
-        records[i].setOffset(answer.records[i].offset);
+    if (!answer.packedRecords.empty()) {
+        return gzip(serialised(message)) + answer.packedRecords;
     }
+    fillRecords(root, answer.records);
     return serialised(message);
 }
 
-std::optional<TopicAnswer> decodeTopicAnswer(const std::string &bytes)
+/// The records are a message of their own, which follows that of the answer.
+std::string packTopicRecords(const std::vector<KeyedRecord> &records)
+{
+    capnp::MallocMessageBuilder message;
+    fillRecords(message.initRoot<wire::TopicAnswer>(), records);
+    return gzip(serialised(message));
+}
+
+std::optional<TopicAnswer> decodeTopicAnswer(const std::string &bytes, bool isGzip)
 {
+    const auto text = isGzip ? gunzip(bytes, maxAnswerBytes) : std::optional(bytes);
     TopicAnswer answer;
-    const bool isReadable = readMessage<wire::TopicAnswer>(bytes, [&answer](wire::TopicAnswer::Reader root) {
+    bool isFirst = true;
+    const auto readHead = [&answer](wire::TopicAnswer::Reader root) {
         answer.isKnown = root.getIsKnown();
         answer.isListing = root.getIsListing();
         answer.isStoreLost = root.getIsStoreLost();
@@ -115,10 +137,17 @@
         answer.end = root.getEnd();
         answer.provedAfter = Duration(root.getProvedMicros());
         answer.sinceReturned = std::chrono::milliseconds(root.getReturnedMillis());
-        for (const auto record : root.getRecords()) {
-            answer.records.push_back({text(record.getKey()), text(record.getValue()), record.getOffset()});
-        }
-    });
+    };
+    const bool isReadable =
+        text && readMessages<wire::TopicAnswer>(*text, [&](wire::TopicAnswer::Reader root) {
+            if (isFirst) {
+                readHead(root);
+            }
+            isFirst = false;
+            for (const auto record : root.getRecords()) {
+                answer.records.push_back({textOf(record.getKey()), textOf(record.getValue()), record.getOffset()});
+            }
+        });
     return isReadable ? std::optional(answer) : std::nullopt;
 }
 
--- a/net/topicmessages.h
+++ b/net/topicmessages.h
@@ -16,6 +16,7 @@
     std::optional<StoreEra> era;   // nothing: no response of the store has told it yet
     std::optional<LogOffset> from; // the asker knows the topic up to here; nothing: it wants all records
     Duration wait{};               // the answer may wait so long for news
+    bool acceptsGzip = false;      // told by a field of the HTTP request
 };
 
 struct TopicAnswer {
@@ -28,17 +29,23 @@
     Duration provedAfter{}; // from the question's arrival to the last proof that the topic ends there; may be negative
     Duration sinceReturned{}; // since the store came back after it had been lost, `longestReturn` at most
     std::vector<KeyedRecord> records;
+    std::string packedRecords; // in place of `records`, as `packTopicRecords` returns them; "": not packed
 };
 
 constexpr auto longestReturn = std::chrono::minutes(1); // older returns of the store matter to nobody
 
 std::string encodeTopicQuestion(const TopicQuestion &question); ///< @return the body of a request
-std::string encodeTopicAnswer(const TopicAnswer &answer);       ///< @return the body of a response
+
+/// @return the body of a response; if the records are packed, in gzip
+std::string encodeTopicAnswer(const TopicAnswer &answer);
+
+/// Many followers ask for the same records, which are packed once for all of them.
+std::string packTopicRecords(const std::vector<KeyedRecord> &records);
 
 /// @return nothing if the bytes, which may come from anyone, are no question
 std::optional<TopicQuestion> decodeTopicQuestion(const std::string &bytes);
 
-/// @return nothing if the bytes are no answer
-std::optional<TopicAnswer> decodeTopicAnswer(const std::string &bytes);
+/// @param isGzip as the response's field tells @return nothing if the bytes are no answer
+std::optional<TopicAnswer> decodeTopicAnswer(const std::string &bytes, bool isGzip = false);
 
 } // namespace galenafold
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -430,6 +430,7 @@
         add("store_abandoned_bytes_total", stats.abandonedBytes, labels);
         add("topic_questions_total", stats.questions, labels);
         add("topic_useless_answers_total", stats.uselessAnswers, labels);
+        add("topic_packings_total", stats.packings, labels);
         add("topic_follows_router", stats.followsRouter ? 1 : 0, labels);
         add("topic_proof_age_ms", proofAge.count(), labels);
     };
--- a/runtime/topicrelay.cpp
+++ b/runtime/topicrelay.cpp
@@ -42,12 +42,14 @@
 
 void TopicRelay::onRequest(const std::shared_ptr<CallerConnection> &asker, CallerRequest &&request)
 {
-    const auto question = decodeTopicQuestion(request.body);
+    auto question = decodeTopicQuestion(request.body);
     if (!question) {
         m_listener.hooks.onRejected(statusBadRequest, "no_question");
         asker->sendResponse(statusBadRequest, {}, "");
         return;
     }
+    const std::string *coding = findField(request.head.fields, "Accept-Encoding");
+    question->acceptsGzip = coding && *coding == "gzip";
     const Instant now = clockNow();
     FollowedTopic &topic = m_topic(question->topic);
     topic.onAsked(now);
@@ -64,11 +66,15 @@
 /// The asker's hooks end with its request.
 void TopicRelay::send(const Waiting &waiting)
 {
-    const std::string body =
-        encodeTopicAnswer(m_topic(waiting.question.topic).answer(waiting.question, waiting.arrivedAt));
+    const TopicAnswer answer = m_topic(waiting.question.topic).answer(waiting.question, waiting.arrivedAt);
+    const std::string body = encodeTopicAnswer(answer);
+    HttpFields fields;
+    if (!answer.packedRecords.empty()) {
+        fields.push_back({"Content-Encoding", "gzip"});
+    }
     ++m_answers;
     m_answerBytes += static_cast<std::int64_t>(body.size());
-    waiting.asker->sendResponse(statusOk, {}, body);
+    waiting.asker->sendResponse(statusOk, fields, body);
 }
 
 /// Takes each entry that is due off the list, and then sends it.
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -15,6 +15,12 @@
 constexpr auto sharedTime = std::chrono::seconds(3);  // for which the topic is read often after a router has asked
 constexpr auto waitMargin = std::chrono::milliseconds(200); // that a router waits for its next read beyond its interval
 constexpr auto answerTimeout = std::chrono::milliseconds(300); // beyond the wait for news
+constexpr auto listingWait = std::chrono::seconds(1);          // for a router that is itself reading a large listing
+constexpr auto listingAnswerTimeout = std::chrono::milliseconds(1500); // beyond that: all followers are sent it at once
+constexpr std::size_t listingSeconds = 3; // that listings to all may take: the store would not be quicker
+constexpr auto askAgainPause = std::chrono::milliseconds(200);
+constexpr std::size_t packedBytes = 16 << 10;               // of records that are packed; fewer are not worth it
+constexpr auto packedTime = std::chrono::milliseconds(250); // in which packed records are used, as their proof ages
 constexpr auto returnTolerance =
     std::chrono::milliseconds(500); // between two routers' words on one return of the store
 
@@ -35,6 +41,9 @@
     , m_sources(text(settings.topic), settings.seed)
     , m_timer(io)
 {
+    if (settings.topic == StoreTopic::Registry) { // it is mostly heartbeats
+        m_sources.setCostly();
+    }
 }
 
 /// @return the hooks of the topic, which also keep the records for routers that follow this one
@@ -46,6 +55,7 @@
         m_hooks.topic.onRecord(record);
     };
     hooks.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+        m_sources.onListed();
         m_cache.setListing(records, begin);
         m_hooks.topic.onListed(records, begin);
     };
@@ -90,10 +100,23 @@
     const std::size_t bytesPerSecond = megabitBytes << static_cast<unsigned>(self.linkClass);
     m_maxAnswerBytes = bytesPerSecond / (others.size() + 1); // all of them may ask at once, and are told in a second
     m_sources.setRouters(self, others);
+    const bool isCalling = m_store.isCalling() || m_router.isCalling();
+    if (m_consumer.isListingLarge() && !isCalling) { // it waits to know whom to ask
+        m_timer.cancel();
+        scheduleNext();
+    }
 }
 
 void TopicSubscription::chooseSource(Instant now)
 {
+    const bool isLeft = m_consumer.isListingLarge() && m_settings.peerPort > 0;
+    if (isLeft && m_sources.onLargeListing(now)) {
+        LogLine line("large_listing");
+        const TopicSource next = m_sources.next(now);
+        line.text("topic", text(m_settings.topic)).text("rest_from", addressText(next));
+        line.millis("waits_ms", std::max<Duration>(next.notBefore - now, Duration{}));
+        m_log.write(line, LogPriority::Notable);
+    }
     const TopicSource source = m_mustAskStore ? TopicSource() : m_sources.next(now);
     if (source.router != m_source.router) {
         LogLine line("topic_source");
@@ -114,7 +137,7 @@
     const Instant now = clockNow();
     chooseSource(now);
     const Instant paced = m_source.isStore() ? m_request.notBefore : m_consumer.nextFollowing(now);
-    const Instant notBefore = m_mustAskStore ? now : std::max(paced, m_source.notBefore);
+    const Instant notBefore = m_mustAskStore ? now : std::max({paced, m_source.notBefore, m_askAgainAt});
     if (notBefore <= now) {
         send();
         return;
@@ -122,8 +145,7 @@
     m_timer.expires_at(notBefore);
     m_timer.async_wait([this](const asio::error_code &error) {
         if (!error) {
-            chooseSource(clockNow());
-            send();
+            scheduleNext();
         }
     });
 }
@@ -290,27 +312,40 @@
     }
     const Duration interval = m_settings.reading.sharedInterval;
     question.wait = interval > Duration{} ? interval + waitMargin : Duration{};
+    const bool isListingLarge = m_consumer.isListingLarge();
+    if (isListingLarge) {
+        question.wait = std::max<Duration>(question.wait, listingWait);
+    }
     const std::string body = encodeTopicQuestion(question);
     std::string request = "POST /topic HTTP/1.1\r\n";
     appendField(request, "Host", address);
+    appendField(request, "Accept-Encoding", "gzip");
     appendField(request, "Content-Length", std::to_string(body.size()));
     ClientCallHooks hooks;
     hooks.onResponse = [this](const ClientResponse &response) { onRouterResponse(response); };
     hooks.onFailure = [this](const char *reason) { onUselessRouter(reason); };
     ++m_stats.questions;
-    m_router.call(request + "\r\n" + body, m_sentAt + question.wait + answerTimeout, std::move(hooks));
+    const Duration timeout = isListingLarge ? Duration(listingAnswerTimeout) : Duration(answerTimeout);
+    m_router.call(request + "\r\n" + body, m_sentAt + question.wait + timeout, std::move(hooks));
 }
 
 void TopicSubscription::onRouterResponse(const ClientResponse &response)
 {
     const Instant now = clockNow();
-    const auto answer = response.status == statusOk ? decodeTopicAnswer(response.body) : std::nullopt;
+    const std::string *coding = findField(response.fields, "Content-Encoding");
+    const bool isGzip = coding && *coding == "gzip";
+    const auto answer = response.status == statusOk ? decodeTopicAnswer(response.body, isGzip) : std::nullopt;
     if (!answer) {
         m_router.disconnect();
         onUselessRouter("unreadable");
         return;
     }
-    if (answer->isTooLarge && !m_isLost) {
+    if (isToBeAskedAgain(now, *answer)) {
+        m_askAgainAt = now + askAgainPause;
+        scheduleNext();
+        return;
+    }
+    if (answer->isTooLarge && !m_isLost && !m_consumer.isListingLarge()) {
         m_mustAskStore = true;
         scheduleNext();
         return;
@@ -324,6 +359,12 @@
     scheduleNext();
 }
 
+/// @return true if the router reads a large listing itself, and this one waits for it
+bool TopicSubscription::isToBeAskedAgain(Instant now, const TopicAnswer &answer)
+{
+    return !answer.isKnown && !answer.isStoreLost && m_consumer.isListingLarge() && m_sources.onNotYetKnown(now);
+}
+
 /// @return true if it tells more than was known, and its proof is young enough
 bool TopicSubscription::applyAnswer(Instant now, const TopicAnswer &answer)
 {
@@ -352,11 +393,12 @@
     }
     const bool needsNews = m_settings.reading.sharedInterval > Duration{}; // the question waited for a younger proof
     const bool isNews = provedAt > provedBefore || !answer.records.empty() || !needsNews;
-    const bool isUseful = isTold && isNews && !answer.isStoreLost && now < provedAt + m_settings.reading.maxSourceAge;
+    const bool isSound = isTold && isNews && !answer.isStoreLost;
+    const bool isUseful = isSound && now < provedAt + m_settings.reading.maxSourceAge;
     if (m_isLost && isUseful) {
         regain(returnedAt);
     }
-    return isUseful;
+    return isUseful || (isSound && answer.isListing && !m_isLost); // a large listing takes long; its proof ages
 }
 
 void TopicSubscription::onUselessRouter(const char *reason)
@@ -422,22 +464,59 @@
     answer.end = m_cache.end();
     answer.provedAfter = m_stats.provedAt - arrivedAt;
     answer.sinceReturned = std::min<Duration>(clockNow() - m_returnedAt, longestReturn);
-    if (question.era && m_era && *question.era > *m_era) {
-        return answer; // the asker knows more
+    if (!answer.isKnown || (question.era && m_era && *question.era > *m_era)) {
+        return answer; // nothing to tell, or the asker knows more
     }
     const bool isSameEra = !question.era || !m_era || *question.era == *m_era;
-    const auto changes = question.from && isSameEra ? m_cache.changesSince(*question.from) : std::nullopt;
-    answer.isListing = answer.isKnown && !changes;
-    if (answer.isListing) {
-        answer.records = m_cache.all();
-    } else if (changes) {
-        answer.records = *changes;
-    }
-    answer.isTooLarge = sizeOf(answer.records) > m_maxAnswerBytes;
+    const std::optional<LogOffset> from = isSameEra ? question.from : std::nullopt;
+    if (question.acceptsGzip && isPackedUsable(from)) {
+        addPacked(answer, arrivedAt);
+        return answer;
+    }
+    const auto changes = from ? m_cache.changesSince(*from) : std::nullopt;
+    answer.isListing = !changes;
+    answer.records = changes ? *changes : m_cache.all();
+    const std::size_t bytes = sizeOf(answer.records);
+    if (question.acceptsGzip && bytes > packedBytes) {
+        pack(from, answer);
+        addPacked(answer, arrivedAt);
+        return answer;
+    }
+    answer.isTooLarge = bytes > m_maxAnswerBytes;
     if (answer.isTooLarge) {
         answer.records.clear();
     }
     return answer;
 }
 
+bool TopicSubscription::isPackedUsable(std::optional<LogOffset> from) const
+{
+    return clockNow() < m_packed.usableUntil && m_packed.from == from && m_packed.era == m_era;
+}
+
+void TopicSubscription::pack(std::optional<LogOffset> from, const TopicAnswer &answer) const
+{
+    m_packed = {answer.isListing,
+                from,
+                m_era,
+                answer.end,
+                m_stats.provedAt,
+                clockNow() + packedTime,
+                packTopicRecords(answer.records)};
+    ++m_stats.packings;
+}
+
+/// The answer tells what was known when the records were packed, and the proof is that of then.
+void TopicSubscription::addPacked(TopicAnswer &answer, Instant arrivedAt) const
+{
+    answer.isListing = m_packed.isListing;
+    answer.end = m_packed.end;
+    answer.provedAfter = m_packed.provedAt - arrivedAt;
+    answer.records.clear();
+    answer.isTooLarge = m_packed.records.size() > m_maxAnswerBytes * (answer.isListing ? listingSeconds : 1);
+    if (!answer.isTooLarge) {
+        answer.packedRecords = m_packed.records;
+    }
+}
+
 } // namespace galenafold
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -43,6 +43,7 @@
     std::int64_t questions = 0;      // sent to other routers since the start
     std::int64_t uselessAnswers = 0; // of these, without an answer or with an old proof
     bool followsRouter = false;      // the source of the current or next call is another router
+    std::int64_t packings = 0;       // times that records were packed for other routers
     Instant provedAt{};              // the topic was known completely as of then
 };
 
@@ -75,6 +76,17 @@
     std::function<void()> onProgress = [] {}; // there are new records, or a younger proof, or the store is lost
 
 private:
+    /// Records that many followers ask for at the same time.
+    struct Packed {
+        bool isListing = false;
+        std::optional<LogOffset> from; // as the question told
+        std::optional<StoreEra> era;
+        LogOffset end = 0;
+        Instant provedAt{}; // the topic ended there then
+        Instant usableUntil{};
+        std::string records;
+    };
+
     TopicHooks cachingHooks();
     void scheduleNext();
     void chooseSource(Instant now);
@@ -86,6 +98,10 @@
     void onStoreFailure(const char *reason);
     void onRouterResponse(const ClientResponse &response);
     void onUselessRouter(const char *reason);
+    bool isToBeAskedAgain(Instant now, const TopicAnswer &answer);
+    bool isPackedUsable(std::optional<LogOffset> from) const;
+    void pack(std::optional<LogOffset> from, const TopicAnswer &answer) const;
+    void addPacked(TopicAnswer &answer, Instant arrivedAt) const;
     bool applyAnswer(Instant now, const TopicAnswer &answer);
     void noteTransfer(Instant now);
     void noteEra(Instant now, const std::optional<StoreEra> &era);
@@ -114,7 +130,9 @@
     std::string m_sourceReason = "start"; // why the source was changed last, for logs
     bool m_isLost = false;
     bool m_mustAskStore = false; // the next call
-    TopicSubscriptionStats m_stats;
+    Instant m_askAgainAt{};      // earliest time, after a router had not read the topic yet
+    mutable Packed m_packed;     // the last ones
+    mutable TopicSubscriptionStats m_stats;
 };
 
 } // namespace galenafold
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -12,14 +12,20 @@
 constexpr auto endReportInterval = std::chrono::milliseconds(150); // ends only free capacity, so they are less urgent
 constexpr auto startRetryInterval = std::chrono::milliseconds(50); // while a start waits for the budget
 constexpr double startDelayWeight = 0.2;                           // smoothing factor for the delay of a new start
-constexpr int maxListsPerTick = 8;
+constexpr int maxListsPerTick = 32;
 constexpr auto peerListInterval = std::chrono::seconds(3);         // while there are no newcomers
+constexpr auto firstListInterval = std::chrono::seconds(1);        // the same while a fleet that has started forms
+constexpr auto formingTime = std::chrono::seconds(6);              // after a start, in which lists are sent so often
 constexpr auto heartbeatInterval = std::chrono::milliseconds(700); // between beacons without a change
 constexpr auto peerExpiry = std::chrono::seconds(10); // a silent peer is kept for this long, as it may be partitioned
 constexpr double beaconSizeWeight = 0.2;              // smoothing factor for the size of a new beacon
 constexpr auto placesNoticeInterval = std::chrono::seconds(1); // between notices that a peer has newer places
 constexpr auto startingTime = std::chrono::seconds(2); // after a start, in which peers are asked for their lists
 constexpr auto startIdTime = std::chrono::seconds(4);  // after a start, in which peers are told of it
+constexpr std::size_t manyNewcomers = 24;              // at the same time: their first lists come late, and are short
+constexpr std::size_t shortListPeers = 20; // so that a few routers can send such a list to hundreds within a second
+constexpr auto lostListTime = std::chrono::milliseconds(800);  // after which a list that was not noticed is sent again
+constexpr auto newcomersTime = std::chrono::milliseconds(500); // in which all start that start at once
 constexpr auto repeatedListInterval = std::chrono::seconds(2); // between lists to the same router that starts
 constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
 constexpr int peerTimeoutIntervals = 4; // the same, in broadcasts at the rate of the budget; the longer time counts
@@ -57,6 +63,9 @@
     m_beaconNumber = firstBeaconNumber(std::chrono::system_clock::now());
     m_startId = m_beaconNumber;
     m_startingUntil = clockNow() + startingTime;
+    m_discoversUntil = m_startingUntil;
+    m_listsFrom = clockNow() + newcomersTime;
+    m_fleetFormsUntil = clockNow() + formingTime;
     m_startIdToldUntil = clockNow() + startIdTime;
     for (const std::string &seed : m_settings.seeds) {
         const auto address = parseAddress(seed);
@@ -86,7 +95,7 @@
     Peer &peer = entry->second;
     const bool asksForList =
         beacon.isStarting && now >= m_startingUntil && now >= peer.listSentAt + repeatedListInterval;
-    peer.isNewcomer = peer.isNewcomer || (isNew && beacon.isStarting); // one that has a list needs no second one
+    noteListWanted(now, peer, beacon, isNew);
     const bool isRestarted = now >= peer.heardAt + peerTimeout();
     if (peer.number > 0 && !isNewerBeacon(beacon.number, peer.number) && !isRestarted) {
         return;
@@ -102,7 +111,8 @@
     for (const std::uint32_t other : beacon.peers) {
         if (other != m_ownAddress) {
             // is sent beacons from now on; expires if it stays silent
-            m_peers.try_emplace(other, Peer{now, 0, 0, false, {}, {}});
+            const auto [told, isAdded] = m_peers.try_emplace(other);
+            told->second.heardAt = isAdded ? now : told->second.heardAt;
         }
     }
     for (std::size_t i = 0; i < beacon.peerSites.size(); ++i) {
@@ -127,22 +137,52 @@
     if (beacon.stateVersion >= 0 && now < m_startIdToldUntil) {
         onStateVersionTold(beacon.stateVersion);
     }
-    if (!beacon.peers.empty() && !beacon.isStarting) {
+    const bool isList = !beacon.peers.empty() && beacon.peers.front() != from;
+    if (isList) {
+        onPeerList(now, beacon.isStarting);
+    }
+}
+
+/// Where all routers start at once, the first lists come from routers that do not know of blocked prompts either.
+void PeerLoadExchange::onPeerList(Instant now, bool isSenderStarting)
+{
+    m_tellsOfList = m_tellsOfList || (now < m_startingUntil && !m_hasList);
+    m_hasList = true;
+    if (!isSenderStarting) {
         m_startingUntil = now;
         onListReceived();
     }
+    reportDataCentre(now);
+}
+
+/// A router that starts asks for a list until it has one. While many start, several peers could send it one: it tells
+/// in its next beacon that it needs none any more, by naming itself as a peer. A list may be lost.
+void PeerLoadExchange::noteListWanted(Instant now, Peer &peer, const LoadBeacon &beacon, bool isNew)
+{
+    const bool asks = beacon.isStarting && beacon.peers.empty();
+    if (isNew && asks) {
+        peer.isNewcomer = true;
+        peer.newcomerUntil = now + startingTime - endReportInterval;
+    } else if (now < peer.newcomerUntil) {
+        const bool isLost = asks && now >= peer.listSentAt + lostListTime;
+        peer.isNewcomer = asks && (peer.isNewcomer || isLost);
+    }
 }
 
+/// Whether a router answers is found out when it is asked, so those count that a list has told of, and those that have
+/// been silent for a while. Without a list, the first few that are heard tell nothing of who else is there.
 void PeerLoadExchange::reportDataCentre(Instant now)
 {
+    if (!m_hasList && now < m_discoversUntil) {
+        return;
+    }
     std::vector<DataCentreRouter> others;
     for (const auto &[address, peer] : m_peers) {
-        const bool isHeard = peer.number > 0 && now < peer.heardAt + peerTimeout();
-        if (isHeard && m_settings.site.dataCentre != 0 && peer.site.dataCentre == m_settings.site.dataCentre) {
+        if (m_settings.site.dataCentre != 0 && peer.site.dataCentre == m_settings.site.dataCentre) {
             others.push_back({address, peer.site.linkClass});
         }
     }
-    if (onDataCentreChanged && others != m_dataCentre) {
+    if (onDataCentreChanged && (!m_dataCentre || others != *m_dataCentre)) {
         m_dataCentre = others;
         onDataCentreChanged({m_ownAddress, m_settings.site.linkClass}, others);
     }
@@ -240,7 +280,8 @@
         now >= m_lastSentAt + endReportInterval && m_beaconBudget.hasReserveAfter(now, broadcastBytes());
     const bool hasNews = m_loadBalancer.hasUrgentNews(now) || m_queryOfDeath.hasUnsentNews()
         || m_loadBalancer.rateLimits().hasUnsentNews();
-    const bool isDue = m_unsentStartAt || hasNews || maySendEnds || now >= m_lastSentAt + heartbeatInterval;
+    const bool isDue =
+        m_unsentStartAt || hasNews || maySendEnds || m_tellsOfList || now >= m_lastSentAt + heartbeatInterval;
     if (m_peers.empty() || !isDue) {
         return;
     }
@@ -253,8 +294,8 @@
     if (!hasChanged) {
         m_unsentStartAt.reset(); // the counts are as last sent: a request that ended offsets the start
     }
-    const bool isSent = hasNews ? m_beaconBudget.take(now, broadcastBytes(), true)
-                                : m_beaconBudget.takeLeavingOne(now, broadcastBytes(), hasChanged);
+    const bool isSent = hasNews || m_tellsOfList ? m_beaconBudget.take(now, broadcastBytes(), true)
+                                                 : m_beaconBudget.takeLeavingOne(now, broadcastBytes(), hasChanged);
     if (isSent) {
         m_lastSentLoads = loads;
         send(now);
@@ -270,6 +311,9 @@
     if (now < m_startIdToldUntil) {
         beacon.site = m_settings.site;
     }
+    if (beacon.isStarting && m_hasList) {
+        beacon.peers = {m_ownAddress};
+    }
     return beacon;
 }
 
@@ -284,6 +328,7 @@
     const std::string payload = encodeBeacon(beacon);
     m_beaconBytes += beaconSizeWeight * (datagramBytes(payload) - m_beaconBytes);
     m_lastSentAt = now;
+    m_tellsOfList = false;
     if (m_unsentStartAt) {
         const double delay = std::chrono::duration<double>(now - *m_unsentStartAt).count();
         m_startDelaySeconds += startDelayWeight * (delay - m_startDelaySeconds);
@@ -295,41 +340,74 @@
     }
 }
 
-/// @return addresses of peers that were heard: a random choice if there are more than a list holds, half of them in the
-/// receiver's data centre
-std::vector<std::uint32_t> PeerLoadExchange::samplePeers(const Peer &receiver)
+/// While the fleet forms, a router passes on what it was told: most that it knows it has not heard yet. Later it tells
+/// only of those that it has heard, so that nobody hears for ever of a router that has gone.
+bool PeerLoadExchange::isToBeTold(Instant now, const Peer &peer) const
 {
+    return peer.number > 0 || now < m_fleetFormsUntil;
+}
+
+/// @return the routers that the receiver will most likely follow, of those that were heard lately
+std::vector<std::uint32_t> PeerLoadExchange::likelySourcesOf(Instant now, const Peer &receiver) const
+{
+    std::vector<DataCentreRouter> routers;
+    if (m_settings.site.dataCentre == receiver.site.dataCentre) {
+        routers.push_back({m_ownAddress, m_settings.site.linkClass});
+    }
+    for (const auto &[address, peer] : m_peers) {
+        const bool isNear = &peer != &receiver && peer.site.dataCentre == receiver.site.dataCentre;
+        if (isNear && isToBeTold(now, peer) && now < peer.heardAt + peerTimeout()) {
+            routers.push_back({address, peer.site.linkClass});
+        }
+    }
+    return receiver.site.dataCentre == 0 ? std::vector<std::uint32_t>() : likelySources(routers);
+}
+
+/// @return addresses of peers: those that the receiver will follow, then a random choice if there are
+/// more than a list holds, half of them in the receiver's data centre
+std::vector<std::uint32_t> PeerLoadExchange::samplePeers(Instant now, const Peer &receiver, std::size_t most)
+{
+    const std::vector<std::uint32_t> first = likelySourcesOf(now, receiver);
     std::vector<std::uint32_t> near;
     std::vector<std::uint32_t> others;
     for (const auto &[address, peer] : m_peers) {
-        if (peer.number > 0) {
+        if (isToBeTold(now, peer)) {
             (peer.site.dataCentre == receiver.site.dataCentre ? near : others).push_back(address);
         }
     }
     std::shuffle(near.begin(), near.end(), m_random);
     std::shuffle(others.begin(), others.end(), m_random);
-    near.resize(std::min(near.size(), maxListedPeers - std::min(others.size(), maxListedPeers / 2)));
-    others.resize(std::min(others.size(), maxListedPeers - near.size()));
+    const auto isFirst = [&first](std::uint32_t address) {
+        return std::find(first.begin(), first.end(), address) != first.end();
+    };
+    std::stable_partition(near.begin(), near.end(), isFirst);
+    near.resize(std::min(near.size(), most - std::min(others.size(), most / 2)));
+    others.resize(std::min(others.size(), most - near.size()));
     near.insert(near.end(), others.begin(), others.end());
     return near;
 }
 
-/// @return the peer that gets the next list: a newcomer, or now and then any peer
+/// @return the peer that gets the next list: a newcomer, those with wide links first, then those whose list was short,
+/// or now and then any peer. Of many routers that start at once, the first ones are sent their lists when those that
+/// start a moment later have been heard as well.
 std::optional<std::uint32_t> PeerLoadExchange::nextListReceiver(Instant now)
 {
-    std::vector<std::uint32_t> newcomers;
-    std::vector<std::uint32_t> all;
+    std::vector<std::uint32_t> candidates;
+    int highestRank = now < m_nextPeerListAt ? 1 : 0;
+    std::size_t newcomers = 0;
     for (const auto &[address, peer] : m_peers) {
-        all.push_back(address);
-        if (peer.isNewcomer) {
-            newcomers.push_back(address);
+        const int rank = peer.isNewcomer ? 2 + peer.site.linkClass : peer.hadShortList ? 1 : 0;
+        newcomers += peer.isNewcomer ? 1 : 0;
+        if (rank > highestRank) {
+            highestRank = rank;
+            candidates.clear();
+        }
+        if (rank == highestRank) {
+            candidates.push_back(address);
         }
     }
-    if (newcomers.empty() && now < m_nextPeerListAt) {
-        return std::nullopt;
-    }
-    const std::vector<std::uint32_t> &candidates = newcomers.empty() ? all : newcomers;
-    if (candidates.empty()) {
+    m_hasManyNewcomers = newcomers >= manyNewcomers;
+    if (candidates.empty() || (m_hasManyNewcomers && now < m_listsFrom)) {
         return std::nullopt;
     }
     return candidates[m_random() % candidates.size()];
@@ -353,7 +431,7 @@
     LoadBeacon beacon = nextBeacon(now);
     beacon.loads = m_loadBalancer.ownLoads();
     beacon.site = m_settings.site;
-    beacon.peers = samplePeers(m_peers[receiver]);
+    beacon.peers = samplePeers(now, m_peers[receiver], m_hasManyNewcomers ? shortListPeers : maxListedPeers);
     if (m_settings.site.dataCentre != 0) {
         for (const std::uint32_t address : beacon.peers) {
             beacon.peerSites.push_back(m_peers[address].site);
@@ -368,8 +446,9 @@
     if (!m_beaconBudget.takeMessage(now, datagramBytes(payload))) {
         return false;
     }
-    m_nextPeerListAt = now + peerListInterval;
+    m_nextPeerListAt = now + (now < m_fleetFormsUntil ? firstListInterval : peerListInterval);
     m_peers[receiver].isNewcomer = false;
+    m_peers[receiver].hadShortList = m_hasManyNewcomers && m_peers.size() <= maxListedPeers;
     m_peers[receiver].listSentAt = now;
     m_socket.send(payload, asio::ip::address_v4(receiver).to_string(), m_port);
     return true;
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -10,8 +10,10 @@
 // heard, the engines' own load reports are used instead.
 //
 // Peers are discovered through a few seed addresses and peer lists. A list goes to one peer at a time, newcomers first:
-// lists to all would cost more than the loads. With the list goes what a router that has started must know: the prompts
-// that are blocked because they crash replicas, and the limits that replicas name. News of both go with the loads.
+// lists to all would cost more than the loads. A newcomer's list is short, and begins with the routers that it will
+// most likely follow, so that hundreds that start at once know those within a second. With the list goes what a router
+// that has started must know: the prompts that are blocked because they crash replicas, and the limits that replicas
+// name. News of both go with the loads.
 #pragma once
 
 #include "control/fleetsize.h"
@@ -85,6 +87,8 @@
         std::uint32_t number = 0;     // of the last beacon; 0: none was received
         std::uint32_t placesUpTo = 0; // from its last beacon
         bool isNewcomer = false;      // has started and was sent no peer list yet
+        bool hadShortList = false;    // it is sent a long one when there is time
+        Instant newcomerUntil{};      // until then it asks for a list unless another peer has sent it one
         Instant listSentAt{};         // last peer list
         RouterSite site;              // no data centre: not known yet
     };
@@ -98,7 +102,11 @@
     void armTimer(Instant now);
     LoadBeacon nextBeacon(Instant now);
     void send(Instant now);
-    std::vector<std::uint32_t> samplePeers(const Peer &receiver);
+    std::vector<std::uint32_t> samplePeers(Instant now, const Peer &receiver, std::size_t most);
+    bool isToBeTold(Instant now, const Peer &peer) const;
+    std::vector<std::uint32_t> likelySourcesOf(Instant now, const Peer &receiver) const;
+    void noteListWanted(Instant now, Peer &peer, const LoadBeacon &beacon, bool isNew);
+    void onPeerList(Instant now, bool isSenderStarting);
     void reportDataCentre(Instant now);
     int broadcastBytes() const;
     Duration peerTimeout() const;
@@ -114,6 +122,10 @@
     std::uint32_t m_beaconNumber = 0;        // number of the last beacon sent
     std::vector<PeerLoad> m_lastSentLoads;   // loads in the last beacon
     std::uint32_t m_startId = 0;             // differs after each start of this router
+    Instant m_discoversUntil{};              // peers heard until then are not all, unless a list has come
+    bool m_hasManyNewcomers = false;         // so many that their lists must be short
+    Instant m_listsFrom{};                   // earliest time of peer lists to many newcomers
+    Instant m_fleetFormsUntil{};             // peer lists are sent more often until then
     Instant m_startIdToldUntil{};            // peers are told of the start until then
     Instant m_startingUntil{};               // peers are asked for their lists until then, or until one arrives
     Instant m_nextPeerListAt{};              // when the next peer list is due if there is no newcomer
@@ -127,7 +139,9 @@
     int m_port = 0;                          // UDP port, the same on all routers
     double m_beaconBytes = 100;              // smoothed size of one datagram
     FleetSizeEstimate m_fleetSize;
-    std::vector<DataCentreRouter> m_dataCentre; // heard routers of this data centre, as last reported
+    std::optional<std::vector<DataCentreRouter>> m_dataCentre; // known routers of this data centre, as last reported
+    bool m_hasList = false;                                    // a peer has sent its list
+    bool m_tellsOfList = false;                                // peers are to hear at once that this router has a list
     int m_peersHeard = 0;
     int m_maxPeersHeard = 0;
     std::int64_t m_beaconsSent = 0;
