Send no second lists to newcomers, and the first from a budget of their own

Cause: beside other work BeaconsOfALargeFleet found a router that heard 101 of 102 others once: the seed sent each newcomer a long list after the short one, 637 bytes each, and its broadcasts waited. PeersOfALargeStart found 291 of 300 informed after 4 s. Change: the long lists are left to the usual ones, one a second while a fleet forms; while 24 or more routers start, their lists may take as many bytes again as the beacons. A router without other seeds reports its data centre at once.

--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -43,6 +43,7 @@
     , m_queryOfDeath(queryOfDeath)
     , m_socket(io, [this](const LoadBeacon &beacon, const auto &sender) { onBeacon(beacon, sender); })
     , m_beaconBudget(GossipSettings{settings.bytesPerSecond})
+    , m_newcomerBudget(GossipSettings{settings.bytesPerSecond})
     , m_timer(io)
     , m_random(hashName(settings.address))
     , m_fleetSize(settings.address.empty() || !hasOtherSeed(settings))
@@ -63,7 +64,7 @@
     m_beaconNumber = firstBeaconNumber(std::chrono::system_clock::now());
     m_startId = m_beaconNumber;
     m_startingUntil = clockNow() + startingTime;
-    m_discoversUntil = m_startingUntil;
+    m_discoversUntil = hasOtherSeed(m_settings) ? m_startingUntil : clockNow();
     m_listsFrom = clockNow() + newcomersTime;
     m_fleetFormsUntil = clockNow() + formingTime;
     m_startIdToldUntil = clockNow() + startIdTime;
@@ -387,16 +388,16 @@
     return near;
 }
 
-/// @return the peer that gets the next list: a newcomer, those with wide links first, then those whose list was short,
-/// or now and then any peer. Of many routers that start at once, the first ones are sent their lists when those that
-/// start a moment later have been heard as well.
+/// @return the peer that gets the next list: a newcomer, those with wide links first, or now and then any peer. Of many
+/// routers that start at once, the first ones are sent their lists when those that start a moment later have been heard
+/// as well.
 std::optional<std::uint32_t> PeerLoadExchange::nextListReceiver(Instant now)
 {
     std::vector<std::uint32_t> candidates;
     int highestRank = now < m_nextPeerListAt ? 1 : 0;
     std::size_t newcomers = 0;
     for (const auto &[address, peer] : m_peers) {
-        const int rank = peer.isNewcomer ? 2 + peer.site.linkClass : peer.hadShortList ? 1 : 0;
+        const int rank = peer.isNewcomer ? 1 + peer.site.linkClass : 0;
         newcomers += peer.isNewcomer ? 1 : 0;
         if (rank > highestRank) {
             highestRank = rank;
@@ -443,12 +444,14 @@
     beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
     const std::string payload = encodeBeacon(beacon);
     m_peers[receiver].isNewcomer = true; // until the budget allows the list
-    if (!m_beaconBudget.takeMessage(now, datagramBytes(payload))) {
+    const int bytes = datagramBytes(payload);
+    const bool isAllowed =
+        m_beaconBudget.takeMessage(now, bytes) || (m_hasManyNewcomers && m_newcomerBudget.takeMessage(now, bytes));
+    if (!isAllowed) {
         return false;
     }
     m_nextPeerListAt = now + (now < m_fleetFormsUntil ? firstListInterval : peerListInterval);
     m_peers[receiver].isNewcomer = false;
-    m_peers[receiver].hadShortList = m_hasManyNewcomers && m_peers.size() <= maxListedPeers;
     m_peers[receiver].listSentAt = now;
     m_socket.send(payload, asio::ip::address_v4(receiver).to_string(), m_port);
     return true;
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -87,7 +87,6 @@
         std::uint32_t number = 0;     // of the last beacon; 0: none was received
         std::uint32_t placesUpTo = 0; // from its last beacon
         bool isNewcomer = false;      // has started and was sent no peer list yet
-        bool hadShortList = false;    // it is sent a long one when there is time
         Instant newcomerUntil{};      // until then it asks for a list unless another peer has sent it one
         Instant listSentAt{};         // last peer list
         RouterSite site;              // no data centre: not known yet
@@ -116,6 +115,7 @@
     QueryOfDeathDetector &m_queryOfDeath;
     BeaconSocket m_socket;
     BeaconBudget m_beaconBudget;
+    BeaconBudget m_newcomerBudget; // besides, for the lists to many that start at once
     DeadlineTimer m_timer;
     std::map<std::uint32_t, Peer> m_peers;   // by IPv4 address; includes known peers not heard yet
     std::uint32_t m_ownAddress = 0;          // IPv4 address of this router
