--- a/control/ratelimits.cpp
+++ b/control/ratelimits.cpp
@@ -1,4 +1,6 @@
 // Keeps the requests that all routers together send to a replica within the rate that it asks for.
+//
+// Sections of this file: Limits, Warm-ups, Fleet.
 #include "control/ratelimits.h"
 
 #include "control/age.h"
@@ -20,14 +22,20 @@
 constexpr double smallLimit = 0.5;       // per second; routers that use the same room at once would exceed it
 constexpr double minPerSecond = 0.25;    // of all routers, also at a limit of 0, to learn when it ends
 constexpr double unusedPartFactor = 1.5; // more than the limit is divided, as routers that see no request use no part
-constexpr int sendsPerNews = 2;          // broadcasts that carry each change
-constexpr std::size_t maxSentNews = 32;  // per broadcast
-constexpr std::size_t maxReportedSends = 256;                 // replicas per broadcast
-constexpr std::size_t maxKnownLimits = 20000;                 // twice the replicas of the largest deployment
-constexpr auto endedLifetime = std::chrono::seconds(60);      // in which late news of an ended limit may come
+constexpr auto permitLifetime = std::chrono::milliseconds(400); // short, as permits of all routers may be used at once
+/// Part of a warm-up's rate that is given out: permits of a second, and those still valid from before, add up to it.
+constexpr double permitPart = 1 / (1 + std::chrono::duration<double>(permitLifetime).count());
+constexpr auto sizeSettleTime = std::chrono::seconds(2); // from the first peers' lists until the fleet's size is exact
+constexpr int sendsPerNews = 2;                          // broadcasts that carry each change
+constexpr std::size_t maxSentNews = 32;                  // per broadcast
+constexpr std::size_t maxReportedSends = 256;            // replicas per broadcast
+constexpr std::size_t maxKnownLimits = 20000;            // twice the replicas of the largest deployment
+constexpr auto endedLifetime = std::chrono::seconds(60); // in which late news of an ended limit may come
 constexpr auto unheardLifetime = std::chrono::minutes(10);    // of a limit that nobody hears of any more
 constexpr auto peerReportLifetime = std::chrono::seconds(10); // of a silent peer's sends
 
+// Limits
+
 ReplicaRateLimits::ReplicaRateLimits(std::uint64_t seed)
     : m_random(seed)
 {
@@ -94,6 +102,11 @@
 }
 
 bool ReplicaRateLimits::admit(Instant now, std::uint32_t replica)
+{
+    return hasPermit(now, replica) && isBelowLimit(now, replica);
+}
+
+bool ReplicaRateLimits::isBelowLimit(Instant now, std::uint32_t replica)
 {
     const auto entry = m_limits.find(replica);
     if (entry == m_limits.end() || !entry->second.perSecond) {
@@ -123,6 +136,7 @@
         m_hasUnsentNews = m_hasUnsentNews || areSendsTold();
         entry->second.tokens -= entry->second.tokens >= 1 ? 1 : 0; // none was taken while reports were prompt
     }
+    takePermit(now, replica);
 }
 
 void ReplicaRateLimits::forget(std::uint32_t replica)
@@ -130,8 +144,77 @@
     m_limits.erase(replica);
 }
 
-void ReplicaRateLimits::setFleet(Instant now, int routers, Duration reportDelay)
+// Warm-ups
+
+void ReplicaRateLimits::setWarmUp(Instant now, std::uint32_t replica, double perSecond, Instant until)
+{
+    if (until <= now) {
+        return;
+    }
+    WarmUp &warmUp = m_warmUps[replica];
+    if (now >= warmUp.until) {
+        warmUp.permitAt.reset();
+    }
+    warmUp.perSecond = perSecond;
+    warmUp.until = std::max(warmUp.until, until);
+}
+
+bool ReplicaRateLimits::isWarmingUp(Instant now, std::uint32_t replica) const
 {
+    const auto warmUp = m_warmUps.find(replica);
+    return warmUp != m_warmUps.end() && now < warmUp->second.until;
+}
+
+/// All routers together have one permit after the other, each at a time of its own.
+Duration ReplicaRateLimits::permitInterval(const WarmUp &warmUp) const
+{
+    const double perSecond = permitPart * warmUp.perSecond / m_routers;
+    return std::max(Duration(1), std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond)));
+}
+
+/// Drops permits that have lapsed. The first one is drawn as if this router had had permits all the time.
+void ReplicaRateLimits::advancePermit(Instant now, WarmUp &warmUp)
+{
+    const Duration interval = permitInterval(warmUp);
+    const Instant oldestValid = now - permitLifetime;
+    if (!warmUp.permitAt) {
+        const double offset = static_cast<double>(interval.count()) * randomFraction();
+        warmUp.permitAt = oldestValid + Duration(static_cast<Duration::rep>(offset));
+    }
+    if (*warmUp.permitAt < oldestValid) {
+        *warmUp.permitAt += ((oldestValid - *warmUp.permitAt) / interval + 1) * interval;
+    }
+}
+
+bool ReplicaRateLimits::hasPermit(Instant now, std::uint32_t replica)
+{
+    const auto warmUp = m_warmUps.find(replica);
+    if (warmUp == m_warmUps.end() || now >= warmUp->second.until) {
+        return true;
+    }
+    if (now < m_permitsFrom) {
+        return false;
+    }
+    advancePermit(now, warmUp->second);
+    return now >= *warmUp->second.permitAt;
+}
+
+void ReplicaRateLimits::takePermit(Instant now, std::uint32_t replica)
+{
+    const auto warmUp = m_warmUps.find(replica);
+    if (warmUp != m_warmUps.end() && now < warmUp->second.until && now >= m_permitsFrom) {
+        advancePermit(now, warmUp->second);
+        *warmUp->second.permitAt += permitInterval(warmUp->second);
+    }
+}
+
+// Fleet
+
+void ReplicaRateLimits::setFleet(Instant now, int routers, Duration reportDelay, bool isSizeKnown)
+{
+    if (isSizeKnown && m_permitsFrom == Instant::max()) {
+        m_permitsFrom = now + sizeSettleTime;
+    }
     if (m_knowsSendsFrom == Instant::max()) {
         m_knowsSendsFrom = now + window;
     }
@@ -249,6 +332,9 @@
         const Duration lifetime = entry->second.perSecond ? Duration(unheardLifetime) : Duration(endedLifetime);
         entry = now >= entry->second.saidAt + lifetime ? m_limits.erase(entry) : std::next(entry);
     }
+    for (auto warmUp = m_warmUps.begin(); warmUp != m_warmUps.end();) {
+        warmUp = now >= warmUp->second.until ? m_warmUps.erase(warmUp) : std::next(warmUp);
+    }
     if (!m_peerSends.empty() || !m_formerSends.empty()) {
         sumPeerSends(now);
     }
--- a/control/ratelimits.h
+++ b/control/ratelimits.h
@@ -8,6 +8,11 @@
 // the sends that are known of reach the limit. Where such reports would be late, each router keeps to its own part of
 // the limit instead, a token bucket.
 //
+// Load pattern: a replica takes few requests a second for the seconds in which it warms up, at times all replicas of a
+// data centre at once. What routers tell each other comes too late for that, and a router that is cut off hears
+// nothing. So no message is needed: each router has permits for its part of the rate, one after the other, which lapse
+// soon if they are not used. Those that are valid within any second add up to the rate, whoever is heard.
+//
 // Sections of this file: Report, Limits.
 #pragma once
 
@@ -63,13 +68,21 @@
     bool admit(Instant now, std::uint32_t replica);
 
     void onSent(Instant now, std::uint32_t replica); ///< A request was sent to the replica.
-    void forget(std::uint32_t replica);              ///< The replica is gone, or has started anew without a limit.
+    void forget(std::uint32_t replica); ///< The replica is gone, or has started anew without a limit of its own.
+
+    /// @return requests per second that the replica named; nothing: no limit
+    std::optional<double> limit(std::uint32_t replica) const;
 
-    std::optional<double> limit(std::uint32_t replica) const; ///< @return requests per second; nothing: no limit
+    /// The replica warms up. A warm-up in progress is prolonged, never shortened; it ends by its time.
+    /// @param perSecond requests that the replica takes from all routers together until then
+    void setWarmUp(Instant now, std::uint32_t replica, double perSecond, Instant until);
+
+    bool isWarmingUp(Instant now, std::uint32_t replica) const;
 
     /// @param routers size of the fleet
     /// @param reportDelay time until the peers know of a request that was sent
-    void setFleet(Instant now, int routers, Duration reportDelay);
+    /// @param isSizeKnown false: there may be far more routers, as this one has just started
+    void setFleet(Instant now, int routers, Duration reportDelay, bool isSizeKnown = true);
 
     bool hasUnsentNews() const { return m_hasUnsentNews; } ///< @return true if peers do not know of a change
     LimitReport takeReport(Instant now); ///< @return report for all peers; its news then count as sent
@@ -90,12 +103,23 @@
                                          // it may have used its part before
         Instant refilledAt{};
     };
+    struct WarmUp {
+        double perSecond = 0;
+        Instant until{};
+        std::optional<Instant> permitAt; // this router's oldest permit that has not lapsed, or else its next one, is
+                                         // valid from then on; nothing: not drawn yet
+    };
     struct PeerSends {
         Instant until{}; // expiry
         std::vector<LimitedSends> sends;
         std::uint32_t startId = 0;
     };
 
+    bool isBelowLimit(Instant now, std::uint32_t replica);
+    bool hasPermit(Instant now, std::uint32_t replica);
+    void takePermit(Instant now, std::uint32_t replica);
+    Duration permitInterval(const WarmUp &warmUp) const;
+    void advancePermit(Instant now, WarmUp &warmUp);
     bool apply(std::uint32_t replica, const std::optional<double> &perSecond, Instant saidAt);
     int ownSends(Instant now, Limit &limit) const;
     bool areSendsTold() const;
@@ -107,11 +131,13 @@
     void sumPeerSends(Instant now);
 
     boost::random::mt19937_64 m_random;
-    std::unordered_map<std::uint32_t, Limit> m_limits; // by replica; those that have ended are kept for a while
-    std::map<std::uint32_t, PeerSends> m_peerSends;    // by peer
-    std::deque<PeerSends> m_formerSends;               // of peers that have restarted since, oldest first
-    Instant m_knowsSendsFrom = Instant::max();         // peers' reports since the start cover a window from then on
-    bool m_hasStarted = false;                         // that time has come
+    std::unordered_map<std::uint32_t, Limit> m_limits;   // by replica; those that have ended are kept for a while
+    std::unordered_map<std::uint32_t, WarmUp> m_warmUps; // by replica
+    Instant m_permitsFrom = Instant::max();              // the size of the fleet is known by then
+    std::map<std::uint32_t, PeerSends> m_peerSends;      // by peer
+    std::deque<PeerSends> m_formerSends;                 // of peers that have restarted since, oldest first
+    Instant m_knowsSendsFrom = Instant::max();           // peers' reports since the start cover a window from then on
+    bool m_hasStarted = false;                           // that time has come
     int m_routers = 1;
     Duration m_reportDelay{};
     bool m_hasUnsentNews = false;
--- a/control/replicadirectory.cpp
+++ b/control/replicadirectory.cpp
@@ -3,11 +3,14 @@
 
 #include "control/loadview.h"
 
+#include <algorithm>
 #include <set>
 
 namespace galenafold
 {
 
+constexpr auto warmUpTolerance = std::chrono::milliseconds(200); // between what two heartbeats tell of its end
+
 std::uint32_t incarnationHash(const ReplicaRecord &record)
 {
     return static_cast<std::uint32_t>(
@@ -24,14 +27,22 @@
     return record && !record->isDraining;
 }
 
+/// Each heartbeat tells the time left anew, as of a moment that is known only roughly. An earlier end counts for
+/// nothing, as a warm-up ends by its time.
+static bool prolongsWarmUp(Instant now, const ReplicaRecord &before, const ReplicaRecord &after)
+{
+    return after.warmUntil > std::max(now, before.warmUntil) + warmUpTolerance;
+}
+
 /// @return true if both records mean the same for routing: both unusable, or usable with equal properties
-static bool isSameForRouting(const std::optional<ReplicaRecord> &a, const std::optional<ReplicaRecord> &b)
+static bool isSameForRouting(Instant now, const std::optional<ReplicaRecord> &before,
+                             const std::optional<ReplicaRecord> &after)
 {
-    if (!isUsable(a) || !isUsable(b)) {
-        return isUsable(a) == isUsable(b);
+    if (!isUsable(before) || !isUsable(after)) {
+        return isUsable(before) == isUsable(after);
     }
-    return a->address == b->address && a->started == b->started && a->service == b->service
-        && a->isWarmingUp == b->isWarmingUp && a->slots == b->slots;
+    return before->address == after->address && before->started == after->started && before->service == after->service
+        && before->slots == after->slots && !prolongsWarmUp(now, *before, *after);
 }
 
 /// Removes an entry, or starts its grace period: an entry that disappears while the store is unavailable, or soon
@@ -82,7 +93,7 @@
     entry.lastHeartbeat = update.record->heartbeatCount;
     entry.hasLeft = false;
     entry.removeAt.reset();
-    return !isSameForRouting(before, entry.record);
+    return !isSameForRouting(now, before, entry.record);
 }
 
 bool ReplicaDirectory::applyListing(Instant now, const std::vector<RegistryUpdate> &listing, LogOffset listedUpTo)
--- a/control/replicadirectory.h
+++ b/control/replicadirectory.h
@@ -28,7 +28,7 @@
     std::int64_t heartbeatCount = 0; // heartbeat counter since the process started
     int slots = 0;                   // requests that it runs concurrently
     bool isDraining = false;         // accepts no new work
-    bool isWarmingUp = false;        // still slow after its start
+    Instant warmUntil{};             // still slow after its start until then
 };
 
 /// @return hash of the id and the start time; identifies one run of a replica's process in messages between routers
--- a/control/replicaholds.cpp
+++ b/control/replicaholds.cpp
@@ -1,8 +1,9 @@
-// Replicas that get no requests of this router because their own answers said so.
+// Replicas that get no requests of this router.
 #include "control/replicaholds.h"
 
 #include <algorithm>
 #include <boost/random/uniform_real_distribution.hpp>
+#include <iterator>
 
 namespace galenafold
 {
@@ -18,8 +19,12 @@
 {
 }
 
-ReplicaHold ReplicaHolds::hold(Instant now, std::uint32_t incarnation, int ownInFlight) const
+ReplicaHold ReplicaHolds::hold(Instant now, std::uint32_t incarnation, int ownInFlight,
+                               const DataCentreId &dataCentre) const
 {
+    if (isEvacuated(dataCentre)) {
+        return ReplicaHold::Evacuated;
+    }
     if (isLeaving(incarnation)) {
         return ReplicaHold::Leaving;
     }
@@ -32,6 +37,15 @@
     return mayGetOne ? ReplicaHold::None : ReplicaHold::TurnedAway;
 }
 
+std::set<DataCentreId> ReplicaHolds::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    std::set<DataCentreId> ended;
+    std::set_difference(m_evacuated.begin(), m_evacuated.end(), dataCentres.begin(), dataCentres.end(),
+                        std::inserter(ended, ended.begin()));
+    m_evacuated = std::move(dataCentres);
+    return ended;
+}
+
 bool ReplicaHolds::onLeaving(std::uint32_t incarnation)
 {
     if (!m_leaving.insert(incarnation).second) {
--- a/control/replicaholds.h
+++ b/control/replicaholds.h
@@ -1,4 +1,5 @@
-// Replicas that get no requests of this router because their own answers said so.
+// Replicas that get no requests of this router because their own answers said so, or because the operator evacuates
+// their data centre.
 //
 // Load pattern: a replica announces in its answers that it will stop while the store is away, turns this router away,
 // or still names the replica for a second or two. Every router keeps open connections to it, and the replica goes on to
@@ -8,8 +9,13 @@
 // have got goes to the others, and returns at once when the time is over, from every router and to every replica that
 // named the same time; so each router comes back a little later by chance, and with one request at first.
 //
-// What is held is one run of a replica's process, whatever the registry says of it: the next run at the same address or
-// under the same id gets requests again.
+// Load pattern: an operator empties a data centre before maintenance and fills it again, at times two of them or all.
+// Its replicas are sound, answer, and hold connections and prompts; nothing but the operator's word keeps requests
+// away, the first ones of a router that has just started, waiting ones and repeated ones as well. Requests that run
+// there finish.
+//
+// What an answer holds is one run of a replica's process, whatever the registry says of it: the next run at the same
+// address or under the same id gets requests again.
 #pragma once
 
 #include "galenafold/galenafold.h"
@@ -17,6 +23,7 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -28,6 +35,7 @@
     None,
     Leaving,    // it will stop
     TurnedAway, // it named a time for which it wants none, or has just begun to take requests again
+    Evacuated,  // the operator evacuates its data centre
 };
 
 /// Not thread-safe: used on the traffic thread. Runs of replicas are named by `incarnationHash`.
@@ -36,8 +44,16 @@
 public:
     explicit ReplicaHolds(std::uint64_t seed);
 
-    /// @param ownInFlight requests in progress from this router @return why the replica gets none now
-    ReplicaHold hold(Instant now, std::uint32_t incarnation, int ownInFlight) const;
+    /// @param ownInFlight requests in progress from this router @param dataCentre of the replica
+    /// @return why the replica gets none now
+    ReplicaHold hold(Instant now, std::uint32_t incarnation, int ownInFlight,
+                     const DataCentreId &dataCentre = {}) const;
+
+    /// Sets the data centres that the operator evacuates. @return those that were evacuated until now
+    std::set<DataCentreId> setEvacuated(std::set<DataCentreId> dataCentres);
+
+    const std::set<DataCentreId> &evacuated() const { return m_evacuated; }
+    bool isEvacuated(const DataCentreId &dataCentre) const { return m_evacuated.count(dataCentre) > 0; }
 
     /// An answer of the replica, or a peer, told that it will stop. @return true if that is news
     bool onLeaving(std::uint32_t incarnation);
@@ -63,6 +79,7 @@
     };
 
     boost::random::mt19937_64 m_random;
+    std::set<DataCentreId> m_evacuated;
     std::unordered_map<std::uint32_t, TurnedAway> m_turnedAway;
     std::unordered_set<std::uint32_t> m_leaving; // kept for good: a run that leaves never takes requests again
     std::deque<std::uint32_t> m_leavingOrder;    // the same, oldest first
--- a/control/routes.h
+++ b/control/routes.h
@@ -44,8 +44,9 @@
     int priority = 5;                                    // 0: highest
     int maxAttempts = 1;                                 // maximum number of replicas that a request is sent to
     bool isPublic = false;                               // needs no API key
-    bool hasPrefixAffinity = false; // requests name their prompt's parts, for prefix-affinity routing
-    bool isResumable = false;       // a stream may continue on another replica
+    bool hasPrefixAffinity = false;       // requests name their prompt's parts, for prefix-affinity routing
+    bool isResumable = false;             // a stream may continue on another replica
+    std::vector<RegionId> allowedRegions; // of replicas that its requests may reach; empty: any
     std::vector<RouteTarget> targets;
 
     /// @return true if a request may run more than once
@@ -58,6 +59,12 @@
 
 // Services
 
+/// What replicas take while they warm up.
+struct WarmUpSpec {
+    Duration duration{};  // after a replica's start
+    double perSecond = 0; // requests that a replica takes from all routers together meanwhile; 0: any number
+};
+
 struct ServiceSpec {
     ServiceId id;
     std::string healthPath;
@@ -65,13 +72,15 @@
     int slots = 0;          // requests that an engine runs concurrently; 0: a plain service
     Tokens cacheTokens = 0; // prefix cache capacity of one engine
     bool isEngine = false;
+    WarmUpSpec warmUp;
 };
 
 // Accounts
 
 struct ClientAccount {
     AccountId id;
-    std::optional<int> priority; // overrides the route's priority
+    std::optional<int> priority;          // overrides the route's priority
+    std::vector<RegionId> allowedRegions; // like a route's; both bind
 };
 
 /// Limits on the size of a caller's requests and on the time to send them.
--- a/control/topiccache.cpp
+++ b/control/topiccache.cpp
@@ -95,7 +95,8 @@
 {
     std::vector<KeyedRecord> records;
     for (const auto &[offset, change] : m_changes) {
-        if (!change.record.value.empty()) {
+        const KeyedRecord &newest = m_changes.at(m_lastChange.at(change.record.key)).record;
+        if (!change.record.value.empty() && !newest.value.empty()) {
             records.push_back(change.record);
         }
     }
--- a/fakes/replica.cpp
+++ b/fakes/replica.cpp
@@ -143,9 +143,10 @@
     }
 };
 
-FakeReplica::FakeReplica(std::string id, std::string service, ReplicaScript script)
+FakeReplica::FakeReplica(std::string id, std::string service, ReplicaScript script, std::string dataCentre)
     : m_id(std::move(id))
     , m_service(std::move(service))
+    , m_dataCentre(std::move(dataCentre))
     , m_script(std::move(script))
     , m_workGuard(asio::make_work_guard(m_io))
     , m_acceptor(m_io)
@@ -226,11 +227,11 @@
     });
 }
 
-std::string FakeReplica::entry(const std::string &state, std::int64_t startedMs) const
+std::string FakeReplica::entry(const std::string &state, std::int64_t startedMs, int warmUpLeftMs) const
 {
     const nlohmann::json json{{"service", m_service}, {"address", "127.0.0.1:" + std::to_string(m_port)},
-                              {"zone", "here"},       {"state", state},
-                              {"slots", 8},           {"coldLeftMs", 0},
+                              {"zone", m_dataCentre}, {"state", state},
+                              {"slots", 8},           {"coldLeftMs", warmUpLeftMs},
                               {"seqNo", 1},           {"born", startedMs}};
     return json.dump();
 }
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -69,13 +69,14 @@
 class FakeReplica
 {
 public:
-    FakeReplica(std::string id, std::string service, ReplicaScript script);
+    FakeReplica(std::string id, std::string service, ReplicaScript script, std::string dataCentre = "here");
     ~FakeReplica();
 
     bool start(); ///< Listens on a free port and starts the thread.
 
-    /// @param startedMs start time of the replica's process, in Unix milliseconds @return its entry in the registry
-    std::string entry(const std::string &state = "ready", std::int64_t startedMs = 1) const;
+    /// @param startedMs start time of the replica's process, in Unix milliseconds
+    /// @param warmUpLeftMs milliseconds for which it is still slow after its start @return its entry in the registry
+    std::string entry(const std::string &state = "ready", std::int64_t startedMs = 1, int warmUpLeftMs = 0) const;
 
     /// Resets all connections and accepts none for a while, like a process that crashes and is started again. Call it
     /// on the replica's thread, from the script. Has no effect while the replica is down.
@@ -98,6 +99,7 @@
 
     std::string m_id;
     std::string m_service;
+    std::string m_dataCentre;
     ReplicaScript m_script;
     asio::io_context m_io;
     asio::executor_work_guard<asio::io_context::executor_type> m_workGuard;
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -85,6 +85,7 @@
             m_rateLimits.forget(state.nameHash);
         }
         state.record = record;
+        noteEntry(now, state, isNewIncarnation && !isNew);
     }
     std::vector<EndpointId> removed;
     for (const auto &[id, state] : m_endpoints) {
@@ -131,7 +132,9 @@
 {
     std::map<ServiceId, std::vector<const EndpointState *>> services;
     for (const auto &[id, state] : m_endpoints) {
-        services[state.record.service].push_back(&state);
+        if (!m_holds.isEvacuated(state.record.dataCentre)) {
+            services[state.record.service].push_back(&state);
+        }
     }
     for (const auto &[service, engines] : services) {
         m_places.assignPlaces(service, placeDemand(now, engines));
@@ -154,13 +157,26 @@
     return demand;
 }
 
+/// @return true if the request may be sent to the replica's data centre
+static bool isAllowed(const SelectionRequest &request, const EndpointState &state)
+{
+    return !request.allowedDataCentres || request.allowedDataCentres->count(state.record.dataCentre) > 0;
+}
+
 ReplicaChoice LoadBalancer::choose(Instant now, const SelectionRequest &request)
 {
     std::vector<EndpointState *> healthy;
     std::vector<EndpointState *> avoidedReplicas;
     ReplicaChoice held;
     for (auto &[id, state] : m_endpoints) {
-        if (state.record.service != request.service || request.excluded.count(id) > 0 || isHeld(now, state, held)) {
+        if (state.record.service != request.service || request.excluded.count(id) > 0) {
+            continue;
+        }
+        if (!isAllowed(request, state)) {
+            ++held.skippedRegion;
+            continue;
+        }
+        if (isHeld(now, state, held)) {
             continue;
         }
         (now < state.avoidUntil ? avoidedReplicas : healthy).push_back(&state);
@@ -168,14 +184,16 @@
     ReplicaChoice choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
     choice.skippedLeaving = held.skippedLeaving;
     choice.skippedTurnedAway = held.skippedTurnedAway;
+    choice.skippedEvacuated = held.skippedEvacuated;
+    choice.skippedRegion = held.skippedRegion;
     choice.turnedAwayUntil = held.turnedAwayUntil;
     return choice;
 }
 
-/// @param choice counts the replica if its own answers keep requests away
+/// @param choice counts the replica if its own answers, or the operator, keep requests away
 bool LoadBalancer::isHeld(Instant now, const EndpointState &state, ReplicaChoice &choice) const
 {
-    switch (m_holds.hold(now, state.incarnation, state.ownInFlight)) {
+    switch (m_holds.hold(now, state.incarnation, state.ownInFlight, state.record.dataCentre)) {
     case ReplicaHold::None:
         return false;
     case ReplicaHold::Leaving:
@@ -186,6 +204,9 @@
         choice.turnedAwayUntil =
             std::min(choice.turnedAwayUntil, m_holds.turnedAwayUntil(now, state.incarnation).value_or(now));
         return true;
+    case ReplicaHold::Evacuated:
+        ++choice.skippedEvacuated;
+        return true;
     }
     return false;
 }
@@ -298,7 +319,7 @@
         if (std::find(candidates.begin(), candidates.end(), state) == candidates.end()) {
             ++choice.skippedAvoided;
         } else if (!mayGetPrompt(now, *state, position)) {
-            ++choice.skippedLimited;
+            countLimited(now, *state, choice);
         } else if (!hasHeadroom(now, *state, bound)) {
             ++choice.skippedFull;
         } else {
@@ -319,19 +340,24 @@
 }
 
 /// All engines for the prompt are full or at their limits. While some are at their limits the others do not take the
-/// excess above their bound: it goes to limited engines that may get more, or is refused.
+/// excess above their bound: it goes to limited engines that may get more, or is refused. Engines that warm up are
+/// limited for a moment and few, or known to be short of time; for them nothing is refused that others can take.
 void LoadBalancer::spill(Instant now, const std::vector<EndpointState *> &candidates, ReplicaChoice &choice)
 {
     std::vector<EndpointState *> limited;
     std::vector<EndpointState *> unlimited;
     for (EndpointState *state : candidates) {
-        (m_rateLimits.limit(state->nameHash) ? limited : unlimited).push_back(state);
+        const bool isLimited = m_rateLimits.limit(state->nameHash) || m_rateLimits.isWarmingUp(now, state->nameHash);
+        (isLimited ? limited : unlimited).push_back(state);
     }
     chooseLeastLoaded(now, unlimited, choice);
-    const bool isExcess = choice && choice.skippedLimited > 0 && load(now, *choice) > choice.bound;
+    const bool isPassed = choice.skippedLimited > 0 || choice.skippedWarming > 0;
+    const bool isExcess = choice && isPassed && load(now, *choice) > choice.bound;
     if (!choice || isExcess) {
+        const EndpointState *overBound = choice.skippedLimited > 0 ? nullptr : choice.endpoint;
         choice.endpoint = nullptr;
         chooseLeastLoaded(now, limited, choice);
+        choice.endpoint = choice ? choice.endpoint : overBound;
     }
 }
 
@@ -344,7 +370,7 @@
             choice.endpoint = best;
             return;
         }
-        ++choice.skippedLimited;
+        countLimited(now, *best, choice);
         candidates.erase(std::find(candidates.begin(), candidates.end(), best));
     }
 }
@@ -401,6 +427,9 @@
     } else if (!isGood && state.failureRate > failureRateThreshold) {
         state.avoidUntil = now + failureRateAvoidance;
     }
+    if (outcome == AttemptOutcome::Unreachable) {
+        m_warmUps.onUnreachable(now, {state.nameHash, state.record.service}, state.avoidUntil);
+    }
     return now < state.avoidUntil && !isGood;
 }
 
@@ -489,7 +518,8 @@
         }
     };
     for (const auto &[id, state] : m_endpoints) {
-        if (state.place && id != chosen && state.record.service == request.service) {
+        const bool isOther = id != chosen && state.record.service == request.service;
+        if (state.place && isOther && isAllowed(request, state)) {
             consider(*state.place, now >= state.avoidUntil ? state.record.address : std::string());
         }
     }
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -19,6 +19,7 @@
 #include "control/gossip.h"
 #include "control/ratelimits.h"
 #include "control/replicaholds.h"
+#include "control/warmups.h"
 #include "filters/headerfields.h"
 #include "filters/placetable.h"
 
@@ -88,6 +89,7 @@
     std::optional<std::uint64_t> affinity; // hash of the shared prompt parts
     std::set<EndpointId> excluded;         // replicas already tried
     bool needsRoom = false;                // only replicas that can start the request at once
+    std::optional<std::set<DataCentreId>> allowedDataCentres = std::nullopt; // nothing: any
 };
 
 /// The chosen replica, and how many engines that rank before it for the prompt were skipped.
@@ -98,6 +100,9 @@
     int skippedLimited = 0;                   // replicas skipped because of the rate that they take
     int skippedLeaving = 0;                   // replicas skipped because their answers announced that they will stop
     int skippedTurnedAway = 0;                // replicas skipped because they named a time for which they want none
+    int skippedEvacuated = 0;                 // replicas skipped because their data centre is evacuated
+    int skippedRegion = 0;                    // replicas skipped because their data centre is not allowed
+    int skippedWarming = 0;                   // replicas skipped because they warm up and get enough meanwhile
     int skippedBusy = 0;                      // replicas skipped because they have no room; only with `needsRoom`
     Instant turnedAwayUntil = Instant::max(); // the shortest of these times
     double bound = 0;                         // load above which no engine was to be chosen; 0: chosen without a bound
@@ -143,6 +148,12 @@
 
     void assignPlaces(Instant now); ///< Assigns places to waiting engines where the others are busy. Call periodically.
 
+    /// Sets the services in force; of them, how their replicas warm up.
+    void setServices(Instant now, const std::unordered_map<ServiceId, ServiceSpec> &services);
+
+    /// Sets the data centres whose replicas get no requests. Replicas of those that are not evacuated any more warm up.
+    void setEvacuated(Instant now, std::set<DataCentreId> dataCentres);
+
     ReplicaChoice choose(Instant now, const SelectionRequest &request); ///< @return the replica to send to
 
     /// @return requests that the service's replicas could start at once, by what is known of their load; negative if
@@ -222,6 +233,8 @@
     void applyReport(Instant now, EndpointState &state, int inProgress) const;
     static void updateSlowdown(Instant now, EndpointState &state, double slowdown);
     std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
+    void noteEntry(Instant now, const EndpointState &state, bool hasStarted);
+    void countLimited(Instant now, const EndpointState &state, ReplicaChoice &choice) const;
     bool isHeld(Instant now, const EndpointState &state, ReplicaChoice &choice) const;
     ReplicaChoice chooseAmong(Instant now, const SelectionRequest &request,
                               const std::vector<EndpointState *> &candidates);
@@ -236,6 +249,7 @@
     DataCentreId m_localDataCentre;
     boost::random::mt19937_64 m_random;
     ReplicaRateLimits m_rateLimits;
+    WarmUps m_warmUps{m_rateLimits};
     ReplicaHolds m_holds;
     struct DrainingEngine {
         std::uint64_t place = 0; // the place that it had
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -62,6 +62,7 @@
 using RequestId = Id<struct RequestTag>;       // one call, echoed by the endpoint
 using VmId = Id<struct VmTag>;                 // VM that runs a router or an endpoint
 using DataCentreId = Id<struct DataCentreTag>; // data centre that hosts a VM
+using RegionId = Id<struct RegionTag>;         // region that data centres belong to
 
 /// Identifies one run of an endpoint's process. A restarted endpoint has a new incarnation and an empty cache.
 enum class Incarnation : std::uint64_t {};
@@ -314,6 +315,8 @@
 struct RouterSettings {
     VmId name;                                                // identifies this router in log lines
     DataCentreId dataCentre;                                  // in which this router runs
+    std::map<DataCentreId, RegionId> regions;                 // of all data centres; none needed where nothing is
+                                                              // limited to regions
     std::string callers;                                      // IP:PORT to listen on for callers
     std::string admin;                                        // IP:PORT to listen on for readiness and metrics
     std::string store;                                        // IP:PORT of the platform's store
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -124,11 +124,32 @@
     };
 }
 
+/// Takes the section [regions] out of the entries: its keys are data centres, its values their regions.
+static std::map<DataCentreId, RegionId> takeRegions(const std::string &file, std::vector<IniEntry> &entries,
+                                                    std::vector<IniError> &errors)
+{
+    std::map<DataCentreId, RegionId> regions;
+    std::vector<IniEntry> others;
+    for (IniEntry &entry : entries) {
+        if (entry.section != "regions") {
+            others.push_back(std::move(entry));
+            continue;
+        }
+        if (entry.value.empty()) {
+            errors.push_back({file, entry.section, entry.key, "", "the name of a region is expected"});
+        }
+        regions[{entry.key}] = {entry.value};
+    }
+    entries = std::move(others);
+    return regions;
+}
+
 boost::leaf::result<RouterSettings> parseRouterSettings(const std::string &file, const std::string &text)
 {
     RouterSettings settings;
     std::vector<IniError> errors;
-    const std::vector<IniEntry> entries = parseIni(file, text, errors);
+    std::vector<IniEntry> entries = parseIni(file, text, errors);
+    settings.regions = takeRegions(file, entries, errors);
     applyIni(file, entries, routerFields(settings), errors);
     if (!errors.empty()) {
         return boost::leaf::new_error(SettingsErrors{errors});
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -40,6 +40,7 @@
     TrafficSettings traffic;
     traffic.listenAddress = settings.callers;
     traffic.dataCentre = settings.dataCentre;
+    traffic.regions = settings.regions;
     traffic.maxRevocationDelay = settings.maxRevocationDelay;
     traffic.maxResponseBytes = maxResponseBytes(settings);
     traffic.startupWait = settings.startupWait;
@@ -167,11 +168,15 @@
     TopicSubscriptionHooks hooks;
     hooks.topic.onRecord = [this](const KeyedRecord &record) {
         ++m_storeRecords;
-        if (record.key == desiredStateKey && !record.value.empty()) {
+        if (const auto evacuation = decodeEvacuation(record)) {
+            const auto change = m_evacuations.apply(*evacuation);
+            publishEvacuations(change ? std::vector<EvacuationChange>{*change} : std::vector<EvacuationChange>());
+        } else if (record.key == desiredStateKey && !record.value.empty()) {
             applyDesiredState(record.value, record.offset);
         }
     };
-    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset) {
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+        listEvacuations(records, begin); // before the desired state, which lets a router that starts serve requests
         for (const KeyedRecord &record : records) {
             ++m_storeRecords;
             if (record.key == desiredStateKey && !record.value.empty()) {
@@ -189,6 +194,7 @@
     };
     hooks.onRestored = [this](Instant) {
         ++m_storeRestores;
+        m_evacuations.onStoreRestored();
         m_sharedState.readNow(); // it is read rarely, and would go on at a void offset
     };
     hooks.onRegained = [this](Instant) {
@@ -201,6 +207,30 @@
     return hooks;
 }
 
+void RouterNode::listEvacuations(const std::vector<KeyedRecord> &records, LogOffset begin)
+{
+    std::vector<EvacuationRecord> listing;
+    for (const KeyedRecord &record : records) {
+        if (const auto evacuation = decodeEvacuation(record)) {
+            listing.push_back(*evacuation);
+        }
+    }
+    publishEvacuations(m_evacuations.applyListing(listing, begin));
+}
+
+void RouterNode::publishEvacuations(const std::vector<EvacuationChange> &changes)
+{
+    for (const EvacuationChange &change : changes) {
+        LogLine line("evacuation");
+        line.text("data_centre", change.dataCentre.text).text("state", change.isEvacuated ? "begun" : "ended");
+        line.number("offset", change.offset);
+        m_log.write(line, LogPriority::Notable);
+    }
+    if (!changes.empty()) {
+        m_traffic.setEvacuated(m_evacuations.dataCentres());
+    }
+}
+
 void RouterNode::applyDesiredState(const std::string &json, LogOffset offset)
 {
     boost::leaf::try_handle_all(
@@ -264,7 +294,7 @@
     RegistryUpdate update;
     update.id.text = record.key;
     update.offset = record.offset;
-    update.record = decodeReplica(update.id, record.value);
+    update.record = decodeReplica(update.id, record.value, clockNow());
     return update;
 }
 
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -2,6 +2,7 @@
 // the store, answers readiness and metrics requests, and drains the router.
 #pragma once
 
+#include "control/evacuations.h"
 #include "control/freshness.h"
 #include "control/newestversion.h"
 #include "control/replicadirectory.h"
@@ -42,6 +43,8 @@
     void setDataCentre(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others);
     TopicSubscriptionHooks desiredStateHooks();
     TopicSubscriptionHooks registryHooks();
+    void listEvacuations(const std::vector<KeyedRecord> &records, LogOffset begin);
+    void publishEvacuations(const std::vector<EvacuationChange> &changes);
     void applyDesiredState(const std::string &json, LogOffset offset);
     void publishRouteTable();
     void onVersionTold(DesiredStateVersion version);
@@ -61,6 +64,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_workGuard;
     TrafficThread m_traffic;
     ReplicaDirectory m_directory;
+    Evacuations m_evacuations;
     FreshnessProof m_proof; // that the desired state is current
     TopicSubscription m_desiredState;
     TopicSubscription m_registry;
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -8,6 +8,13 @@
 
 using namespace galenafold;
 
+constexpr Instant receivedAt{std::chrono::seconds(100)};
+
+static std::optional<ReplicaRecord> decodeEntry(const EndpointId &id, const std::string &json)
+{
+    return decodeReplica(id, json, receivedAt);
+}
+
 TEST_GROUP(PlatformProtocol){static std::string registryEntry(const std::string &moreFields){
     return R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":1700000000000)"
     + moreFields + "}";
@@ -26,16 +33,16 @@
 
 TEST(PlatformProtocol, InvalidRegistryEntriesAreRejected)
 {
-    CHECK(decodeReplica({"a"}, registryEntry("")).has_value());
-    LONGS_EQUAL(1700000000000, decodeReplica({"a"}, registryEntry(""))->started.count());
-    CHECK(!decodeReplica({"a"}, "\xff\x01 not json"));
-    CHECK(!decodeReplica({"a"}, "[]"));
-    CHECK(!decodeReplica({"a"}, ""));
-    CHECK(!decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80"})"));
-    CHECK(!decodeReplica({"a"}, R"({"service":7,"address":"10.0.0.1:80","state":"ready"})"));
-    CHECK(!decodeReplica({"a"}, R"({"service":"s","address":"here","state":"ready"})"));
-    CHECK(!decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"odd"})"));
-    CHECK(decodeReplica({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"draining"})")->isDraining);
+    CHECK(decodeEntry({"a"}, registryEntry("")).has_value());
+    LONGS_EQUAL(1700000000000, decodeEntry({"a"}, registryEntry(""))->started.count());
+    CHECK(!decodeEntry({"a"}, "\xff\x01 not json"));
+    CHECK(!decodeEntry({"a"}, "[]"));
+    CHECK(!decodeEntry({"a"}, ""));
+    CHECK(!decodeEntry({"a"}, R"({"service":"s","address":"10.0.0.1:80"})"));
+    CHECK(!decodeEntry({"a"}, R"({"service":7,"address":"10.0.0.1:80","state":"ready"})"));
+    CHECK(!decodeEntry({"a"}, R"({"service":"s","address":"here","state":"ready"})"));
+    CHECK(!decodeEntry({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"odd"})"));
+    CHECK(decodeEntry({"a"}, R"({"service":"s","address":"10.0.0.1:80","state":"draining"})")->isDraining);
 }
 
 /// A start time that the JSON library saturates was taken for the newest, and the replica's own entries after it were
@@ -43,33 +50,70 @@
 TEST(PlatformProtocol, RegistryEntriesWithOddNumbersAreRejected)
 {
     const std::string start = R"({"service":"s","address":"10.0.0.1:80","state":"ready",)";
-    CHECK(decodeReplica({"a"}, start + R"("born":1700000000000,"slots":8,"seqNo":3})").has_value());
+    CHECK(decodeEntry({"a"}, start + R"("born":1700000000000,"slots":8,"seqNo":3})").has_value());
     for (const char *number : {"1e30", "1e400", "18446744073709551615", "-5", "1.5", "true", "\"7\"", "null", "[]"}) {
         for (const char *field : {"born", "slots", "seqNo"}) {
             const std::string text = start + '"' + field + "\":" + number + '}';
-            CHECK_TEXT(!decodeReplica({"a"}, text), text.c_str());
+            CHECK_TEXT(!decodeEntry({"a"}, text), text.c_str());
         }
     }
     for (const char *address : {"10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:", ":80", "10.0.0.1:80x"}) {
         const std::string text = std::string(R"({"service":"s","state":"ready","address":")") + address + "\"}";
-        CHECK_TEXT(!decodeReplica({"a"}, text), address);
+        CHECK_TEXT(!decodeEntry({"a"}, text), address);
     }
 }
 
 TEST(PlatformProtocol, DeeplyNestedRegistryEntriesAreRejected)
 {
     const std::string deep = std::string(120000, '[') + std::string(120000, ']'); // a record holds 256 KiB
-    CHECK(!decodeReplica({"a"}, deep));
-    CHECK(!decodeReplica({"a"}, R"({"service":)" + deep + R"(,"address":"10.0.0.1:80","state":"ready"})"));
-    CHECK(!decodeReplica({"a"}, R"({"service":"s","slots":)" + deep + R"(,"address":"10.0.0.1:80","state":"ready"})"));
-    CHECK(decodeReplica({"a"}, registryEntry(R"(,"more":)" + deep)).has_value());
+    CHECK(!decodeEntry({"a"}, deep));
+    CHECK(!decodeEntry({"a"}, R"({"service":)" + deep + R"(,"address":"10.0.0.1:80","state":"ready"})"));
+    CHECK(!decodeEntry({"a"}, R"({"service":"s","slots":)" + deep + R"(,"address":"10.0.0.1:80","state":"ready"})"));
+    CHECK(decodeEntry({"a"}, registryEntry(R"(,"more":)" + deep)).has_value());
+}
+
+TEST(PlatformProtocol, WarmUpsAreDecodedAsDeadlines)
+{
+    CHECK(decodeEntry({"a"}, registryEntry(""))->warmUntil == Instant{});
+    CHECK(decodeEntry({"a"}, registryEntry(R"(,"coldLeftMs":0)"))->warmUntil == Instant{});
+    CHECK(decodeEntry({"a"}, registryEntry(R"(,"coldLeftMs":1500.5)"))->warmUntil
+          == receivedAt + std::chrono::microseconds(1500500));
+    CHECK(decodeEntry({"a"}, registryEntry(R"(,"coldLeftMs":1e300)"))->warmUntil == receivedAt + std::chrono::hours(1));
+    CHECK(!decodeEntry({"a"}, registryEntry(R"(,"coldLeftMs":"3")")));
+}
+
+TEST(PlatformProtocol, EvacuationsAreDecodedFromTheirKeys)
+{
+    CHECK(!decodeEvacuation({"config", "{}", 1}));
+    CHECK(!decodeEvacuation({"evacuate/", "{}", 1}));
+    const auto begun = decodeEvacuation({"evacuate/north-a", "{}", 7});
+    STRCMP_EQUAL("north-a", begun->dataCentre.text.c_str());
+    CHECK(begun->isEvacuated);
+    LONGS_EQUAL(7, begun->offset);
+    CHECK(!decodeEvacuation({"evacuate/north-a", "", 8})->isEvacuated);
+}
+
+TEST(PlatformProtocol, RegionsAndWarmUpRatesAreDecoded)
+{
+    const auto decoded = decodeRoutes(
+        R"({"version":9,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","allowedRegions":["x","y"]}],)"
+        R"("services":[{"name":"s","coldS":3.0,"coldPerS":14.0},{"name":"t"}],)"
+        R"("tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":["y"]},{"name":"u","apiKeys":["l"]}]})");
+    CHECK(decoded->find("h", "/a/b")->allowedRegions == std::vector<RegionId>({{"x"}, {"y"}}));
+    CHECK(decoded->account("k")->allowedRegions == std::vector<RegionId>({{"y"}}));
+    CHECK(decoded->account("l")->allowedRegions.empty());
+    const WarmUpSpec &warmUp = decoded->services.at({"s"}).warmUp;
+    CHECK(warmUp.duration == std::chrono::seconds(3));
+    DOUBLES_EQUAL(14, warmUp.perSecond, 1e-9);
+    DOUBLES_EQUAL(0, decoded->services.at({"t"}).warmUp.perSecond, 1e-9);
+    CHECK(!decodeRoutes(R"({"version":9,"routes":[],"tenants":[{"name":"t","allowedRegions":[7]}]})"));
 }
 
 /// The id of a replica goes into a header field of each request to it.
 TEST(PlatformProtocol, ReplicaIdsThatCannotStandInAHeaderAreRejected)
 {
     for (const char *id : {"", "a b", "a\r\nX-Galenafold-Tenant: t", "caf\xc3\xa9", "\x7f"}) {
-        CHECK_TEXT(!decodeReplica({id}, registryEntry("")), id);
+        CHECK_TEXT(!decodeEntry({id}, registryEntry("")), id);
     }
 }
 
--- a/tests/routerfleet.h
+++ b/tests/routerfleet.h
@@ -14,9 +14,9 @@
         store.start();
         store.put("keyed.op", "config", sampleDesiredState(1, {{"chat", "streaming", 2, true, 20000, true}}, {"k1"}));
     }
-    void addReplica(const std::string &id, const ReplicaScript &script)
+    void addReplica(const std::string &id, const ReplicaScript &script, const std::string &dataCentre = "here")
     {
-        replicas.push_back(std::make_unique<FakeReplica>(id, "svc", script));
+        replicas.push_back(std::make_unique<FakeReplica>(id, "svc", script, dataCentre));
         replicas.back()->start();
         store.put("keyed.servers", id, replicas.back()->entry());
     }
--- a/tests/settings.cpp
+++ b/tests/settings.cpp
@@ -101,6 +101,28 @@
         [] { return std::vector<std::string>{"another error"}; });
 }
 
+static std::map<DataCentreId, RegionId> regionsOf(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::map<DataCentreId, RegionId>> {
+            BOOST_LEAF_AUTO(settings, parseRouterSettings("router.ini", text));
+            return settings.regions;
+        },
+        [] { return std::map<DataCentreId, RegionId>(); });
+}
+
+TEST(Settings, RegionsOfDataCentresAreOptional)
+{
+    const std::string valid = "[router]\nname = a\ndata_centre = z\n[listen]\ncallers = 10.0.0.1:1\n"
+                              "admin = 10.0.0.1:2\n[store]\naddress = 10.0.0.9:4\n";
+    LONGS_EQUAL(0, regionsOf(valid).size());
+    LONGS_EQUAL(0, routerErrorsOf(valid + "[regions]\n").size());
+    const auto regions = regionsOf(valid + "[regions]\nnorth-a = ro-north\nsouth-a = ro-south\n");
+    LONGS_EQUAL(2, regions.size());
+    CHECK(regions.at({"north-a"}) == RegionId{"ro-north"});
+    LONGS_EQUAL(1, routerErrorsOf(valid + "[regions]\nnorth-a =\n").size());
+}
+
 TEST(Settings, allErrorsInRouterSettingsAreReported)
 {
     const std::string valid =
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -99,6 +99,22 @@
     LONGS_EQUAL(1, versions.changesSince(4)->size());
 }
 
+/// A follower took an older version of a key for its newest record.
+TEST(FollowedRecords, ADeletedKeyIsNotListedByAnOlderVersion)
+{
+    TopicCacheSettings settings;
+    settings.keepsVersions = true;
+    TopicCache versions(settings);
+    versions.setListing({{"config", "1", 0}}, 1);
+    versions.add({"evacuate/a", "{}", 1});
+    versions.add({"evacuate/a", "", 2});
+    versions.add({"evacuate/b", "{}", 3});
+    STRCMP_EQUAL("config evacuate/b ", keysOf(versions.all()).c_str());
+    STRCMP_EQUAL("evacuate/a evacuate/a- evacuate/b ", keysOf(*versions.changesSince(1)).c_str());
+    versions.add({"evacuate/a", "{}", 4});
+    STRCMP_EQUAL("config evacuate/a evacuate/b evacuate/a ", keysOf(versions.all()).c_str());
+}
+
 TEST(FollowedRecords, OnlyTheHeartbeatCounterMayDiffer)
 {
     CHECK(isOnlyHeartbeat(entry(1), entry(1234567)));
@@ -306,6 +322,10 @@
         }
         return count;
     }
+    bool isEvacuatedFor(int router, const std::string &dataCentre)
+    {
+        return metric(router, "data_centre_evacuated{data_centre=\"" + dataCentre + "\"}") == 1;
+    }
     int readerOf(const std::string &topic)
     {
         int reader = 0;
@@ -367,6 +387,27 @@
     }));
 }
 
+/// One that starts afterwards hears only from its neighbours what is still evacuated.
+TEST(DataCentre, EvacuationsReachFollowersAndRoutersThatStart)
+{
+    fleet.startAndWaitUntilFollowing();
+    fleet.store.put("keyed.op", "evacuate/first", "{}");
+    fleet.store.put("keyed.op", "evacuate/second", "{}");
+    CHECK(waitFor([this] {
+        return fleet.everywhere([this](int router) {
+            return fleet.isEvacuatedFor(router, "first") && fleet.isEvacuatedFor(router, "second");
+        });
+    }));
+    fleet.store.put("keyed.op", "evacuate/first", "");
+    CHECK(waitFor(
+        [this] { return fleet.everywhere([this](int router) { return !fleet.isEvacuatedFor(router, "first"); }); }));
+    const int last = fleet.routerCount - 1;
+    fleet.restart(last);
+    CHECK(waitFor([&] { return fleet.metric(last, "topic_follows_router{topic=\"desired_state\"}") == 1; }));
+    CHECK(waitFor([&] { return fleet.isEvacuatedFor(last, "second"); }));
+    CHECK(!fleet.isEvacuatedFor(last, "first"));
+}
+
 /// Its callers got 503 for want of a proof that their keys are still valid, although its neighbours could have told.
 TEST(DataCentreOutages, ARouterThatTheStoreTurnsAwayServesByWhatItsNeighboursTell)
 {
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -46,6 +46,7 @@
 bool PeerLoadExchange::start()
 {
     if (m_settings.address.empty()) {
+        m_loadBalancer.rateLimits().setFleet(clockNow(), 1, Duration{});
         return true;
     }
     const auto own = parseAddress(m_settings.address);
@@ -167,7 +168,7 @@
     m_loadBalancer.setActivePeers(heard, reportDelay, peerTimeout());
     m_queryOfDeath.setNewsInterval(reportDelay);
     m_loadBalancer.rateLimits().setFleet(now, std::max(m_fleetSize.routers(), static_cast<int>(m_peers.size()) + 1),
-                                         reportDelay);
+                                         reportDelay, m_fleetSize.routers() > 0);
     sendIfDue(now);
     sendPeerLists(now);
     armTimer(now);
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -67,6 +67,9 @@
         m_selection.affinity = affinityKey(m_fields.promptParts);
         m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
     }
+    m_selection.allowedDataCentres =
+        allowedDataCentres(m_state.settings.regions, m_route->allowedRegions,
+                           m_account ? m_account->allowedRegions : std::vector<RegionId>());
     m_events.skipUpTo(m_fields.resumeAfter);
     watchCaller();
     armTimer();
@@ -135,6 +138,21 @@
     return m_prompt.whole != 0 && m_state.queryOfDeath.isBlocked(now, m_prompt);
 }
 
+/// @param choice an empty one @return what keeps requests away from replicas, first what ends soonest
+static EndReason noReplicaReason(const ReplicaChoice &choice)
+{
+    if (choice.skippedTurnedAway > 0) {
+        return EndReason::ReplicasTurnAway;
+    }
+    if (choice.skippedLimited > 0 || choice.skippedWarming > 0) {
+        return EndReason::ReplicaLimits;
+    }
+    if (choice.skippedEvacuated > 0) {
+        return EndReason::Evacuated;
+    }
+    return choice.skippedRegion > 0 ? EndReason::NoAllowedRegion : EndReason::NoReplica;
+}
+
 void RequestHandler::dispatch(Instant now)
 {
     if (isBlocked(now)) {
@@ -143,9 +161,7 @@
     }
     const ReplicaChoice choice = chooseReplica(now);
     if (!choice) {
-        giveUp(choice.skippedTurnedAway > 0    ? EndReason::ReplicasTurnAway
-                   : choice.skippedLimited > 0 ? EndReason::ReplicaLimits
-                                               : EndReason::NoReplica);
+        giveUp(noReplicaReason(choice));
         return;
     }
     attempt(now, choice);
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -17,6 +17,8 @@
     NoReplica,          // the service has no replica
     ReplicaLimits,      // the replicas already get as many requests as they take
     ReplicasTurnAway,   // the replicas named times for which they want no requests
+    Evacuated,          // the operator evacuates the data centres of all replicas that are left
+    NoAllowedRegion,    // the service has replicas, but none in a region that route and account allow
     QueryOfDeath,       // prompts like this one crash replicas
     Expired,            // the request's deadline has passed
     AllRefused,         // the last attempt was refused by its replica
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -48,6 +48,10 @@
         return "caller_gone";
     case EndReason::ReplicasTurnAway:
         return "replicas_turn_away";
+    case EndReason::Evacuated:
+        return "evacuated";
+    case EndReason::NoAllowedRegion:
+        return "no_allowed_region";
     case EndReason::Stopping:
         return "stopping";
     }
@@ -68,7 +72,8 @@
     line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
     line.number("passed_limited", choice.skippedLimited).number("passed_leaving", choice.skippedLeaving);
-    line.number("passed_turned_away", choice.skippedTurnedAway);
+    line.number("passed_turned_away", choice.skippedTurnedAway).number("passed_warming", choice.skippedWarming);
+    line.number("passed_evacuated", choice.skippedEvacuated).number("passed_region", choice.skippedRegion);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogPriority::Routine);
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -11,6 +11,7 @@
 constexpr auto staleStateRetryDelay = std::chrono::milliseconds(1000); // the same, while the state is unconfirmed
 constexpr auto blockedRetryDelay = std::chrono::minutes(10);           // of a prompt that crashes replicas
 constexpr auto limitedRetryDelay = std::chrono::seconds(1);            // while all replicas get what they take
+constexpr auto operatorRetryDelay = std::chrono::seconds(2);           // while an operator's decision leaves no replica
 constexpr std::size_t maxCallerBacklogBytes = 256 << 10; // unsent to a slow caller; above it, the replica is not read
 
 /// Only whole events are progress: a replica that stands still may send a byte now and then.
@@ -84,6 +85,9 @@
         return blockedRetryDelay;
     case EndReason::ReplicaLimits:
         return limitedRetryDelay;
+    case EndReason::Evacuated:
+    case EndReason::NoAllowedRegion:
+        return operatorRetryDelay;
     case EndReason::NoRoute:
     case EndReason::StaleKeys:
         return staleStateRetryDelay;
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -213,6 +213,9 @@
     writeMetric(out, "response_bytes_peak", "", static_cast<double>(m_state.responseMemory->peakBytes()));
     writeMetric(out, "prompts_blocked", "", m_state.queryOfDeath.blocks(now));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
+    for (const DataCentreId &dataCentre : m_state.loadBalancer.holds().evacuated()) {
+        writeMetric(out, "data_centre_evacuated", label("data_centre", dataCentre.text), 1);
+    }
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
         const std::string name = label("service", service.id.text);
         writeMetric(out, "load_mean", name, service.meanLoad);
@@ -225,6 +228,8 @@
             writeMetric(out, "replica_avoided", labels, now < state->avoidUntil ? 1 : 0);
             const ReplicaHolds &holds = m_state.loadBalancer.holds();
             writeMetric(out, "replica_leaving", labels, holds.isLeaving(state->incarnation) ? 1 : 0);
+            const bool isWarmingUp = m_state.loadBalancer.rateLimits().isWarmingUp(now, state->nameHash);
+            writeMetric(out, "replica_warming_up", labels, isWarmingUp ? 1 : 0);
             writeMetric(out, "replica_turns_away", labels, holds.turnedAwayUntil(now, state->incarnation) ? 1 : 0);
         }
     }
@@ -280,12 +285,20 @@
         m_state.table = table;
         m_peers.setStateVersion(table ? table->version : -1);
         if (table) {
+            m_state.loadBalancer.setServices(clockNow(), table->services);
             m_state.gate.onDesiredState();
             releaseWaiting();
         }
     });
 }
 
+void TrafficThread::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    asio::post(m_io, [this, dataCentres = std::move(dataCentres)] {
+        m_state.loadBalancer.setEvacuated(clockNow(), dataCentres);
+    });
+}
+
 void TrafficThread::setReplicas(std::vector<ReplicaRecord> replicas, std::vector<ReplicaRecord> draining)
 {
     asio::post(m_io, [this, replicas = std::move(replicas), draining = std::move(draining)] {
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "control/freshness.h"
+#include "control/regions.h"
 #include "filters/loadbalancer.h"
 #include "filters/responsememory.h"
 #include "filters/retry.h"
@@ -30,7 +31,8 @@
 struct TrafficSettings {
     std::string listenAddress; // IP:PORT to listen on for callers
     DataCentreId dataCentre;
-    Duration maxRevocationDelay{};              // limit on a revoked API key's acceptance; 0: unlimited
+    Duration maxRevocationDelay{}; // limit on a revoked API key's acceptance; 0: unlimited
+    RegionMap regions;
     std::size_t maxResponseBytes = 128U << 20U; // that responses of all requests hold until they can be passed on
     Duration startupWait = std::chrono::milliseconds(300); // limit on the wait of requests for the store at start
     Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
@@ -104,6 +106,9 @@
     /// @param draining replicas that only finish their requests, and still have their prefix caches
     void setReplicas(std::vector<ReplicaRecord> replicas, std::vector<ReplicaRecord> draining);
 
+    /// Sets the data centres that the operator evacuates: their replicas get no new work.
+    void setEvacuated(std::set<DataCentreId> dataCentres);
+
     /// Sets the engines' places (positions for rendezvous hashing) as recorded in the store.
     /// @param upTo offset up to which the places topic was read
     void setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo);
