Send requests only where replicas have room, and a refused one once more at most

Above the demand that replicas can serve, each router sent on at once: queues at the replicas filled, requests were late when they ran, and each refusal went on to the next full replica.

A request that needs room passes over replicas with more in progress than their slots and a quarter, over engines whose memory it does not fit, and over those that have just refused. Routers with peers use their part of the free room, as all see the same. A replica that reports no load is held to a rate that late answers and refusals lower. A refused request is sent once more, only where room is known; an engine that refuses unexpectedly is told to the peers. The ranking for a prompt is worked out one engine at a time and no longer sorted.

RefusingReplicas: its three requests now wait a second for each other, as the replicas' refusals are remembered; a new test has the case without the wait.

--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -9,10 +9,8 @@
 namespace galenafold
 {
 
-constexpr double slowdownThreshold = 2.4;       // a lower slowdown may come from noisy neighbours on the same machine
 constexpr double demandWindowSeconds = 2.5;                // over which the demand for an engine is smoothed
 constexpr double demandMargin = 1.6; // factor on the demand of the fleet, which is estimated from few requests
-constexpr double typicalDurationSeconds = 0.7; // of a request; load that is older has been replaced by other requests
 constexpr auto drainingEngineLifetime = std::chrono::seconds(4);  // a draining engine serves at least for this long
 constexpr int maxRankOfLimited = 3; // up to this position an engine is likely to have a prompt cached
 
@@ -63,8 +61,10 @@
             isNew || state.record.started != record.started || state.record.address != record.address;
         if (isNewIncarnation) {
             const int own = state.ownInFlight;
+            const Tokens ownTokens = state.ownTokens;
             state = EndpointState();
             state.ownInFlight = own;
+            state.ownTokens = ownTokens;
             state.nameHash = vmHash({record.id.text});
             state.incarnation = incarnationHash(record);
             m_rateLimits.forget(state.nameHash);
@@ -80,6 +80,12 @@
     for (const EndpointId &id : removed) {
         m_endpoints.erase(id);
     }
+    for (auto &[service, known] : m_services) {
+        known.replicas.clear();
+    }
+    for (auto &[id, state] : m_endpoints) {
+        m_services[state.record.service].replicas.push_back(&state);
+    }
     m_places.update(now, records);
     copyPlaces();
     return removed;
@@ -144,13 +150,21 @@
     std::vector<EndpointState *> healthy;
     std::vector<EndpointState *> avoidedReplicas;
     ReplicaChoice held;
-    for (auto &[id, state] : m_endpoints) {
-        if (state.record.service != request.service || request.excluded.count(id) > 0 || isHeld(now, state, held)) {
+    for (EndpointState *state : replicasOf(request.service)) {
+        if (request.excluded.count(state->record.id) > 0 || isHeld(now, *state, held)) {
             continue;
         }
-        (now < state.avoidUntil ? avoidedReplicas : healthy).push_back(&state);
+        (now < state->avoidUntil ? avoidedReplicas : healthy).push_back(state);
+    }
+    ReplicaChoice choice;
+    if (request.needsRoom && !hasShare(now, request.service)) {
+        choice.skippedBusy = static_cast<int>(healthy.size() + avoidedReplicas.size());
+    } else {
+        choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
+    }
+    if (choice) {
+        noteChosen(now, choice->record.id);
     }
-    ReplicaChoice choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
     choice.skippedLeaving = held.skippedLeaving;
     choice.skippedTurnedAway = held.skippedTurnedAway;
     choice.turnedAwayUntil = held.turnedAwayUntil;
@@ -182,7 +196,7 @@
         return chooseByAffinity(now, request, candidates);
     }
     ReplicaChoice choice;
-    chooseLeastLoaded(now, candidates, choice);
+    chooseLeastLoaded(now, request.needsRoom ? withRoom(now, request, candidates, choice) : candidates, choice);
     return choice;
 }
 
@@ -195,7 +209,7 @@
 {
     const double demandRate = updateDemand(now, state);
     const double slowdownFactor = slowdown(now, state);
-    const double limit = slowdownFactor >= slowdownThreshold ? bound / slowdownFactor : bound;
+    const double limit = slowdownFactor >= noticeableSlowdown ? bound / slowdownFactor : bound;
     const double unreportedSeconds = std::min(m_peerReportDelay, typicalDurationSeconds);
     const double target = limit - std::sqrt(limit * unreportedSeconds / typicalDurationSeconds);
     if (load(now, state) > target) {
@@ -217,23 +231,52 @@
     return before;
 }
 
-/// @return the engines of a service that have places, in rendezvous order for a prompt
-std::vector<EndpointState *> LoadBalancer::rank(const ServiceId &service, std::uint64_t key)
+const std::vector<EndpointState *> &LoadBalancer::replicasOf(const ServiceId &service) const
 {
-    std::vector<std::pair<std::uint64_t, EndpointState *>> scored;
-    for (auto &[id, state] : m_endpoints) {
-        if (state.record.service == service && state.place) {
-            scored.emplace_back(rendezvousScore(key, *state.place), &state);
+    static const std::vector<EndpointState *> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second.replicas;
+}
+
+namespace
+{
+
+/// The engines that have places, in rendezvous order for a prompt. Mostly the first one is chosen, so the order is
+/// worked out one by one.
+class RankedEngines
+{
+public:
+    RankedEngines(const std::vector<EndpointState *> &engines, std::uint64_t prompt)
+    {
+        m_heap.reserve(engines.size());
+        for (EndpointState *state : engines) {
+            if (state->place) {
+                m_heap.emplace_back(rendezvousScore(prompt, *state->place), state);
+            }
         }
+        std::make_heap(m_heap.begin(), m_heap.end(), isLower);
     }
-    std::sort(scored.begin(), scored.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
-    std::vector<EndpointState *> ranked;
-    ranked.reserve(scored.size());
-    for (const auto &[score, state] : scored) {
-        ranked.push_back(state);
+
+    EndpointState *next() ///< @return null after the last one
+    {
+        if (m_heap.empty()) {
+            return nullptr;
+        }
+        std::pop_heap(m_heap.begin(), m_heap.end(), isLower);
+        EndpointState *state = m_heap.back().second;
+        m_heap.pop_back();
+        return state;
     }
-    return ranked;
-}
+
+private:
+    using Entry = std::pair<std::uint64_t, EndpointState *>; // score, engine
+
+    static bool isLower(const Entry &a, const Entry &b) { return a.first < b.first; }
+
+    std::vector<Entry> m_heap;
+};
+
+} // namespace
 
 ReplicaChoice LoadBalancer::chooseByAffinity(Instant now, const SelectionRequest &request,
                                              const std::vector<EndpointState *> &candidates)
@@ -248,24 +291,38 @@
         state->servesPrompts = true;
         state->bound = bound;
     }
+    RankedEngines ranked(replicasOf(request.service), *request.affinity);
     int position = 0;
-    for (EndpointState *state : rank(request.service, *request.affinity)) {
+    while (EndpointState *state = ranked.next()) {
         ++position;
         if (std::find(candidates.begin(), candidates.end(), state) == candidates.end()) {
             ++choice.skippedAvoided;
+        } else if (request.needsRoom && !hasRoomFor(now, *state, request)) {
+            ++choice.skippedBusy;
         } else if (!mayGetPrompt(now, *state, position)) {
             ++choice.skippedLimited;
-        } else if (!hasHeadroom(now, *state, bound)) {
+        } else if (!hasHeadroom(now, *state, request.needsRoom ? std::min(bound, roomBound(*state)) : bound)) {
             ++choice.skippedFull;
         } else {
             choice.endpoint = state;
             return choice;
         }
     }
-    spill(now, candidates, choice);
+    spill(now, request.needsRoom ? twoOf(withRoom(now, request, candidates, choice)) : candidates, choice);
     return choice;
 }
 
+/// @return two of the replicas at random: routers that know of the load late would otherwise all take the same one
+std::vector<EndpointState *> LoadBalancer::twoOf(std::vector<EndpointState *> replicas)
+{
+    constexpr std::size_t drawn = 2;
+    for (std::size_t i = 0; m_peersHeard > 0 && replicas.size() > drawn && i < drawn; ++i) {
+        std::swap(replicas[i], replicas[i + m_random() % (replicas.size() - i)]);
+    }
+    replicas.resize(m_peersHeard > 0 ? std::min(replicas.size(), drawn) : replicas.size());
+    return replicas;
+}
+
 /// An engine that has named a limit reads no prompts that it hardly has cached.
 /// @param position in the rank for the prompt, from 1
 bool LoadBalancer::mayGetPrompt(Instant now, const EndpointState &state, int position)
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -21,6 +21,8 @@
 #include "control/replicaholds.h"
 #include "filters/headerfields.h"
 #include "filters/placetable.h"
+#include "filters/replicaroom.h"
+#include "filters/requestpace.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <set>
@@ -35,6 +37,8 @@
     double loadAllowance = 3; // requests in progress added to that bound
 };
 
+constexpr double typicalDurationSeconds = 0.7; // of a request; load that is older has been replaced by other requests
+
 /// How one attempt ended, for the health of the replica.
 enum class AttemptOutcome : std::uint8_t {
     Good,        // complete response
@@ -53,6 +57,7 @@
     std::uint32_t incarnation = 0;      // identifies this run of its process
     bool servesPrompts = false;         // gets requests with prompts; these run long enough to be reported to peers
     int ownInFlight = 0;                // requests in progress from this router
+    Tokens ownTokens = 0;               // that these hold there
     double othersInFlight = 0;          // requests in progress from other routers, from the replica's last load report
     double peersInFlight = 0;           // the same, as the other routers report it
     double slowdown = 1;                // smoothed service time, as a multiple of the usual one
@@ -61,12 +66,17 @@
     double bound = 0;                   // load above which it was to get no more prompts, at the last choice
     Instant lastEventAt{};              // last event of any stream of this router
     Instant stalledUntil{};             // streams of this router are stalled; waiting requests may go elsewhere
+    Instant reportedAt{};               // when the last load report was received
     Instant loadExpiry{};               // the load report is valid until then
     Instant loadFreshUntil{};           // the load report takes precedence over the peers' counts until then
     double smoothedLoad = 0;            // requests in progress of all routers, smoothed
     Instant smoothedLoadExpiry{};       // `smoothedLoad` is valid until then
     double demandRate = 0;              // requests per second that this router would send there
     Instant demandUpdatedAt{};          // last update of `demandRate`
+    int reportedSlots = 0;                  // requests that it runs concurrently, from its last load report
+    int refusals = 0;                       // in a row
+    Instant fullUntil{};                    // it has refused a request, or is asked whether it still would
+    RequestPace pace;                       // of requests to a replica that tells no load
     int consecutiveFailures = 0;
     double failureRate = 0; // smoothed, 0 to 1
     Instant avoidUntil{};   // gets no new work until then while other replicas can take it
@@ -88,6 +98,8 @@
     std::optional<std::uint64_t> affinity; // hash of the shared prompt parts
     std::set<EndpointId> excluded;         // replicas already tried
     bool needsRoom = false;                // only replicas that can start the request at once
+    Tokens tokens = 0;                     // that the request holds at its replica; 0: not known
+    Tokens replicaTokens = 0;              // that one replica of the service holds; 0: not known
 };
 
 /// The chosen replica, and how many engines that rank before it for the prompt were skipped.
@@ -149,13 +161,19 @@
     /// requests already wait there
     double freeSlots(Instant now, const ServiceId &service) const;
 
-    void onSent(const EndpointId &id); ///< A request was sent to the replica.
+    void onSent(const EndpointId &id, Tokens tokens = 0); ///< A request that holds `tokens` was sent to the replica.
 
-    /// An attempt that was sent has ended. @return true if the replica is to be avoided from now on
-    bool onEnded(Instant now, const EndpointId &id, AttemptOutcome outcome);
+    /// An attempt that was sent has ended. @param tokens as in `onSent`
+    /// @return true if the replica is to be avoided from now on
+    bool onEnded(Instant now, const EndpointId &id, AttemptOutcome outcome, Tokens tokens = 0);
 
     void onLoad(Instant now, const EndpointId &id, const ReplicaLoad &sample); ///< A response carried a load report.
 
+    /// A complete answer was received. Call before `onEnded`.
+    /// @param took time since the request was sent
+    /// @param objective time within which the answer is of full use; 0: none
+    void onAnswerTime(Instant now, const EndpointId &id, Duration took, Duration objective);
+
     /// A replica's answer named the rate of requests that it takes from all routers together, or none.
     /// @return true if that has changed
     bool onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond);
@@ -200,6 +218,12 @@
 
     LoadSource loadSource(Instant now, const EndpointState &state) const; ///< @return what `load` is estimated from
 
+    ReplicaOccupancy occupancy(Instant now, const EndpointState &state) const; ///< @return load and slots, as known
+
+    /// @return requests that the replica can start at once, by its load or by the pace that its answers allow; 0 or less:
+    /// it has no room
+    double roomAt(Instant now, const EndpointState &state) const;
+
     std::vector<ServiceStats> serviceStats(Instant now) const; ///< @return state of all services, for metrics
 
     /// @return smoothed service time as a multiple of the usual one; 1 without recent reports
@@ -209,6 +233,13 @@
     }
 
 private:
+    struct Service {
+        std::vector<EndpointState *> replicas; // of `m_endpoints`
+        double peersInFlight = 0;              // requests in progress from other routers, as they report
+        double toldInFlight = 0;               // from this router, as last told to the others
+        double meanTokens = 0;                 // that one of this router's requests holds at its replica, smoothed
+    };
+
     void copyPlaces();
     PlaceDemand placeDemand(Instant now, const std::vector<const EndpointState *> &engines) const;
     void recordDraining(Instant now, const std::vector<ReplicaRecord> &draining);
@@ -221,7 +252,19 @@
     void noteUnexpectedLoad(Instant now, const EndpointState &state, int inProgress);
     void applyReport(Instant now, EndpointState &state, int inProgress) const;
     static void updateSlowdown(Instant now, EndpointState &state, double slowdown);
-    std::vector<EndpointState *> rank(const ServiceId &service, std::uint64_t key);
+    const std::vector<EndpointState *> &replicasOf(const ServiceId &service) const;
+    bool hasRoomFor(Instant now, const EndpointState &state, const SelectionRequest &request) const;
+    double minPace() const;
+    bool hasShare(Instant now, const ServiceId &service) const;
+    double sharedBound(Instant now, const EndpointState &state) const;
+    static int ownInFlight(const Service &service);
+    static double roomBound(const EndpointState &state);
+    std::vector<EndpointState *> withRoom(Instant now, const SelectionRequest &request,
+                                          const std::vector<EndpointState *> &candidates, ReplicaChoice &choice) const;
+    void noteRefusal(Instant now, EndpointState &state);
+    void noteFull(Instant now, EndpointState &state);
+    void noteChosen(Instant now, const EndpointId &id);
+    std::vector<EndpointState *> twoOf(std::vector<EndpointState *> replicas);
     bool isHeld(Instant now, const EndpointState &state, ReplicaChoice &choice) const;
     ReplicaChoice chooseAmong(Instant now, const SelectionRequest &request,
                               const std::vector<EndpointState *> &candidates);
@@ -259,6 +302,7 @@
     double m_peerReportDelay = 0; // seconds until a request started by a peer is known to this router
     Duration m_peerReportLifetime = std::chrono::seconds(2);
     std::map<EndpointId, EndpointState> m_endpoints;
+    std::unordered_map<ServiceId, Service> m_services;
     std::map<EndpointId, DrainingEngine> m_drainingEngines;
 };
 
--- a/filters/loadbalancerload.cpp
+++ b/filters/loadbalancerload.cpp
@@ -12,6 +12,7 @@
 constexpr double stallSlowdown = 15;            // one sample of it lifts the smoothed slowdown above the threshold
 constexpr auto stallLifetime = std::chrono::seconds(1);    // of a detected stall; a longer one is detected again
 constexpr auto slowdownLifetime = std::chrono::seconds(2); // of the smoothed slowdown without a report
+constexpr double meanTokensWeight = 0.02; // of the newest request in the mean tokens: sizes vary a lot
 constexpr auto minLoadFreshness = std::chrono::milliseconds(100); // peers of a small fleet report about as often
 constexpr auto smoothedLoadLifetime = std::chrono::seconds(8); // short enough to follow load that varies within seconds
 constexpr double smoothedLoadWeight = 0.3;                     // of the newest report in the smoothed load
@@ -51,15 +52,21 @@
     state.slowdownExpiry = now + slowdownLifetime;
 }
 
-void LoadBalancer::onSent(const EndpointId &id)
+void LoadBalancer::onSent(const EndpointId &id, Tokens tokens)
 {
     const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end()) {
-        ++found->second.ownInFlight;
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    ++found->second.ownInFlight;
+    if (tokens > 0) {
+        found->second.ownTokens += tokens;
+        double &mean = m_services[found->second.record.service].meanTokens;
+        mean = mean == 0 ? tokens : mean + meanTokensWeight * (tokens - mean);
     }
 }
 
-bool LoadBalancer::onEnded(Instant now, const EndpointId &id, AttemptOutcome outcome)
+bool LoadBalancer::onEnded(Instant now, const EndpointId &id, AttemptOutcome outcome, Tokens tokens)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
@@ -67,16 +74,23 @@
     }
     EndpointState &state = found->second;
     state.ownInFlight = std::max(0, state.ownInFlight - 1);
+    state.ownTokens = std::max(0.0, state.ownTokens - tokens);
     if (outcome == AttemptOutcome::Abandoned) {
         return false;
     }
     if (outcome == AttemptOutcome::Refused) {
         state.avoidUntil = std::max<Instant>(state.avoidUntil, now + refusalAvoidance);
+        noteRefusal(now, state);
         return false;
     }
     const bool isGood = outcome == AttemptOutcome::Good;
+    const bool hasRun = isGood || outcome == AttemptOutcome::Error;
+    if (hasRun && state.refusals > 0) {
+        state.refusals = 0;
+        state.fullUntil = Instant{};
+    }
     state.failureRate += failureRateWeight * ((isGood ? 0.0 : 1.0) - state.failureRate);
-    state.consecutiveFailures = isGood || outcome == AttemptOutcome::Error ? 0 : state.consecutiveFailures + 1;
+    state.consecutiveFailures = hasRun ? 0 : state.consecutiveFailures + 1;
     if (outcome == AttemptOutcome::Unreachable || state.consecutiveFailures >= 2) {
         const int doublings = std::min(state.consecutiveFailures - 1, maxAvoidanceDoublings);
         state.avoidUntil = now + initialAvoidance * (1 << std::max(0, doublings));
@@ -102,6 +116,7 @@
     EndpointState &state = found->second;
     noteUnexpectedLoad(now, state, sample.running + sample.waiting);
     applyReport(now, state, sample.running + sample.waiting);
+    state.reportedSlots = sample.slots;
     updateSlowdown(now, state, sample.slowdown);
     state.unsentSlowdown = sample.slowdown;
     const double total = sample.running + sample.waiting;
@@ -114,6 +129,7 @@
 void LoadBalancer::applyReport(Instant now, EndpointState &state, int inProgress) const
 {
     state.othersInFlight = std::max(0, inProgress - state.ownInFlight);
+    state.reportedAt = now;
     state.loadFreshUntil = now + loadFreshness();
     state.loadExpiry = now + loadReportLifetime;
 }
--- a/filters/loadbalancerpeers.cpp
+++ b/filters/loadbalancerpeers.cpp
@@ -3,6 +3,7 @@
 #include "filters/loadbalancer.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace galenafold
 {
@@ -48,9 +49,13 @@
         }
         ++peer;
     }
-    for (auto &[id, state] : m_endpoints) {
-        const auto sum = sums.find(state.nameHash);
-        state.peersInFlight = sum == sums.end() ? 0 : sum->second;
+    for (auto &[id, service] : m_services) {
+        service.peersInFlight = 0;
+        for (EndpointState *state : service.replicas) {
+            const auto sum = sums.find(state->nameHash);
+            state->peersInFlight = sum == sums.end() ? 0 : sum->second;
+            service.peersInFlight += state->peersInFlight;
+        }
     }
 }
 
@@ -76,6 +81,9 @@
         state.unsentSlowdown = 0;
     }
     m_hasUnsentStall = false;
+    for (auto &[id, service] : m_services) {
+        service.toldInFlight = ownInFlight(service);
+    }
     return loads;
 }
 
@@ -88,6 +96,17 @@
     }
 }
 
+/// The replica refuses requests though it should have room by what is known of it: its memory may be full. Counts it as
+/// full here and tells the peers, so that no other router has to find out by a refusal.
+void LoadBalancer::noteFull(Instant now, EndpointState &state)
+{
+    const int full = static_cast<int>(std::ceil(roomBound(state)));
+    applyReport(now, state, full);
+    if (m_peersHeard > 0) {
+        m_unexpectedLoads[state.nameHash] = {full, now + unexpectedLoadLifetime};
+    }
+}
+
 bool LoadBalancer::hasUrgentNews(Instant now) const
 {
     const auto isRecent = [now](const auto &entry) { return now < entry.second.until; };
--- a/filters/retry.cpp
+++ b/filters/retry.cpp
@@ -11,6 +11,7 @@
 constexpr int windowsWithoutShare = 2; // after a start: one for the others to count this router, one for their retries
 constexpr int windowsAhead = 16;       // windows to come that are checked, at equal distances
 constexpr int maxTotalAttempts = 4;    // of one request, including attempts that did not run
+constexpr int maxRefusals = 1; // of one request: where two replicas were full, room is known too little to ask a third
 
 // Budget
 
@@ -109,7 +110,7 @@
 
 RetryDecision decideRetry(const AttemptHistory &history, const std::function<bool()> &allowExtra)
 {
-    if (history.sent >= maxTotalAttempts) {
+    if (history.sent >= maxTotalAttempts || history.refusals > maxRefusals) {
         return RetryDecision::Fail;
     }
     if (history.isStreaming && !history.isResumable) {
--- a/filters/retry.h
+++ b/filters/retry.h
@@ -79,6 +79,7 @@
     bool mayHaveRun = false;  // any attempt may have run, the last one included
     int possibleRuns = 0;     // number of attempts that may have run
     int sent = 0;             // number of all attempts
+    int refusals = 0;         // attempts that full replicas refused
     int maxAttempts = 1;      // limit on `possibleRuns`
 };
 
--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <numeric>
 #include <random>
+#include <thread>
 
 using namespace galenafold;
 
@@ -48,6 +49,7 @@
     FakeReplica &b = fixture.addReplica("b", refuse);
     fixture.startAndWaitReady();
     for (const char *path : {"/once/x", "/any/x", "/live/x"}) {
+        std::this_thread::sleep_for(std::chrono::seconds(1)); // until both are asked again after their refusals
         const std::size_t before = a.requests().size() + b.requests().size();
         const auto caller = fixture.send(encodeCallerRequest(path, std::string("id") + path[1]));
         CHECK(caller->read());
@@ -57,6 +59,20 @@
     }
 }
 
+/// Each request was sent from one full replica to the next, so there were several arrivals for each that was served.
+TEST(RefusingReplicas, WhereAllHaveJustRefusedARequestIsSentOnce)
+{
+    FakeReplica &a = fixture.addReplica("a", refuse);
+    FakeReplica &b = fixture.addReplica("b", refuse);
+    fixture.startAndWaitReady();
+    CHECK(fixture.send(encodeCallerRequest("/any/x", "first"))->read());
+    const std::size_t before = a.requests().size() + b.requests().size();
+    const auto caller = fixture.send(encodeCallerRequest("/any/x", "second"));
+    CHECK(caller->read());
+    LONGS_EQUAL(503, caller->status());
+    LONGS_EQUAL(1, a.requests().size() + b.requests().size() - before);
+}
+
 // Retry budget
 
 /// Sends beacons of routers that do nothing else, from addresses of their own, until it is destroyed.
@@ -460,6 +476,48 @@
         (std::to_string(fleet.prefills.size()) + " of " + std::to_string(fleet.baselinePrefills.size())).c_str());
 }
 
+TEST_GROUP(RoomOfALargeFleet){};
+
+/// @return failures of a fleet at twice and at five times what the engines run
+static std::string excessFailures(int routers)
+{
+    std::string failures;
+    for (const double factor : {7.0, 17.0}) {
+        LargeFleet fleet(1, routers);
+        fleet.needsRoom = true;
+        fleet.run(excessDemand(factor));
+        const double busy = fleet.busySum / fleet.settledArrivals;
+        const double over = static_cast<double>(fleet.overSlots) / fleet.settledArrivals;
+        const std::string label = std::to_string(routers) + " routers, factor " + std::to_string(factor) + ": "
+            + std::to_string(busy) + " busy, " + std::to_string(over) + " to overfull engines; ";
+        failures += busy >= 0.9 && over <= 0.05 ? "" : label;
+    }
+    return failures;
+}
+
+/// Sent at once, the excess fills the engines' queues. Room that many routers see at the same time is used once.
+TEST(RoomOfALargeFleet, ThirtyRoutersKeepEnginesBusyAndTheirQueuesShort)
+{
+    const std::string failures = excessFailures(30);
+    CHECK_TEXT(failures.empty(), failures.c_str());
+}
+
+/// The baseline shows the load that room is for.
+TEST(RoomOfALargeFleet, SentAtOnceTheQueuesGrow)
+{
+    LargeFleet fleet(1, 30);
+    fleet.run(excessDemand(7));
+    CHECK(fleet.overSlots > fleet.settledArrivals / 2);
+}
+
+TEST_GROUP(RoomOfAHundredRouters){};
+
+TEST(RoomOfAHundredRouters, EnginesAreKeptBusyAndTheirQueuesShort)
+{
+    const std::string failures = excessFailures(103) + excessFailures(114);
+    CHECK_TEXT(failures.empty(), failures.c_str());
+}
+
 TEST_GROUP(HotPromptOfALargeFleet){};
 
 /// A fourth of a kind's requests asks for one prompt from one moment on. The counts of a hundred peers are over a
--- a/tests/largefleetmodel.h
+++ b/tests/largefleetmodel.h
@@ -51,14 +51,24 @@
     return scenario;
 }
 
+/// Demand at several times what the engines can run.
+inline FleetScenario excessDemand(double factor)
+{
+    FleetScenario scenario;
+    scenario.loads = {{144, 520, 1.5}, {153, 246, 1.2}, {280, 677, 0.3}};
+    scenario.wave = [factor](double now) { return now < 6 ? 1 : factor; };
+    scenario.seconds = 14;
+    return scenario;
+}
+
 // Model
 
 struct LargeFleet {
-    explicit LargeFleet(std::uint64_t seed)
+    explicit LargeFleet(std::uint64_t seed, int routers = fleetSize)
         : random(seed)
     {
         addEngines(engineCount);
-        for (int i = 0; i < fleetSize; ++i) {
+        for (int i = 0; i < routers; ++i) {
             fleet.push_back(
                 std::make_unique<LoadBalancer>(LoadBalancerSettings(), DataCentreId{"here"}, static_cast<unsigned>(i)));
             fleet.back()->updateReplicas(at(0), {engines.begin(), engines.end()});
@@ -81,7 +91,7 @@
             ReplicaRecord record;
             record.id.text = "e" + std::to_string(enginesStarted++);
             record.service.text = "llm";
-            record.slots = 12;
+            record.slots = slots;
             engines.push_back(std::move(record));
         }
     }
@@ -108,7 +118,8 @@
         LoadBeacon beacon;
         beacon.loads = fleet[from]->consumeLoads();
         beacon.reported = fleet[from]->takeUnexpectedLoads(at(now));
-        broadcastBytes[from] += 0.2 * (datagramBytes(encodeBeacon(beacon)) * (fleetSize - 1) - broadcastBytes[from]);
+        broadcastBytes[from] += 0.2 * (datagramBytes(encodeBeacon(beacon)) * static_cast<double>(fleet.size() - 1)
+                                 - broadcastBytes[from]);
         if (hasChanged) {
             startDelay[from] += 0.2 * (now - unsentSince[from] - startDelay[from]);
         }
@@ -122,15 +133,22 @@
         }
     }
 
+    /// @return time without a broadcast after which a router counts as silent, s
+    double peerTimeout(std::size_t router) const
+    {
+        const Duration interval = budgets[router].interval(static_cast<int>(broadcastBytes[router]));
+        return needsRoom ? std::max(2.0, 4 * std::chrono::duration<double>(interval).count()) : 2;
+    }
+
     void tick(double now)
     {
         for (std::size_t i = 0; i < fleet.size(); ++i) {
             const double delay = std::max(startDelay[i], unsentSince[i] >= 0 ? now - unsentSince[i] : 0);
             int heard = 0;
             for (std::size_t peer = 0; peer < fleet.size(); ++peer) {
-                heard += peer != i && now < lastSentAt[peer] + 2 ? 1 : 0;
+                heard += peer != i && now < lastSentAt[peer] + peerTimeout(i) ? 1 : 0;
             }
-            fleet[i]->setActivePeers(heard, at(delay) - at(0));
+            fleet[i]->setActivePeers(heard, at(delay) - at(0), at(peerTimeout(i)) - at(0));
             if (fleet[i]->hasUrgentNews(at(now)) || unsentSince[i] >= 0 || now >= lastSentAt[i] + 0.7) {
                 broadcast(now, i);
             }
@@ -176,7 +194,7 @@
         while (!reports.empty() && reports.begin()->first <= now) {
             const auto [router, id] = reports.begin()->second;
             reports.erase(reports.begin());
-            fleet[router]->onLoad(at(now), id, {inProgress[id], 0, 12, 1});
+            fleet[router]->onLoad(at(now), id, {inProgress[id], 0, slots, 1});
             if (fleet[router]->hasUrgentNews(at(now))) {
                 broadcast(now, router);
             }
@@ -185,17 +203,26 @@
 
     void arrive(double now, const PromptLoad &load, std::uint64_t firstPrompt)
     {
-        const auto router = static_cast<std::size_t>(uniform() * fleetSize);
+        const auto router = static_cast<std::size_t>(uniform() * static_cast<double>(fleet.size()));
         const bool isHot = load.isHotAt && load.isHotAt(now) && uniform() < 0.28;
         const auto prompt = isHot ? 0 : static_cast<std::uint64_t>(std::pow(uniform(), 1.4) * load.prompts);
         const std::uint64_t key = (firstPrompt + prompt) * 0x9e3779b97f4a7c15U;
-        const EndpointId id = fleet[router]->choose(at(now), {{"llm"}, key, {}})->record.id;
+        const ReplicaChoice choice = fleet[router]->choose(at(now), {{"llm"}, key, {}, needsRoom});
+        if (!choice) {
+            return; // refused, as no engine has room
+        }
+        const EndpointId id = choice->record.id;
         prefills.emplace(key, id.text);
         baselinePrefills.emplace(key, "e" + std::to_string(static_cast<int>(uniform() * engineCount)));
         if (now >= warmUp) {
             const double mean = static_cast<double>(running.size()) / static_cast<double>(engines.size());
             ++arrivals.back();
             overBound.back() += inProgress[id] > 2 * mean + 3 ? 1 : 0;
+            if (arrivals.size() > settling) {
+                ++settledArrivals;
+                overSlots += inProgress[id] > 1.5 * slots ? 1 : 0;
+                busySum += mean / slots;
+            }
         }
         ++inProgress[id];
         fleet[router]->onSent(id);
@@ -261,7 +288,13 @@
         return worstWindow();
     }
 
+    bool needsRoom = false;   // requests that find no engine with room are refused
+    static constexpr std::size_t settling = 3; // s after the warm-up, not counted in the next ones
+    int settledArrivals = 0;  // at engines
+    int overSlots = 0;        // of these, at an engine that had half as many again as its slots
+    double busySum = 0;       // over these: of the fleet's slots, the fraction in use
     static constexpr int engineCount = 140;
+    static constexpr int slots = 12; // of an engine
     static constexpr double warmUp = 5; // s, not judged
     boost::random::mt19937_64 random;
     std::deque<ReplicaRecord> engines; // oldest first
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -38,6 +38,18 @@
     m_state.counts.streaming -= m_attempts.isStreaming ? 1 : 0;
 }
 
+/// @return tokens that a request holds at its replica
+static Tokens expectedTokens(const RequestFields &fields)
+{
+    Tokens prompt = fields.promptTokens;
+    if (prompt == 0) {
+        for (const PromptPart &part : fields.promptParts) {
+            prompt += part.tokens;
+        }
+    }
+    return prompt + (fields.expectedOutput > 0 ? fields.expectedOutput : fields.maxOutput);
+}
+
 void RequestHandler::begin()
 {
     const Instant now = clockNow();
@@ -66,6 +78,9 @@
     if (m_route->hasPrefixAffinity) {
         m_selection.affinity = affinityKey(m_fields.promptParts);
         m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
+        const auto spec = m_table->services.find(m_selection.service);
+        m_selection.tokens = expectedTokens(m_fields);
+        m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
     m_events.skipUpTo(m_fields.resumeAfter);
     watchCaller();
@@ -199,11 +214,12 @@
     hooks.onDone = [self] { self->onDone(); };
     hooks.onFailed = [self](RequestProgress progress) { self->onFailed(progress); };
     const bool expectsNoBody = m_request.head.method == "HEAD";
-    m_state.loadBalancer.onSent(m_endpoint);
+    m_state.loadBalancer.onSent(m_endpoint, m_selection.tokens);
     m_state.loadBalancer.rateLimits().onSent(now, endpoint.nameHash);
     if (m_selection.affinity) {
         m_state.onPeerNews();
     }
+    expectTimes(now, choice);
     logSent(now, choice, isNew);
     m_connection->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
     if (isNew) {
@@ -325,7 +341,7 @@
         return;
     }
     m_selection.excluded.insert(m_endpoint);
-    const ReplicaChoice next = takeRetry(now);
+    const ReplicaChoice next = takeRetry(now, EndReason::AttemptTimeout);
     if (!next) {
         m_noRetryBefore = now + deniedRetryDelay;
         armTimer();
@@ -336,11 +352,22 @@
     attempt(now, next);
 }
 
+/// After a failure, a replica that has room goes first. After a refusal only such a one is asked: the others are full
+/// too, by what is known of them.
 /// @return the replica for another attempt, which is then counted; none if no replica is left, the prompt crashes
 /// replicas, or the service's retry budget is spent
-ReplicaChoice RequestHandler::takeRetry(Instant now)
+ReplicaChoice RequestHandler::takeRetry(Instant now, EndReason reason)
 {
-    const ReplicaChoice next = isBlocked(now) ? ReplicaChoice() : chooseReplica(now);
+    if (isBlocked(now)) {
+        return {};
+    }
+    SelectionRequest withRoom = m_selection;
+    withRoom.needsRoom = true;
+    ReplicaChoice next = m_state.loadBalancer.choose(now, withRoom);
+    if (!next && reason != EndReason::AllRefused) {
+        m_selection.needsRoom = false;
+        next = chooseReplica(now);
+    }
     return next && takeFromBudget(now) ? next : ReplicaChoice();
 }
 
@@ -454,7 +481,7 @@
 
 void RequestHandler::endAttempt(AttemptOutcome end)
 {
-    if (m_state.loadBalancer.onEnded(clockNow(), m_endpoint, end)) {
+    if (m_state.loadBalancer.onEnded(clockNow(), m_endpoint, end, m_selection.tokens)) {
         LogLine line("replica_avoided");
         line.text("replica", m_endpoint.text).text("after_request", m_fields.request.text);
         m_state.log.write(line, LogPriority::Notable);
@@ -472,7 +499,12 @@
     }
     if (m_responseFields.reportsNotRun) {
         m_refusedBy.insert(m_endpoint);
+        const bool namesReason = m_responseFields.isLeaving || m_responseFields.retryAfter;
+        m_attempts.refusals += m_head.status == statusUnavailable && !namesReason ? 1 : 0;
         endAttempt(AttemptOutcome::Refused);
+        if (m_state.loadBalancer.hasUrgentNews(now)) {
+            m_state.onPeerNews();
+        }
         afterFailure(EndReason::AllRefused);
         return;
     }
@@ -488,6 +520,7 @@
         return;
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
+    noteTimes(now, isError);
     notePromptAnswered(now);
     if (!isError) {
         m_state.loadBalancer.holds().onServed(now, m_incarnation);
@@ -542,7 +575,7 @@
     m_selection.excluded.insert(m_endpoint);
     ReplicaChoice next;
     const auto allowExtra = [&] {
-        next = takeRetry(now);
+        next = takeRetry(now, reason);
         return static_cast<bool>(next);
     };
     if (decideRetry(m_attempts, allowExtra) == RetryDecision::Fail) {
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -56,6 +56,9 @@
 
     void attempt(Instant now, const ReplicaChoice &choice);
     std::string encodeRequest(Instant now, const EndpointState &endpoint) const;
+    void expectTimes(Instant now, const ReplicaChoice &choice);
+    void noteFirstEvent(Instant now);
+    void noteTimes(Instant now, bool isError);
     void logSent(Instant now, const ReplicaChoice &choice, bool isNewConnection) const;
     void armTimer();
     void onTimer();
@@ -65,7 +68,7 @@
     Instant nextStallCheck() const;
     void checkForStall(Instant now);
     void abandonAttempt(AttemptOutcome end);
-    ReplicaChoice takeRetry(Instant now);
+    ReplicaChoice takeRetry(Instant now, EndReason reason);
     bool takeFromBudget(Instant now);
     void logRetry(EndReason reason) const;
     void logBroken() const;
@@ -130,6 +133,10 @@
     Instant m_lastEventAt{};    // when the last bytes of a stream were received, from any attempt
     Instant m_stallCheckedAt{}; // last check whether the replica is stalled
     PromptTrial m_trial;        // of the prompt at this replica
+    ServiceWork m_work;         // at this replica, as expected
+    ReplicaOccupancy m_occupancy; // of the replica when the request was sent
+    ServiceTime m_expected;       // since `m_sentAt`
+    Instant m_firstEventAt{};     // from this attempt; earlier than `m_sentAt`: none yet
     bool m_hasHead = false;     // the head of the replica's response was received
     ResponseHead m_head;
     ResponseFields m_responseFields; // decoded from `m_head`
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -1,9 +1,11 @@
-// What a request tells: log lines, metrics, crashes and limits of its replicas. Sections of this file: Reasons, Log
-// lines, Replicas, Metrics.
+// What a request tells: log lines, metrics, service times, crashes and limits of its replicas. Sections of this file:
+// Reasons, Log lines, Service times, Replicas, Metrics.
 #include "galenafold/hex.h"
 #include "traffic/connectprobe.h"
 #include "traffic/requesthandler.h"
 
+#include <cmath>
+
 namespace galenafold
 {
 
@@ -64,11 +66,14 @@
     line.text("service", m_selection.service.text).number("try", m_attempts.sent).millis("left_ms", m_deadline - now);
     line.number("load", static_cast<std::int64_t>(m_state.loadBalancer.load(now, endpoint)));
     line.number("own", endpoint.ownInFlight).text("load_from", text(m_state.loadBalancer.loadSource(now, endpoint)));
+    line.number("room", static_cast<std::int64_t>(std::floor(m_state.loadBalancer.roomAt(now, endpoint))));
+    line.millis("report_age_ms", endpoint.reportedAt == Instant{} ? Duration{} : now - endpoint.reportedAt);
+    line.millis("expected_ms", m_expected.firstEvent);
     line.number("bound", static_cast<std::int64_t>(choice.bound));
     line.number("slow_pct", static_cast<std::int64_t>(m_state.loadBalancer.slowdown(now, endpoint) * percent));
     line.number("passed_full", choice.skippedFull).number("passed_avoided", choice.skippedAvoided);
     line.number("passed_limited", choice.skippedLimited).number("passed_leaving", choice.skippedLeaving);
-    line.number("passed_turned_away", choice.skippedTurnedAway);
+    line.number("passed_turned_away", choice.skippedTurnedAway).number("passed_busy", choice.skippedBusy);
     line.flag("new_connection", isNewConnection).number("version", m_table->version);
     line.millis("proof_age_ms", now - m_state.proof.provedAt());
     m_state.log.write(line, LogPriority::Routine);
@@ -148,6 +153,44 @@
     m_state.log.write(line, LogPriority::Notable);
 }
 
+// Service times
+
+/// A replica that ranks first for the prompt has its shared parts cached, mostly.
+void RequestHandler::expectTimes(Instant now, const ReplicaChoice &choice)
+{
+    const bool isPreferred = choice.skippedFull + choice.skippedAvoided + choice.skippedBusy == 0;
+    const std::vector<PromptPart> &parts = m_fields.promptParts;
+    const Tokens output = m_fields.expectedOutput > 0 ? m_fields.expectedOutput : m_fields.maxOutput;
+    m_work = {m_fields.promptTokens, output};
+    if (isPreferred && m_selection.affinity) {
+        m_work.uncached = parts.back().tokens;
+    }
+    m_occupancy = m_state.loadBalancer.occupancy(now, *choice);
+    m_expected = m_state.serviceTimes[m_selection.service].estimate(m_work, m_occupancy);
+}
+
+void RequestHandler::noteFirstEvent(Instant now)
+{
+    m_firstEventAt = now;
+    if (m_attempts.sent == 1) {
+        m_state.serviceTimes[m_selection.service].onFirstEvent(m_work, m_occupancy, now - m_sentAt);
+    }
+}
+
+/// A complete answer was received. Later attempts may only continue a stream, and say less of the service.
+void RequestHandler::noteTimes(Instant now, bool isError)
+{
+    const Duration took = now - m_sentAt;
+    m_state.loadBalancer.onAnswerTime(now, m_endpoint, took, m_route->latencyObjective);
+    if (isError || m_attempts.sent > 1) {
+        return;
+    }
+    if (m_firstEventAt < m_sentAt) {
+        noteFirstEvent(now);
+    }
+    m_state.serviceTimes[m_selection.service].onEnd(m_work, m_occupancy, now - m_firstEventAt, took);
+}
+
 // Replicas
 
 /// The connection has ended, perhaps without a crash. The prompt is a suspect only if the replica then accepts no
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -30,6 +30,9 @@
     if (wasOnTrial && !m_trial.isOpen(now)) {
         m_state.queryOfDeath.onAnswered(now, m_prompt);
     }
+    if (!hasReceivedEvents()) {
+        noteFirstEvent(now);
+    }
     m_lastEventAt = now;
     m_state.loadBalancer.onStreamEvent(now, m_endpoint);
     if (std::min(progressDeadline(), nextStallCheck()) < m_timer.expiry()) {
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -213,15 +213,26 @@
     writeMetric(out, "response_bytes_peak", "", static_cast<double>(m_state.responseMemory->peakBytes()));
     writeMetric(out, "prompts_blocked", "", m_state.queryOfDeath.blocks(now));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
+    for (const auto &[service, model] : m_state.serviceTimes) {
+        const std::string name = label("service", service.text);
+        writeMetric(out, "estimates_total", name, static_cast<double>(model.error().count));
+        writeMetric(out, "estimate_bias_seconds", name, model.error().meanSeconds);
+        writeMetric(out, "estimate_error_seconds", name, model.error().meanAbsoluteSeconds);
+    }
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
         const std::string name = label("service", service.id.text);
         writeMetric(out, "load_mean", name, service.meanLoad);
         writeMetric(out, "load_bound", name, service.bound);
+        writeMetric(out, "free_slots", name, m_state.loadBalancer.freeSlots(now, service.id));
         writeMetric(out, "retries_left", name, m_state.budget.remaining(now, service.id));
         for (const EndpointState *state : service.endpoints) {
             const std::string labels = name + ',' + label("replica", state->record.id.text);
             writeMetric(out, "replica_load", labels, m_state.loadBalancer.load(now, *state));
+            writeMetric(out, "replica_room", labels, m_state.loadBalancer.roomAt(now, *state));
             writeMetric(out, "replica_slowdown", labels, LoadBalancer::slowdown(now, *state));
+            if (const std::optional<double> pace = state->pace.limit(now)) {
+                writeMetric(out, "replica_pace", labels, *pace);
+            }
             writeMetric(out, "replica_avoided", labels, now < state->avoidUntil ? 1 : 0);
             const ReplicaHolds &holds = m_state.loadBalancer.holds();
             writeMetric(out, "replica_leaving", labels, holds.isLeaving(state->incarnation) ? 1 : 0);
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -11,6 +11,7 @@
 #include "filters/loadbalancer.h"
 #include "filters/responsememory.h"
 #include "filters/retry.h"
+#include "filters/servicetime.h"
 #include "filters/startupgate.h"
 #include "galenafold/eventlog.h"
 #include "traffic/endpointconnection.h"
@@ -74,6 +75,7 @@
     std::vector<std::shared_ptr<RequestHandler>> waiting; // requests that `gate` holds
     LoadBalancer loadBalancer;
     QueryOfDeathDetector queryOfDeath;
+    std::unordered_map<ServiceId, ServiceTimeModel> serviceTimes;
     RetryBudget budget;
     std::shared_ptr<ResponseMemory> responseMemory; // shared with requests that outlive this state
     ConnectionPool connectionPool;
