Let requests wait at the router in fair order while no replica has room

Cause: requests were sent at once whatever the load. The replicas' queues filled and stayed full, so that what ran there was late, and priorities and client accounts reached no decision. Retry-After was a constant.

Change: Admission lets a request wait only where it can still start in time, and refuses others at once with the time after which room is expected, spread by chance. Order: priority with a floor for those below, accounts by deficit round robin over tokens (LaneQueue, now also with the earliest deadline first), accounts that use much more than their share behind the others. StartWindow limits the requests of a router in progress once replicas report queues, as what routers know of each other is late. Callers that leave, taken keys, dropped routes, new replicas and a drain act on what waits.

Failed before: there was no such decision; sent at once, the model of 30 routers at three times the demand serves 0 of 1,075 requests a second in time. The final code is not measured.

--- a/filters/queue.cpp
+++ b/filters/queue.cpp
@@ -12,29 +12,85 @@
 
 // Lane
 
-LaneQueue::LaneQueue(Tokens quantum)
+LaneQueue::LaneQueue(Tokens quantum, CallOrder order)
     : m_quantum(quantum)
+    , m_order(order)
 {
 }
 
-void LaneQueue::push(const QueuedCall &call)
+void LaneQueue::push(const QueuedCall &call, CustomerPlace place)
 {
     const auto sameCustomer = [&call](const Customer &customer) { return customer.id == call.customer; };
     auto customer = std::find_if(m_customers.begin(), m_customers.end(), sameCustomer);
     if (customer == m_customers.end()) {
-        m_customers.push_back({call.customer, call.weight, 0, {}});
-        customer = std::prev(m_customers.end());
+        customer = insertCustomer(call, place);
     }
     customer->weight = call.weight;
-    customer->calls.push_back(call);
+    auto &calls = customer->calls;
+    const auto isLater = [](const QueuedCall &a, const QueuedCall &b) { return a.startBy < b.startBy; };
+    const auto at =
+        m_order == CallOrder::Arrival ? calls.end() : std::upper_bound(calls.begin(), calls.end(), call, isLater);
+    calls.insert(at, call);
     ++m_size;
     m_cost += call.cost;
+    customer->cost += call.cost;
 }
 
-void LaneQueue::uncount(const QueuedCall &call)
+/// A customer that comes ahead can start its first call at once, so that it does not lose the turn.
+std::list<LaneQueue::Customer>::iterator LaneQueue::insertCustomer(const QueuedCall &call, CustomerPlace place)
+{
+    Customer customer;
+    customer.id = call.customer;
+    if (place == CustomerPlace::Last) {
+        return m_customers.insert(m_customers.end(), std::move(customer));
+    }
+    customer.isAhead = true;
+    customer.deficit = std::max(m_quantum, call.cost);
+    const auto hadTurn = [](const Customer &other) { return !other.isAhead; };
+    return m_customers.insert(std::find_if(m_customers.begin(), m_customers.end(), hadTurn), std::move(customer));
+}
+
+void LaneQueue::uncount(Customer &customer, const QueuedCall &call)
 {
     --m_size;
     m_cost = m_size == 0 ? 0 : m_cost - call.cost;
+    customer.cost -= call.cost;
+}
+
+Tokens LaneQueue::costBefore(const QueuedCall &call) const
+{
+    Tokens own = 0;
+    for (const Customer &customer : m_customers) {
+        if (customer.id != call.customer) {
+            continue;
+        }
+        for (const QueuedCall &other : customer.calls) {
+            own += m_order == CallOrder::Arrival || other.startBy <= call.startBy ? other.cost : 0;
+        }
+    }
+    Tokens before = own;
+    for (const Customer &customer : m_customers) {
+        before += customer.id == call.customer ? 0 : std::min(customer.cost, own + call.cost);
+    }
+    return before;
+}
+
+std::optional<CallKey> LaneQueue::lastOfLargest() const
+{
+    const auto hasLess = [](const Customer &a, const Customer &b) { return a.cost < b.cost; };
+    const auto largest = std::max_element(m_customers.begin(), m_customers.end(), hasLess);
+    return largest == m_customers.end() ? std::nullopt : std::optional(largest->calls.back().key);
+}
+
+std::optional<Instant> LaneQueue::nextExpiry() const
+{
+    std::optional<Instant> next;
+    for (const Customer &customer : m_customers) {
+        for (const QueuedCall &call : customer.calls) {
+            next = std::min(next.value_or(call.startBy), call.startBy);
+        }
+    }
+    return next;
 }
 
 LaneQueue::Turn LaneQueue::startOne(Customer &customer, const std::function<bool(const QueuedCall &)> &start)
@@ -50,33 +106,39 @@
         }
         customer.deficit -= call.cost;
         customer.calls.erase(customer.calls.begin() + static_cast<std::ptrdiff_t>(i));
-        uncount(call);
+        uncount(customer, call);
         return Turn::Started;
     }
     return Turn::Refused;
 }
 
 void LaneQueue::drain(const std::function<bool(const QueuedCall &)> &start)
+{
+    while (startNext(start)) { }
+}
+
+bool LaneQueue::startNext(const std::function<bool(const QueuedCall &)> &start)
 {
     std::size_t refused = 0;
     while (!m_customers.empty() && refused < m_customers.size()) {
         Customer &customer = m_customers.front();
         const Turn turn = startOne(customer, start);
         if (turn == Turn::Started) {
-            refused = 0;
             if (customer.calls.empty()) {
                 m_customers.pop_front(); // an idle customer keeps no deficit
             }
-            continue; // the customer keeps its turn until its deficit is used up
+            return true; // the customer keeps its turn until its deficit is used up
         }
         if (turn == Turn::OverDeficit) {
             customer.deficit += m_quantum * customer.weight;
+            customer.isAhead = false;
             refused = 0;
         } else {
             ++refused; // no endpoint has room: the deficit does not grow
         }
         m_customers.splice(m_customers.end(), m_customers, m_customers.begin());
     }
+    return false;
 }
 
 bool LaneQueue::remove(CallKey key)
@@ -88,7 +150,7 @@
         if (call == calls.end()) {
             continue;
         }
-        uncount(*call);
+        uncount(*customer, *call);
         calls.erase(call);
         if (calls.empty()) {
             m_customers.erase(customer);
--- a/filters/queue.h
+++ b/filters/queue.h
@@ -1,6 +1,6 @@
 // Fourth filter: queues calls until an endpoint has room. Short and long work wait in separate lanes; within a lane,
 // customers are served by deficit round robin over expected tokens. A call that cannot start in time is refused at
-// once.
+// once. One lane is also what waits at one priority for the users' platform. @see Admission
 //
 // Sections of this file: Entry, Lane, Queue.
 #pragma once
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 namespace galenafold
@@ -26,19 +27,45 @@
 
 // Lane
 
-/// One lane: customers by deficit round robin, the calls of each in order of arrival, except that a call that cannot
-/// start yet may be passed by later ones. @see FairQueue
+/// Order of the calls of one customer.
+enum class CallOrder : std::uint8_t {
+    Arrival,  // first come, first served
+    Deadline, // earliest `startBy` first
+};
+
+/// Place of a customer that has no call in the queue yet.
+enum class CustomerPlace : std::uint8_t {
+    Last,  // after the turns of all others
+    Ahead, // before customers that have had a turn; for one that has used less than its share lately
+};
+
+/// One lane: customers by deficit round robin, the calls of each in one order, except that a call that cannot start yet
+/// may be passed by later ones. @see FairQueue
 class LaneQueue
 {
 public:
-    explicit LaneQueue(Tokens quantum);
+    explicit LaneQueue(Tokens quantum, CallOrder order = CallOrder::Arrival);
+
+    /// @param place of the call's customer, if it has no other call here
+    void push(const QueuedCall &call, CustomerPlace place = CustomerPlace::Last);
 
-    void push(const QueuedCall &call);
     std::size_t size() const { return m_size; }
 
     /// Starts calls in fair order while `start` accepts them. @param start returns false when the call must wait.
     void drain(const std::function<bool(const QueuedCall &)> &start);
 
+    /// Starts the next call in fair order that `start` accepts. @return false if it accepts none
+    bool startNext(const std::function<bool(const QueuedCall &)> &start);
+
+    /// @return expected tokens of the calls that start before this one would, if it was pushed: those of its customer
+    /// before it, and of each other customer no more than it gets meanwhile
+    Tokens costBefore(const QueuedCall &call) const;
+
+    /// @return the last call of the customer with most expected tokens here; nothing if the lane is empty
+    std::optional<CallKey> lastOfLargest() const;
+
+    std::optional<Instant> nextExpiry() const; ///< @return the earliest `startBy`; nothing if the lane is empty
+
     /// Removes one call. @return true if it was queued here.
     bool remove(CallKey key);
 
@@ -53,6 +80,8 @@
         double weight = 1;
         Tokens deficit = 0;
         std::deque<QueuedCall> calls;
+        Tokens cost = 0;      // of `calls`
+        bool isAhead = false; // came ahead, and has not used up its first turn
     };
 
     enum class Turn : std::uint8_t {
@@ -62,9 +91,11 @@
     };
 
     Turn startOne(Customer &customer, const std::function<bool(const QueuedCall &)> &start);
-    void uncount(const QueuedCall &call);
+    void uncount(Customer &customer, const QueuedCall &call);
+    std::list<Customer>::iterator insertCustomer(const QueuedCall &call, CustomerPlace place);
 
     Tokens m_quantum;
+    CallOrder m_order;
     std::list<Customer> m_customers; // in round-robin order
     std::size_t m_size = 0;
     Tokens m_cost = 0;
--- a/runtime/requesttimeline.cpp
+++ b/runtime/requesttimeline.cpp
@@ -74,6 +74,17 @@
     return description;
 }
 
+/// Describes a request that found no replica with room: it waits, or is refused.
+static std::string describeWait(const Json &line)
+{
+    const std::string what = line.value("event", "") == "request_waits"
+        ? "waits, as no replica of "
+        : "does not wait (" + fieldText(line, "why") + "), as no replica of ";
+    return what + fieldText(line, "service") + " has room: " + fieldText(line, "waiting") + " wait here; at priority "
+        + fieldText(line, "priority") + " its turn is expected in " + fieldText(line, "expected_wait_ms")
+        + " ms, and it has to start within " + fieldText(line, "start_within_ms") + " ms";
+}
+
 static std::string describe(const Json &line)
 {
     const std::string event = fieldText(line, "event");
@@ -84,6 +95,12 @@
         return "replica " + fieldText(line, "replica") + " did not serve it (" + fieldText(line, "reason")
             + "); another try follows";
     }
+    if (event == "request_waits" || event == "not_admitted") {
+        return describeWait(line);
+    }
+    if (event == "admitted") {
+        return "starts after a wait of " + fieldText(line, "waited_ms") + " ms for room";
+    }
     if (event == "queued") {
         return "waiting for the store's first responses: the process has just started";
     }
--- a/tests/eventlog.cpp
+++ b/tests/eventlog.cpp
@@ -141,3 +141,17 @@
     std::istringstream otherLogs(starts + sent);
     CHECK(requestTimeline({"r2"}, otherLogs).empty());
 }
+
+TEST(RequestTimelines, TellsWhyARequestWasNotAdmitted)
+{
+    std::istringstream logs(
+        " 2.0 front-2 {\"t\":20,\"event\":\"not_admitted\",\"request\":\"r1\",\"service\":\"s\",\"why\":\"too_late\","
+        "\"priority\":3,\"waiting\":7,\"expected_wait_ms\":900,\"start_within_ms\":300}\n"
+        " 2.0 front-2 {\"t\":20,\"event\":\"refused\",\"request\":\"r1\",\"status\":503,\"reason\":\"no_room\","
+        "\"may_have_run\":false,\"took_ms\":1,\"sent\":0,\"ran\":0}\n");
+    const auto timeline = requestTimeline({"r1"}, logs);
+    LONGS_EQUAL(2, timeline.size());
+    CHECK(timeline[0].description.find("too_late") != std::string::npos);
+    CHECK(timeline[0].description.find("expected in 900 ms") != std::string::npos);
+    CHECK(timeline[1].description.find("no_room") != std::string::npos);
+}
--- /dev/null
+++ b/tests/overload.cpp
@@ -0,0 +1,165 @@
+// Requests beyond what the replicas can serve: what callers get, in a model of the fleet.
+//
+// Sections of this file: Demand, Shares, Failures.
+#include "tests/overloadmodel.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace galenafold;
+
+// Demand
+
+constexpr double keptShare = 0.9;           // of the most goodput at any lower demand
+constexpr double maxLateShare = 0.05;       // of the responses
+constexpr double maxArrivals = 1.1;         // at replicas, for each request served
+constexpr double keptBesideHeavyUse = 0.95; // of an account's service on a calm day
+
+TEST_GROUP(Overload){};
+
+static OverloadPlan plan(double demand, int routers = 30)
+{
+    OverloadPlan result;
+    result.demand = demand;
+    result.routers = routers;
+    if (routers > 100) {
+        result.beaconInterval = 1.2;
+        result.engines = 30;
+        result.slots = 32;
+    }
+    return result;
+}
+
+static void print(const char *name, const OverloadModel &model)
+{
+    std::printf("%s: demand %.1f routers %d: goodput %.0f of %.0f/s, late %.3f, refusals %d, expired %d, arrivals %d, "
+                "not run %d; by kind",
+                name, model.plan.demand, model.plan.routers, model.goodput(), model.capacity(), model.all.lateShare(),
+                model.all.refused, model.expired, model.arrivals, model.notRun);
+    for (const auto &tally : model.byKind) {
+        std::printf(" %.3f", tally.share());
+    }
+    std::printf("\n");
+}
+
+/// Goodput does not fall as demand grows, and few responses are late.
+static void checkGoodput(int routers)
+{
+    double most = 0;
+    for (const double demand : {0.9, 1.5, 2.0, 3.0, 5.0}) {
+        OverloadModel model(plan(demand, routers));
+        model.run();
+        print("admission", model);
+        CHECK(model.goodput() >= keptShare * most);
+        CHECK(model.all.lateShare() <= maxLateShare);
+        CHECK(model.arrivals <= maxArrivals * model.served);
+        most = std::max(most, model.goodput());
+    }
+}
+
+TEST(Overload, goodputOfThirtyRoutersNeverFalls)
+{
+    checkGoodput(30);
+}
+
+TEST(Overload, goodputOfAHundredAndFourteenRoutersNeverFalls)
+{
+    checkGoodput(114);
+}
+
+/// The load pattern itself: without admission, replicas serve what has waited too long in their queues.
+TEST(Overload, withoutAdmissionGoodputCollapses)
+{
+    OverloadPlan atOnce = plan(3);
+    atOnce.hasAdmission = false;
+    OverloadModel model(atOnce);
+    model.run();
+    print("at once", model);
+    CHECK(model.goodput() < keptShare / 2 * model.capacity());
+}
+
+// Shares
+
+/// Served by order of urgency, and no kind starves.
+TEST(Overload, moreUrgentKindsAreServedALargerShare)
+{
+    for (const double demand : {1.5, 3.0}) {
+        OverloadPlan kinds = plan(demand);
+        kinds.kinds = {{"first", 0, 0.2, 0.8, 0.05, 0.5, 1000},
+                       {"second", 3, 0.4, 0.8, 0.05, 0.5, 1000},
+                       {"third", 7, 0.4, 0.8, 0.05, 0.5, 1000}};
+        OverloadModel model(kinds);
+        model.run();
+        print("kinds", model);
+        CHECK(model.byKind[0].share() >= model.byKind[1].share());
+        CHECK(model.byKind[1].share() >= model.byKind[2].share());
+        CHECK(model.byKind[2].good > 0);
+    }
+}
+
+/// @return the smallest share that an account other than the first gets
+static double leastOfOthers(const OverloadModel &model)
+{
+    double least = 1;
+    for (std::size_t account = 1; account < model.byAccount.size(); ++account) {
+        least = std::min(least, model.byAccount[account].share());
+    }
+    return least;
+}
+
+/// The usual demand of all is 0.7 of what the engines serve, and the first account's usual is a fifth of that.
+static OverloadPlan heavyAccount(double factor)
+{
+    OverloadPlan plan;
+    plan.demand = 0.7;
+    plan.accounts = std::vector<double>(12, 0.8 * 12 / 11);
+    plan.accounts[0] = 0.2 * 12 * factor;
+    return plan;
+}
+
+TEST_GROUP(OverloadByOneAccount){};
+
+TEST(OverloadByOneAccount, othersAreServedWhileItAsksForTenTimesItsUsual)
+{
+    OverloadModel calm(heavyAccount(1));
+    calm.run();
+    OverloadModel heavy(heavyAccount(10));
+    heavy.run();
+    std::printf("least of the other accounts: %.3f calm, %.3f beside heavy use; the heavy one %.3f\n",
+                leastOfOthers(calm), leastOfOthers(heavy), heavy.byAccount[0].share());
+    CHECK(leastOfOthers(heavy) >= keptBesideHeavyUse * leastOfOthers(calm));
+}
+
+/// Repeats are refused at once, so they cost the engines nothing.
+TEST(Overload, impatientRepeatsDoNotLowerGoodput)
+{
+    OverloadModel patient(plan(2));
+    patient.run();
+    OverloadPlan impatientPlan = plan(2);
+    impatientPlan.repeatShare = 0.4;
+    OverloadModel impatient(impatientPlan);
+    impatient.run();
+    print("patient", patient);
+    print("impatient", impatient);
+    CHECK(impatient.goodput() >= keptShare * patient.goodput());
+    CHECK(impatient.all.lateShare() <= maxLateShare);
+}
+
+// Failures
+
+/// Engines that work five times slower take less, and take as much as before when they are back.
+TEST(Overload, goodputReturnsAfterEnginesWereSlow)
+{
+    OverloadPlan slowPlan = plan(1.5);
+    slowPlan.end = 20;
+    slowPlan.slowdown = [](double now, int engine) { return engine % 3 == 0 && now > 6 && now < 10 ? 5.0 : 1.0; };
+    OverloadModel slow(slowPlan);
+    slow.run();
+    OverloadPlan usualPlan = plan(1.5);
+    usualPlan.end = 20;
+    OverloadModel usual(usualPlan);
+    usual.run();
+    print("slow", slow);
+    print("usual", usual);
+    const double lost = 4.0 / 16 / 3 * 0.8; // a third of the engines does a fifth of its work for 4 of 16 s
+    CHECK(slow.goodput() >= keptShare * (1 - lost) * usual.goodput());
+}
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -61,15 +61,28 @@
         waitForStart();
         return;
     }
+    if (!route(now)) {
+        return;
+    }
+    m_events.skipUpTo(m_fields.resumeAfter);
+    watchCaller();
+    armTimer();
+    m_state.budget.onFirstAttempt(now, m_selection.service);
+    dispatch(now);
+}
+
+/// @return false if the request was refused
+bool RequestHandler::route(Instant now)
+{
     m_table = m_state.table;
     if (!findRoute(now) || !checkApiKey(now)) {
-        return;
+        return false;
     }
     m_deadline =
         m_request.arrival + std::min<Duration>(m_fields.callerTimeout.value_or(defaultCallerTimeout), m_route->timeout);
     if (m_state.stopsAt && m_deadline > *m_state.stopsAt) {
         refuse(statusUnavailable, EndReason::Stopping);
-        return;
+        return false;
     }
     m_attempts.isRetryable = m_route->isRetryable();
     m_attempts.isResumable = m_route->isResumable;
@@ -82,11 +95,7 @@
         m_selection.tokens = expectedTokens(m_fields);
         m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
-    m_events.skipUpTo(m_fields.resumeAfter);
-    watchCaller();
-    armTimer();
-    m_state.budget.onFirstAttempt(now, m_selection.service);
-    dispatch(now);
+    return true;
 }
 
 void RequestHandler::watchCaller()
@@ -156,22 +165,34 @@
         giveUp(EndReason::QueryOfDeath);
         return;
     }
-    const ReplicaChoice choice = chooseReplica(now);
-    if (!choice) {
+    if (!m_state.waitingForRoom.admission().mustWait(m_selection.service)) {
+        start(now, chooseReplica(now));
+    } else if (!waitForRoom(now)) {
+        giveUp(EndReason::NoRoom);
+    }
+}
+
+/// Sends the first attempt, or waits if replicas are left that have no room.
+void RequestHandler::start(Instant now, const ReplicaChoice &choice)
+{
+    if (choice) {
+        attempt(now, choice);
+    } else if (choice.skippedBusy == 0) {
         giveUp(choice.skippedTurnedAway > 0    ? EndReason::ReplicasTurnAway
                    : choice.skippedLimited > 0 ? EndReason::ReplicaLimits
                                                : EndReason::NoReplica);
-        return;
+    } else if (!waitForRoom(now)) {
+        giveUp(EndReason::NoRoom);
     }
-    attempt(now, choice);
 }
 
 /// A replica that refused the request is full and is not asked again. One that failed in another way may serve it the
-/// next time, once all others were tried.
+/// next time, once all others were tried. A stream that has begun is continued at once, so as not to break.
 ReplicaChoice RequestHandler::chooseReplica(Instant now)
 {
+    m_selection.needsRoom = !m_attempts.isStreaming;
     ReplicaChoice choice = m_state.loadBalancer.choose(now, m_selection);
-    if (!choice && m_selection.excluded != m_refusedBy) {
+    if (!choice && choice.skippedBusy == 0 && m_selection.excluded != m_refusedBy) {
         m_selection.excluded = m_refusedBy;
         choice = m_state.loadBalancer.choose(now, m_selection);
     }
@@ -204,6 +225,7 @@
     m_trial.begin();
     dropResponse();
     m_sentAt = now;
+    m_state.waitingForRoom.admission().onSent(now, m_selection.service, admissionRequest(now));
     ++m_attempts.sent;
     bool isNew = false;
     m_connection = m_state.connectionPool.acquire(now, m_endpoint, !m_route->isRetryable(), isNew);
@@ -341,7 +363,7 @@
         return;
     }
     m_selection.excluded.insert(m_endpoint);
-    const ReplicaChoice next = takeRetry(now, EndReason::AttemptTimeout);
+    const ReplicaChoice next = takeRetry(now);
     if (!next) {
         m_noRetryBefore = now + deniedRetryDelay;
         armTimer();
@@ -352,22 +374,11 @@
     attempt(now, next);
 }
 
-/// After a failure, a replica that has room goes first. After a refusal only such a one is asked: the others are full
-/// too, by what is known of them.
-/// @return the replica for another attempt, which is then counted; none if no replica is left, the prompt crashes
-/// replicas, or the service's retry budget is spent
-ReplicaChoice RequestHandler::takeRetry(Instant now, EndReason reason)
+/// @return the replica for another attempt, which is then counted; none if no replica is left or has room, the prompt
+/// crashes replicas, or the service's retry budget is spent
+ReplicaChoice RequestHandler::takeRetry(Instant now)
 {
-    if (isBlocked(now)) {
-        return {};
-    }
-    SelectionRequest withRoom = m_selection;
-    withRoom.needsRoom = true;
-    ReplicaChoice next = m_state.loadBalancer.choose(now, withRoom);
-    if (!next && reason != EndReason::AllRefused) {
-        m_selection.needsRoom = false;
-        next = chooseReplica(now);
-    }
+    const ReplicaChoice next = isBlocked(now) ? ReplicaChoice() : chooseReplica(now);
     return next && takeFromBudget(now) ? next : ReplicaChoice();
 }
 
@@ -405,6 +416,7 @@
     if (fields.load) {
         const Instant now = clockNow();
         m_state.loadBalancer.onLoad(now, m_endpoint, *fields.load);
+        m_state.waitingForRoom.admission().onLoad(now, m_selection.service, *fields.load);
         if (m_state.loadBalancer.hasUrgentNews(now)) {
             m_state.onPeerNews();
         }
@@ -487,6 +499,8 @@
         m_state.log.write(line, LogPriority::Notable);
     }
     m_connection.reset();
+    m_state.waitingForRoom.admission().onEnded(m_selection.service);
+    m_state.waitingForRoom.drainSoon();
 }
 
 void RequestHandler::onDone()
@@ -568,19 +582,20 @@
     }
 }
 
-/// Makes another attempt if that is correct, a replica is left, and the retry budget allows it.
-/// @return false if there is none
+/// Makes another attempt if that is correct, a replica is left, and the retry budget allows it. Waits if the replicas
+/// that are left have no room. @return false if there is none
 bool RequestHandler::retry(Instant now, EndReason reason)
 {
     m_selection.excluded.insert(m_endpoint);
-    ReplicaChoice next;
-    const auto allowExtra = [&] {
-        next = takeRetry(now, reason);
-        return static_cast<bool>(next);
-    };
+    const ReplicaChoice next = isBlocked(now) ? ReplicaChoice() : chooseReplica(now);
+    const bool mustWait = !next && next.skippedBusy > 0;
+    const auto allowExtra = [&] { return mustWait || (next && takeFromBudget(now)); };
     if (decideRetry(m_attempts, allowExtra) == RetryDecision::Fail) {
         return false;
     }
+    if (mustWait) {
+        return waitForRoom(now);
+    }
     logRetry(reason);
     attempt(now, next);
     return true;
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -17,6 +17,8 @@
     NoReplica,          // the service has no replica
     ReplicaLimits,      // the replicas already get as many requests as they take
     ReplicasTurnAway,   // the replicas named times for which they want no requests
+    NoRoom,             // no replica has room, and the request cannot be expected to start in time
+    NoRoomInTime,       // no replica had room until the request could no longer start in time
     QueryOfDeath,       // prompts like this one crash replicas
     Expired,            // the request's deadline has passed
     AllRefused,         // the last attempt was refused by its replica
@@ -42,6 +44,14 @@
 
     void begin(); ///< Starts processing. Called again when the startup gate no longer holds the request.
 
+    // While the request waits for room at a replica. @see WaitingRequests
+
+    ReplicaChoice chooseReplica(Instant now);                   ///< @return the replica for the next attempt
+    void onAdmitted(Instant now, const ReplicaChoice &choice);  ///< Sends the attempt that waited.
+    void onNotAdmitted(EndReason reason, AdmissionRefusal why); ///< The request waits no longer, and has not started.
+    void onDesiredState();                                      ///< Waits again, if the new desired state lets it.
+    void onStoppingAt(Instant stopsAt);                         ///< Ends if its response may not be complete by then.
+
 private:
     // Routing.
 
@@ -49,8 +59,18 @@
     void waitForStart();
     bool findRoute(Instant now);
     bool checkApiKey(Instant now);
+    bool route(Instant now);
     void dispatch(Instant now);
-    ReplicaChoice chooseReplica(Instant now);
+    void start(Instant now, const ReplicaChoice &choice);
+
+    // Waiting for room.
+
+    bool waitForRoom(Instant now);
+    AdmissionRequest admissionRequest(Instant now) const;
+    Duration expectedResponseTime() const;
+    Instant latestStart(Instant now) const;
+    void logWait(const AdmissionDecision &decision, const AdmissionRequest &request) const;
+    void logAdmitted(Instant now) const;
 
     // Attempts.
 
@@ -68,7 +88,7 @@
     Instant nextStallCheck() const;
     void checkForStall(Instant now);
     void abandonAttempt(AttemptOutcome end);
-    ReplicaChoice takeRetry(Instant now, EndReason reason);
+    ReplicaChoice takeRetry(Instant now);
     bool takeFromBudget(Instant now);
     void logRetry(EndReason reason) const;
     void logBroken() const;
@@ -81,6 +101,7 @@
     void noteRateLimit();
     void noteLeaving();
     void noteTurnedAway();
+    void noteResponseTime(Instant now);
     Duration retryAfter(EndReason reason) const;
     void onBody(std::string &body);
     void noteHeldBytes();
@@ -120,6 +141,10 @@
     Instant m_deadline{};             // for the whole response
     Instant m_turnedAwayUntil{};      // shortest time that replicas named, if no other replica was left
     Instant m_noRetryBefore{};        // an attempt without progress is not retried before this time
+    WaitKey m_waitKey{};              // while it waits for room
+    bool m_isWaiting = false;         // for room at a replica
+    Instant m_waitingSince{};         // start of that wait
+    Duration m_roomExpectedIn{};      // Retry-After of a refusal for lack of room
     DeadlineTimer m_timer;
     AttemptHistory m_attempts;
 
@@ -130,14 +155,14 @@
     asio::ip::tcp::endpoint m_address; // of the replica
     std::uint32_t m_incarnation = 0;   // hash of the replica's id and start time
     Instant m_sentAt{};
-    Instant m_lastEventAt{};    // when the last bytes of a stream were received, from any attempt
-    Instant m_stallCheckedAt{}; // last check whether the replica is stalled
-    PromptTrial m_trial;        // of the prompt at this replica
-    ServiceWork m_work;         // at this replica, as expected
+    Instant m_lastEventAt{};      // when the last bytes of a stream were received, from any attempt
+    Instant m_stallCheckedAt{};   // last check whether the replica is stalled
+    PromptTrial m_trial;          // of the prompt at this replica
+    ServiceWork m_work;           // at this replica, as expected
     ReplicaOccupancy m_occupancy; // of the replica when the request was sent
     ServiceTime m_expected;       // since `m_sentAt`
     Instant m_firstEventAt{};     // from this attempt; earlier than `m_sentAt`: none yet
-    bool m_hasHead = false;     // the head of the replica's response was received
+    bool m_hasHead = false;       // the head of the replica's response was received
     ResponseHead m_head;
     ResponseFields m_responseFields; // decoded from `m_head`
     std::string m_body;              // response body, unless it is relayed as a stream
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -50,6 +50,10 @@
         return "caller_gone";
     case EndReason::ReplicasTurnAway:
         return "replicas_turn_away";
+    case EndReason::NoRoom:
+        return "no_room";
+    case EndReason::NoRoomInTime:
+        return "no_room_in_time";
     case EndReason::Stopping:
         return "stopping";
     }
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -45,6 +45,7 @@
         m_attempts.isStreaming = true;
         ++m_state.counts.streaming;
         m_firstByteAt = clockNow();
+        noteResponseTime(m_firstByteAt);
         m_sentStatus = m_head.status;
         m_caller->beginStream(m_sentStatus, endToEndFields(m_head.fields));
         m_caller->onDrained = [self = shared_from_this()] {
@@ -63,6 +64,7 @@
 {
     const int status = m_head.status;
     m_firstByteAt = clockNow();
+    noteResponseTime(m_firstByteAt);
     m_caller->sendResponse(status, endToEndFields(m_head.fields), m_body);
     finish("served", status, nullptr);
 }
@@ -81,6 +83,10 @@
 {
     switch (reason) {
     case EndReason::AllRefused:
+        return std::max<Duration>(m_roomExpectedIn, std::max<Duration>(retryDelay, m_turnedAwayUntil - clockNow()));
+    case EndReason::NoRoom:
+    case EndReason::NoRoomInTime:
+        return std::max<Duration>(retryDelay, m_roomExpectedIn);
     case EndReason::ReplicasTurnAway:
         return std::max<Duration>(retryDelay, m_turnedAwayUntil - clockNow());
     case EndReason::QueryOfDeath:
@@ -153,6 +159,10 @@
 {
     const auto self = shared_from_this();
     m_isFinished = true;
+    if (m_isWaiting) {
+        m_isWaiting = false;
+        m_state.waitingForRoom.remove(m_waitKey);
+    }
     m_timer.cancel();
     dropResponse();
     const bool isServed = outcome == "served";
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -25,6 +25,7 @@
     , budget(theSettings.retry, clockNow())
     , responseMemory(std::make_shared<ResponseMemory>(theSettings.maxResponseBytes))
     , connectionPool(theIo, headerCodec)
+    , waitingForRoom(theIo, theSettings.admission, theSettings.seed)
 {
 }
 
@@ -213,6 +214,7 @@
     writeMetric(out, "response_bytes_peak", "", static_cast<double>(m_state.responseMemory->peakBytes()));
     writeMetric(out, "prompts_blocked", "", m_state.queryOfDeath.blocks(now));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
+    m_state.waitingForRoom.addMetrics(out, now);
     for (const auto &[service, model] : m_state.serviceTimes) {
         const std::string name = label("service", service.text);
         writeMetric(out, "estimates_total", name, static_cast<double>(model.error().count));
@@ -294,6 +296,7 @@
             m_state.gate.onDesiredState();
             releaseWaiting();
         }
+        m_state.waitingForRoom.onDesiredState();
     });
 }
 
@@ -306,6 +309,7 @@
         m_state.counts.replicas = static_cast<int>(replicas.size());
         m_state.gate.onReplicas();
         releaseWaiting();
+        m_state.waitingForRoom.drainSoon();
     });
 }
 
@@ -323,6 +327,7 @@
 {
     asio::post(m_io, [this, stopsAt] {
         m_state.stopsAt = stopsAt;
+        m_state.waitingForRoom.onStopping(stopsAt);
         m_listener.stopAccepting();
     });
 }
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -18,6 +18,7 @@
 #include "traffic/listener.h"
 #include "traffic/metrics.h"
 #include "traffic/peerloadexchange.h"
+#include "traffic/waitingrequests.h"
 
 #include <atomic>
 #include <thread>
@@ -37,6 +38,7 @@
     Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
     LoadBalancerSettings loadBalancer;
     RetryBudgetSettings retry;
+    AdmissionSettings admission;
     PeerSettings peers;
     std::uint64_t seed = 1; // of random choices
 };
@@ -81,6 +83,7 @@
     ConnectionPool connectionPool;
     TrafficCounts counts;
     TrafficMetrics metrics;
+    WaitingRequests waitingForRoom;           // at replicas
     std::function<void()> onPeerNews = [] {}; // peers must know: request with prompt sent, replica stalled or crashed
 };
 
