Merge room at replicas, estimate of service, admission and waiting

A request starts only where a replica has room; others wait at the router in fair order or are refused at once. Free slots leave out replicas that are evacuated or want nothing, and a request that finds none for another reason than room is refused by that reason, as before.

--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -1,4 +1,4 @@
-// Replica selection by rendezvous hashing with bounded load, and the health of replicas.
+// Replica selection by rendezvous hashing with bounded load.
 #include "filters/loadbalancer.h"
 
 #include "control/loadview.h"
@@ -9,27 +9,10 @@
 namespace galenafold
 {
 
-constexpr auto loadReportLifetime = std::chrono::milliseconds(1500); // typical duration of a generation
-constexpr double endedUnreportedFraction = 0.1; // of the requests that peers report, as some have already ended
-constexpr double slowdownWeight = 0.3;          // of the newest report in the smoothed slowdown
-constexpr double slowdownThreshold = 2.4;       // a lower slowdown may come from noisy neighbours on the same machine
-constexpr double stallSlowdown = 15;            // one sample of it lifts the smoothed slowdown above the threshold
-constexpr auto stallLifetime = std::chrono::seconds(1);    // of a detected stall; a longer one is detected again
-constexpr auto slowdownLifetime = std::chrono::seconds(2); // of the smoothed slowdown without a report
-constexpr double demandWindowSeconds = 2.5;                // over which the demand for an engine is smoothed
-constexpr double demandMargin = 1.6; // factor on the demand of the fleet, which is estimated from few requests
-constexpr double typicalDurationSeconds = 0.7; // of a request; load that is older has been replaced by other requests
-constexpr auto minLoadFreshness = std::chrono::milliseconds(100); // peers of a small fleet report about as often
-constexpr auto smoothedLoadLifetime = std::chrono::seconds(8); // short enough to follow load that varies within seconds
-constexpr double smoothedLoadWeight = 0.3;                     // of the newest report in the smoothed load
-constexpr auto drainingEngineLifetime = std::chrono::seconds(4);  // a draining engine serves at least for this long
-constexpr auto initialAvoidance = std::chrono::milliseconds(500); // doubled for each further failure in a row
-constexpr int maxAvoidanceDoublings = 3;
-constexpr double failureRateWeight = 0.2;    // of the newest attempt in the smoothed rate
-constexpr double failureRateThreshold = 0.5; // above it a replica is avoided even if some attempts succeed
-constexpr auto failureRateAvoidance = std::chrono::milliseconds(1500); // after the failure rate exceeds the threshold
+constexpr double demandWindowSeconds = 2.5; // over which the demand for an engine is smoothed
+constexpr double demandMargin = 1.6;        // factor on the demand of the fleet, which is estimated from few requests
+constexpr auto drainingEngineLifetime = std::chrono::seconds(4); // a draining engine serves at least for this long
 constexpr int maxRankOfLimited = 3; // up to this position an engine is likely to have a prompt cached
-constexpr auto refusalAvoidance = std::chrono::milliseconds(50); // after the replica refused a request
 
 const char *text(LoadSource source)
 {
@@ -78,8 +61,10 @@
             isNew || state.record.started != record.started || state.record.address != record.address;
         if (isNewIncarnation) {
             const int own = state.ownInFlight;
+            const Tokens ownTokens = state.ownTokens;
             state = EndpointState();
             state.ownInFlight = own;
+            state.ownTokens = ownTokens;
             state.nameHash = vmHash({record.id.text});
             state.incarnation = incarnationHash(record);
             m_rateLimits.forget(state.nameHash);
@@ -96,6 +81,12 @@
     for (const EndpointId &id : removed) {
         m_endpoints.erase(id);
     }
+    for (auto &[service, known] : m_services) {
+        known.replicas.clear();
+    }
+    for (auto &[id, state] : m_endpoints) {
+        m_services[state.record.service].replicas.push_back(&state);
+    }
     m_places.update(now, records);
     copyPlaces();
     return removed;
@@ -168,20 +159,28 @@
     std::vector<EndpointState *> healthy;
     std::vector<EndpointState *> avoidedReplicas;
     ReplicaChoice held;
-    for (auto &[id, state] : m_endpoints) {
-        if (state.record.service != request.service || request.excluded.count(id) > 0) {
+    for (EndpointState *state : replicasOf(request.service)) {
+        if (request.excluded.count(state->record.id) > 0) {
             continue;
         }
-        if (!isAllowed(request, state)) {
+        if (!isAllowed(request, *state)) {
             ++held.skippedRegion;
             continue;
         }
-        if (isHeld(now, state, held)) {
+        if (isHeld(now, *state, held)) {
             continue;
         }
-        (now < state.avoidUntil ? avoidedReplicas : healthy).push_back(&state);
+        (now < state->avoidUntil ? avoidedReplicas : healthy).push_back(state);
+    }
+    ReplicaChoice choice;
+    if (request.needsRoom && !hasShare(now, request.service)) {
+        choice.skippedBusy = static_cast<int>(healthy.size() + avoidedReplicas.size());
+    } else {
+        choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
+    }
+    if (choice) {
+        noteChosen(now, choice->record.id);
     }
-    ReplicaChoice choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
     choice.skippedLeaving = held.skippedLeaving;
     choice.skippedTurnedAway = held.skippedTurnedAway;
     choice.skippedEvacuated = held.skippedEvacuated;
@@ -218,39 +217,10 @@
         return chooseByAffinity(now, request, candidates);
     }
     ReplicaChoice choice;
-    chooseLeastLoaded(now, candidates, choice);
+    chooseLeastLoaded(now, request.needsRoom ? withRoom(now, request, candidates, choice) : candidates, choice);
     return choice;
 }
 
-/// With reports from peers, the current mean. Otherwise at least the mean smoothed over a few seconds: a router without
-/// peers gets load reports from each engine only occasionally, and engines without a recent report would count as idle.
-/// The mean would then be too low, and requests would spill from their preferred engines without need.
-double LoadBalancer::meanLoad(Instant now, const std::vector<const EndpointState *> &endpoints) const
-{
-    double smoothed = 0;
-    double current = 0;
-    int known = 0;
-    for (const EndpointState *state : endpoints) {
-        current += load(now, *state);
-        if (now < state->smoothedLoadExpiry) {
-            smoothed += state->smoothedLoad;
-            ++known;
-        }
-    }
-    const double countedFraction = m_peersHeard > 0 ? 1 - endedUnreportedFraction : 1;
-    const double mean = countedFraction * current / static_cast<double>(endpoints.size());
-    return known == 0 || m_peersHeard > 0 ? mean : std::max(mean, smoothed / known);
-}
-
-/// Noisy neighbours on the same machine slow an engine down briefly; smoothing filters out slowdowns that do not last
-/// over several reports.
-void LoadBalancer::updateSlowdown(Instant now, EndpointState &state, double slowdown)
-{
-    const double before = LoadBalancer::slowdown(now, state);
-    state.slowdown = before + slowdownWeight * (slowdown - before);
-    state.slowdownExpiry = now + slowdownLifetime;
-}
-
 /// Other routers see the same headroom and use it too before their reports arrive. The number of requests in progress
 /// then differs from the reported one by about its square root, so that much of the bound stays free. Where this
 /// router's own requests for the engine show that the fleet as a whole would send more than there is room for, each
@@ -260,7 +230,7 @@
 {
     const double demandRate = updateDemand(now, state);
     const double slowdownFactor = slowdown(now, state);
-    const double limit = slowdownFactor >= slowdownThreshold ? bound / slowdownFactor : bound;
+    const double limit = slowdownFactor >= noticeableSlowdown ? bound / slowdownFactor : bound;
     const double unreportedSeconds = std::min(m_peerReportDelay, typicalDurationSeconds);
     const double target = limit - std::sqrt(limit * unreportedSeconds / typicalDurationSeconds);
     if (load(now, state) > target) {
@@ -282,23 +252,52 @@
     return before;
 }
 
-/// @return the engines of a service that have places, in rendezvous order for a prompt
-std::vector<EndpointState *> LoadBalancer::rank(const ServiceId &service, std::uint64_t key)
+const std::vector<EndpointState *> &LoadBalancer::replicasOf(const ServiceId &service) const
 {
-    std::vector<std::pair<std::uint64_t, EndpointState *>> scored;
-    for (auto &[id, state] : m_endpoints) {
-        if (state.record.service == service && state.place) {
-            scored.emplace_back(rendezvousScore(key, *state.place), &state);
+    static const std::vector<EndpointState *> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second.replicas;
+}
+
+namespace
+{
+
+/// The engines that have places, in rendezvous order for a prompt. Mostly the first one is chosen, so the order is
+/// worked out one by one.
+class RankedEngines
+{
+public:
+    RankedEngines(const std::vector<EndpointState *> &engines, std::uint64_t prompt)
+    {
+        m_heap.reserve(engines.size());
+        for (EndpointState *state : engines) {
+            if (state->place) {
+                m_heap.emplace_back(rendezvousScore(prompt, *state->place), state);
+            }
         }
+        std::make_heap(m_heap.begin(), m_heap.end(), isLower);
     }
-    std::sort(scored.begin(), scored.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
-    std::vector<EndpointState *> ranked;
-    ranked.reserve(scored.size());
-    for (const auto &[score, state] : scored) {
-        ranked.push_back(state);
+
+    EndpointState *next() ///< @return null after the last one
+    {
+        if (m_heap.empty()) {
+            return nullptr;
+        }
+        std::pop_heap(m_heap.begin(), m_heap.end(), isLower);
+        EndpointState *state = m_heap.back().second;
+        m_heap.pop_back();
+        return state;
     }
-    return ranked;
-}
+
+private:
+    using Entry = std::pair<std::uint64_t, EndpointState *>; // score, engine
+
+    static bool isLower(const Entry &a, const Entry &b) { return a.first < b.first; }
+
+    std::vector<Entry> m_heap;
+};
+
+} // namespace
 
 ReplicaChoice LoadBalancer::chooseByAffinity(Instant now, const SelectionRequest &request,
                                              const std::vector<EndpointState *> &candidates)
@@ -313,24 +312,38 @@
         state->servesPrompts = true;
         state->bound = bound;
     }
+    RankedEngines ranked(replicasOf(request.service), *request.affinity);
     int position = 0;
-    for (EndpointState *state : rank(request.service, *request.affinity)) {
+    while (EndpointState *state = ranked.next()) {
         ++position;
         if (std::find(candidates.begin(), candidates.end(), state) == candidates.end()) {
             ++choice.skippedAvoided;
+        } else if (request.needsRoom && !hasRoomFor(now, *state, request)) {
+            ++choice.skippedBusy;
         } else if (!mayGetPrompt(now, *state, position)) {
             countLimited(now, *state, choice);
-        } else if (!hasHeadroom(now, *state, bound)) {
+        } else if (!hasHeadroom(now, *state, request.needsRoom ? std::min(bound, roomBound(*state)) : bound)) {
             ++choice.skippedFull;
         } else {
             choice.endpoint = state;
             return choice;
         }
     }
-    spill(now, candidates, choice);
+    spill(now, request.needsRoom ? twoOf(withRoom(now, request, candidates, choice)) : candidates, choice);
     return choice;
 }
 
+/// @return two of the replicas at random: routers that know of the load late would otherwise all take the same one
+std::vector<EndpointState *> LoadBalancer::twoOf(std::vector<EndpointState *> replicas)
+{
+    constexpr std::size_t drawn = 2;
+    for (std::size_t i = 0; m_peersHeard > 0 && replicas.size() > drawn && i < drawn; ++i) {
+        std::swap(replicas[i], replicas[i + m_random() % (replicas.size() - i)]);
+    }
+    replicas.resize(m_peersHeard > 0 ? std::min(replicas.size(), drawn) : replicas.size());
+    return replicas;
+}
+
 /// An engine that has named a limit reads no prompts that it hardly has cached.
 /// @param position in the rank for the prompt, from 1
 bool LoadBalancer::mayGetPrompt(Instant now, const EndpointState &state, int position)
@@ -395,112 +408,6 @@
     return best;
 }
 
-void LoadBalancer::onSent(const EndpointId &id)
-{
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end()) {
-        ++found->second.ownInFlight;
-    }
-}
-
-bool LoadBalancer::onEnded(Instant now, const EndpointId &id, AttemptOutcome outcome)
-{
-    const auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end()) {
-        return false;
-    }
-    EndpointState &state = found->second;
-    state.ownInFlight = std::max(0, state.ownInFlight - 1);
-    if (outcome == AttemptOutcome::Abandoned) {
-        return false;
-    }
-    if (outcome == AttemptOutcome::Refused) {
-        state.avoidUntil = std::max<Instant>(state.avoidUntil, now + refusalAvoidance);
-        return false;
-    }
-    const bool isGood = outcome == AttemptOutcome::Good;
-    state.failureRate += failureRateWeight * ((isGood ? 0.0 : 1.0) - state.failureRate);
-    state.consecutiveFailures = isGood || outcome == AttemptOutcome::Error ? 0 : state.consecutiveFailures + 1;
-    if (outcome == AttemptOutcome::Unreachable || state.consecutiveFailures >= 2) {
-        const int doublings = std::min(state.consecutiveFailures - 1, maxAvoidanceDoublings);
-        state.avoidUntil = now + initialAvoidance * (1 << std::max(0, doublings));
-    } else if (!isGood && state.failureRate > failureRateThreshold) {
-        state.avoidUntil = now + failureRateAvoidance;
-    }
-    if (outcome == AttemptOutcome::Unreachable) {
-        m_warmUps.onUnreachable(now, {state.nameHash, state.record.service}, state.avoidUntil);
-    }
-    return now < state.avoidUntil && !isGood;
-}
-
-/// A load report is the better estimate while it is younger than the peers' counts.
-Duration LoadBalancer::loadFreshness() const
-{
-    const auto reportDelay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_peerReportDelay));
-    return std::clamp<Duration>(reportDelay, minLoadFreshness, loadReportLifetime);
-}
-
-void LoadBalancer::onLoad(Instant now, const EndpointId &id, const ReplicaLoad &sample)
-{
-    const auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end()) {
-        return;
-    }
-    EndpointState &state = found->second;
-    noteUnexpectedLoad(now, state, sample.running + sample.waiting);
-    applyReport(now, state, sample.running + sample.waiting);
-    updateSlowdown(now, state, sample.slowdown);
-    state.unsentSlowdown = sample.slowdown;
-    const double total = sample.running + sample.waiting;
-    state.smoothedLoad =
-        now < state.smoothedLoadExpiry ? state.smoothedLoad + smoothedLoadWeight * (total - state.smoothedLoad) : total;
-    state.smoothedLoadExpiry = now + smoothedLoadLifetime;
-}
-
-/// @param inProgress requests of all routers, as the engine has just reported
-void LoadBalancer::applyReport(Instant now, EndpointState &state, int inProgress) const
-{
-    state.othersInFlight = std::max(0, inProgress - state.ownInFlight);
-    state.loadFreshUntil = now + loadFreshness();
-    state.loadExpiry = now + loadReportLifetime;
-}
-
-bool LoadBalancer::onRateLimit(Instant now, const EndpointId &id, std::optional<double> perSecond)
-{
-    const auto found = m_endpoints.find(id);
-    return found != m_endpoints.end() && m_rateLimits.onAnswer(now, found->second.nameHash, perSecond);
-}
-
-void LoadBalancer::onStreamEvent(Instant now, const EndpointId &id)
-{
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end()) {
-        found->second.lastEventAt = now;
-        found->second.stalledUntil = Instant{};
-    }
-}
-
-/// A stall counts as an extreme slowdown, so that it is reported to peers and no router sends the engine more requests.
-bool LoadBalancer::onStreamStall(Instant now, const EndpointId &id, Duration pause)
-{
-    const auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end() || now < found->second.lastEventAt + pause) {
-        return false;
-    }
-    EndpointState &state = found->second;
-    state.stalledUntil = now + stallLifetime;
-    state.unsentSlowdown = stallSlowdown;
-    m_hasUnsentStall = true;
-    updateSlowdown(now, state, stallSlowdown);
-    return true;
-}
-
-bool LoadBalancer::isStalled(Instant now, const EndpointId &id) const
-{
-    const auto found = m_endpoints.find(id);
-    return found != m_endpoints.end() && now < found->second.stalledUntil;
-}
-
 /// Returns the highest-ranked engine other than the chosen one: the prompt's preferred engine when the request spilled,
 /// the engine that substituted for it when it has come back, or the draining engine that had the place before.
 std::string LoadBalancer::cacheSource(Instant now, const SelectionRequest &request, const EndpointId &chosen) const
@@ -531,27 +438,6 @@
     return best;
 }
 
-double LoadBalancer::load(Instant now, const EndpointState &state) const
-{
-    switch (loadSource(now, state)) {
-    case LoadSource::OwnOnly:
-        return state.ownInFlight;
-    case LoadSource::LoadReport:
-        return state.ownInFlight + state.othersInFlight;
-    case LoadSource::PeerCounts:
-        return state.ownInFlight + state.peersInFlight;
-    }
-    return state.ownInFlight;
-}
-
-LoadSource LoadBalancer::loadSource(Instant now, const EndpointState &state) const
-{
-    if (now >= state.loadFreshUntil && m_peersHeard > 0) {
-        return LoadSource::PeerCounts;
-    }
-    return now < state.loadExpiry ? LoadSource::LoadReport : LoadSource::OwnOnly;
-}
-
 std::vector<ServiceStats> LoadBalancer::serviceStats(Instant now) const
 {
     std::map<ServiceId, ServiceStats> services;
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -38,6 +38,18 @@
     m_state.counts.streaming -= m_attempts.isStreaming ? 1 : 0;
 }
 
+/// @return tokens that a request holds at its replica
+static Tokens expectedTokens(const RequestFields &fields)
+{
+    Tokens prompt = fields.promptTokens;
+    if (prompt == 0) {
+        for (const PromptPart &part : fields.promptParts) {
+            prompt += part.tokens;
+        }
+    }
+    return prompt + (fields.expectedOutput > 0 ? fields.expectedOutput : fields.maxOutput);
+}
+
 void RequestHandler::begin()
 {
     const Instant now = clockNow();
@@ -49,15 +61,28 @@
         waitForStart();
         return;
     }
+    if (!route(now)) {
+        return;
+    }
+    m_events.skipUpTo(m_fields.resumeAfter);
+    watchCaller();
+    armTimer();
+    m_state.budget.onFirstAttempt(now, m_selection.service);
+    dispatch(now);
+}
+
+/// @return false if the request was refused
+bool RequestHandler::route(Instant now)
+{
     m_table = m_state.table;
     if (!findRoute(now) || !checkApiKey(now)) {
-        return;
+        return false;
     }
     m_deadline =
         m_request.arrival + std::min<Duration>(m_fields.callerTimeout.value_or(defaultCallerTimeout), m_route->timeout);
     if (m_state.stopsAt && m_deadline > *m_state.stopsAt) {
         refuse(statusUnavailable, EndReason::Stopping);
-        return;
+        return false;
     }
     m_attempts.isRetryable = m_route->isRetryable();
     m_attempts.isResumable = m_route->isResumable;
@@ -66,15 +91,14 @@
     if (m_route->hasPrefixAffinity) {
         m_selection.affinity = affinityKey(m_fields.promptParts);
         m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
+        const auto spec = m_table->services.find(m_selection.service);
+        m_selection.tokens = expectedTokens(m_fields);
+        m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
     m_selection.allowedDataCentres =
         allowedDataCentres(m_state.settings.regions, m_route->allowedRegions,
                            m_account ? m_account->allowedRegions : std::vector<RegionId>());
-    m_events.skipUpTo(m_fields.resumeAfter);
-    watchCaller();
-    armTimer();
-    m_state.budget.onFirstAttempt(now, m_selection.service);
-    dispatch(now);
+    return true;
 }
 
 void RequestHandler::watchCaller()
@@ -159,20 +183,32 @@
         giveUp(EndReason::QueryOfDeath);
         return;
     }
-    const ReplicaChoice choice = chooseReplica(now);
-    if (!choice) {
+    if (!m_state.waitingForRoom.admission().mustWait(m_selection.service)) {
+        start(now, chooseReplica(now));
+    } else if (!waitForRoom(now)) {
+        giveUp(EndReason::NoRoom);
+    }
+}
+
+/// Sends the first attempt, or waits if replicas are left that have no room.
+void RequestHandler::start(Instant now, const ReplicaChoice &choice)
+{
+    if (choice) {
+        attempt(now, choice);
+    } else if (choice.skippedBusy == 0) {
         giveUp(noReplicaReason(choice));
-        return;
+    } else if (!waitForRoom(now)) {
+        giveUp(EndReason::NoRoom);
     }
-    attempt(now, choice);
 }
 
 /// A replica that refused the request is full and is not asked again. One that failed in another way may serve it the
-/// next time, once all others were tried.
+/// next time, once all others were tried. A stream that has begun is continued at once, so as not to break.
 ReplicaChoice RequestHandler::chooseReplica(Instant now)
 {
+    m_selection.needsRoom = !m_attempts.isStreaming;
     ReplicaChoice choice = m_state.loadBalancer.choose(now, m_selection);
-    if (!choice && m_selection.excluded != m_refusedBy) {
+    if (!choice && choice.skippedBusy == 0 && m_selection.excluded != m_refusedBy) {
         m_selection.excluded = m_refusedBy;
         choice = m_state.loadBalancer.choose(now, m_selection);
     }
@@ -205,6 +241,7 @@
     m_trial.begin();
     dropResponse();
     m_sentAt = now;
+    m_state.waitingForRoom.admission().onSent(now, m_selection.service, admissionRequest(now));
     ++m_attempts.sent;
     bool isNew = false;
     m_connection = m_state.connectionPool.acquire(now, m_endpoint, !m_route->isRetryable(), isNew);
@@ -215,11 +252,12 @@
     hooks.onDone = [self] { self->onDone(); };
     hooks.onFailed = [self](RequestProgress progress) { self->onFailed(progress); };
     const bool expectsNoBody = m_request.head.method == "HEAD";
-    m_state.loadBalancer.onSent(m_endpoint);
+    m_state.loadBalancer.onSent(m_endpoint, m_selection.tokens);
     m_state.loadBalancer.rateLimits().onSent(now, endpoint.nameHash);
     if (m_selection.affinity) {
         m_state.onPeerNews();
     }
+    expectTimes(now, choice);
     logSent(now, choice, isNew);
     m_connection->send(encodeRequest(now, endpoint), m_fields.request, expectsNoBody, std::move(hooks));
     if (isNew) {
@@ -352,8 +390,8 @@
     attempt(now, next);
 }
 
-/// @return the replica for another attempt, which is then counted; none if no replica is left, the prompt crashes
-/// replicas, or the service's retry budget is spent
+/// @return the replica for another attempt, which is then counted; none if no replica is left or has room, the prompt
+/// crashes replicas, or the service's retry budget is spent
 ReplicaChoice RequestHandler::takeRetry(Instant now)
 {
     const ReplicaChoice next = isBlocked(now) ? ReplicaChoice() : chooseReplica(now);
@@ -394,6 +432,7 @@
     if (fields.load) {
         const Instant now = clockNow();
         m_state.loadBalancer.onLoad(now, m_endpoint, *fields.load);
+        m_state.waitingForRoom.admission().onLoad(now, m_selection.service, *fields.load);
         if (m_state.loadBalancer.hasUrgentNews(now)) {
             m_state.onPeerNews();
         }
@@ -470,12 +509,14 @@
 
 void RequestHandler::endAttempt(AttemptOutcome end)
 {
-    if (m_state.loadBalancer.onEnded(clockNow(), m_endpoint, end)) {
+    if (m_state.loadBalancer.onEnded(clockNow(), m_endpoint, end, m_selection.tokens)) {
         LogLine line("replica_avoided");
         line.text("replica", m_endpoint.text).text("after_request", m_fields.request.text);
         m_state.log.write(line, LogPriority::Notable);
     }
     m_connection.reset();
+    m_state.waitingForRoom.admission().onEnded(m_selection.service);
+    m_state.waitingForRoom.drainSoon();
 }
 
 void RequestHandler::onDone()
@@ -488,7 +529,12 @@
     }
     if (m_responseFields.reportsNotRun) {
         m_refusedBy.insert(m_endpoint);
+        const bool namesReason = m_responseFields.isLeaving || m_responseFields.retryAfter;
+        m_attempts.refusals += m_head.status == statusUnavailable && !namesReason ? 1 : 0;
         endAttempt(AttemptOutcome::Refused);
+        if (m_state.loadBalancer.hasUrgentNews(now)) {
+            m_state.onPeerNews();
+        }
         afterFailure(EndReason::AllRefused);
         return;
     }
@@ -504,6 +550,7 @@
         return;
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
+    noteTimes(now, isError);
     notePromptAnswered(now);
     if (!isError) {
         m_state.loadBalancer.holds().onServed(now, m_incarnation);
@@ -551,19 +598,20 @@
     }
 }
 
-/// Makes another attempt if that is correct, a replica is left, and the retry budget allows it.
-/// @return false if there is none
+/// Makes another attempt if that is correct, a replica is left, and the retry budget allows it. Waits if the replicas
+/// that are left have no room. @return false if there is none
 bool RequestHandler::retry(Instant now, EndReason reason)
 {
     m_selection.excluded.insert(m_endpoint);
-    ReplicaChoice next;
-    const auto allowExtra = [&] {
-        next = takeRetry(now);
-        return static_cast<bool>(next);
-    };
+    const ReplicaChoice next = isBlocked(now) ? ReplicaChoice() : chooseReplica(now);
+    const bool mustWait = !next && next.skippedBusy > 0;
+    const auto allowExtra = [&] { return mustWait || (next && takeFromBudget(now)); };
     if (decideRetry(m_attempts, allowExtra) == RetryDecision::Fail) {
         return false;
     }
+    if (mustWait) {
+        return waitForRoom(now);
+    }
     logRetry(reason);
     attempt(now, next);
     return true;
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -31,6 +31,9 @@
     if (wasOnTrial && !m_trial.isOpen(now)) {
         m_state.queryOfDeath.onAnswered(now, m_prompt);
     }
+    if (!hasReceivedEvents()) {
+        noteFirstEvent(now);
+    }
     m_lastEventAt = now;
     m_state.loadBalancer.onStreamEvent(now, m_endpoint);
     if (std::min(progressDeadline(), nextStallCheck()) < m_timer.expiry()) {
@@ -43,6 +46,7 @@
         m_attempts.isStreaming = true;
         ++m_state.counts.streaming;
         m_firstByteAt = clockNow();
+        noteResponseTime(m_firstByteAt);
         m_sentStatus = m_head.status;
         m_caller->beginStream(m_sentStatus, endToEndFields(m_head.fields));
         m_caller->onDrained = [self = shared_from_this()] {
@@ -61,6 +65,7 @@
 {
     const int status = m_head.status;
     m_firstByteAt = clockNow();
+    noteResponseTime(m_firstByteAt);
     m_caller->sendResponse(status, endToEndFields(m_head.fields), m_body);
     finish("served", status, nullptr);
 }
@@ -79,6 +84,10 @@
 {
     switch (reason) {
     case EndReason::AllRefused:
+        return std::max<Duration>(m_roomExpectedIn, std::max<Duration>(retryDelay, m_turnedAwayUntil - clockNow()));
+    case EndReason::NoRoom:
+    case EndReason::NoRoomInTime:
+        return std::max<Duration>(retryDelay, m_roomExpectedIn);
     case EndReason::ReplicasTurnAway:
         return std::max<Duration>(retryDelay, m_turnedAwayUntil - clockNow());
     case EndReason::QueryOfDeath:
@@ -154,6 +163,10 @@
 {
     const auto self = shared_from_this();
     m_isFinished = true;
+    if (m_isWaiting) {
+        m_isWaiting = false;
+        m_state.waitingForRoom.remove(m_waitKey);
+    }
     m_timer.cancel();
     dropResponse();
     const bool isServed = outcome == "served";
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -25,6 +25,7 @@
     , budget(theSettings.retry, clockNow())
     , responseMemory(std::make_shared<ResponseMemory>(theSettings.maxResponseBytes))
     , connectionPool(theIo, headerCodec)
+    , waitingForRoom(theIo, theSettings.admission, theSettings.seed)
 {
 }
 
@@ -216,15 +217,27 @@
     for (const DataCentreId &dataCentre : m_state.loadBalancer.holds().evacuated()) {
         writeMetric(out, "data_centre_evacuated", label("data_centre", dataCentre.text), 1);
     }
+    m_state.waitingForRoom.addMetrics(out, now);
+    for (const auto &[service, model] : m_state.serviceTimes) {
+        const std::string name = label("service", service.text);
+        writeMetric(out, "estimates_total", name, static_cast<double>(model.error().count));
+        writeMetric(out, "estimate_bias_seconds", name, model.error().meanSeconds);
+        writeMetric(out, "estimate_error_seconds", name, model.error().meanAbsoluteSeconds);
+    }
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
         const std::string name = label("service", service.id.text);
         writeMetric(out, "load_mean", name, service.meanLoad);
         writeMetric(out, "load_bound", name, service.bound);
+        writeMetric(out, "free_slots", name, m_state.loadBalancer.freeSlots(now, service.id));
         writeMetric(out, "retries_left", name, m_state.budget.remaining(now, service.id));
         for (const EndpointState *state : service.endpoints) {
             const std::string labels = name + ',' + label("replica", state->record.id.text);
             writeMetric(out, "replica_load", labels, m_state.loadBalancer.load(now, *state));
+            writeMetric(out, "replica_room", labels, m_state.loadBalancer.roomAt(now, *state));
             writeMetric(out, "replica_slowdown", labels, LoadBalancer::slowdown(now, *state));
+            if (const std::optional<double> pace = state->pace.limit(now)) {
+                writeMetric(out, "replica_pace", labels, *pace);
+            }
             writeMetric(out, "replica_avoided", labels, now < state->avoidUntil ? 1 : 0);
             const ReplicaHolds &holds = m_state.loadBalancer.holds();
             writeMetric(out, "replica_leaving", labels, holds.isLeaving(state->incarnation) ? 1 : 0);
@@ -289,6 +302,7 @@
             m_state.gate.onDesiredState();
             releaseWaiting();
         }
+        m_state.waitingForRoom.onDesiredState();
     });
 }
 
@@ -308,6 +322,7 @@
         m_state.counts.replicas = static_cast<int>(replicas.size());
         m_state.gate.onReplicas();
         releaseWaiting();
+        m_state.waitingForRoom.drainSoon();
     });
 }
 
@@ -325,6 +340,7 @@
 {
     asio::post(m_io, [this, stopsAt] {
         m_state.stopsAt = stopsAt;
+        m_state.waitingForRoom.onStopping(stopsAt);
         m_listener.stopAccepting();
     });
 }
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -12,12 +12,14 @@
 #include "filters/loadbalancer.h"
 #include "filters/responsememory.h"
 #include "filters/retry.h"
+#include "filters/servicetime.h"
 #include "filters/startupgate.h"
 #include "galenafold/eventlog.h"
 #include "traffic/endpointconnection.h"
 #include "traffic/listener.h"
 #include "traffic/metrics.h"
 #include "traffic/peerloadexchange.h"
+#include "traffic/waitingrequests.h"
 
 #include <atomic>
 #include <thread>
@@ -38,6 +40,7 @@
     Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
     LoadBalancerSettings loadBalancer;
     RetryBudgetSettings retry;
+    AdmissionSettings admission;
     PeerSettings peers;
     std::uint64_t seed = 1; // of random choices
 };
@@ -76,11 +79,13 @@
     std::vector<std::shared_ptr<RequestHandler>> waiting; // requests that `gate` holds
     LoadBalancer loadBalancer;
     QueryOfDeathDetector queryOfDeath;
+    std::unordered_map<ServiceId, ServiceTimeModel> serviceTimes;
     RetryBudget budget;
     std::shared_ptr<ResponseMemory> responseMemory; // shared with requests that outlive this state
     ConnectionPool connectionPool;
     TrafficCounts counts;
     TrafficMetrics metrics;
+    WaitingRequests waitingForRoom;           // at replicas
     std::function<void()> onPeerNews = [] {}; // peers must know: request with prompt sent, replica stalled or crashed
 };
 
