Bound the memory and the connections that callers hold

Only responses had a limit on the memory that all together hold. Bodies had 4 MiB each times any number of connections; what was sent ahead grew, as reading went on after each request that was answered at once; responses that nobody took, and the sent part of a send buffer, grew without end; the fields of a head take up to sixteen times its size; and connections that never spoke took the descriptors that replicas need.

CallerMemory is now the one account of an event loop, and the limit on responses is part of it (ResponseMemory is gone; its test checks the same of the new type). A request asks for its share when its head is read and gets 503, not run, where there is none; who holds most and has not moved for two rounds loses its share first; a quarter is kept for small requests. The next request waits until the responses before it are taken. Connections that are unused, or have stopped, are closed in favour of others when callers have three quarters of the descriptors or, with those to replicas, all. Kernel buffers of callers' connections are bounded too, as what is not read counts as memory. Encoding a head no longer compares each field with each other. Refusals are logged (ten lines a second) and counted by bound.

--- a/daemons/galenafoldd.cpp
+++ b/daemons/galenafoldd.cpp
@@ -2,12 +2,16 @@
 #include "galenafold/settings.h"
 #include "runtime/routernode.h"
 
+#include <algorithm>
+#include <climits>
 #include <csignal>
 #include <fstream>
 #include <getopt.h>
 #include <glog/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
+#include <sys/resource.h>
 #include <thread>
 
 namespace galenafold
@@ -100,6 +104,27 @@
         []() -> std::optional<SettingsType> { return std::nullopt; });
 }
 
+/// @param set limit from the settings; 0: none @return it, or the system's limit for this process if that is lower
+static int descriptorLimit(int set)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur > INT_MAX) {
+        return set;
+    }
+    const int system = static_cast<int>(limit.rlim_cur);
+    return set > 0 ? std::min(set, system) : system;
+}
+
+/// Load pattern: large bodies come and go by the hundred. By default the allocator learns to keep their memory, in
+/// pieces that no later request fits; fixed thresholds give it back.
+static void limitKeptMemory()
+{
+    constexpr int mapFrom = 1 << 20;  // bytes of an allocation
+    constexpr int keepUpTo = 4 << 20; // bytes, free at the end of the heap
+    mallopt(M_MMAP_THRESHOLD, mapFrom);
+    mallopt(M_TRIM_THRESHOLD, keepUpTo);
+}
+
 static int serve(const Settings &settings, const sigset_t &signals)
 {
     Daemon daemon(settings);
@@ -149,6 +174,7 @@
     if (const auto status = parseArguments(argc, argv, arguments)) {
         return *status;
     }
+    limitKeptMemory();
     const auto text = readFile(arguments.config);
     if (!text) {
         return exitUsage;
@@ -161,20 +187,22 @@
     sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     if (hasStoreSection(*text)) {
-        const auto settings = readSettings(arguments.config, *text, parseRouterSettings);
+        auto settings = readSettings(arguments.config, *text, parseRouterSettings);
         if (!settings) {
             return exitUsage;
         }
+        settings->maxDescriptors = descriptorLimit(settings->maxDescriptors);
         if (arguments.isCheckOnly) {
             std::cout << arguments.config << ": ok\n";
             return 0;
         }
         return serveOnPlatform(*settings, arguments.config, signals);
     }
-    const auto settings = readSettings(arguments.config, *text, parseSettings);
+    auto settings = readSettings(arguments.config, *text, parseSettings);
     if (!settings) {
         return exitUsage;
     }
+    settings->maxDescriptors = descriptorLimit(settings->maxDescriptors);
     if (arguments.isCheckOnly) {
         std::cout << arguments.config << ": ok\n";
         return 0;
--- a/galenafold/galenafold.h
+++ b/galenafold/galenafold.h
@@ -297,6 +297,8 @@
     int maxConnections = 10000;         // maximum number of concurrent caller connections
     int logDescriptor = 1;              // file descriptor of the structured log; -1: disabled
     std::size_t maxBodyBytes = 4 << 20; // maximum size of a request body
+    double memoryMegabytes = 0;         // of the VM, in MB; 0: not known, taken for 512
+    int maxDescriptors = 0;             // open in this process; 0: as many as the system allows
     std::string logAddress;             // HOST:PORT of the platform's log
     std::string vmListAddress;          // HOST:PORT of the platform's list of VMs
     std::string tracePath;              // file for OTLP/JSON spans, one per line; "": disabled
@@ -321,8 +323,9 @@
     std::vector<std::string> seeds;                           // IP:PORT of the routers that get the first beacons
     double linkMegabits = 0;                                  // rate of the VM's link in Mbit/s; 0: not known. Routers
                                                               // with wide links read the store for others
-    double memoryMegabytes = 0;                               // of the VM, in MB; 0: not known. Responses that wait
-                                                              // to be passed on hold a quarter of it at most
+    double memoryMegabytes = 0;                               // of the VM, in MB; 0: not known, taken for 512. What
+                                                              // callers and responses hold is bounded by parts of it
+    int maxDescriptors = 0;                                   // open in this process; 0: as many as the system allows
     Duration maxRevocationDelay{};                            // limit on a revoked API key's acceptance; 0: unlimited
     Duration maxDrainDelay = std::chrono::milliseconds(2000); // until a draining replica gets no more requests
     Duration maxRecoveryTime = std::chrono::milliseconds(3000); // until all guarantees hold again after a VM fault
--- a/galenafold/settings.cpp
+++ b/galenafold/settings.cpp
@@ -8,6 +8,7 @@
 
 constexpr int maxPort = 65535;
 constexpr int connectionsLimit = 20000;
+constexpr int maxDescriptors = 10000000;
 constexpr int dayMillis = 86400000;
 constexpr double daySeconds = 86400;
 
@@ -21,6 +22,8 @@
         {"daemon", "peer_port", integerField(settings.peerPort, 0, maxPort), true},
         {"daemon", "connections", integerField(settings.maxConnections, 1, connectionsLimit)},
         {"daemon", "max_body_bytes", numberField(bodyBytes, 1024, 1 << 30)},
+        {"daemon", "descriptors", integerField(settings.maxDescriptors, 0, maxDescriptors)},
+        {"daemon", "memory_mb", numberField(settings.memoryMegabytes, 0, 1e6)},
         {"platform", "log", textField(settings.logAddress), true},
         {"platform", "vm_list", textField(settings.vmListAddress), true},
         {"trace", "path", textField(settings.tracePath)},
@@ -105,6 +108,7 @@
         {"router", "name", textField(settings.name.text), true},
         {"router", "data_centre", textField(settings.dataCentre.text), true},
         {"router", "memory_mb", numberField(settings.memoryMegabytes, 0, 1e6)},
+        {"router", "descriptors", integerField(settings.maxDescriptors, 0, maxDescriptors)},
         {"listen", "callers", textField(settings.callers), true},
         {"listen", "admin", textField(settings.admin), true},
         {"listen", "peers", textField(settings.peers)},
--- a/net/message.cpp
+++ b/net/message.cpp
@@ -42,20 +42,31 @@
     return text;
 }
 
-/// @return true if a comma-separated list contains a token, without regard to case
-static bool listContains(std::string_view list, std::string_view token)
+static std::string lowerCase(std::string_view text)
 {
-    while (!list.empty()) {
-        const std::size_t comma = std::min(list.find(','), list.size());
-        if (equalsIgnoringCase(trimmed(list.substr(0, comma)), token)) {
-            return true;
+    std::string lower(text);
+    for (char &letter : lower) {
+        letter = letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+    }
+    return lower;
+}
+
+HopByHopFields::HopByHopFields(const HttpFields &fields)
+{
+    for (const HttpField &field : fields) {
+        if (!equalsIgnoringCase(field.name, "connection")) {
+            continue;
+        }
+        for (std::string_view list = field.value; !list.empty();) {
+            const std::size_t comma = std::min(list.find(','), list.size());
+            m_named.push_back(lowerCase(trimmed(list.substr(0, comma))));
+            list.remove_prefix(std::min(comma + 1, list.size()));
         }
-        list.remove_prefix(std::min(comma + 1, list.size()));
     }
-    return false;
+    std::sort(m_named.begin(), m_named.end());
 }
 
-bool isHopByHopField(const HttpFields &fields, std::string_view name)
+bool HopByHopFields::contains(std::string_view name) const
 {
     static constexpr std::string_view hopFields[] = {"connection",        "keep-alive", "proxy-connection",
                                                      "transfer-encoding", "te",         "trailer",
@@ -65,19 +76,20 @@
             return true;
         }
     }
-    for (const HttpField &field : fields) {
-        if (equalsIgnoringCase(field.name, "connection") && listContains(field.value, name)) {
-            return true;
-        }
-    }
-    return false;
+    return !m_named.empty() && std::binary_search(m_named.begin(), m_named.end(), lowerCase(name));
+}
+
+bool isHopByHopField(const HttpFields &fields, std::string_view name)
+{
+    return HopByHopFields(fields).contains(name);
 }
 
 HttpFields endToEndFields(const HttpFields &fields)
 {
+    const HopByHopFields hopByHop(fields);
     HttpFields forwarded;
     for (const HttpField &field : fields) {
-        if (!isHopByHopField(fields, field.name)) {
+        if (!hopByHop.contains(field.name)) {
             forwarded.push_back(field);
         }
     }
@@ -123,9 +135,17 @@
     std::string body;
     std::string unparsed; // input that Beast did not consume: part of a head, chunk header or trailer
     std::size_t maxUnparsedBytes = 0;
+    std::size_t textBytes = 0; // of names and values that have memory of their own
     ParseFault fault = ParseFault::None;
 };
 
+/// @return memory of a text beside its object; a short one has none
+static std::size_t ownBytes(const std::string &text)
+{
+    constexpr std::size_t inPlaceBytes = 15; // in the object itself
+    return text.capacity() > inPlaceBytes ? text.capacity() : 0;
+}
+
 /// Copies the results of Beast's parser callbacks into `RequestHead`, `ResponseHead` and `body`.
 template<bool isRequest, typename Base>
 class BeastParser : public Base, public http::basic_parser<isRequest>
@@ -205,6 +225,7 @@
     {
         HttpFields &fields = isRequest ? this->request.fields : this->response.fields;
         fields.push_back({{name.data(), name.size()}, {value.data(), value.size()}});
+        this->textBytes += ownBytes(fields.back().name) + ownBytes(fields.back().value);
     }
 
     void on_header_impl(beast::error_code &error) override
@@ -336,6 +357,23 @@
     return m_impl->body;
 }
 
+std::size_t MessageParser::heldBytes() const
+{
+    const std::size_t fields = m_impl->request.fields.capacity() + m_impl->response.fields.capacity();
+    return fields * sizeof(HttpField) + m_impl->textBytes + ownBytes(m_impl->unparsed)
+        + ownBytes(m_impl->request.target);
+}
+
+std::optional<std::uint64_t> MessageParser::declaredLength() const
+{
+    const std::string *text = findField(m_impl->request.fields, "content-length");
+    std::uint64_t length = 0;
+    if (!text || std::from_chars(text->data(), text->data() + text->size(), length).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return length;
+}
+
 // Serialisation
 
 void appendField(std::string &out, std::string_view name, std::string_view value)
--- a/net/message.h
+++ b/net/message.h
@@ -33,9 +33,22 @@
 /// @return true if two ASCII names or tokens are equal without regard to case
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
-/// @param fields all fields of the message: its Connection field may name further ones
-/// @return true if a field must not be forwarded: it is hop-by-hop (concerns one connection only), or it is Expect or
-/// Content-Length, which the router handles itself
+/// Tells which fields of a message must not be forwarded: those that are hop-by-hop (concern one connection only), and
+/// Expect and Content-Length, which the router handles itself. Its work grows with the number of fields, not with their
+/// square.
+class HopByHopFields
+{
+public:
+    /// @param fields all fields of the message: its Connection fields may name further ones
+    explicit HopByHopFields(const HttpFields &fields);
+
+    bool contains(std::string_view name) const; ///< @return true if fields with this name must not be forwarded
+
+private:
+    std::vector<std::string> m_named; // in Connection fields; lower case, sorted
+};
+
+/// @return true if a field must not be forwarded; see `HopByHopFields`, which is for more than one name
 bool isHopByHopField(const HttpFields &fields, std::string_view name);
 
 HttpFields endToEndFields(const HttpFields &fields); ///< @return all but hop-by-hop fields
@@ -97,6 +110,12 @@
     ResponseHead &response(); ///< @return the head of a response; valid once `isHeadDone`
     std::string &body();      ///< @return body bytes not yet removed; the owner clears them
 
+    /// @return memory of the head and of input that is not parsed yet, in bytes; not that of `body`
+    std::size_t heldBytes() const;
+
+    /// @return length of the body that the head of a request declares; nothing for a chunked body, or without a body
+    std::optional<std::uint64_t> declaredLength() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/net/stream.cpp
+++ b/net/stream.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t scratchBytes = 32768;                    // read buffer shared by the connections of a thread
 constexpr std::size_t maxTurnBytes = 4 * scratchBytes;         // read before the thread's other connections have a turn
 constexpr std::size_t maxPollBytes = 1 << 20;                  // the same for `poll`: about a kernel's receive buffer
+constexpr std::size_t compactFromBytes = 65536;                // of the send buffer's sent part
 constexpr auto lingerTimeout = std::chrono::milliseconds(500); // for a peer that has taken all to close
 constexpr auto closingCheckInterval = std::chrono::milliseconds(100); // between checks of what a peer has taken
 
@@ -80,42 +81,84 @@
     }
 }
 
+/// What the kernel accepts at once is not copied.
 void TcpStream::write(std::string_view bytes)
 {
     if (!isOpen()) {
         return;
     }
-    m_sendBuffer.append(bytes);
-    if (!m_isWaitingWritable) {
-        flush();
+    if (pending() == 0) {
+        std::size_t taken = 0;
+        if (!sendNow(bytes, taken)) {
+            return;
+        }
+        bytes.remove_prefix(taken);
+        if (bytes.empty()) {
+            onAllSent();
+            return;
+        }
     }
+    m_sendBuffer.append(bytes);
+    waitWritable();
 }
 
 void TcpStream::flush()
 {
     const auto self = shared_from_this();
-    while (pending() > 0) {
+    std::size_t taken = 0;
+    if (!sendNow(std::string_view(m_sendBuffer).substr(m_sendOffset), taken)) {
+        return;
+    }
+    m_sendOffset += taken;
+    const auto hooks = m_hooks;
+    if (hooks && hooks->onSent) {
+        hooks->onSent(taken);
+    }
+    if (!isOpen()) {
+        return;
+    }
+    if (pending() == 0) {
+        onAllSent();
+        return;
+    }
+    const bool isMostlySent = m_sendOffset > compactFromBytes && m_sendOffset > pending();
+    if (isMostlySent) { // a peer that is always a little behind would make the buffer grow without end
+        m_sendBuffer.erase(0, m_sendOffset);
+        m_sendOffset = 0;
+    }
+    waitWritable();
+}
+
+/// Passes bytes to the kernel until it takes no more. @param taken set to their number
+/// @return false if the connection is broken
+bool TcpStream::sendNow(std::string_view bytes, std::size_t &taken)
+{
+    while (taken < bytes.size()) {
         asio::error_code error;
-        const std::size_t size =
-            m_socket.write_some(asio::buffer(m_sendBuffer.data() + m_sendOffset, pending()), error);
+        const std::size_t size = m_socket.write_some(asio::buffer(bytes.data() + taken, bytes.size() - taken), error);
         if (error == asio::error::would_block || error == asio::error::try_again) {
-            waitWritable();
-            return;
+            break;
         }
         if (error) {
-            m_sendBuffer.clear();
+            m_sendBuffer = std::string();
             m_sendOffset = 0;
             // `onEnd` must not run inside `write`, so the error is left to the next read from the event loop. That read
             // first delivers what the peer sent before, such as a response.
             m_isPaused = false;
             waitReadable();
-            return;
+            return false;
         }
-        m_sendOffset += size;
+        taken += size;
         m_bytesSent += size;
     }
-    m_sendBuffer.clear();
+    return true;
+}
+
+void TcpStream::onAllSent()
+{
+    const auto self = shared_from_this();
     m_sendOffset = 0;
+    m_sendBuffer = std::string(); // idle connections hold no memory
     if (m_closesWhenDrained) {
         shutDownSending();
         return;
@@ -246,6 +289,13 @@
     end(isIncomplete ? StreamEnd::Broken : StreamEnd::Finished);
 }
 
+std::string TcpStream::peerAddress() const
+{
+    asio::error_code error;
+    const auto endpoint = m_socket.remote_endpoint(error);
+    return error ? "" : endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
 void TcpStream::end(StreamEnd how)
 {
     const auto hooks = m_hooks;
--- a/net/stream.h
+++ b/net/stream.h
@@ -31,6 +31,7 @@
         std::function<void(std::string_view)> onBytes; // input; valid during the call only
         std::function<void(StreamEnd)> onEnd;          // at most once, and not after `close` or `reset`
         std::function<void()> onDrained;               // the kernel has accepted all bytes passed to `write`
+        std::function<void(std::size_t)> onSent;       // optional: the kernel has accepted buffered bytes
     };
 
     /// @param socket connected; switched to non-blocking mode without Nagle's algorithm
@@ -48,8 +49,12 @@
     /// @param stallTimeout a peer that takes nothing for so long is given up; an incomplete rest then ends with RST
     void closeWhenDrained(Duration stallTimeout = std::chrono::seconds(15));
 
+    bool isPaused() const { return m_isPaused; }
+    std::string peerAddress() const; ///< @return IP:PORT of the peer, "" once it is gone
     bool isOpen() const { return m_socket.is_open(); }
     std::size_t pending() const { return m_sendBuffer.size() - m_sendOffset; } ///< @return bytes in the send buffer
+    /// @return memory of the send buffer
+    std::size_t heldBytes() const { return pending() > 0 ? m_sendBuffer.capacity() : 0; }
     std::uint64_t sent() const { return m_bytesSent; } ///< @return bytes accepted by the kernel since the start
 
     /// @return written bytes that the peer's kernel has not confirmed: in the send buffer, or held by this kernel
@@ -61,6 +66,8 @@
     void readAvailable(std::size_t maxBytes);
     void waitWritable();
     void flush();
+    bool sendNow(std::string_view bytes, std::size_t &taken);
+    void onAllSent();
     void end(StreamEnd how);
     void shutDownSending();
     void checkClosing();
--- a/runtime/httpfrontend.cpp
+++ b/runtime/httpfrontend.cpp
@@ -5,6 +5,7 @@
 
 #include "net/status.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -16,6 +17,8 @@
 
 constexpr auto idleTimeout = std::chrono::seconds(20);  // of a caller connection
 constexpr auto headTimeout = std::chrono::seconds(10);  // for a complete request head
+constexpr int receiveBytes = 32768;                     // of the kernel's buffer of each caller's connection
+constexpr std::size_t bodyCopies = 4;                   // of a request's body: its own, parsed, and sent on
 constexpr auto sweepInterval = std::chrono::seconds(1); // of the connection pool
 constexpr std::string_view chatPath = "/v1/chat/completions";
 constexpr std::string_view modelsPath = "/v1/models";
@@ -56,11 +59,12 @@
                 tracer,  log,         std::make_shared<CallCounters>(),
                 nullptr}
     , m_listener(io)
+    , m_refusals(log, "callers")
     , m_sweepTimer(io)
     , m_requestIdPrefix(makeRequestIdPrefix(settings.name))
 {
     m_context.onEnded = [this](CallKey key) { m_calls.erase(key); };
-    m_listener.maxCallers = static_cast<std::size_t>(settings.maxConnections);
+    limitCallers();
     m_listener.hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request) {
         onRequest(caller, std::move(request));
     };
@@ -74,12 +78,38 @@
     m_listener.onCountChanged = [this] { m_openConnections = static_cast<int>(m_listener.count()); };
     m_listener.hooks.isDraining = [this] { return m_hooks.isDraining(); };
     m_listener.hooks.describeRejection = [](int status, HttpFields &fields) {
-        const Reason reason = status == statusContentTooLarge ? Reason::TooLarge : Reason::BadRequest;
+        const Reason reason = status == statusContentTooLarge ? Reason::TooLarge
+            : status == statusUnavailable                     ? Reason::QueueFull
+                                                              : Reason::BadRequest;
         fields = {{"Galenafold-Run", text(ExecutionStatus::No)}, {"Content-Type", "application/json"}};
-        return errorBody(reason, ExecutionStatus::No, "the request is malformed, too large or too slow");
+        return errorBody(reason, ExecutionStatus::No,
+                         status == statusUnavailable ? "no room for the request"
+                                                     : "the request is malformed, too large or too slow");
     };
 }
 
+/// Half of the memory is for callers' connections, and three quarters of the descriptors that are not for files.
+void HttpFrontEnd::limitCallers()
+{
+    constexpr double defaultMegabytes = 512; // if the settings do not tell
+    constexpr double callersPart = 0.5;
+    constexpr double bytesPerMegabyte = 1e6;
+    constexpr int fileDescriptors = 200;
+    constexpr double callersDescriptors = 0.75;
+    CallerMemorySettings memory;
+    const double megabytes = m_settings.memoryMegabytes > 0 ? m_settings.memoryMegabytes : defaultMegabytes;
+    memory.maxBytes = static_cast<std::size_t>(megabytes * bytesPerMegabyte * callersPart);
+    m_listener.hooks.memory = std::make_shared<CallerMemory>(memory);
+    m_listener.hooks.bodyCopies = bodyCopies;
+    m_listener.hooks.receiveBytes = receiveBytes;
+    m_listener.hooks.onRefused = [this](const CallerRefusal &refusal) { m_refusals.onRefused(clockNow(), refusal); };
+    m_listener.maxCallers = static_cast<std::size_t>(m_settings.maxConnections);
+    if (m_settings.maxDescriptors > fileDescriptors) {
+        const double share = (m_settings.maxDescriptors - fileDescriptors) * callersDescriptors;
+        m_listener.maxWithUnused = static_cast<std::size_t>(share);
+    }
+}
+
 bool HttpFrontEnd::start()
 {
     if (!m_listener.start(m_settings.address + ':' + std::to_string(m_settings.httpPort))) {
@@ -193,7 +223,8 @@
         const bool isReady = m_hooks.isReady();
         caller->sendResponse(isReady ? statusOk : statusUnavailable, plain, isReady ? "ok\n" : "not ready\n");
     } else if (path == "/metrics") {
-        caller->sendResponse(statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, m_context.metrics.text());
+        caller->sendResponse(statusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                             m_context.metrics.text() + m_refusals.metrics());
     } else if (path == "/status") {
         caller->sendResponse(statusOk, {{"Content-Type", "application/json"}}, status());
     } else if (path == "/trace") {
--- a/runtime/httpfrontend.h
+++ b/runtime/httpfrontend.h
@@ -6,6 +6,7 @@
 
 #include "runtime/contractcall.h"
 #include "traffic/listener.h"
+#include "traffic/refusallog.h"
 
 #include <atomic>
 #include <thread>
@@ -44,6 +45,7 @@
     void sendTrace(const std::shared_ptr<CallerConnection> &caller, std::string_view query);
     std::string status() const;
     void sweep();
+    void limitCallers();
     void executeActionsOnLoop(const Actions &actions);
     std::shared_ptr<ContractCall> find(CallKey key) const;
 
@@ -55,6 +57,7 @@
     ConnectionPool m_connectionPool;
     ContractCallContext m_context;
     CallerListener m_listener;
+    RefusalLog m_refusals;
     DeadlineTimer m_sweepTimer;
     std::map<CallKey, std::shared_ptr<ContractCall>> m_calls; // in progress
     std::uint64_t m_nextCallKey = 1;
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -24,15 +24,52 @@
 
 // Settings
 
-/// @return limit on the bytes that responses hold until they can be passed on: a part of the VM's memory, as they are
-/// held once more while they are sent
-static std::size_t maxResponseBytes(const RouterSettings &settings)
+constexpr double bytesPerMegabyte = 1e6;
+constexpr double defaultMemoryMegabytes = 512; // if the settings do not tell
+constexpr double callersPart = 0.375;          // of the VM's memory, for callers' requests and the responses to them
+constexpr double responsesPart = 0.25;         // of these, for responses that wait to be passed on
+constexpr double adminPart = 0.125;            // for requests to the admin address
+
+static CallerMemorySettings memorySettings(const RouterSettings &settings, double part)
+{
+    const double megabytes = settings.memoryMegabytes > 0 ? settings.memoryMegabytes : defaultMemoryMegabytes;
+    CallerMemorySettings memory;
+    memory.maxBytes = static_cast<std::size_t>(megabytes * bytesPerMegabyte * part);
+    memory.maxResponseBytes = static_cast<std::size_t>(megabytes * bytesPerMegabyte * responsesPart);
+    return memory;
+}
+
+/// Received bytes that are not read yet count as memory of the process. With the system's default, one connection may
+/// have megabytes of them. @return buffer of one connection: some 2,000 callers that fill theirs take half the memory
+static int receiveBytes(const RouterSettings &settings)
 {
-    constexpr double partOfMemory = 0.25;
-    constexpr double defaultMemoryMegabytes = 512; // if the settings do not tell
-    constexpr double bytesPerMegabyte = 1e6;
+    constexpr double connections = 4096;
     const double megabytes = settings.memoryMegabytes > 0 ? settings.memoryMegabytes : defaultMemoryMegabytes;
-    return static_cast<std::size_t>(megabytes * bytesPerMegabyte * partOfMemory);
+    return static_cast<int>(megabytes * bytesPerMegabyte / connections);
+}
+
+/// How the descriptors of the process are divided.
+struct Descriptors {
+    std::size_t callers = SIZE_MAX;     // callers' connections
+    std::size_t connections = SIZE_MAX; // these, and those to replicas
+    std::size_t admin = 64;             // connections to the admin address
+};
+
+static Descriptors divideDescriptors(const RouterSettings &settings)
+{
+    constexpr int files = 200;
+    constexpr int others = 256; // the store, the peers and the admin address
+    constexpr double callersPart = 0.75;
+    Descriptors descriptors;
+    if (settings.maxDescriptors <= 0) {
+        return descriptors;
+    }
+    const int sockets = std::max(settings.maxDescriptors - files, settings.maxDescriptors / 2);
+    const int reserved = std::min(others, sockets / 4);
+    descriptors.connections = static_cast<std::size_t>(sockets - reserved);
+    descriptors.callers = static_cast<std::size_t>((sockets - reserved) * callersPart);
+    descriptors.admin = std::min(descriptors.admin, static_cast<std::size_t>(reserved / 2));
+    return descriptors;
 }
 
 static TrafficSettings trafficSettings(const RouterSettings &settings)
@@ -41,7 +78,10 @@
     traffic.listenAddress = settings.callers;
     traffic.dataCentre = settings.dataCentre;
     traffic.maxRevocationDelay = settings.maxRevocationDelay;
-    traffic.maxResponseBytes = maxResponseBytes(settings);
+    traffic.memory = memorySettings(settings, callersPart);
+    traffic.receiveBytes = receiveBytes(settings);
+    traffic.maxCallers = divideDescriptors(settings).callers;
+    traffic.maxConnections = divideDescriptors(settings).connections;
     traffic.startupWait = settings.startupWait;
     traffic.loadBalancer.loadBound = settings.loadBound;
     traffic.retry.ratio = settings.retryRatio;
@@ -75,6 +115,7 @@
     , m_relay(
           m_io, [this](StoreTopic topic) -> FollowedTopic & { return subscription(topic); }, m_log)
     , m_admin(m_io)
+    , m_adminRefusals(m_log, "admin")
     , m_flushTimer(m_io)
     , m_expiryTimer(m_io)
     , m_drainTimer(m_io)
@@ -365,6 +406,10 @@
     m_admin.hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request) {
         onAdminRequest(caller, request);
     };
+    m_admin.maxWithUnused = divideDescriptors(m_settings).admin;
+    m_admin.hooks.receiveBytes = receiveBytes(m_settings);
+    m_admin.hooks.memory = std::make_shared<CallerMemory>(memorySettings(m_settings, adminPart));
+    m_admin.hooks.onRefused = [this](const CallerRefusal &refusal) { m_adminRefusals.onRefused(clockNow(), refusal); };
     const bool listensToPeers = peerPort(m_settings) == 0 || m_relay.start(m_settings.peers);
     if (!m_admin.start(m_settings.admin) || !listensToPeers || !m_traffic.start()) {
         return false;
@@ -449,7 +494,7 @@
     add("proof_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(clockNow() - m_proof.provedAt()).count());
     add("log_lines_left_out_total", m_log.dropped());
     add("peak_memory_bytes", peakMemoryBytes());
-    return out;
+    return out + m_adminRefusals.metrics();
 }
 
 // Logs
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -67,6 +67,7 @@
     SharedState m_sharedState;
     TopicRelay m_relay; // to routers that follow this one
     CallerListener m_admin;
+    RefusalLog m_adminRefusals;
     DeadlineTimer m_flushTimer;
     DeadlineTimer m_expiryTimer;
     DeadlineTimer m_drainTimer;
--- a/tests/endlessanswers.cpp
+++ b/tests/endlessanswers.cpp
@@ -2,8 +2,8 @@
 // go on, memory is bounded, and the caller of the endless answer is told that it failed.
 //
 // Sections of this file: Event loop, Memory, Router.
+#include "filters/callermemory.h"
 #include "filters/eventsplitter.h"
-#include "filters/responsememory.h"
 #include "tests/nodefixture.h"
 
 #include <netinet/tcp.h>
@@ -124,10 +124,12 @@
 
 TEST(EndlessMessages, TheResponseThatHoldsMostIsGivenUp)
 {
-    const auto memory = std::make_shared<ResponseMemory>(100);
-    ResponseMemory::Share small(memory);
-    ResponseMemory::Share large(memory);
-    ResponseMemory::Share last(memory);
+    CallerMemorySettings settings;
+    settings.maxResponseBytes = 100;
+    const auto memory = std::make_shared<CallerMemory>(settings);
+    MemoryShare small(memory, MemoryUse::Response);
+    MemoryShare large(memory, MemoryUse::Response);
+    MemoryShare last(memory, MemoryUse::Response);
     std::vector<std::string> givenUp;
     small.onGivenUp = [&] { givenUp.emplace_back("small"); };
     large.onGivenUp = [&] { givenUp.emplace_back("large"); };
--- a/tests/misbehavingcallers.cpp
+++ b/tests/misbehavingcallers.cpp
@@ -292,7 +292,7 @@
         }
     }
 
-    const std::string memory; // setting of the daemon's memory
+    const std::string memory = "memory_mb = " + std::to_string(memoryMegabytes) + '\n';
     int port = freePort();
     FakeLog log;
     FakeVmList vmList;
--- a/traffic/callerconnection.h
+++ b/traffic/callerconnection.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "control/routes.h"
+#include "filters/callermemory.h"
 #include "net/stream.h"
 #include "net/timer.h"
 #include "traffic/headercodec.h"
 
+#include <optional>
+
 namespace galenafold
 {
 
@@ -18,6 +21,14 @@
 
 class CallerConnection;
 
+/// A caller that was refused, or whose connection was closed, so that the process stays within its limits.
+struct CallerRefusal {
+    const char *bound = ""; // which limit: see text in docs/OPERATIONS.md
+    int status = 0;         // of the response; 0: the connection was closed
+    std::string from;       // IP:PORT of the caller
+    std::size_t bytes = 0;  // that it held
+};
+
 /// Callbacks from a connection to its owner, shared by all connections of a listener.
 struct CallerConnectionHooks {
     /// A complete request was read.
@@ -32,8 +43,14 @@
     /// Optional: sets fields of that response and returns its body.
     std::function<std::string(int status, HttpFields &)> describeRejection;
 
+    /// Optional: a caller was refused, or its connection closed, for a limit of this process.
+    std::function<void(const CallerRefusal &)> onRefused;
+
     std::function<CallerLimits()> limits; // current limits on requests
     std::function<bool()> isDraining;     // while true, each response closes its connection
+    std::shared_ptr<CallerMemory> memory = std::make_shared<CallerMemory>(unlimitedMemory()); // of all connections
+    int receiveBytes = 0;       // of the kernel's buffer of each connection; 0: the system's default, not bounded here
+    std::size_t bodyCopies = 1; // of a request's body that are held until its response ends
 };
 
 /// One HTTP connection from a caller. Requests may be pipelined; they are processed one after the other.
@@ -60,6 +77,17 @@
     void closeIfIdle(); ///< Closes the connection if no request is being read or processed, and no response being sent.
     void endRequest();  ///< Calls `onStopping`, if a request is in progress.
 
+    /// Responds that this process has no room for the request in progress, which has not run, and closes.
+    /// @param bound the limit that was reached
+    void refuse(const char *bound);
+
+    /// @return since when nothing was read or sent, if the connection may be closed in favour of others: it is idle, or
+    /// has stopped in the middle of a request, or of taking a response, for a while
+    std::optional<Instant> unusedSince(Instant now) const;
+    /// @return true between requests, with nothing to send
+    bool isIdle() const { return m_state == State::Idle && m_stream->pending() == 0; }
+    void closeUnused(const char *bound); ///< Closes it in favour of others.
+
     std::function<void()> onDisconnected; // the caller disconnected while its request was in progress
     std::function<void()> onDrained;      // the send buffer has become empty
     std::function<void()> onStopping;     // the request must be ended now, as the process stops
@@ -79,6 +107,13 @@
     void finishReading();
     void nextRequest();
     void reject(int status, const char *why);
+    void report(const char *bound, int status) const;
+    bool reserveBody();
+    std::size_t heldBytes() const;
+    void noteHeldBytes();
+    void onMemoryTaken();
+    void resumeReading();
+    void continueReading();
     void armTimer();
     void onTimer();
     bool isStillTaking();
@@ -95,11 +130,16 @@
     std::unique_ptr<MessageParser> m_parser;
     State m_state = State::Idle;
     Instant m_arrival{};
-    Instant m_readDeadline{};  // for the complete head, then for the next bytes of the body
-    std::uint64_t m_taken = 0; // bytes that the caller had taken when the connection last timed out
-    std::string m_pipelined;   // input received after the current request
-    CallerLimits m_limits;     // in force since the current request began
-    bool m_hasHead = false;    // the head of the current request is complete
+    Instant m_readDeadline{};       // for the complete head, then for the next bytes of the body
+    std::uint64_t m_taken = 0;      // bytes that the caller had taken when the connection last timed out
+    std::string m_pipelined;        // input received after the current request
+    CallerLimits m_limits;          // in force since the current request began
+    MemoryShare m_share;            // of the listener's memory
+    std::size_t m_bodyRoom = 0;     // for the body of the request that is being read, in bytes; part of the share
+    std::size_t m_requestBytes = 0; // of the request that is being processed
+    Instant m_lastInput{};          // or output that the caller has taken, or end of the last response
+    bool m_waitsForDrain = false;   // too much of the responses is unsent to read the next request
+    bool m_hasHead = false;         // the head of the current request is complete
     bool m_keepsAlive = true;
     bool m_acceptsChunks = true;  // HTTP/1.1 caller
     bool m_isHeadRequest = false; // HEAD: the response has no body
--- a/traffic/endpointconnection.cpp
+++ b/traffic/endpointconnection.cpp
@@ -57,7 +57,7 @@
         return;
     }
     m_stream->write(m_unsent);
-    m_unsent.clear();
+    m_unsent = std::string();
 }
 
 void EndpointConnection::resetParser()
@@ -301,7 +301,9 @@
         connection->cancel();
     }
     isNew = true;
-    return std::make_shared<EndpointConnection>(m_io, m_headerCodec);
+    const auto connection = std::make_shared<EndpointConnection>(m_io, m_headerCodec);
+    connection->countedBy = m_counter;
+    return connection;
 }
 
 void ConnectionPool::release(const EndpointId &endpoint, const std::shared_ptr<EndpointConnection> &connection)
@@ -333,6 +335,20 @@
     }
 }
 
+bool ConnectionPool::closeOneIdle()
+{
+    for (auto &[endpoint, connections] : m_idle) {
+        if (!connections.empty()) {
+            const auto leastUsed = connections.front();
+            connections.erase(connections.begin());
+            leastUsed->onIdleClosed = nullptr;
+            leastUsed->cancel();
+            return true;
+        }
+    }
+    return false;
+}
+
 void ConnectionPool::closeExpired(Instant now)
 {
     for (auto &[endpoint, connections] : m_idle) {
--- a/traffic/endpointconnection.h
+++ b/traffic/endpointconnection.h
@@ -63,6 +63,7 @@
     /// @return when to stop reusing the idle connection, shortly before the replica closes it
     Instant reuseDeadline() const { return m_reuseDeadline; }
 
+    std::shared_ptr<void> countedBy;    // shared by all connections of a pool, which counts them by it
     std::function<void()> onIdleClosed; // the connection ended or received unexpected input while idle
 
 private:
@@ -118,10 +119,14 @@
 
     void closeIdle(const EndpointId &endpoint); ///< Closes the idle connections to a removed replica.
     void closeExpired(Instant now);             ///< Closes connections past their reuse deadline.
+    bool closeOneIdle(); ///< Closes an idle connection, so that its descriptor is free. @return false if none is idle
+
+    std::size_t open() const { return static_cast<std::size_t>(m_counter.use_count()) - 1; } ///< @return also in use
 
 private:
     asio::io_context &m_io;
     const HeaderCodec &m_headerCodec;
+    std::shared_ptr<void> m_counter = std::make_shared<char>();
     std::map<EndpointId, std::vector<std::shared_ptr<EndpointConnection>>> m_idle; // most recently used last
 };
 
--- /dev/null
+++ b/traffic/refusallog.cpp
@@ -0,0 +1,59 @@
+// Log lines and counters of callers that met a limit of this process.
+#include "traffic/refusallog.h"
+
+#include "traffic/metrics.h"
+
+namespace galenafold
+{
+
+constexpr std::int64_t maxLinesPerSecond = 10;
+
+RefusalLog::RefusalLog(EventLog &log, const char *listener)
+    : m_log(log)
+    , m_listener(listener)
+{
+}
+
+void RefusalLog::beginSecond(Instant now)
+{
+    m_secondEnds = now + std::chrono::seconds(1);
+    m_linesInSecond = 0;
+    if (m_leftOut > 0) {
+        LogLine line("callers_refused");
+        line.text("listener", m_listener).number("left_out", m_leftOut);
+        for (const auto &[bound, count] : m_counts) {
+            line.number(bound, count);
+        }
+        m_log.write(line, LogPriority::Notable);
+        m_leftOut = 0;
+    }
+}
+
+void RefusalLog::onRefused(Instant now, const CallerRefusal &refusal)
+{
+    ++m_counts[refusal.bound];
+    if (now >= m_secondEnds) {
+        beginSecond(now);
+    }
+    if (m_linesInSecond >= maxLinesPerSecond) {
+        ++m_leftOut;
+        return;
+    }
+    ++m_linesInSecond;
+    LogLine line("caller_refused");
+    line.text("listener", m_listener).text("bound", refusal.bound).number("status", refusal.status);
+    line.text("from", refusal.from).number("held_bytes", static_cast<std::int64_t>(refusal.bytes));
+    m_log.write(line, LogPriority::Notable);
+}
+
+std::string RefusalLog::metrics() const
+{
+    std::string out;
+    for (const auto &[bound, count] : m_counts) {
+        writeMetric(out, "callers_refused_total", label("listener", m_listener) + ',' + label("bound", bound),
+                    static_cast<double>(count));
+    }
+    return out;
+}
+
+} // namespace galenafold
--- /dev/null
+++ b/traffic/refusallog.h
@@ -0,0 +1,37 @@
+// Tells operators which callers were refused, or lost their connection, for a limit of this process: some log lines and
+// counters by limit.
+#pragma once
+
+#include "galenafold/eventlog.h"
+#include "traffic/callerconnection.h"
+
+#include <map>
+
+namespace galenafold
+{
+
+/// Not thread-safe: one for each event loop that has a listener.
+class RefusalLog
+{
+public:
+    /// @param listener name in log lines and metrics
+    RefusalLog(EventLog &log, const char *listener);
+
+    /// Load pattern: thousands of such callers a second must not fill the log. Only the first of each second have a
+    /// line of their own; a line at the next second counts the others.
+    void onRefused(Instant now, const CallerRefusal &refusal);
+
+    std::string metrics() const; ///< @return counters in Prometheus text format
+
+private:
+    void beginSecond(Instant now);
+
+    EventLog &m_log;
+    const char *m_listener;
+    std::map<std::string, std::int64_t> m_counts; // by bound
+    Instant m_secondEnds{};
+    std::int64_t m_linesInSecond = 0;
+    std::int64_t m_leftOut = 0;
+};
+
+} // namespace galenafold
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -26,7 +26,7 @@
     , m_caller(std::move(caller))
     , m_request(std::move(request))
     , m_timer(state.io)
-    , m_held(state.responseMemory)
+    , m_held(state.memory, MemoryUse::Response)
 {
     ++m_state.counts.inProgress;
     m_held.onGivenUp = [this] { onResponseGivenUp(); };
@@ -216,8 +216,9 @@
 {
     const RequestHead &head = m_request.head;
     std::string bytes = head.method + ' ' + head.target + " HTTP/1.1\r\n";
+    const HopByHopFields hopByHop(head.fields);
     for (const HttpField &field : head.fields) {
-        if (!isHopByHopField(head.fields, field.name) && !m_state.headerCodec.isRouterOnlyField(field.name)) {
+        if (!hopByHop.contains(field.name) && !m_state.headerCodec.isRouterOnlyField(field.name)) {
             appendField(bytes, field.name, field.value);
         }
     }
@@ -445,7 +446,7 @@
     line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
     line.number("body", static_cast<std::int64_t>(m_body.size()));
     line.number("event", static_cast<std::int64_t>(m_events.heldBytes()));
-    line.number("all_held", static_cast<std::int64_t>(m_state.responseMemory->bytes()));
+    line.number("all_held", static_cast<std::int64_t>(m_state.memory->responseBytes()));
     m_state.log.write(line, LogPriority::Notable);
     abandonAttempt(AttemptOutcome::Failed);
     dropResponse();
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -134,7 +134,7 @@
     ResponseHead m_head;
     ResponseFields m_responseFields; // decoded from `m_head`
     std::string m_body;              // response body, unless it is relayed as a stream
-    ResponseMemory::Share m_held;    // `m_body` and the incomplete event
+    MemoryShare m_held;              // `m_body` and the incomplete event
 
     EventSplitter m_events;
     int m_sentStatus = 0;    // of the stream to the caller, once it has begun
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto savePlacesDelay = std::chrono::seconds(9); // engines present at the start have places by then
 constexpr auto sweepInterval = std::chrono::seconds(1);   // periodic maintenance
+constexpr std::size_t bodyCopies = 2; // of a request's body: its own, and what is not sent to its replica yet
 constexpr auto peersLogInterval = std::chrono::seconds(5);
 
 TrafficState::TrafficState(asio::io_context &theIo, const TrafficSettings &theSettings, HeaderCodec theHeaderCodec,
@@ -23,7 +24,7 @@
     , loadBalancer(theSettings.loadBalancer, theSettings.dataCentre, theSettings.seed)
     , queryOfDeath(QueryOfDeathSettings(), theSettings.seed)
     , budget(theSettings.retry, clockNow())
-    , responseMemory(std::make_shared<ResponseMemory>(theSettings.maxResponseBytes))
+    , memory(std::make_shared<CallerMemory>(theSettings.memory))
     , connectionPool(theIo, headerCodec)
 {
 }
@@ -35,6 +36,7 @@
     , m_state(m_io, settings, std::move(headerCodec), log)
     , m_peers(m_io, settings.peers, m_state.loadBalancer, m_state.queryOfDeath)
     , m_listener(m_io)
+    , m_refusals(log, "callers")
     , m_sweepTimer(m_io)
     , m_gateTimer(m_io)
 {
@@ -56,6 +58,12 @@
     m_state.onPeerNews = [this] { m_peers.requestBeacon(); };
     m_state.queryOfDeath.onVerdict = [this](const PromptVerdict &verdict) { logVerdict(verdict); };
     CallerConnectionHooks &hooks = m_listener.hooks;
+    hooks.memory = m_state.memory;
+    hooks.bodyCopies = bodyCopies;
+    hooks.receiveBytes = settings.receiveBytes;
+    m_listener.maxWithUnused = settings.maxCallers;
+    m_listener.makeRoom = [this] { return makeRoom(); };
+    hooks.onRefused = [this](const CallerRefusal &refusal) { m_refusals.onRefused(clockNow(), refusal); };
     hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request) {
         onRequest(caller, std::move(request));
     };
@@ -98,8 +106,22 @@
     }
 }
 
+/// Load pattern: connections that callers open and keep would leave none to replicas, and then no request is served.
+/// @return true if one more connection, from a caller or to a replica, may be opened; unused ones are closed for it
+bool TrafficThread::makeRoom()
+{
+    if (m_listener.count() + m_state.connectionPool.open() < m_settings.maxConnections) {
+        return true;
+    }
+    return m_state.connectionPool.closeOneIdle() || m_listener.closeUnused();
+}
+
 void TrafficThread::onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request)
 {
+    if (!makeRoom()) {
+        caller->refuse("descriptors");
+        return;
+    }
     const auto flow = std::make_shared<RequestHandler>(m_state, caller, std::move(request));
     flow->begin();
 }
@@ -209,8 +231,11 @@
     writeMetric(out, "fleet_size", "", m_peers.fleetSize());
     writeMetric(out, "beacons_sent_total", "", static_cast<double>(peers.beaconsSent));
     writeMetric(out, "beacons_received_total", "", static_cast<double>(peers.beaconsReceived));
-    writeMetric(out, "response_bytes", "", static_cast<double>(m_state.responseMemory->bytes()));
-    writeMetric(out, "response_bytes_peak", "", static_cast<double>(m_state.responseMemory->peakBytes()));
+    writeMetric(out, "response_bytes", "", static_cast<double>(m_state.memory->responseBytes()));
+    writeMetric(out, "response_bytes_peak", "", static_cast<double>(m_state.memory->peakResponseBytes()));
+    writeMetric(out, "caller_bytes", "", static_cast<double>(m_state.memory->bytes()));
+    writeMetric(out, "caller_bytes_peak", "", static_cast<double>(m_state.memory->peakBytes()));
+    out += m_refusals.metrics();
     writeMetric(out, "prompts_blocked", "", m_state.queryOfDeath.blocks(now));
     writeMetric(out, "beacon_delay_seconds", "", std::chrono::duration<double>(peers.startDelay).count());
     for (const ServiceStats &service : m_state.loadBalancer.serviceStats(now)) {
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "control/freshness.h"
+#include "filters/callermemory.h"
 #include "filters/loadbalancer.h"
-#include "filters/responsememory.h"
 #include "filters/retry.h"
 #include "filters/startupgate.h"
 #include "galenafold/eventlog.h"
@@ -17,6 +17,7 @@
 #include "traffic/listener.h"
 #include "traffic/metrics.h"
 #include "traffic/peerloadexchange.h"
+#include "traffic/refusallog.h"
 
 #include <atomic>
 #include <thread>
@@ -30,8 +31,11 @@
 struct TrafficSettings {
     std::string listenAddress; // IP:PORT to listen on for callers
     DataCentreId dataCentre;
-    Duration maxRevocationDelay{};              // limit on a revoked API key's acceptance; 0: unlimited
-    std::size_t maxResponseBytes = 128U << 20U; // that responses of all requests hold until they can be passed on
+    Duration maxRevocationDelay{};     // limit on a revoked API key's acceptance; 0: unlimited
+    CallerMemorySettings memory;       // of callers' requests, and of the responses to them
+    int receiveBytes = 0;              // of the kernel's buffer of each caller's connection; 0: the system's default
+    std::size_t maxCallers = SIZE_MAX; // open connections of callers
+    std::size_t maxConnections = SIZE_MAX;                 // open connections of callers, and to replicas, together
     Duration startupWait = std::chrono::milliseconds(300); // limit on the wait of requests for the store at start
     Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
     LoadBalancerSettings loadBalancer;
@@ -75,7 +79,7 @@
     LoadBalancer loadBalancer;
     QueryOfDeathDetector queryOfDeath;
     RetryBudget budget;
-    std::shared_ptr<ResponseMemory> responseMemory; // shared with requests that outlive this state
+    std::shared_ptr<CallerMemory> memory; // shared with requests that outlive this state
     ConnectionPool connectionPool;
     TrafficCounts counts;
     TrafficMetrics metrics;
@@ -145,6 +149,7 @@
 
 private:
     void onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request);
+    bool makeRoom();
     void armGateTimer();
     void releaseWaiting();
     void sweep();
@@ -160,6 +165,7 @@
     TrafficState m_state;
     PeerLoadExchange m_peers;
     CallerListener m_listener;
+    RefusalLog m_refusals;
     DeadlineTimer m_sweepTimer;
     DeadlineTimer m_gateTimer; // limits on the wait after a start
     std::thread m_thread;
