Merge the account of callers' memory and connections

What callers make a router hold is counted in one account, from memory_mb, and connections from descriptors; nothing bounded request bodies, heads, pipelined input and unsent responses together before.

--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -9,8 +9,8 @@
 
 #include "control/freshness.h"
 #include "control/regions.h"
+#include "filters/callermemory.h"
 #include "filters/loadbalancer.h"
-#include "filters/responsememory.h"
 #include "filters/retry.h"
 #include "filters/servicetime.h"
 #include "filters/startupgate.h"
@@ -19,6 +19,7 @@
 #include "traffic/listener.h"
 #include "traffic/metrics.h"
 #include "traffic/peerloadexchange.h"
+#include "traffic/refusallog.h"
 #include "traffic/waitingrequests.h"
 
 #include <atomic>
@@ -33,9 +34,12 @@
 struct TrafficSettings {
     std::string listenAddress; // IP:PORT to listen on for callers
     DataCentreId dataCentre;
-    Duration maxRevocationDelay{}; // limit on a revoked API key's acceptance; 0: unlimited
     RegionMap regions;
-    std::size_t maxResponseBytes = 128U << 20U; // that responses of all requests hold until they can be passed on
+    Duration maxRevocationDelay{};     // limit on a revoked API key's acceptance; 0: unlimited
+    CallerMemorySettings memory;       // of callers' requests, and of the responses to them
+    int receiveBytes = 0;              // of the kernel's buffer of each caller's connection; 0: the system's default
+    std::size_t maxCallers = SIZE_MAX; // open connections of callers
+    std::size_t maxConnections = SIZE_MAX;                 // open connections of callers, and to replicas, together
     Duration startupWait = std::chrono::milliseconds(300); // limit on the wait of requests for the store at start
     Duration startupWaitForPeers = std::chrono::milliseconds(100); // the same, for the peers
     LoadBalancerSettings loadBalancer;
@@ -81,7 +85,7 @@
     QueryOfDeathDetector queryOfDeath;
     std::unordered_map<ServiceId, ServiceTimeModel> serviceTimes;
     RetryBudget budget;
-    std::shared_ptr<ResponseMemory> responseMemory; // shared with requests that outlive this state
+    std::shared_ptr<CallerMemory> memory; // shared with requests that outlive this state
     ConnectionPool connectionPool;
     TrafficCounts counts;
     TrafficMetrics metrics;
@@ -155,6 +159,7 @@
 
 private:
     void onRequest(const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request);
+    bool makeRoom();
     void armGateTimer();
     void releaseWaiting();
     void sweep();
@@ -170,6 +175,7 @@
     TrafficState m_state;
     PeerLoadExchange m_peers;
     CallerListener m_listener;
+    RefusalLog m_refusals;
     DeadlineTimer m_sweepTimer;
     DeadlineTimer m_gateTimer; // limits on the wait after a start
     std::thread m_thread;
