--- a/tests/replicaroom.cpp
+++ b/tests/replicaroom.cpp
@@ -1,6 +1,6 @@
 // Tests which replicas can start one more request at once, and what a router does where none can.
-#include "filters/loadbalancer.h"
 #include "filters/replicaroom.h"
+#include "filters/loadbalancer.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
