Say more plainly what the new parts do

Cause: a newcomer's reading of the change stumbled on some comments, indexes and paragraphs. Change: comments and pages only, no line of code. Result: the code without comments is the same as before.

--- a/control/topicsources.cpp
+++ b/control/topicsources.cpp
@@ -20,7 +20,7 @@
 constexpr auto listingSpread = std::chrono::seconds(4);   // over which routers that nobody told list from the store
 constexpr auto costlySpread = std::chrono::seconds(3);    // over which they read what they missed
 constexpr auto listingPatience = std::chrono::seconds(4); // for a router that is itself reading the listing
-constexpr std::size_t sourcesPerTopic = 3; // those that are asked before the store, and one for when one of them fails
+constexpr std::size_t sourcesPerTopic = 3; // two that are asked before the store, and one in case one of them fails
 
 RouterSite makeRouterSite(const DataCentreId &dataCentre, int linkMegabits)
 {
--- a/control/topicsources.h
+++ b/control/topicsources.h
@@ -73,7 +73,7 @@
     /// the routers that rank highest read it as soon as they are told nothing; the others do so one after the other.
     void setCostly() { m_isCostly = true; }
 
-    /// Sets the routers that are heard in this data centre. @param self is not one of the others
+    /// Sets the routers that are known in this data centre, heard or not. @param self is not one of the others
     void setRouters(const DataCentreRouter &self, std::vector<DataCentreRouter> others);
 
     /// @return the preferred source of those that may be asked now, or the one that may be asked first
--- a/filters/admission.h
+++ b/filters/admission.h
@@ -10,7 +10,7 @@
 // behind each other, not before those of other accounts, and an account that has used less than its share lately goes
 // first.
 //
-// While replicas have room nothing waits, and nothing is decided here.
+// While replicas have room nothing waits; only the work that starts is counted here.
 //
 // Sections of this file: Request, Admission.
 #pragma once
@@ -46,7 +46,7 @@
 enum class AdmissionRefusal : std::uint8_t {
     None,    // it waits
     TooLate, // it cannot be expected to start in time
-    Full,    // as many requests wait as may, and this one ranks behind them
+    Full,    // as many requests wait as may; of its service, this one is the least urgent
 };
 
 const char *text(AdmissionRefusal refusal); ///< @return the refusal's name in logs and metrics
@@ -58,7 +58,7 @@
     AdmissionRefusal refusal = AdmissionRefusal::None;
     std::vector<WaitKey> evicted; // requests that no longer wait, to be refused now
     std::size_t waiting = 0;      // requests of the service that wait
-    double workBefore = 0;        // that starts before this request, as a multiple of the service's usual request
+    double workBefore = 0;        // work to start before this request, as a multiple of the service's usual request
     double startRate = 0;         // such work per second that has started lately; 0: not known
     Duration expectedWait{};
 };
@@ -70,7 +70,7 @@
 
 struct AdmissionSettings {
     std::size_t capacity = 512;        // requests that wait at one router at most, all services together
-    std::size_t maxBytes = 16U << 20U; // that they hold
+    std::size_t maxBytes = 16U << 20U; // of memory that they hold at most
     double floorShare = 0.1;           // of the work that starts, for priorities below the highest that waits
 };
 
--- a/filters/callermemory.cpp
+++ b/filters/callermemory.cpp
@@ -6,7 +6,7 @@
 namespace galenafold
 {
 
-constexpr std::size_t progressFraction = 256;   // of what a share holds must move for it to have made progress
+constexpr std::size_t progressFraction = 256;   // 1/256 of what a share holds must move, to count as progress
 constexpr std::size_t maxProgressBytes = 16384; // enough for any share: a slow link moves as much in a round
 
 CallerMemorySettings unlimitedMemory()
@@ -69,7 +69,7 @@
     memory->notePeaks();
 }
 
-/// A caller's turn begins now: what its request waited for before was not its doing.
+/// Progress is counted from now: the time before, in which others had to act, is not held against the caller.
 void MemoryShare::setUse(MemoryUse use)
 {
     if (use != m_use) {
--- a/filters/callermemory.h
+++ b/filters/callermemory.h
@@ -5,7 +5,7 @@
 // Each stays below the limits on a single one, but hundreds at a time use up the VM's memory and end the requests of
 // everybody. Here each connection and each response that waits has a share of one budget. A large request asks for its
 // share before its body is read, and is refused if it finds no room. When the budget is used up, the share that holds
-// most and has not moved lately is taken away first, so sound callers beside it, which hold little, go on.
+// most and has not moved lately is taken away first, so ordinary callers beside it, which hold little, go on.
 //
 // Progress is counted in rounds, not in time: a VM that was suspended takes nobody for a caller that has stopped.
 //
@@ -28,10 +28,10 @@
     std::size_t maxResponseBytes = 128U << 20U; // of these, responses of replicas that cannot be passed on yet
     double largePart = 0.75;                    // of `maxBytes`: limit for requests that are not small
     std::size_t smallBytes = 65536;             // a share that holds no more is small: a head or two of the usual size
-    int patientRounds = 2;                      // without progress, until a share counts as stalled
+    int patientRounds = 2;                      // rounds without progress, until a share counts as stalled
 };
 
-/// What a share's bytes are, and so whose turn it is.
+/// What a share's bytes are, and so who has to act next: the caller or this process.
 enum class MemoryUse : std::uint8_t {
     AwaitsCaller, // part of a request, or a response that the caller has not taken
     InProgress,   // a complete request; never taken away
@@ -45,7 +45,7 @@
 
 class CallerMemory;
 
-/// What one connection, or one request of its response, holds.
+/// What one connection holds, or one request of its replica's response.
 class MemoryShare
 {
 public:
@@ -61,7 +61,7 @@
     /// Tells how much is held now. While the limits are exceeded shares are taken away, which may include this one.
     void resize(std::size_t bytes);
 
-    void setUse(MemoryUse use);      ///< Whose turn it is now; `Response` is for the whole life of a share.
+    void setUse(MemoryUse use);      ///< Who has to act next; `Response` is for the whole life of a share.
     void onMoved(std::size_t bytes); ///< Bytes were read from the caller, or taken by it.
 
     std::size_t bytes() const { return m_bytes; }
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -166,7 +166,9 @@
     /// Sets the data centres whose replicas get no requests. Replicas of those that are not evacuated any more warm up.
     void setEvacuated(Instant now, std::set<DataCentreId> dataCentres);
 
-    ReplicaChoice choose(Instant now, const SelectionRequest &request); ///< @return the replica to send to
+    /// @return the replica to send to. The request counts at once for the pace of a replica that tells no load, whether
+    /// it is sent or not.
+    ReplicaChoice choose(Instant now, const SelectionRequest &request);
 
     /// @return requests that the service's replicas could start at once, by what is known of their load; negative if
     /// requests already wait there
--- a/filters/queue.cpp
+++ b/filters/queue.cpp
@@ -1,4 +1,4 @@
-// Lanes, deficit round robin and the estimate of waiting times.
+// Lanes, deficit round robin and the estimate of waiting times. Sections of this file: Lane, Queue.
 #include "filters/queue.h"
 
 #include <algorithm>
--- a/filters/rates.cpp
+++ b/filters/rates.cpp
@@ -1,4 +1,4 @@
-// Exponentially decaying sums and smoothed response times.
+// Exponentially decaying sums and smoothed response times. Sections of this file: Sum, Response time.
 #include "filters/rates.h"
 
 #include <algorithm>
--- a/filters/servicetime.cpp
+++ b/filters/servicetime.cpp
@@ -9,7 +9,7 @@
 
 constexpr double tokensPerUnit = 10000; // makes the two inputs of the model about equally large
 constexpr double learningRate = 0.1;    // of the newest observation
-constexpr int firstObservations = 10;   // count in full, so that the estimate is useful soon after a start
+constexpr int firstObservations = 10;   // count alike, so that the estimate is useful soon after a start
 
 static double seconds(Duration time)
 {
--- a/filters/servicetime.h
+++ b/filters/servicetime.h
@@ -1,8 +1,8 @@
 // Estimates when a replica would answer a request, from what this router's own requests have shown.
 //
-// Load pattern: prompts of some hundred to some ten thousand tokens, read by engines of unlike pace, where requests may
-// wait for a place in the batch. The time to the first event follows from the prompt tokens that the engine has not
-// cached, its slowdown and what waits there; the time to the end from the tokens of the response.
+// Load pattern: prompts of some hundred to some ten thousand tokens, read by engines of different speeds, where
+// requests may wait for a place in the batch. The time to the first event follows from the prompt tokens that the
+// engine has not cached, its slowdown and what waits there; the time to the end from the tokens of the response.
 //
 // One model for each service; its parameters follow the observed times slowly, so that a few odd ones change little.
 #pragma once
@@ -40,9 +40,12 @@
     ServiceTime estimate(const ServiceWork &work, const ReplicaOccupancy &occupancy) const;
 
     /// The first event, or a whole response, was received.
-    /// @param occupancy of the replica when the request was sent, without it @param took time since then
+    /// @param occupancy of the replica when the request was sent, not counting it @param took time since then
     void onFirstEvent(const ServiceWork &work, const ReplicaOccupancy &occupancy, Duration took);
 
+    /// The end of the response was received.
+    /// @param occupancy as in `onFirstEvent` @param sinceFirstEvent time since then @param took time since the request
+    /// was sent
     void onEnd(const ServiceWork &work, const ReplicaOccupancy &occupancy, Duration sinceFirstEvent, Duration took);
 
     const ServiceTimeError &error() const { return m_error; }
--- a/net/gzip.cpp
+++ b/net/gzip.cpp
@@ -7,9 +7,9 @@
 namespace galenafold
 {
 
-constexpr int gzipWindowBits = 15 + 16; // the largest window, in the format of gzip
-constexpr int memoryLevel = 8;          // zlib's usual one
-constexpr std::size_t stepBytes = 16 << 10;
+constexpr int gzipWindowBits = 15 + 16;     // the largest window, in the format of gzip
+constexpr int memoryLevel = 8;              // zlib's usual one
+constexpr std::size_t stepBytes = 16 << 10; // unpacked at a time, before the limit on the text is checked
 
 static Bytef *bytesOf(const std::string &text)
 {
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -27,8 +27,8 @@
 constexpr double bytesPerMegabyte = 1e6;
 constexpr double defaultMemoryMegabytes = 512; // if the settings do not tell
 constexpr double callersPart = 0.375;          // of the VM's memory, for callers' requests and the responses to them
-constexpr double responsesPart = 0.25;         // of these, for responses that wait to be passed on
-constexpr double adminPart = 0.125;            // for requests to the admin address
+constexpr double responsesPart = 0.25;         // the same, within `callersPart`: responses not yet passed on
+constexpr double adminPart = 0.125;            // the same, for requests to the admin address
 
 static CallerMemorySettings memorySettings(const RouterSettings &settings, double part)
 {
--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -1,4 +1,4 @@
-// One caller's connection.
+// One caller's connection. Sections of this file: Reading, Memory, Timer, Responding.
 #include "traffic/callerconnection.h"
 
 #include "net/status.h"
@@ -15,8 +15,8 @@
 constexpr std::size_t readBytes = 32768;         // that a stream delivers at a time
 constexpr std::size_t joinedBodyBytes = 16384;   // a larger body is sent apart from its head, to save a copy
 constexpr auto unusedAfter = std::chrono::seconds(1);  // without input in the middle of a request
-constexpr auto untakenAfter = std::chrono::seconds(5); // without a response being taken; the kernel takes it in lumps
-constexpr std::string_view refusalRetryAfter = "1";    // seconds; stalled callers are given up by then
+constexpr auto untakenAfter = std::chrono::seconds(5); // without output; the kernel accepts it in large pieces
+constexpr std::string_view refusalRetryAfter = "1";    // seconds; some memory is free again by then, mostly
 
 CallerConnection::CallerConnection(asio::io_context &io, asio::ip::tcp::socket socket,
                                    const CallerConnectionHooks &hooks)
--- a/traffic/callerconnection.h
+++ b/traffic/callerconnection.h
@@ -23,7 +23,7 @@
 
 /// A caller that was refused, or whose connection was closed, so that the process stays within its limits.
 struct CallerRefusal {
-    const char *bound = ""; // which limit: see text in docs/OPERATIONS.md
+    const char *bound = ""; // which limit: see `caller_refused` in docs/OPERATIONS.md
     int status = 0;         // of the response; 0: the connection was closed
     std::string from;       // IP:PORT of the caller
     std::size_t bytes = 0;  // that it held
@@ -84,6 +84,7 @@
     /// @return since when nothing was read or sent, if the connection may be closed in favour of others: it is idle, or
     /// has stopped in the middle of a request, or of taking a response, for a while
     std::optional<Instant> unusedSince(Instant now) const;
+
     /// @return true between requests, with nothing to send
     bool isIdle() const { return m_state == State::Idle && m_stream->pending() == 0; }
     void closeUnused(const char *bound); ///< Closes it in favour of others.
--- a/traffic/listener.cpp
+++ b/traffic/listener.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(20); // if out of file descriptors, some may be free by then
-constexpr std::size_t connectionsForEachClosed = 64;             // at the limit on connections
+constexpr std::size_t connectionsForEachClosed = 64;             // one of so many is closed at a time, at the limit
 constexpr auto roundInterval = std::chrono::seconds(1);          // of the memory's account
 
 CallerListener::CallerListener(asio::io_context &io)
--- a/traffic/refusallog.cpp
+++ b/traffic/refusallog.cpp
@@ -6,7 +6,7 @@
 namespace galenafold
 {
 
-constexpr std::int64_t maxLinesPerSecond = 10;
+constexpr std::int64_t maxLinesPerSecond = 10; // of one listener; tells who the callers are, and bounds the log
 
 RefusalLog::RefusalLog(EventLog &log, const char *listener)
     : m_log(log)
--- a/traffic/refusallog.h
+++ b/traffic/refusallog.h
@@ -18,7 +18,7 @@
     RefusalLog(EventLog &log, const char *listener);
 
     /// Load pattern: thousands of such callers a second must not fill the log. Only the first of each second have a
-    /// line of their own; a line at the next second counts the others.
+    /// line of their own; the first refusal in a later second also writes a line that counts the others.
     void onRefused(Instant now, const CallerRefusal &refusal);
 
     std::string metrics() const; ///< @return counters in Prometheus text format
