Mend what a reading of the whole change found

Cause: a request that waited was routed anew with the account of a table that may be gone; counts of tokens that callers claim were taken as they are, below zero or without end; the first waiting request without room held up all others; two engines drawn at random could be at their limits while others were not; a draining engine of another service or region could be named as a source of cached prompts; making room for one caller could take the share of the one that asked. Change: each where it arises. Result: by reading; new tests of the claims and of the order, not run on the code before.

--- a/control/ratelimits.cpp
+++ b/control/ratelimits.cpp
@@ -25,6 +25,7 @@
 constexpr auto permitLifetime = std::chrono::milliseconds(400); // short, as permits of all routers may be used at once
 /// Part of a warm-up's rate that is given out: permits of a second, and those still valid from before, add up to it.
 constexpr double permitPart = 1 / (1 + std::chrono::duration<double>(permitLifetime).count());
+constexpr double longestPermitInterval = 3600;           // seconds; keeps times in range whatever rate a service names
 constexpr auto sizeSettleTime = std::chrono::seconds(2); // from the first peers' lists until the fleet's size is exact
 constexpr int sendsPerNews = 2;                          // broadcasts that carry each change
 constexpr std::size_t maxSentNews = 32;                  // per broadcast
@@ -169,7 +170,9 @@
 Duration ReplicaRateLimits::permitInterval(const WarmUp &warmUp) const
 {
     const double perSecond = permitPart * warmUp.perSecond / m_routers;
-    return std::max(Duration(1), std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond)));
+    return std::max(Duration(1),
+                    std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(std::min(longestPermitInterval, 1 / perSecond))));
 }
 
 /// Drops permits that have lapsed. The first one is drawn as if this router had had permits all the time.
--- a/filters/admission.cpp
+++ b/filters/admission.cpp
@@ -11,7 +11,8 @@
 constexpr double sharedTokenCost = 0.1;  // of a prompt token that other requests share: mostly cached by a replica
 constexpr double outputTokenCost = 8;    // prompt tokens that an engine reads in the time of one token of output
 constexpr double usualCostWeight = 0.02; // of the newest request
-constexpr double turnWork = 1;           // deficit round robin: usual requests per turn of an account
+constexpr double maxUsualMultiple = 16; // of the usual cost: the most that one request counts, as callers may claim any
+constexpr double turnWork = 1;          // deficit round robin: usual requests per turn of an account
 constexpr auto startRateWindow = std::chrono::seconds(1);  // short enough to follow replicas that become slow
 constexpr auto refusedWindow = std::chrono::seconds(2);    // about the time after which refused callers return
 constexpr auto useWindow = std::chrono::seconds(5);        // of an account's share
@@ -23,6 +24,7 @@
 constexpr double standingSlack = 0.6;                   // of the time to start, that a standing backlog may use
 constexpr double pessimismStep = 1.25;                  // factor for a request that waited in vain
 constexpr double pessimismDecay = 0.98;                 // factor for a request that started after a wait
+constexpr int maxTries = 4; // requests that find no room; others may fit where the first ones do not
 constexpr double maxPessimism = 3;
 constexpr auto minRetryAfter = std::chrono::milliseconds(250);
 constexpr double minRetrySpread = 0.125;     // seconds; half of the range over which callers are spread
@@ -110,7 +112,7 @@
     double work = 1;
     if (request.cost > 0) {
         Tokens &usual = service.usualCost ? *service.usualCost : service.usualCost.emplace(request.cost);
-        usual += usualCostWeight * (request.cost - usual);
+        usual += usualCostWeight * (std::min(request.cost, maxUsualMultiple * usual) - usual);
         work = request.cost / usual;
     }
     return {static_cast<CallKey>(request.key), {request.account.text}, 1, work, request.startBy};
@@ -220,17 +222,24 @@
     const auto hasWaiting = [](const auto &level) { return level.second.queue.size() > 0; };
     const auto highest = std::find_if(state.levels.begin(), state.levels.end(), hasWaiting);
     Level *below = state.floorCredit >= 1 ? nextBelow(state, highest->first) : nullptr;
-    Level &level = below ? *below : highest->second;
-    bool isRefused = false;
+    Level *level = below ? below : &highest->second;
+    int refusals = 0;
     std::optional<QueuedCall> started;
-    level.queue.startNext([&](const QueuedCall &call) {
-        if (isRefused || !start(static_cast<WaitKey>(call.key))) {
-            isRefused = true;
+    const auto tryCall = [&](const QueuedCall &call) {
+        if (refusals >= maxTries || !start(static_cast<WaitKey>(call.key))) {
+            ++refusals;
             return false;
         }
         started = call;
         return true;
-    });
+    };
+    level->queue.startNext(tryCall);
+    for (auto next = highest; !started && refusals < maxTries && next != state.levels.end(); ++next) {
+        if (&next->second != below && (below || next != highest)) {
+            level = &next->second;
+            level->queue.startNext(tryCall);
+        }
+    }
     if (!started) {
         return false;
     }
@@ -238,12 +247,12 @@
     m_bytes -= entry->second.bytes;
     m_entries.erase(entry);
     --state.waiting;
-    if (below) {
+    if (level == below) {
         state.floorCredit -= started->cost;
     } else if (std::any_of(std::next(highest), state.levels.end(), hasWaiting)) {
         state.floorCredit += started->cost * m_settings.floorShare / (1 - m_settings.floorShare);
     }
-    level.pessimism = std::max(1.0, level.pessimism * pessimismDecay);
+    level->pessimism = std::max(1.0, level->pessimism * pessimismDecay);
     return true;
 }
 
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -98,7 +98,7 @@
     for (const ReplicaRecord &record : draining) {
         const auto state = m_endpoints.find(record.id);
         if (state != m_endpoints.end() && state->second.place) {
-            m_drainingEngines[record.id] = {*state->second.place, record.address, now + drainingEngineLifetime};
+            m_drainingEngines[record.id] = {*state->second.place, record, now + drainingEngineLifetime};
         }
     }
     for (auto entry = m_drainingEngines.begin(); entry != m_drainingEngines.end();) {
@@ -149,9 +149,9 @@
 }
 
 /// @return true if the request may be sent to the replica's data centre
-static bool isAllowed(const SelectionRequest &request, const EndpointState &state)
+static bool isAllowed(const SelectionRequest &request, const ReplicaRecord &replica)
 {
-    return !request.allowedDataCentres || request.allowedDataCentres->count(state.record.dataCentre) > 0;
+    return !request.allowedDataCentres || request.allowedDataCentres->count(replica.dataCentre) > 0;
 }
 
 ReplicaChoice LoadBalancer::choose(Instant now, const SelectionRequest &request)
@@ -163,7 +163,7 @@
         if (request.excluded.count(state->record.id) > 0) {
             continue;
         }
-        if (!isAllowed(request, *state)) {
+        if (!isAllowed(request, state->record)) {
             ++held.skippedRegion;
             continue;
         }
@@ -329,7 +329,15 @@
             return choice;
         }
     }
-    spill(now, request.needsRoom ? twoOf(withRoom(now, request, candidates, choice)) : candidates, choice);
+    if (!request.needsRoom) {
+        spill(now, candidates, choice);
+        return choice;
+    }
+    const std::vector<EndpointState *> free = withRoom(now, request, candidates, choice);
+    spill(now, twoOf(free), choice);
+    if (!choice) {
+        spill(now, free, choice); // both that were drawn are at their limits
+    }
     return choice;
 }
 
@@ -426,13 +434,14 @@
     };
     for (const auto &[id, state] : m_endpoints) {
         const bool isOther = id != chosen && state.record.service == request.service;
-        if (state.place && isOther && isAllowed(request, state)) {
+        if (state.place && isOther && isAllowed(request, state.record)) {
             consider(*state.place, now >= state.avoidUntil ? state.record.address : std::string());
         }
     }
     for (const auto &[id, engine] : m_drainingEngines) {
-        if (now < engine.until) {
-            consider(engine.place, engine.address);
+        const bool isSameService = engine.record.service == request.service;
+        if (now < engine.until && isSameService && isAllowed(request, engine.record)) {
+            consider(engine.place, engine.record.address);
         }
     }
     return best;
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -298,8 +298,8 @@
     ReplicaHolds m_holds;
     struct DrainingEngine {
         std::uint64_t place = 0; // the place that it had
-        std::string address;     // IP:PORT
-        Instant until{};         // after this it may have stopped
+        ReplicaRecord record;
+        Instant until{}; // after this it may have stopped
     };
     struct PeerCounts {
         Instant until{}; // expiry
--- a/filters/loadbalancerload.cpp
+++ b/filters/loadbalancerload.cpp
@@ -13,6 +13,7 @@
 constexpr auto stallLifetime = std::chrono::seconds(1);    // of a detected stall; a longer one is detected again
 constexpr auto slowdownLifetime = std::chrono::seconds(2); // of the smoothed slowdown without a report
 constexpr double meanTokensWeight = 0.02;                  // of the newest request in the mean tokens: sizes vary a lot
+constexpr double maxMeanMultiple = 16; // of the mean: the most that one request counts, as callers may claim any size
 constexpr auto minLoadFreshness = std::chrono::milliseconds(100); // peers of a small fleet report about as often
 constexpr auto smoothedLoadLifetime = std::chrono::seconds(8); // short enough to follow load that varies within seconds
 constexpr double smoothedLoadWeight = 0.3;                     // of the newest report in the smoothed load
@@ -62,7 +63,8 @@
     if (tokens > 0) {
         found->second.ownTokens += tokens;
         double &mean = m_services[found->second.record.service].meanTokens;
-        mean = mean == 0 ? tokens : mean + meanTokensWeight * (tokens - mean);
+        const Tokens counted = mean == 0 ? tokens : std::min(tokens, maxMeanMultiple * mean);
+        mean += (mean == 0 ? 1 : meanTokensWeight) * (counted - mean);
     }
 }
 
--- a/tests/admission.cpp
+++ b/tests/admission.cpp
@@ -162,6 +162,35 @@
     LONGS_EQUAL(50, admission.waiting(service));
 }
 
+/// The first request held up all others of the service where it alone found no room.
+TEST(Admission, ARequestWithoutRoomIsPassedByOthers)
+{
+    const AdmissionRequest large = request("a", 0);
+    const AdmissionRequest next = request("b", 0);
+    const AdmissionRequest lower = request("c", 1);
+    for (const AdmissionRequest &each : {large, next, lower}) {
+        CHECK(admission.push(at(0), service, each).waits);
+    }
+    std::vector<WaitKey> started;
+    admission.drain(service, [&](WaitKey key) {
+        if (key != large.key) {
+            started.push_back(key);
+        }
+        return key != large.key;
+    });
+    CHECK(started == std::vector<WaitKey>({next.key, lower.key}));
+    LONGS_EQUAL(1, admission.waiting(service));
+}
+
+/// One request that claims any size made all others look so small that none was refused.
+TEST(Admission, OneClaimOfAnySizeHardlyChangesWhatIsUsual)
+{
+    startFor(0, 10);
+    admission.onSent(at(0), service, request("odd", 1, 1e8));
+    startFor(5, 10);
+    CHECK(admission.startRate(at(5), service) > 5);
+}
+
 // Waits
 
 TEST(Admission, WaitsWhileItCanStartInTime)
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -167,6 +167,20 @@
     CHECK(!malformed.callerTimeout);
 }
 
+/// What a replica was thought to hold grew for good with each request that claimed fewer tokens than none.
+TEST(PlatformProtocol, TokensThatNoRequestHasAreNotTaken)
+{
+    for (const char *counts : {"-5,-7", "2000000000,2000000000", "many,1e3"}) {
+        const RequestFields fields = platformHeaderCodec().decodeRequest(
+            {{"X-Galenafold-Token-Count", counts}, {"X-Galenafold-Length-Hint", "-1"}});
+        DOUBLES_EQUAL(0, fields.promptTokens, 0);
+        DOUBLES_EQUAL(0, fields.maxOutput, 0);
+        DOUBLES_EQUAL(0, fields.expectedOutput, 0);
+    }
+    const RequestFields parts = platformHeaderCodec().decodeRequest({{"X-Galenafold-Prompt-Prefix", "5c:-800,91:410"}});
+    CHECK(parts.promptParts.empty());
+}
+
 TEST(PlatformProtocol, ResponsesReportLoadAndRequestsThatDidNotRun)
 {
     const HeaderCodec headerCodec = platformHeaderCodec();
--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -110,6 +110,9 @@
             reject(statusUnavailable, "memory");
             return;
         }
+        if (m_state != State::Reading) {
+            return;
+        }
         if (!m_hasHead) {
             m_hasHead = true;
             const std::string *expect = findField(m_parser->request().fields, "expect");
@@ -143,6 +146,9 @@
         m_bodyRoom = roomBefore;
         return false;
     }
+    if (m_state != State::Reading) {
+        return true; // making room has taken this connection's share as well
+    }
     body.reserve(room);
     return true;
 }
@@ -166,7 +172,11 @@
         reject(statusBadRequest, "host_or_target");
         return;
     }
-    if (!m_share.tryResize(heldBytes())) {
+    const bool hasRoom = m_share.tryResize(heldBytes());
+    if (m_state != State::Reading) {
+        return; // making room has taken this connection's share as well
+    }
+    if (!hasRoom) {
         reject(statusUnavailable, "memory");
         return;
     }
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -62,6 +62,10 @@
 /// @return false if the request was refused
 bool RequestHandler::route(Instant now)
 {
+    m_route = nullptr; // a request that waited is routed anew: nothing of the table before may be used
+    m_account = nullptr;
+    m_selection = SelectionRequest();
+    m_prompt = PromptKeys();
     m_table = m_state.table;
     if (!findRoute(now) || !checkApiKey(now)) {
         return false;
--- a/traffic/requestwait.cpp
+++ b/traffic/requestwait.cpp
@@ -100,6 +100,9 @@
 /// A request that was sent before stays with its route, as its other attempts did; its key is checked when it is sent.
 void RequestHandler::onDesiredState()
 {
+    if (m_isFinished) {
+        return; // ended by what was refused before it
+    }
     const Instant now = clockNow();
     m_isWaiting = false;
     if (m_attempts.sent == 0 && !route(now)) {
