--- a/filters/admission.h
+++ b/filters/admission.h
@@ -89,10 +89,11 @@
     /// A request found no replica with room, or others wait before it.
     AdmissionDecision push(Instant now, const ServiceId &service, const AdmissionRequest &request);
 
-    /// Starts waiting requests in order, until `start` returns false because there is no room.
+    /// Starts waiting requests in order. One for which `start` returns false, because no replica has room for it, is
+    /// passed by others; after a few such it ends.
     void drain(const ServiceId &service, const std::function<bool(WaitKey)> &start);
 
-    /// Starts the first waiting request in order. @param start returns false if there is no room
+    /// Starts the first waiting request in order for which there is room. @param start returns false if there is none
     /// @return false if none was started
     bool startNext(const ServiceId &service, const std::function<bool(WaitKey)> &start);
 
