Send peer lists in turn, and test beacons of a hundred routers in virtual time

Cause: BeaconsOfALargeFleet, AllRoutersHearEachOtherWithinTheByteBudget failed now and then. Most of it was the product's fault: each list went to a random peer, every second while the fleet forms and then every three, so some routers got none for several intervals and two that did not know each other stayed so. The rest was the test's: one thread plays 103 routers in real time, and where it got too little of the machine (load average 16) the kernel's receive buffers overflowed by 40,000 datagrams and more.

Change: the n-th list of each router goes to the peer that lies a part of the ring of addresses behind its own that is the same for all (PeerListTurns), so routers that started together reach different peers. Newcomers still come first, at random. An exchange can be given its time; the test's passes only once all that was sent has been received. It has the same 103 routers, 20 s, calls, checks and bounds, and does not depend on what it gets of the machine.

--- a/tests/largefleet.cpp
+++ b/tests/largefleet.cpp
@@ -5,6 +5,7 @@
 #include "net/beacons.h"
 #include "tests/largefleetmodel.h"
 #include "tests/nodefixture.h"
+#include "tests/peertime.h"
 #include "traffic/peerloadexchange.h"
 
 #include <algorithm>
@@ -381,32 +382,34 @@
 
 /// One router of a fleet on loopback addresses, with calls in progress at some engines.
 struct BusyRouter {
-    BusyRouter(asio::io_context &io, int index, int port)
-        : exchange(io,
+    BusyRouter(asio::io_context &io, PeerTime &theTime, int index, int port)
+        : time(theTime)
+        , exchange(io,
                    {routerAddress(index) + ':' + std::to_string(port), {routerAddress(0) + ':' + std::to_string(port)}},
-                   balancer, queryOfDeath)
+                   balancer, queryOfDeath, theTime.forExchange())
     {
         std::vector<ReplicaRecord> records(140);
         for (std::size_t i = 0; i < records.size(); ++i) {
             records[i].id.text = "e" + std::to_string(i);
             records[i].service.text = "llm";
         }
-        balancer.updateReplicas(clockNow(), records);
+        balancer.updateReplicas(time.now(), records);
         isOpen = exchange.start();
     }
     /// Starts a call on a prompt that no other router has, and ends the oldest one if six are in progress.
     void startCall(std::uint64_t prompt)
     {
-        const EndpointId id = balancer.choose(clockNow(), {{"llm"}, prompt, {}})->record.id;
+        const EndpointId id = balancer.choose(time.now(), {{"llm"}, prompt, {}})->record.id;
         balancer.onSent(id);
         calls.push_back(id);
         if (calls.size() > 6) {
-            balancer.onEnded(clockNow(), calls.front(), AttemptOutcome::Good);
+            balancer.onEnded(time.now(), calls.front(), AttemptOutcome::Good);
             calls.pop_front();
         }
         exchange.requestBeacon();
     }
 
+    PeerTime &time;
     LoadBalancer balancer{LoadBalancerSettings(), {"here"}, 1};
     QueryOfDeathDetector queryOfDeath{QueryOfDeathSettings(), 1};
     PeerLoadExchange exchange;
@@ -420,21 +423,19 @@
     constexpr int seconds = 20;
     const int port = freePort();
     asio::io_context io;
+    PeerTime time(io);
     std::vector<std::unique_ptr<BusyRouter>> fleet;
     for (int i = 0; i < fleetSize; ++i) {
-        fleet.push_back(std::make_unique<BusyRouter>(io, i, port));
+        fleet.push_back(std::make_unique<BusyRouter>(io, time, i, port));
         CHECK(fleet.back()->isOpen);
     }
-    const Instant start = clockNow();
+    const Instant start = time.now();
     int leastHeard = fleetSize;
     for (int tick = 0; tick < seconds * 10; ++tick) {
-        const Instant end = start + std::chrono::milliseconds(100) * (tick + 1);
         for (int i = tick % 2; i < fleetSize; i += 2) {
             fleet[static_cast<std::size_t>(i)]->startCall(static_cast<std::uint64_t>(i * 1000 + tick) * 7919);
         }
-        while (clockNow() < end) {
-            io.run_one_until(std::chrono::steady_clock::now() + std::chrono::milliseconds(10));
-        }
+        time.runUntil(start + std::chrono::milliseconds(100) * (tick + 1));
         if (tick >= seconds * 5) { // the second half
             for (const auto &router : fleet) {
                 leastHeard = std::min(leastHeard, router->exchange.stats().heard);
@@ -442,7 +443,7 @@
         }
     }
     LONGS_EQUAL(fleetSize - 1, leastHeard);
-    const double elapsed = std::chrono::duration<double>(clockNow() - start).count();
+    const double elapsed = std::chrono::duration<double>(time.now() - start).count();
     for (const auto &router : fleet) {
         CHECK(static_cast<double>(router->exchange.stats().bytesSent) <= PeerSettings().bytesPerSecond * (elapsed + 2));
     }
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -36,8 +36,23 @@
                        [&](const std::string &seed) { return seed != settings.address; });
 }
 
+static PeerExchangeTime completed(PeerExchangeTime time, DeadlineTimer &timer)
+{
+    if (!time.wakeAt) {
+        time.wakeAt = [&timer](Instant when, const std::function<void()> &wake) {
+            timer.expires_at(when);
+            timer.async_wait([wake](const asio::error_code &error) {
+                if (!error) {
+                    wake();
+                }
+            });
+        };
+    }
+    return time;
+}
+
 PeerLoadExchange::PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer,
-                                   QueryOfDeathDetector &queryOfDeath)
+                                   QueryOfDeathDetector &queryOfDeath, const PeerExchangeTime &time)
     : m_settings(settings)
     , m_loadBalancer(loadBalancer)
     , m_queryOfDeath(queryOfDeath)
@@ -45,6 +60,7 @@
     , m_beaconBudget(GossipSettings{settings.bytesPerSecond})
     , m_newcomerBudget(GossipSettings{settings.bytesPerSecond})
     , m_timer(io)
+    , m_time(completed(time, m_timer))
     , m_random(hashName(settings.address))
     , m_fleetSize(settings.address.empty() || !hasOtherSeed(settings))
 {
@@ -53,7 +69,7 @@
 bool PeerLoadExchange::start()
 {
     if (m_settings.address.empty()) {
-        m_loadBalancer.rateLimits().setFleet(clockNow(), 1, Duration{});
+        m_loadBalancer.rateLimits().setFleet(m_time.now(), 1, Duration{});
         return true;
     }
     const auto own = parseAddress(m_settings.address);
@@ -64,17 +80,17 @@
     m_port = own->port();
     m_beaconNumber = firstBeaconNumber(std::chrono::system_clock::now());
     m_startId = m_beaconNumber;
-    m_startingUntil = clockNow() + startingTime;
-    m_discoversUntil = hasOtherSeed(m_settings) ? m_startingUntil : clockNow();
-    m_listsFrom = clockNow() + newcomersTime;
-    m_fleetFormsUntil = clockNow() + formingTime;
-    m_startIdToldUntil = clockNow() + startIdTime;
+    m_startingUntil = m_time.now() + startingTime;
+    m_discoversUntil = hasOtherSeed(m_settings) ? m_startingUntil : m_time.now();
+    m_listsFrom = m_time.now() + newcomersTime;
+    m_fleetFormsUntil = m_time.now() + formingTime;
+    m_startIdToldUntil = m_time.now() + startIdTime;
     for (const std::string &seed : m_settings.seeds) {
         const auto address = parseAddress(seed);
         const bool isOther =
             address && address->address().is_v4() && address->address().to_v4().to_uint() != m_ownAddress;
         if (isOther) {
-            m_peers[address->address().to_v4().to_uint()].heardAt = clockNow(); // expires if it stays silent
+            m_peers[address->address().to_v4().to_uint()].heardAt = m_time.now(); // expires if it stays silent
         }
     }
     tick();
@@ -92,7 +108,7 @@
     if (from == m_ownAddress) {
         return;
     }
-    const Instant now = clockNow();
+    const Instant now = m_time.now();
     const auto [entry, isNew] = m_peers.try_emplace(from);
     Peer &peer = entry->second;
     const bool asksForList =
@@ -192,7 +208,7 @@
 
 void PeerLoadExchange::tick()
 {
-    const Instant now = clockNow();
+    const Instant now = m_time.now();
     int heard = 0;
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
         heard += peer->second.number > 0 && now < peer->second.heardAt + peerTimeout() ? 1 : 0;
@@ -217,20 +233,16 @@
 
 void PeerLoadExchange::armTimer(Instant now)
 {
-    m_timer.expires_at(now + (m_unsentStartAt ? startRetryInterval : endReportInterval));
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            tick();
-        }
-    });
+    m_nextTickAt = now + (m_unsentStartAt ? startRetryInterval : endReportInterval);
+    m_time.wakeAt(m_nextTickAt, [this] { tick(); });
 }
 
 void PeerLoadExchange::requestBeacon()
 {
-    const Instant now = clockNow();
+    const Instant now = m_time.now();
     m_unsentStartAt = m_unsentStartAt.value_or(now);
     sendIfDue(now);
-    if (m_unsentStartAt && m_timer.expiry() > now + startRetryInterval) {
+    if (m_unsentStartAt && m_nextTickAt > now + startRetryInterval) {
         armTimer(now);
     }
 }
@@ -242,7 +254,7 @@
 
 bool PeerLoadExchange::isLeader() const
 {
-    const Instant now = clockNow();
+    const Instant now = m_time.now();
     const auto own = std::make_pair(m_placesUpTo == 0, m_ownAddress);
     for (const auto &[address, peer] : m_peers) {
         const bool isHeard = peer.number > 0 && now < peer.heardAt + peerTimeout();
@@ -389,9 +401,9 @@
     return near;
 }
 
-/// @return the peer that gets the next list: a newcomer, those with wide links first, or now and then any peer. Of many
-/// routers that start at once, the first ones are sent their lists when those that start a moment later have been heard
-/// as well.
+/// @return the peer that gets the next list: a newcomer, those with wide links first, or now and then the peer whose
+/// turn it is. Of many routers that start at once, the first ones are sent their lists when those that start a moment
+/// later have been heard as well.
 std::optional<std::uint32_t> PeerLoadExchange::nextListReceiver(Instant now)
 {
     std::vector<std::uint32_t> candidates;
@@ -412,7 +424,7 @@
     if (candidates.empty() || (m_hasManyNewcomers && now < m_listsFrom)) {
         return std::nullopt;
     }
-    return candidates[m_random() % candidates.size()];
+    return highestRank == 0 ? m_listTurns.next(candidates, m_ownAddress) : candidates[m_random() % candidates.size()];
 }
 
 /// Of many routers that start at once, several get their lists in one step.
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -18,6 +18,7 @@
 
 #include "control/fleetsize.h"
 #include "control/gossip.h"
+#include "control/peerlistturns.h"
 #include "filters/loadbalancer.h"
 #include "net/beacons.h"
 #include "net/timer.h"
@@ -33,6 +34,14 @@
     RouterSite site = {};           // of this router; no data centre: peers are not told
 };
 
+/// Where the exchange takes its time from. Tests bring a time of their own, which does not depend on the machine.
+struct PeerExchangeTime {
+    std::function<Instant()> now = clockNow;
+
+    /// Calls a function at a time, in place of the call that was set before. Empty: by a timer on the event loop.
+    std::function<void(Instant, std::function<void()>)> wakeAt;
+};
+
 /// State of the exchange, for logs and metrics.
 struct PeerExchangeStats {
     int known = 0;                    // peers that beacons are sent to
@@ -50,7 +59,7 @@
 {
 public:
     PeerLoadExchange(asio::io_context &io, const PeerSettings &settings, LoadBalancer &loadBalancer,
-                     QueryOfDeathDetector &queryOfDeath);
+                     QueryOfDeathDetector &queryOfDeath, const PeerExchangeTime &time = PeerExchangeTime());
 
     bool start();         ///< @return false if the address is invalid or in use
     void requestBeacon(); ///< Sends a beacon as soon as the budget allows: a request was sent, or an engine is stalled.
@@ -117,12 +126,15 @@
     BeaconBudget m_beaconBudget;
     BeaconBudget m_newcomerBudget; // besides, for the lists to many that start at once
     DeadlineTimer m_timer;
+    PeerExchangeTime m_time;
+    Instant m_nextTickAt{};
     std::map<std::uint32_t, Peer> m_peers;   // by IPv4 address; includes known peers not heard yet
     std::uint32_t m_ownAddress = 0;          // IPv4 address of this router
     std::uint32_t m_beaconNumber = 0;        // number of the last beacon sent
     std::vector<PeerLoad> m_lastSentLoads;   // loads in the last beacon
     std::uint32_t m_startId = 0;             // differs after each start of this router
     Instant m_discoversUntil{};              // peers heard until then are not all, unless a list has come
+    PeerListTurns m_listTurns;               // of peers that are no newcomers
     bool m_hasManyNewcomers = false;         // so many that their lists must be short
     Instant m_listsFrom{};                   // earliest time of peer lists to many newcomers
     Instant m_fleetFormsUntil{};             // peer lists are sent more often until then
