Don't take a late answer from before a restore for a write after it

A listing is followed by a read at once. Where the store had taken the write before it answered that read, the read told of it first, and the test restored the store while the write's own answer was still on its way. That answer then gave a second event; where it arrived after the restore had been noticed, it ended it: SharedState took what the restore had lost for written again, and the copy's older places over. The second is the product's fault, the first a race of the test.

Change: an answer to a write with an earlier era than the store's last one counts as a conflict, and the topic is read again. The test waits for the read after the listing before it writes; its checks are as before. The fake can hold the answers to appends and tells the era of the append. New test of an answer that comes after the restore.

--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -56,7 +56,9 @@
     m_server.http().Post("/-/log-append", [this](const auto &request, auto &response) { append(request, response); });
     m_server.http().set_post_routing_handler([this](const auto &, auto &response) {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        response.set_header("Store-Era", std::to_string(m_era));
+        if (!response.has_header("Store-Era")) {
+            response.set_header("Store-Era", std::to_string(m_era));
+        }
     });
 }
 
@@ -113,6 +115,13 @@
     m_changed.notify_all();
 }
 
+void FakeTopicStore::holdAppendAnswers(bool isOn)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_holdsAppendAnswers = isOn;
+    m_changed.notify_all();
+}
+
 void FakeTopicStore::setRate(std::int64_t bytesPerSecond)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -237,7 +246,7 @@
     if (applyFault(response)) {
         return;
     }
-    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::unique_lock<std::mutex> lock(m_mutex);
     std::vector<Record> &records = m_topics[request.get_param_value("topic")].records;
     const std::size_t offset = records.size();
     if (request.has_param("at") && request.get_param_value("at") != std::to_string(offset)) {
@@ -255,6 +264,11 @@
     }
     m_changed.notify_all();
     response.set_content(Json{{"offset", offset}, {"end", records.size()}}.dump(), "application/json");
+    response.set_header("Store-Era", std::to_string(m_era)); // of the append, also if it is answered later
+    if (m_holdsAppendAnswers) {
+        ++m_heldAnswers;
+        m_changed.wait(lock, [this] { return m_isStopping || !m_holdsAppendAnswers; });
+    }
 }
 
 static std::string encodeBase64(const std::string &bytes)
--- a/fakes/topicstore.h
+++ b/fakes/topicstore.h
@@ -49,7 +49,12 @@
     /// Appends one record. @param value empty for a tombstone, which deletes the key @return the record's offset
     std::int64_t put(const std::string &topic, const std::string &key, const std::string &value);
 
-    void setFault(StoreFault fault);                                ///< Also wakes waiting requests.
+    void setFault(StoreFault fault); ///< Also wakes waiting requests.
+
+    /// While on, appends take effect but are not answered.
+    void holdAppendAnswers(bool isOn);
+    int heldAnswers() const { return m_heldAnswers; } ///< @return appends that took effect and were held so far
+
     void setPageSize(std::size_t records) { m_pageSize = records; } ///< Of listings; default 500.
 
     /// Excludes the present records from reads. Listings still contain them.
@@ -99,6 +104,8 @@
     Instant m_busyUntil{};             // the bytes so far are sent then
     std::atomic<std::int64_t> m_bytesServed{0};
     std::atomic<std::int64_t> m_requestCount{0};
+    std::atomic<int> m_heldAnswers{0};
+    bool m_holdsAppendAnswers = false;
     bool m_isStopping = false;
     HttpServer m_server;
 };
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -203,10 +203,12 @@
     hooks.onResponse = [this, records](const ClientResponse &response) {
         m_isSaving = false;
         const auto end = response.status == statusOk ? decodeAppendEnd(response.body) : std::nullopt;
+        const auto era = decodeStoreEra(response.fields);
+        const bool isLost = era && m_subscription.era() && *era < *m_subscription.era(); // by a restore since
         LogLine line("places_saved");
         line.number("places", static_cast<std::int64_t>(records.size())).number("status", response.status);
         m_log.write(line, LogPriority::Notable);
-        if (!end) {
+        if (!end || isLost) {
             m_subscription.readStoreNow(); // conflict with another router's write, or refused by the store
             return;
         }
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -68,6 +68,9 @@
 
     const TopicSubscriptionStats &stats() const { return m_stats; }
 
+    /// @return how often the store had been restored when it was last read; nothing if it does not tell
+    const std::optional<StoreEra> &era() const { return m_era; }
+
     // For routers that follow this one
     void onAsked(Instant now) override;
     bool hasNews(const TopicQuestion &question, Instant waitsSince) const override;
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -112,36 +112,47 @@
 
 TEST_GROUP(RestoredPlaces)
 {
-    NodeFixture fixture;
-};
-
-/// All routers took over the copy's older places, and prompts moved to other engines.
-TEST(RestoredPlaces, PlacesInUseStayUntilARouterHasWrittenAgain)
-{
-    asio::io_context io;
-    EventLogSettings logSettings;
-    logSettings.fd = -1;
-    EventLog log(logSettings);
-    SharedState state(io, fixture.store.address(), 0, log, 1);
-    std::vector<std::string> events;
-    const auto record = [&events](const char *name) {
-        return [&events, name](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &, LogOffset) {
+    void setup() override
+    {
+        state.onRead = record("read ");
+        state.onRestored = record("restored ");
+    }
+    StoredStateHook record(const char *name)
+    {
+        return [this, name](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &, LogOffset) {
             events.push_back(name + std::to_string(places.size()));
         };
-    };
-    state.onRead = record("read ");
-    state.onRestored = record("restored ");
-    const auto runUntil = [&](const std::string &event) {
+    }
+    void runUntil(const std::string &event)
+    {
         events.clear();
         const Instant deadline = clockNow() + eventTimeout;
         while ((events.empty() || events.back() != event) && clockNow() < deadline) {
             io.run_one_for(std::chrono::milliseconds(20));
         }
         CHECK_TEXT(!events.empty() && events.back() == event, event.c_str());
-    };
+    }
+    static EventLogSettings withoutOutput()
+    {
+        EventLogSettings settings;
+        settings.fd = -1;
+        return settings;
+    }
+
+    NodeFixture fixture;
+    asio::io_context io;
+    EventLog log{withoutOutput()};
+    SharedState state{io, fixture.store.address(), 0, log, 1};
+    std::vector<std::string> events;
+};
+
+/// All routers took over the copy's older places, and prompts moved to other engines.
+TEST(RestoredPlaces, PlacesInUseStayUntilARouterHasWrittenAgain)
+{
     const std::vector<PlaceRecord> places = {{{"llm"}, 7, {"e7"}}};
     state.start();
     runUntil("read 0");
+    runUntil("read 0"); // the listing is followed by a read, whose answer could tell of the write before its own does
     fixture.store.backUp();
     state.savePlaces(places);
     runUntil("read 1");
@@ -155,6 +166,29 @@
     runUntil("read 1");
 }
 
+/// What was written before the restore counted as written again, and the copy's older places were taken over.
+TEST(RestoredPlaces, AnAnswerFromBeforeTheRestoreDoesNotEndIt)
+{
+    const std::vector<PlaceRecord> places = {{{"llm"}, 7, {"e7"}}};
+    state.start();
+    runUntil("read 0");
+    runUntil("read 0");
+    fixture.store.backUp();
+    fixture.store.holdAppendAnswers(true);
+    state.savePlaces(places);
+    const Instant deadline = clockNow() + eventTimeout;
+    while (fixture.store.heldAnswers() == 0 && clockNow() < deadline) {
+        io.run_one_for(std::chrono::milliseconds(20));
+    }
+    fixture.store.restore();
+    state.readNow();
+    runUntil("restored 0"); // the listing
+    runUntil("restored 0"); // and the read that follows it
+    fixture.store.holdAppendAnswers(false);
+    runUntil("restored 0");
+    LONGS_EQUAL(1, events.size());
+}
+
 // Routers that start
 
 TEST_GROUP(StartAfterARestore)
