Wait in two tests until the replica has closed its connection

Cause: NodeExecutionStatus and StreamEnds failed once each (502 instead of 200). Their replica sends a complete response and then closes the connection without having said so, in two steps. Where its thread lost the processor in between, the caller had its response and the test sent the next request, which the router put on the connection that was still open; it ended with it, and may have run, so 502 was right.

Change: both tests send the next request when the replica has closed the connection; the checks are as before.

--- a/tests/routernode.cpp
+++ b/tests/routernode.cpp
@@ -200,16 +200,19 @@
 
 TEST(NodeExecutionStatus, AClosedIdleConnectionIsNotUsedForNonIdempotentRequests)
 {
+    std::atomic<int> closed{0};
     FakeReplica &replica =
-        fixture.addReplica("a", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        fixture.addReplica("a", [&closed](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
             reply->sendResponse(request, 200, "x");
             reply->closeGracefully(); // without "Connection: close"
+            ++closed;
         });
     fixture.startAndWaitReady();
     for (int i = 0; i < 5; ++i) {
         const auto caller = fixture.send(encodeCallerRequest("/once/x", "i" + std::to_string(i)));
         CHECK(caller->read());
         LONGS_EQUAL(200, caller->status());
+        CHECK(waitFor([&] { return closed == i + 1; })); // what is sent earlier may have run, and 502 would be right
     }
     LONGS_EQUAL(5, replica.connections());
 }
--- a/tests/streamends.cpp
+++ b/tests/streamends.cpp
@@ -69,7 +69,9 @@
 TEST_GROUP(StreamEnds)
 {
     NodeFixture fixture;
-    CutStream stream; // sent by the replicas in answer to the next request
+    CutStream stream;           // sent by the replicas in answer to the next request
+    std::atomic<int> begun{0};  // streams
+    std::atomic<int> closed{0}; // of these, those whose connection is closed
 
     /// Both replicas send `stream`. @param isResumed only to a request that resumes one; others get the first event and
     /// then a reset
@@ -78,7 +80,9 @@
         const ReplicaScript script = [this, isResumed](const ReplicaRequest &request,
                                                        const std::shared_ptr<ReplicaReply> &reply) {
             if (!isResumed || !request.field("Last-Event-Id").empty()) {
+                ++begun;
                 sendCut(stream, request, *reply);
+                ++closed;
                 return;
             }
             reply->beginStream(request);
@@ -111,6 +115,7 @@
             + std::to_string(static_cast<int>(stream.framing)) + " cut at " + std::to_string(stream.bytes) + ": "
             + std::to_string(caller->status());
         CHECK_EQUAL_TEXT(looksComplete(stream), isSuccess, label.c_str());
+        CHECK(waitFor([this] { return closed == begun; })); // a request that is sent earlier ends with its connection
         if (isSuccess) {
             STRCMP_EQUAL_TEXT((before + stream.events.substr(0, stream.bytes)).c_str(), caller->body().c_str(),
                               label.c_str());
