Convert between times and seconds in one place

The pair of conversions stood in admission, rates, requestpace and servicetime under two names. It is galenafold/seconds.h now, a header of its own so that a change of it does not rebuild what needs no rates.

--- a/filters/admission.cpp
+++ b/filters/admission.cpp
@@ -2,6 +2,8 @@
 // Estimates.
 #include "filters/admission.h"
 
+#include "galenafold/seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -31,16 +33,6 @@
 constexpr double maxRetrySpread = 2;         // seconds
 constexpr std::size_t maxRouteTimes = 16384; // routes whose response times are kept
 
-static double secondsOf(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-static Duration durationOf(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 // Request
 
 const char *text(AdmissionRefusal refusal)
--- a/filters/rates.cpp
+++ b/filters/rates.cpp
@@ -1,6 +1,8 @@
 // Exponentially decaying sums and smoothed response times. Sections of this file: Sum, Response time.
 #include "filters/rates.h"
 
+#include "galenafold/seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,16 +15,6 @@
 constexpr double deviationWeight = 0.25;                    // of the newest deviation
 constexpr double deviations = 2;                            // mean deviations; about one attempt in twenty exceeds them
 
-static double secondsOf(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-static Duration durationOf(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 // Sum
 
 void DecayingSum::add(Instant now, double amount)
--- a/filters/requestpace.cpp
+++ b/filters/requestpace.cpp
@@ -1,6 +1,8 @@
 // Rate limit towards a replica without load reports: additive increase, multiplicative decrease.
 #include "filters/requestpace.h"
 
+#include "galenafold/seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -20,20 +22,15 @@
 
 constexpr auto refusalTime = std::chrono::milliseconds(20); // from a request until it is refused, at most
 
-static double seconds(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 double RequestPace::rateAt(Instant now) const
 {
-    const double since = seconds(now - m_slowedAt);
+    const double since = secondsOf(now - m_slowedAt);
     return m_rate * std::exp(increasePerSecond * since * since) + increaseStep * m_minRate * since;
 }
 
 double RequestPace::tokensAt(Instant now) const
 {
-    return std::min(maxTokens, m_tokens + rateAt(now) * seconds(now - std::max(m_lastStart, m_slowedAt)));
+    return std::min(maxTokens, m_tokens + rateAt(now) * secondsOf(now - std::max(m_lastStart, m_slowedAt)));
 }
 
 bool RequestPace::mayStart(Instant now) const
@@ -43,7 +40,7 @@
 
 void RequestPace::onStarted(Instant now)
 {
-    const double passed = seconds(now - m_lastStart);
+    const double passed = secondsOf(now - m_lastStart);
     if (m_isLimited) {
         m_tokens = std::max(0.0, tokensAt(now) - 1);
     }
@@ -58,7 +55,7 @@
     if (now - took < m_slowedAt) {
         return;
     }
-    const double sent = m_sendRate * std::exp(-seconds(now - m_lastStart) / rateWindowSeconds);
+    const double sent = m_sendRate * std::exp(-secondsOf(now - m_lastStart) / rateWindowSeconds);
     const double before = m_isLimited ? std::min(rateAt(now), std::max(m_rate, sent)) : sent;
     m_tokens = m_isLimited ? tokensAt(now) : 0;
     m_minRate = minRate;
@@ -77,12 +74,12 @@
 
 void RequestPace::onAnswered(Instant now, Duration took, Duration objective, double minRate)
 {
-    noteUsual(now, seconds(took));
+    noteUsual(now, secondsOf(took));
     if (objective <= Duration{}) {
         return;
     }
-    const double tolerated = std::max(congestedObjective * seconds(objective), congestedUsual * m_usualSeconds);
-    if (seconds(took) > std::min(tolerated, maxTolerated * seconds(objective))) {
+    const double tolerated = std::max(congestedObjective * secondsOf(objective), congestedUsual * m_usualSeconds);
+    if (secondsOf(took) > std::min(tolerated, maxTolerated * secondsOf(objective))) {
         slowDown(now, took, minRate);
     }
 }
--- a/filters/servicetime.cpp
+++ b/filters/servicetime.cpp
@@ -1,6 +1,8 @@
 // Estimate of service times: a linear model that follows observed times (normalised least mean squares).
 #include "filters/servicetime.h"
 
+#include "galenafold/seconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,16 +13,6 @@
 constexpr double learningRate = 0.1;    // of the newest observation
 constexpr int firstObservations = 10;   // count alike, so that the estimate is useful soon after a start
 
-static double seconds(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-static Duration duration(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 /// @return weight of the newest of `count` observations
 static double weight(std::int64_t count)
 {
@@ -47,13 +39,13 @@
 {
     const double first = firstEventSeconds(work, occupancy);
     const double rest = m_secondsPerOutputToken * work.output * occupancy.slowdown;
-    return {duration(first), duration(first + rest)};
+    return {durationOf(first), durationOf(first + rest)};
 }
 
 /// The pace is learnt from requests that did not wait: a wait says little of it.
 void ServiceTimeModel::onFirstEvent(const ServiceWork &work, const ReplicaOccupancy &occupancy, Duration took)
 {
-    const double error = seconds(took) - firstEventSeconds(work, occupancy);
+    const double error = secondsOf(took) - firstEventSeconds(work, occupancy);
     const double weightOfNewest = weight(m_error.count);
     m_error.meanSeconds += weightOfNewest * (error - m_error.meanSeconds);
     m_error.meanAbsoluteSeconds += weightOfNewest * (std::abs(error) - m_error.meanAbsoluteSeconds);
@@ -72,10 +64,10 @@
 {
     const double weightOfNewest = weight(m_error.count);
     if (work.output > 0) {
-        const double perToken = seconds(sinceFirstEvent) / work.output / occupancy.slowdown;
+        const double perToken = secondsOf(sinceFirstEvent) / work.output / occupancy.slowdown;
         m_secondsPerOutputToken += weightOfNewest * (perToken - m_secondsPerOutputToken);
     }
-    m_meanSeconds += weightOfNewest * (seconds(took) / occupancy.slowdown - m_meanSeconds);
+    m_meanSeconds += weightOfNewest * (secondsOf(took) / occupancy.slowdown - m_meanSeconds);
 }
 
 } // namespace galenafold
