--- a/filters/admission.h
+++ b/filters/admission.h
@@ -30,30 +30,30 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <map>
 
-namespace galenafold {
+namespace galenafold
+{
 
 // Request
 
-enum class WaitKey : std::uint64_t {
-}; // identifies a waiting request within one run of a router
+enum class WaitKey : std::uint64_t {}; // identifies a waiting request within one run of a router
 
 /// What the decision and the order depend on.
 struct AdmissionRequest {
-  WaitKey key{};
-  AccountId account; // empty: the route needs no API key
-  int priority = 5;  // of the account, or else of the route; 0: highest
-  bool isAccountPriority = false; // the priority is the account's, which it
-                                  // keeps however much it asks for
-  Tokens cost = 0;                // expected work; 0: not known
-  Instant startBy{};     // latest start after which the response would be late
-  std::size_t bytes = 0; // memory that it holds while it waits
+    WaitKey key{};
+    AccountId account;              // empty: the route needs no API key
+    int priority = 5;               // of the account, or else of the route; 0: highest
+    bool isAccountPriority = false; // the priority is the account's, which it
+                                    // keeps however much it asks for
+    Tokens cost = 0;                // expected work; 0: not known
+    Instant startBy{};              // latest start after which the response would be late
+    std::size_t bytes = 0;          // memory that it holds while it waits
 };
 
 /// Why a request does not wait.
 enum class AdmissionRefusal : std::uint8_t {
-  None,    // it waits
-  TooLate, // it cannot be expected to start in time
-  Full,    // as many requests wait as may, and this one is the least urgent
+    None,    // it waits
+    TooLate, // it cannot be expected to start in time
+    Full,    // as many requests wait as may, and this one is the least urgent
 };
 
 const char *text(AdmissionRefusal refusal); ///< @return the refusal's name in
@@ -62,21 +62,18 @@
 /// What becomes of a request that found no room, and the inputs of the
 /// decision.
 struct AdmissionDecision {
-  bool waits = false;    // false: refuse it now
-  Duration retryAfter{}; // of a refusal: time after which room is expected,
-                         // spread by chance
-  AdmissionRefusal refusal = AdmissionRefusal::None;
-  std::vector<WaitKey>
-      evicted;             // requests that no longer wait, to be refused now
-  std::size_t waiting = 0; // requests of the service that wait
-  double workBefore = 0; // work to start before this request, as a multiple of
-                         // the service's usual request
-  double startRate =
-      0; // such work per second that has started lately; 0: not known
-  Duration expectedWait{};
-  double use =
-      0; // of the account lately, as a multiple of the mean of all accounts
-  int rank = 0; // place in the order, the first to start first
+    bool waits = false;    // false: refuse it now
+    Duration retryAfter{}; // of a refusal: time after which room is expected,
+                           // spread by chance
+    AdmissionRefusal refusal = AdmissionRefusal::None;
+    std::vector<WaitKey> evicted; // requests that no longer wait, to be refused now
+    std::size_t waiting = 0;      // requests of the service that wait
+    double workBefore = 0;        // work to start before this request, as a multiple of
+                                  // the service's usual request
+    double startRate = 0;         // such work per second that has started lately; 0: not known
+    Duration expectedWait{};
+    double use = 0; // of the account lately, as a multiple of the mean of all accounts
+    int rank = 0;   // place in the order, the first to start first
 };
 
 /// @return expected work of a request by the token counts that its fields give;
@@ -86,138 +83,121 @@
 // Admission
 
 struct AdmissionSettings {
-  std::size_t capacity =
-      512; // requests that wait at one router at most, all services together
-  std::size_t maxBytes = 16U << 20U; // of memory that they hold at most
-  double floorShare = 0.1; // of the work that starts, for priorities below the
-                           // highest that waits
+    std::size_t capacity = 512;        // requests that wait at one router at most, all services together
+    std::size_t maxBytes = 16U << 20U; // of memory that they hold at most
+    double floorShare = 0.1;           // of the work that starts, for priorities below the
+                                       // highest that waits
 };
 
 /// Waiting requests of all services of one router. Work is counted as a
 /// multiple of the service's usual request. Not thread-safe: used on the
 /// traffic thread.
-class Admission {
+class Admission
+{
 public:
-  Admission(const AdmissionSettings &settings, std::uint64_t seed);
+    Admission(const AdmissionSettings &settings, std::uint64_t seed);
 
-  /// @return true if requests of the service wait, so that a new one must take
-  /// its turn, or if enough are in progress
-  bool mustWait(const ServiceId &service) const;
-  std::size_t waiting(const ServiceId &service)
-      const; ///< @return requests of the service that wait
-  std::vector<ServiceId>
-  servicesWaiting() const; ///< @return services of which requests wait
+    /// @return true if requests of the service wait, so that a new one must take
+    /// its turn, or if enough are in progress
+    bool mustWait(const ServiceId &service) const;
+    std::size_t waiting(const ServiceId &service) const; ///< @return requests of the service that wait
+    std::vector<ServiceId> servicesWaiting() const;      ///< @return services of which requests wait
 
-  /// A request found no replica with room, or others wait before it.
-  AdmissionDecision push(Instant now, const ServiceId &service,
-                         const AdmissionRequest &request);
+    /// A request found no replica with room, or others wait before it.
+    AdmissionDecision push(Instant now, const ServiceId &service, const AdmissionRequest &request);
 
-  /// Starts waiting requests in order. One for which `start` returns false,
-  /// because no replica has room for it, is passed by others; after a few such
-  /// it ends.
-  void drain(const ServiceId &service,
-             const std::function<bool(WaitKey)> &start);
+    /// Starts waiting requests in order. One for which `start` returns false,
+    /// because no replica has room for it, is passed by others; after a few such
+    /// it ends.
+    void drain(const ServiceId &service, const std::function<bool(WaitKey)> &start);
 
-  /// Starts the first waiting request in order for which there is room. @param
-  /// start returns false if there is none
-  /// @return false if none was started
-  bool startNext(const ServiceId &service,
-                 const std::function<bool(WaitKey)> &start);
+    /// Starts the first waiting request in order for which there is room. @param
+    /// start returns false if there is none
+    /// @return false if none was started
+    bool startNext(const ServiceId &service, const std::function<bool(WaitKey)> &start);
 
-  /// An attempt was sent to a replica, after a wait or at once.
-  void onSent(Instant now, const ServiceId &service,
-              const AdmissionRequest &request);
+    /// An attempt was sent to a replica, after a wait or at once.
+    void onSent(Instant now, const ServiceId &service, const AdmissionRequest &request);
 
-  void
-  onEnded(const ServiceId &service); ///< An attempt that was sent has ended.
+    void onEnded(const ServiceId &service); ///< An attempt that was sent has ended.
 
-  /// A response told the load of its replica. @see StartWindow
-  void onLoad(Instant now, const ServiceId &service, const ReplicaLoad &load);
+    /// A response told the load of its replica. @see StartWindow
+    void onLoad(Instant now, const ServiceId &service, const ReplicaLoad &load);
 
-  double window(const ServiceId &service)
-      const; ///< @return requests in progress at most; 0: no limit
+    double window(const ServiceId &service) const; ///< @return requests in progress at most; 0: no limit
 
-  bool remove(WaitKey key); ///< The caller has left, or the request ended
-                            ///< otherwise. @return true if it waited
+    bool remove(WaitKey key); ///< The caller has left, or the request ended
+                              ///< otherwise. @return true if it waited
 
-  /// Removes the requests that can no longer start in time.
-  std::vector<WaitKey> expire(Instant now);
+    /// Removes the requests that can no longer start in time.
+    std::vector<WaitKey> expire(Instant now);
 
-  std::optional<Instant>
-  nextExpiry() const; ///< @return when `expire` has something to remove next
+    std::optional<Instant> nextExpiry() const; ///< @return when `expire` has something to remove next
 
-  /// @return time after which room is expected for a request that is refused
-  /// now, spread by chance
-  Duration retryAfter(Instant now, const ServiceId &service,
-                      const AdmissionRequest &request);
-  Duration retryAfter(Instant now, const ServiceId &service, int rank);
+    /// @return time after which room is expected for a request that is refused
+    /// now, spread by chance
+    Duration retryAfter(Instant now, const ServiceId &service, const AdmissionRequest &request);
+    Duration retryAfter(Instant now, const ServiceId &service, int rank);
 
-  double startRate(Instant now, const ServiceId &service)
-      const; ///< @return work per second that starts; 0: unknown
+    double startRate(Instant now, const ServiceId &service) const; ///< @return work per second that starts; 0: unknown
 
-  /// The response to an attempt of a route has begun. @param time since the
-  /// attempt was sent
-  void onResponse(const RouteId &route, Duration time);
+    /// The response to an attempt of a route has begun. @param time since the
+    /// attempt was sent
+    void onResponse(const RouteId &route, Duration time);
 
-  /// @return time from the start of an attempt of the route to its response
-  /// that few exceed; 0: not known
-  Duration expectedResponseTime(const RouteId &route) const;
+    /// @return time from the start of an attempt of the route to its response
+    /// that few exceed; 0: not known
+    Duration expectedResponseTime(const RouteId &route) const;
 
 private:
-  /// The requests of one service and one rank.
-  struct Level {
-    Level();
-    LaneQueue queue;
-    DecayingSum started; // work
-    DecayingSum refused; // work that may be asked for again
-    double pessimism =
-        1; // factor on expected waits, raised when requests wait in vain
-  };
-
-  struct Service {
-    std::map<int, Level> levels; // by rank, the first to start first. @see rank
-    std::map<AccountId, DecayingSum> use; // work started lately
-    StartWindow window;
-    Instant nextUseCheckAt{}; // when accounts without recent use are dropped
-    std::size_t waiting = 0;
-    Instant backlogSince{}; // since when requests have been waiting
-    double floorCredit = 0; // work that priorities below the highest waiting
-                            // one may start before it
-    int lastBelow = 0;      // the rank below it that had its turn last
-    std::optional<Tokens>
-        usualCost; // smoothed, of requests whose cost is known
-  };
-
-  struct Entry {
-    ServiceId service;
-    int rank = 0;
-    std::size_t bytes = 0;
-  };
-
-  static QueuedCall queuedCall(Service &service,
-                               const AdmissionRequest &request);
-  void estimate(Instant now, const Service &service, int rank,
-                const QueuedCall &call, AdmissionDecision &decision) const;
-  static bool isInTime(Instant now, const Service &service,
-                       const AdmissionRequest &request,
-                       const AdmissionDecision &decision);
-  static double useOf(Instant now, const Service &service,
-                      const AccountId &account);
-  static int rank(const AdmissionRequest &request, double use);
-  std::pair<const ServiceId, Service> &leastUrgentService();
-  static void dropOldUse(Instant now, Service &service);
-  void evictBeyondLimits(Instant now, const AdmissionRequest &request,
-                         AdmissionDecision &decision);
-  static Level *nextBelow(Service &service, int highest);
-  static double startRate(Instant now, const Service &service, int ranksBelow);
-  Duration spreadRetry(double seconds);
-
-  AdmissionSettings m_settings;
-  boost::random::mt19937_64 m_random;
-  std::map<ServiceId, Service> m_services;
-  std::unordered_map<WaitKey, Entry> m_entries;
-  std::size_t m_bytes = 0; // of all that waits
-  std::unordered_map<RouteId, ResponseTimeEstimate> m_responseTimes;
+    /// The requests of one service and one rank.
+    struct Level {
+        Level();
+        LaneQueue queue;
+        DecayingSum started;  // work
+        DecayingSum refused;  // work that may be asked for again
+        double pessimism = 1; // factor on expected waits, raised when requests wait in vain
+    };
+
+    struct Service {
+        std::map<int, Level> levels;          // by rank, the first to start first. @see rank
+        std::map<AccountId, DecayingSum> use; // work started lately
+        StartWindow window;
+        Instant nextUseCheckAt{}; // when accounts without recent use are dropped
+        std::size_t waiting = 0;
+        Instant backlogSince{};          // since when requests have been waiting
+        double floorCredit = 0;          // work that priorities below the highest waiting
+                                         // one may start before it
+        int lastBelow = 0;               // the rank below it that had its turn last
+        std::optional<Tokens> usualCost; // smoothed, of requests whose cost is known
+    };
+
+    struct Entry {
+        ServiceId service;
+        int rank = 0;
+        std::size_t bytes = 0;
+    };
+
+    static QueuedCall queuedCall(Service &service, const AdmissionRequest &request);
+    void estimate(Instant now, const Service &service, int rank, const QueuedCall &call,
+                  AdmissionDecision &decision) const;
+    static bool isInTime(Instant now, const Service &service, const AdmissionRequest &request,
+                         const AdmissionDecision &decision);
+    static double useOf(Instant now, const Service &service, const AccountId &account);
+    static int rank(const AdmissionRequest &request, double use);
+    std::pair<const ServiceId, Service> &leastUrgentService();
+    static void dropOldUse(Instant now, Service &service);
+    void evictBeyondLimits(Instant now, const AdmissionRequest &request, AdmissionDecision &decision);
+    static Level *nextBelow(Service &service, int highest);
+    static double startRate(Instant now, const Service &service, int ranksBelow);
+    Duration spreadRetry(double seconds);
+
+    AdmissionSettings m_settings;
+    boost::random::mt19937_64 m_random;
+    std::map<ServiceId, Service> m_services;
+    std::unordered_map<WaitKey, Entry> m_entries;
+    std::size_t m_bytes = 0; // of all that waits
+    std::unordered_map<RouteId, ResponseTimeEstimate> m_responseTimes;
 };
 
 } // namespace galenafold
