--- a/control/gossip.h
+++ b/control/gossip.h
@@ -6,6 +6,7 @@
 // marks are merged by OR, whatever a message says.
 #pragma once
 
+#include "control/accountuse.h"
 #include "control/limitshares.h"
 #include "control/loadview.h"
 #include "control/membership.h"
@@ -93,6 +94,7 @@
     std::vector<ReportedLoad> reported;    // endpoints that are fuller than the counts of all routers tell
     PromptNews news;                       // of prompts that crash replicas
     LimitReport limits;                    // of replicas that name a limit
+    std::vector<AccountWork> accountWork;  // of client accounts, while requests wait; empty: as told before
     bool isStarting = false;               // the sender has just started and does not know of blocked prompts
     DesiredStateVersion stateVersion = -1; // in force at the sender; -1: not told
 };
--- a/filters/admission.cpp
+++ b/filters/admission.cpp
@@ -1,5 +1,5 @@
-// The order and the expected waits of requests that find no room. Sections of
-// this file: Request, Push, Start, End, Estimates.
+// The order and the expected waits of requests that find no room. Sections of this file: Request, Push, Start, End,
+// Estimates.
 #include "filters/admission.h"
 
 #include "galenafold/seconds.h"
@@ -10,25 +10,19 @@
 namespace galenafold
 {
 
-constexpr double sharedTokenCost = 0.1;  // of a prompt token that other requests
-                                         // share: mostly cached by a replica
+constexpr double sharedTokenCost = 0.1;  // of a prompt token that other requests share: mostly cached by a replica
 constexpr double outputTokenCost = 8;    // prompt tokens that an engine reads in the time of one token of output
 constexpr double usualCostWeight = 0.02; // of the newest request
-constexpr double maxUsualMultiple = 16;  // of the usual cost: the most that one request counts, as callers may
-                                         // claim any
-constexpr double turnWork = 1;           // deficit round robin: usual requests per turn of an account
-constexpr auto startRateWindow = std::chrono::seconds(1);  // short enough to follow replicas that become slow
-constexpr auto refusedWindow = std::chrono::seconds(2);    // about the time after which refused callers return
-constexpr auto useWindow = std::chrono::seconds(5);        // of an account's share
-constexpr auto useCheckInterval = std::chrono::seconds(1); // between checks for accounts without recent use
-constexpr double heavyUse = 1.5;                           // multiples of the mean of all accounts; above
-                                                           // it, an account goes behind others
-constexpr int prioritiesOfRoutes = 16;                     // more than there are
-constexpr double noUse = 0.05;                             // usual requests; an account with less counts as idle
-constexpr auto standingAfter = std::chrono::seconds(1);    // a backlog that lasts longer is no burst
-constexpr double standingSlack = 0.6;                      // of the time to start, that a standing backlog may use
-constexpr double pessimismStep = 1.25;                     // factor for a request that waited in vain
-constexpr double pessimismDecay = 0.98;                    // factor for a request that started after a wait
+constexpr double maxUsualMultiple = 16; // of the usual cost: the most that one request counts, as callers may claim any
+constexpr double turnWork = 1;          // deficit round robin: usual requests per turn of an account
+constexpr auto startRateWindow = std::chrono::seconds(1); // short enough to follow replicas that become slow
+constexpr auto refusedWindow = std::chrono::seconds(2);   // about the time after which refused callers return
+constexpr auto tellTime = std::chrono::seconds(5);        // after a request had to wait, in which peers are told of use
+constexpr int prioritiesOfRoutes = 16;                    // more than there are
+constexpr auto standingAfter = std::chrono::seconds(1);   // a backlog that lasts longer is no burst
+constexpr double standingSlack = 0.6;                     // of the time to start, that a standing backlog may use
+constexpr double pessimismStep = 1.25;                    // factor for a request that waited in vain
+constexpr double pessimismDecay = 0.98;                   // factor for a request that started after a wait
 constexpr int maxTries = 4; // requests that find no room; others may fit where the first ones do not
 constexpr double maxPessimism = 3;
 constexpr auto minRetryAfter = std::chrono::milliseconds(250);
@@ -74,6 +68,18 @@
 {
 }
 
+void Admission::Backlog::add(Instant now)
+{
+    if (waiting++ == 0) {
+        since = now;
+    }
+}
+
+bool Admission::Backlog::isStanding(Instant now) const
+{
+    return waiting > 0 && now >= since + standingAfter;
+}
+
 Admission::Admission(const AdmissionSettings &settings, std::uint64_t seed)
     : m_settings(settings)
     , m_random(seed)
@@ -83,28 +89,27 @@
 std::size_t Admission::waiting(const ServiceId &service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() ? 0 : found->second.waiting;
+    return found == m_services.end() ? 0 : found->second.backlog.waiting;
 }
 
 bool Admission::mustWait(const ServiceId &service) const
 {
     const auto found = m_services.find(service);
-    return found != m_services.end() && (found->second.waiting > 0 || !found->second.window.mayStart());
+    return found != m_services.end() && (found->second.backlog.waiting > 0 || !found->second.window.mayStart(true));
 }
 
 std::vector<ServiceId> Admission::servicesWaiting() const
 {
     std::vector<ServiceId> services;
     for (const auto &[id, service] : m_services) {
-        if (service.waiting > 0) {
+        if (service.backlog.waiting > 0) {
             services.push_back(id);
         }
     }
     return services;
 }
 
-/// Counts the cost as a multiple of the usual one. A request that gives no cost
-/// counts as usual.
+/// Counts the cost as a multiple of the usual one. A request that gives no cost counts as usual.
 QueuedCall Admission::queuedCall(Service &service, const AdmissionRequest &request)
 {
     double work = 1;
@@ -122,8 +127,9 @@
 {
     Service &state = m_services[service];
     const QueuedCall call = queuedCall(state, request);
+    m_lastWaitAt = now;
     AdmissionDecision decision;
-    decision.use = useOf(now, state, request.account);
+    decision.use = m_use.multipleOfMean(now, service, request.account);
     decision.rank = rank(request, decision.use);
     Level &level = state.levels[decision.rank];
     estimate(now, state, decision.rank, call, decision);
@@ -135,18 +141,19 @@
     }
     decision.waits = true;
     level.queue.push(call, decision.use <= 1 ? CustomerPlace::Ahead : CustomerPlace::Last);
-    m_entries[request.key] = {service, decision.rank, request.bytes};
+    m_entries[request.key] = {service, decision.rank, isOverShare(request, decision.use), request.bytes};
     m_bytes += request.bytes;
-    if (state.waiting++ == 0) {
-        state.backlogSince = now;
+    state.backlog.add(now);
+    if (!isOverShare(request, decision.use)) {
+        state.withinShare.add(now);
     }
     evictBeyondLimits(now, request, decision);
-    decision.waiting = state.waiting;
+    decision.waiting = state.backlog.waiting;
     return decision;
 }
 
-/// @return of the services that have requests waiting, the one whose last rank
-/// is behind those of the others; of several such, the one with most work in it
+/// @return of the services that have requests waiting, the one whose last rank is behind those of the others; of
+/// several such, the one with most work in it
 std::pair<const ServiceId, Admission::Service> &Admission::leastUrgentService()
 {
     const auto last = [](const Service &service) {
@@ -158,8 +165,8 @@
                              [&](const auto &a, const auto &b) { return last(a.second) < last(b.second); });
 }
 
-/// Removes the least urgent requests of all services until the limits hold:
-/// each time the last one of the account that waits for most.
+/// Removes the least urgent requests of all services until the limits hold: each time the last one of the account that
+/// waits for most.
 void Admission::evictBeyondLimits(Instant now, const AdmissionRequest &request, AdmissionDecision &decision)
 {
     while (m_entries.size() > m_settings.capacity || m_bytes > m_settings.maxBytes) {
@@ -178,41 +185,46 @@
     }
 }
 
-/// A short burst may use all the time that its requests have. While a backlog
-/// stands, a part of it stays free, so that those that are admitted are rarely
-/// late.
+/// A short burst may use all the time that its requests have. While a backlog stands, a part of it stays free, so that
+/// those that are admitted are rarely late. What waits of accounts over their share is no
+/// backlog to others.
 bool Admission::isInTime(Instant now, const Service &service, const AdmissionRequest &request,
                          const AdmissionDecision &decision)
 {
     if (request.startBy <= now) {
         return false;
     }
-    const bool isStanding = service.waiting > 0 && now >= service.backlogSince + standingAfter;
+    const bool isStanding =
+        (isOverShare(request, decision.use) ? service.backlog : service.withinShare).isStanding(now);
     const double slack = secondsOf(request.startBy - now) * (isStanding ? standingSlack : 1);
     return decision.workBefore <= 0 || secondsOf(decision.expectedWait) <= slack;
 }
 
-/// @return work that the account has started lately, as a multiple of the mean
-/// of all accounts
-double Admission::useOf(Instant now, const Service &service, const AccountId &account)
+bool Admission::isOverShare(Instant now, const ServiceId &service, const AdmissionRequest &request) const
 {
-    const auto own = service.use.find(account);
-    if (own == service.use.end()) {
-        return 0;
-    }
-    double total = 0;
-    for (const auto &[id, use] : service.use) {
-        total += use.sum(now);
-    }
-    return own->second.sum(now) * static_cast<double>(service.use.size()) / total;
+    return isOverShare(request, m_use.multipleOfMean(now, service, request.account));
 }
 
-/// An account that uses much more than its share goes behind all others, by the
-/// priorities of its routes there too, and gets what the others leave.
+bool Admission::isOverShare(const AdmissionRequest &request, double use)
+{
+    return !request.isAccountPriority && use > heavyUse;
+}
+
+/// An account that uses much more than its share goes behind all others, by the priorities of its routes there too, and
+/// gets what the others leave.
 int Admission::rank(const AdmissionRequest &request, double use)
 {
-    const bool isOverShare = !request.isAccountPriority && use > heavyUse;
-    return request.priority + (isOverShare ? prioritiesOfRoutes : 0);
+    return request.priority + (isOverShare(request, use) ? prioritiesOfRoutes : 0);
+}
+
+int Admission::rankNow(Instant now, const ServiceId &service, const AdmissionRequest &request) const
+{
+    return rank(request, m_use.multipleOfMean(now, service, request.account));
+}
+
+std::vector<AccountWork> Admission::workToTell(Instant now) const
+{
+    return m_lastWaitAt && now < *m_lastWaitAt + tellTime ? m_use.ownWork(now) : std::vector<AccountWork>();
 }
 
 // Start
@@ -222,12 +234,12 @@
     while (startNext(service, start)) { }
 }
 
-/// The highest priority that waits goes first. For each start of it, the
-/// priorities below are owed a share, which they get in turn.
+/// The highest priority that waits goes first. For each start of it, the priorities below are owed a share, which they
+/// get in turn.
 bool Admission::startNext(const ServiceId &service, const std::function<bool(WaitKey)> &start)
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end() || found->second.waiting == 0 || !found->second.window.mayStart()) {
+    if (found == m_services.end() || found->second.backlog.waiting == 0 || !found->second.window.mayStart()) {
         return false;
     }
     Service &state = found->second;
@@ -237,7 +249,9 @@
     int refusals = 0;
     std::optional<QueuedCall> started;
     const auto tryCall = [&](const QueuedCall &call) {
-        if (refusals >= maxTries || !start(static_cast<WaitKey>(call.key))) {
+        const auto key = static_cast<WaitKey>(call.key);
+        const bool mayTry = refusals < maxTries && state.window.mayStart(m_entries.at(key).isOverShare);
+        if (!mayTry || !start(key)) {
             ++refusals;
             return false;
         }
@@ -255,9 +269,7 @@
         return false;
     }
     const auto entry = m_entries.find(static_cast<WaitKey>(started->key));
-    m_bytes -= entry->second.bytes;
-    m_entries.erase(entry);
-    --state.waiting;
+    forget(entry);
     if (level == below) {
         state.floorCredit -= started->cost;
     } else if (std::any_of(std::next(highest), state.levels.end(), hasWaiting)) {
@@ -267,8 +279,7 @@
     return true;
 }
 
-/// @return the next rank in turn, of those below the highest that have requests
-/// waiting; null: none
+/// @return the next rank in turn, of those below the highest that have requests waiting; null: none
 Admission::Level *Admission::nextBelow(Service &service, int highest)
 {
     const auto isBelow = [highest](const auto &level) {
@@ -285,19 +296,26 @@
     return &next->second;
 }
 
-void Admission::onSent(Instant now, const ServiceId &service, const AdmissionRequest &request)
+bool Admission::onSent(Instant now, const ServiceId &service, const AdmissionRequest &request)
 {
     Service &state = m_services[service];
     const double work = queuedCall(state, request).cost;
-    state.levels[rank(request, useOf(now, state, request.account))].started.add(now, work);
-    state.use.try_emplace(request.account, useWindow).first->second.add(now, work);
-    state.window.onSent();
-    dropOldUse(now, state);
+    const double use = m_use.multipleOfMean(now, service, request.account);
+    state.levels[rank(request, use)].started.add(now, work);
+    m_use.onStarted(now, service, request.account, work);
+    state.window.onSent(isOverShare(request, use));
+    return isOverShare(request, use);
 }
 
-void Admission::onEnded(const ServiceId &service)
+void Admission::onEnded(const ServiceId &service, bool isOverShare)
 {
-    m_services[service].window.onEnded();
+    m_services[service].window.onEnded(isOverShare);
+}
+
+int Admission::inProgressOverShare(const ServiceId &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second.window.inProgressOverShare();
 }
 
 void Admission::onLoad(Instant now, const ServiceId &service, const ReplicaLoad &load)
@@ -311,17 +329,6 @@
     return found == m_services.end() ? 0 : found->second.window.limit();
 }
 
-void Admission::dropOldUse(Instant now, Service &service)
-{
-    if (now < service.nextUseCheckAt) {
-        return;
-    }
-    service.nextUseCheckAt = now + useCheckInterval;
-    for (auto use = service.use.begin(); use != service.use.end();) {
-        use = use->second.sum(now) < noUse ? service.use.erase(use) : std::next(use);
-    }
-}
-
 // End
 
 bool Admission::remove(WaitKey key)
@@ -332,10 +339,18 @@
     }
     Service &service = m_services[entry->second.service];
     service.levels[entry->second.rank].queue.remove(static_cast<CallKey>(key));
-    --service.waiting;
+    forget(entry);
+    return true;
+}
+
+/// The request is no longer in its queue.
+void Admission::forget(std::unordered_map<WaitKey, Entry>::iterator entry)
+{
+    Service &service = m_services[entry->second.service];
+    --service.backlog.waiting;
+    service.withinShare.waiting -= entry->second.isOverShare ? 0 : 1;
     m_bytes -= entry->second.bytes;
     m_entries.erase(entry);
-    return true;
 }
 
 std::vector<WaitKey> Admission::expire(Instant now)
@@ -345,9 +360,7 @@
         for (auto &[priority, level] : service.levels) {
             for (const CallKey call : level.queue.expire(now)) {
                 const auto entry = m_entries.find(static_cast<WaitKey>(call));
-                m_bytes -= entry->second.bytes;
-                m_entries.erase(entry);
-                --service.waiting;
+                forget(entry);
                 level.refused.add(now, 1);
                 level.pessimism = std::min(maxPessimism, level.pessimism * pessimismStep);
                 expired.push_back(static_cast<WaitKey>(call));
@@ -389,8 +402,8 @@
     return found == m_services.end() ? 0 : startRate(now, found->second, std::numeric_limits<int>::max());
 }
 
-/// Higher priorities take their rate from a request, but not the floor of its
-/// own priority. It starts by the way that is faster.
+/// Higher priorities take their rate from a request, but not the floor of its own priority. It starts by the way that
+/// is faster.
 void Admission::estimate(Instant now, const Service &service, int rank, const QueuedCall &call,
                          AdmissionDecision &decision) const
 {
@@ -401,7 +414,7 @@
     const Level &level = service.levels.at(rank);
     const double own = level.queue.costBefore(call);
     decision.workBefore = higher + own;
-    decision.waiting = service.waiting;
+    decision.waiting = service.backlog.waiting;
     const double rate = startRate(now, service, std::numeric_limits<int>::max());
     decision.startRate = rate;
     if (rate <= 0) {
@@ -417,11 +430,10 @@
 
 Duration Admission::retryAfter(Instant now, const ServiceId &service, const AdmissionRequest &request)
 {
-    return retryAfter(now, service, rank(request, useOf(now, m_services[service], request.account)));
+    return retryAfter(now, service, rankNow(now, service, request));
 }
 
-/// What waits, and what was refused lately and may be asked for again, has to
-/// start first.
+/// What waits, and what was refused lately and may be asked for again, has to start first.
 Duration Admission::retryAfter(Instant now, const ServiceId &service, int rank)
 {
     const auto found = m_services.find(service);
--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -173,7 +173,7 @@
         (now < state->avoidUntil ? avoidedReplicas : healthy).push_back(state);
     }
     ReplicaChoice choice;
-    if (request.needsRoom && !hasShare(now, request.service)) {
+    if (request.needsRoom && !hasShare(now, request)) {
         choice.skippedBusy = static_cast<int>(healthy.size() + avoidedReplicas.size());
     } else {
         choice = chooseAmong(now, request, healthy.empty() ? avoidedReplicas : healthy);
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -99,6 +99,10 @@
     std::optional<std::uint64_t> affinity; // hash of the shared prompt parts
     std::set<EndpointId> excluded;         // replicas already tried
     bool needsRoom = false;                // only replicas that can start the request at once
+    int yielding = 0;                      // this router's requests in progress that left the backlog to others: they
+                                           // take no part of the room from this one, unless it does so too
+    bool leavesBacklog = false;            // with `needsRoom`, only where a slot is free: what may wait there is left
+                                           // to others
     std::optional<std::set<DataCentreId>> allowedDataCentres = std::nullopt; // nothing: any
     Tokens tokens = 0;        // that the request holds at its replica; 0: not known
     Tokens replicaTokens = 0; // that one replica of the service holds; 0: not known
@@ -268,9 +272,10 @@
     void noteEntry(Instant now, const EndpointState &state, bool hasStarted);
     void countLimited(Instant now, const EndpointState &state, ReplicaChoice &choice) const;
     const std::vector<EndpointState *> &replicasOf(const ServiceId &service) const;
+    double roomFor(Instant now, const EndpointState &state, const SelectionRequest &request) const;
     bool hasRoomFor(Instant now, const EndpointState &state, const SelectionRequest &request) const;
     double minPace() const;
-    bool hasShare(Instant now, const ServiceId &service) const;
+    bool hasShare(Instant now, const SelectionRequest &request) const;
     double sharedBound(Instant now, const EndpointState &state) const;
     static int ownInFlight(const Service &service);
     static double roomBound(const EndpointState &state);
--- a/filters/loadbalancerroom.cpp
+++ b/filters/loadbalancerroom.cpp
@@ -51,10 +51,17 @@
     return now >= state.fullUntil && state.pace.mayStart(now) ? 1 : 0;
 }
 
+/// @return requests of this kind that the replica can start at once
+double LoadBalancer::roomFor(Instant now, const EndpointState &state, const SelectionRequest &request) const
+{
+    const bool isLess = request.leavesBacklog && isLoadKnown(now, state);
+    return roomAt(now, state) - (isLess ? backlogOf(roomLimit(slots(state), slowdown(now, state))) : 0);
+}
+
 /// The requests of other routers are taken to hold as many tokens each as this router's do on average.
 bool LoadBalancer::hasRoomFor(Instant now, const EndpointState &state, const SelectionRequest &request) const
 {
-    if (roomAt(now, state) <= 0) {
+    if (roomFor(now, state, request) <= 0) {
         return false;
     }
     const auto service = m_services.find(request.service);
@@ -84,9 +91,9 @@
 
 /// @return true if this router may start another request at the service; always while no peer is heard, or none of the
 /// replicas serves prompts: peers count only these
-bool LoadBalancer::hasShare(Instant now, const ServiceId &id) const
+bool LoadBalancer::hasShare(Instant now, const SelectionRequest &request) const
 {
-    const auto service = m_services.find(id);
+    const auto service = m_services.find(request.service);
     if (m_peersHeard == 0 || service == m_services.end()) {
         return true;
     }
@@ -97,10 +104,12 @@
         }
         room.limit += sharedBound(now, *state);
     }
+    room.limit -= request.leavesBacklog ? backlogOf(room.limit) : 0;
     room.others = service->second.peersInFlight;
     room.told = service->second.toldInFlight;
     room.routers = m_peersHeard + 1;
-    return ownInFlight(service->second) < routerShare(room);
+    const int own = ownInFlight(service->second) - (request.leavesBacklog ? 0 : request.yielding);
+    return own < routerShare(room);
 }
 
 std::vector<EndpointState *> LoadBalancer::withRoom(Instant now, const SelectionRequest &request,
--- a/filters/replicaroom.cpp
+++ b/filters/replicaroom.cpp
@@ -21,6 +21,11 @@
     return slowdown < noticeableSlowdown ? roomLimit(slots) : std::max(minRoomLimit, roomLimit(slots) / slowdown);
 }
 
+double backlogOf(double limit)
+{
+    return limit * backlogFraction / (1 + backlogFraction);
+}
+
 double room(const ReplicaOccupancy &occupancy)
 {
     return roomLimit(occupancy.slots, occupancy.slowdown) - occupancy.load;
--- a/filters/replicaroom.h
+++ b/filters/replicaroom.h
@@ -26,6 +26,9 @@
 /// @return `roomLimit` of a replica that is slowed down: it starts as many requests in the same time as a smaller one
 double roomLimit(int slots, double slowdown);
 
+/// @return the part of a `roomLimit` that waits at the replica
+double backlogOf(double limit);
+
 /// @return requests that the replica can start at once; negative if requests wait there
 double room(const ReplicaOccupancy &occupancy);
 
--- a/filters/startwindow.cpp
+++ b/filters/startwindow.cpp
@@ -20,6 +20,23 @@
 constexpr double minWindow = 1;
 constexpr auto decreaseInterval = std::chrono::milliseconds(300); // about the time from a start to its response
 
+bool StartWindow::mayStart(bool isOverShare) const
+{
+    return !m_isLimited || m_inProgress - (isOverShare ? 0 : m_inProgressOverShare) < m_window;
+}
+
+void StartWindow::onSent(bool isOverShare)
+{
+    ++m_inProgress;
+    m_inProgressOverShare += isOverShare ? 1 : 0;
+}
+
+void StartWindow::onEnded(bool isOverShare)
+{
+    m_inProgress = std::max(0, m_inProgress - 1);
+    m_inProgressOverShare = std::max(0, m_inProgressOverShare - (isOverShare ? 1 : 0));
+}
+
 void StartWindow::onReport(Instant now, int waiting, int slots)
 {
     if (slots <= 0) {
--- a/filters/startwindow.h
+++ b/filters/startwindow.h
@@ -6,6 +6,8 @@
 // progress, and slowly more again while hardly any wait: additive increase and multiplicative decrease, by which shares
 // become alike without a message between routers, as those of TCP connections at one link do.
 //
+// Requests of accounts over their share fill what is left of the window, and take no place in it from the others.
+//
 // Without requests waiting at replicas there is no limit.
 #pragma once
 
@@ -18,14 +20,16 @@
 class StartWindow
 {
 public:
-    bool mayStart() const { return !m_isLimited || m_inProgress < m_window; }
-    void onSent() { ++m_inProgress; }
-    void onEnded() { m_inProgress = m_inProgress > 0 ? m_inProgress - 1 : 0; }
+    /// @param isOverShare the request's account is over its share
+    bool mayStart(bool isOverShare = false) const;
+    void onSent(bool isOverShare = false);
+    void onEnded(bool isOverShare = false); ///< @param isOverShare as in `onSent`
 
     /// A response told the load of its replica.
     /// @param waiting requests in the replica's queue @param slots requests that it runs concurrently
     void onReport(Instant now, int waiting, int slots);
 
+    int inProgressOverShare() const { return m_inProgressOverShare; }
     double limit() const { return m_isLimited ? m_window : 0; } ///< @return requests in progress at most; 0: no limit
 
 private:
@@ -34,9 +38,10 @@
     bool m_isLimited = false;
     double m_window = 0;
     int m_inProgress = 0;
-    int m_reports = 0;          // since the last decrease
-    double m_waitingShare = 0;  // requests in the queue of a replica, as a fraction of its slots, smoothed
-    Instant m_nextDecreaseAt{}; // when responses may tell of the last decrease
+    int m_inProgressOverShare = 0; // of these, of accounts over their share
+    int m_reports = 0;             // since the last decrease
+    double m_waitingShare = 0;     // requests in the queue of a replica, as a fraction of its slots, smoothed
+    Instant m_nextDecreaseAt{};    // when responses may tell of the last decrease
 };
 
 } // namespace galenafold
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -16,6 +16,7 @@
 constexpr int datagramHeaderBytes = 28;           // IPv4 and UDP headers
 constexpr std::size_t maxLoads = 256;             // per beacon
 constexpr double slowdownScale = 16;              // fixed-point scale: a slowdown is sent in sixteenths
+constexpr float maxWorkPerSecond = 1e6F;          // of one account at one router
 constexpr std::uint64_t maxTraversalWords = 2048; // Cap'n Proto traversal limit for untrusted input
 
 static void fillNews(wire::BeaconNews::Builder root, const PromptNews &news)
@@ -110,6 +111,30 @@
     return reported;
 }
 
+static void fillAccountWork(wire::BeaconNews::Builder root, const std::vector<AccountWork> &work)
+{
+    auto list = root.initAccountWork(static_cast<unsigned>(std::min(work.size(), maxAccountWork)));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setService(work[i].service);
+        list[i].setAccount(work[i].account);
+        list[i].setPerSecond(work[i].perSecond);
+        list[i].setAccounts(work[i].accounts);
+    }
+}
+
+/// Leaves out what no router can have started.
+static std::vector<AccountWork> readAccountWork(wire::BeaconNews::Reader root)
+{
+    std::vector<AccountWork> work;
+    for (const auto told : root.getAccountWork()) {
+        const float perSecond = told.getPerSecond();
+        if (perSecond >= 0 && perSecond <= maxWorkPerSecond && work.size() < maxAccountWork) {
+            work.push_back({told.getService(), told.getAccount(), perSecond, told.getAccounts()});
+        }
+    }
+    return work;
+}
+
 constexpr unsigned linkClassBits = 8;
 
 /// @return the data centre in the upper 24 bits, the link class in the lower 8
@@ -181,7 +206,8 @@
     fillBeacon(builder.initRoot<wire::LoadBeacon>(), beacon);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
-    const bool hasNews = !beacon.news.isEmpty() || !beacon.limits.isEmpty() || !beacon.reported.empty();
+    const bool hasNews =
+        !beacon.news.isEmpty() || !beacon.limits.isEmpty() || !beacon.reported.empty() || !beacon.accountWork.empty();
     if (beacon.isStarting || hasNews || !beacon.peerSites.empty() || beacon.stateVersion >= 0) {
         capnp::MallocMessageBuilder newsBuilder;
         auto news = newsBuilder.initRoot<wire::BeaconNews>();
@@ -189,6 +215,7 @@
         fillNews(news, beacon.news);
         fillLimits(news, beacon.limits);
         fillReportedLoads(news, beacon.reported);
+        fillAccountWork(news, beacon.accountWork);
         fillSites(news, beacon.peerSites);
         news.setStateVersion(beacon.stateVersion + 1); // 0 on the wire: not told
         capnp::writePackedMessage(out, newsBuilder);
@@ -239,6 +266,7 @@
     readNews(news, beacon.news);
     readLimits(news, beacon.limits);
     beacon.reported = readReportedLoads(news);
+    beacon.accountWork = readAccountWork(news);
     beacon.stateVersion = std::max<DesiredStateVersion>(news.getStateVersion(), 0) - 1;
     const auto sites = news.getSites();
     for (const std::uint8_t position : news.getPeerSites()) {
--- a/tests/admission.cpp
+++ b/tests/admission.cpp
@@ -162,8 +162,7 @@
     LONGS_EQUAL(50, admission.waiting(service));
 }
 
-/// The first request held up all others of the service where it alone found no
-/// room.
+/// The first request held up all others of the service where it alone found no room.
 TEST(Admission, ARequestWithoutRoomIsPassedByOthers)
 {
     const AdmissionRequest large = request("a", 0);
@@ -183,8 +182,7 @@
     LONGS_EQUAL(1, admission.waiting(service));
 }
 
-/// One request that claims any size made all others look so small that none was
-/// refused.
+/// One request that claims any size made all others look so small that none was refused.
 TEST(Admission, OneClaimOfAnySizeHardlyChangesWhatIsUsual)
 {
     startFor(0, 10);
@@ -265,6 +263,32 @@
     CHECK(waitsAt(10) < inBurst * 3 / 4);
 }
 
+/// What stands behind a request does not shorten the time that it may use.
+TEST(Admission, ABacklogOfAnAccountOverItsShareIsNoneToOthers)
+{
+    const auto waitsAt = [this](double now) {
+        int waits = 0;
+        for (int i = 0; i < 100; ++i) {
+            waits += admission.push(at(now), service, request("light" + std::to_string(i), 1, 100, now + 2)).waits;
+        }
+        return waits;
+    };
+    startFor(0, 50, "heavy");
+    startFor(0, 5, "light");
+    startFor(0, 5, "other");
+    admission.push(at(0), service, request("heavy")); // stands until the end
+    startFor(10, 10, "light");
+    startFor(10, 10, "other");
+    startFor(10, 50, "heavy");
+    const int beside = waitsAt(10);
+    Admission alone(settings, 1);
+    std::swap(admission, alone);
+    startFor(10, 10, "light");
+    startFor(10, 10, "other");
+    startFor(10, 50, "heavy");
+    LONGS_EQUAL(waitsAt(10), beside);
+}
+
 TEST(Admission, WithoutAKnownRateRequestsWaitUntilTheirTimeIsOver)
 {
     for (int i = 0; i < 20; ++i) {
@@ -334,8 +358,7 @@
     CHECK(seconds(admission.retryAfter(at(0), service, 0)) <= 0.5); // none of its priority or above was refused
 }
 
-/// What it is refused lies behind the others, and so does the time that it is
-/// told.
+/// What it is refused lies behind the others, and so does the time that it is told.
 TEST(Admission, RetryAfterOfAnAccountOverItsShareIsThatOfItsPlace)
 {
     startFor(0, 50, "heavy");
@@ -378,8 +401,7 @@
     LONGS_EQUAL(4, small.waiting(service));
 }
 
-/// Requests of a service without urgency took all places, and each request of
-/// another one was refused.
+/// Requests of a service without urgency took all places, and each request of another one was refused.
 TEST(Admission, WhenFullTheLeastUrgentOfAllServicesGivesWay)
 {
     settings.capacity = 4;
--- a/tests/overload.cpp
+++ b/tests/overload.cpp
@@ -107,13 +107,12 @@
 }
 
 /// The usual demand of all is 0.7 of what the engines serve, and the first account's usual is a fifth of that.
-static OverloadPlan heavyAccount(double factor)
+static OverloadPlan heavyAccount(double factor, int routers = 30)
 {
-    OverloadPlan plan;
-    plan.demand = 0.7;
-    plan.accounts = std::vector<double>(12, 0.8 * 12 / 11);
-    plan.accounts[0] = 0.2 * 12 * factor;
-    return plan;
+    OverloadPlan result = plan(0.7, routers);
+    result.accounts = std::vector<double>(12, 0.8 * 12 / 11);
+    result.accounts[0] = 0.2 * 12 * factor;
+    return result;
 }
 
 TEST_GROUP(OverloadByOneAccount){};
@@ -129,6 +128,57 @@
     CHECK(leastOfOthers(heavy) >= keptBesideHeavyUse * leastOfOthers(calm));
 }
 
+/// What the others get beside the first account's tenfold demand, against a calm day of the same fleet.
+static void checkOthers(const char *name, const OverloadPlan &calmPlan, const OverloadPlan &heavyPlan)
+{
+    OverloadModel calm(calmPlan);
+    calm.run();
+    OverloadModel heavy(heavyPlan);
+    heavy.run();
+    std::printf("%s: least of the other accounts: %.3f calm, %.3f beside heavy use; the heavy one %.3f\n", name,
+                leastOfOthers(calm), leastOfOthers(heavy), heavy.byAccount[0].share());
+    CHECK(leastOfOthers(heavy) >= keptBesideHeavyUse * leastOfOthers(calm));
+}
+
+TEST(OverloadByOneAccount, othersAreServedWhileItsCallersComeToAThirdOfTheRouters)
+{
+    OverloadPlan calm = heavyAccount(1);
+    OverloadPlan heavy = heavyAccount(10);
+    calm.firstAccountRouters = heavy.firstAccountRouters = 10;
+    checkOthers("a third of the routers", calm, heavy);
+}
+
+TEST_GROUP(OverloadByOneAccountOfALargeFleet){};
+
+TEST(OverloadByOneAccountOfALargeFleet, othersAreServedWhileItAsksForTenTimesItsUsual)
+{
+    checkOthers("114 routers", heavyAccount(1, 114), heavyAccount(10, 114));
+}
+
+TEST_GROUP(OverloadByOneAccountWithoutNews){};
+
+/// Each router goes on with what it knows.
+TEST(OverloadByOneAccountWithoutNews, othersAreServedWhilePeersTellNothing)
+{
+    OverloadPlan heavy = heavyAccount(10);
+    heavy.workDelay = 1000;
+    checkOthers("silent", heavyAccount(1), heavy);
+}
+
+TEST(OverloadByOneAccountWithoutNews, othersAreServedWhilePeersTellTwoSecondsLate)
+{
+    OverloadPlan heavy = heavyAccount(10);
+    heavy.workDelay = 2;
+    checkOthers("late", heavyAccount(1), heavy);
+}
+
+TEST(OverloadByOneAccountWithoutNews, othersAreServedWhilePeersTellOldFigures)
+{
+    OverloadPlan heavy = heavyAccount(10);
+    heavy.workFrozenFrom = 7;
+    checkOthers("frozen", heavyAccount(1), heavy);
+}
+
 /// Repeats are refused at once, so they cost the engines nothing.
 TEST(Overload, impatientRepeatsDoNotLowerGoodput)
 {
--- a/tests/overloadmodel.h
+++ b/tests/overloadmodel.h
@@ -1,8 +1,6 @@
-// Model of a fleet whose engines get more requests than they can serve, without
-// I/O: virtual time, routers that decide as the data path does (LoadBalancer
-// and Admission), engines that run requests in slots and queue three times as
-// many, load reports in their responses, and beacons as late as the fleet's
-// byte budget makes them.
+// Model of a fleet whose engines get more requests than they can serve, without I/O: virtual time, routers that decide
+// as the data path does (LoadBalancer and Admission), engines that run requests in slots and queue three times as many,
+// load reports in their responses, and beacons as late as the fleet's byte budget makes them.
 //
 // Sections of this file: Load, Model.
 #pragma once
@@ -32,8 +30,7 @@
     double deadline = 5;  // time that callers wait, s
 };
 
-/// What is asked of the fleet. Times are in seconds, rates are multiples of
-/// what the engines can serve.
+/// What is asked of the fleet. Times are in seconds, rates are multiples of what the engines can serve.
 struct OverloadPlan {
     int routers = 30;
     int engines = 60;
@@ -45,8 +42,10 @@
                                        {"digest", 1, 0.3, 1.2, 0.2, 0.8, 5400},
                                        {"tag", 1, 0.4, 0.1, 0.06, 0.5, 720}};
     std::vector<double> accounts = std::vector<double>(12, 1); // demand of each, as a multiple of the usual
-    double repeatShare = 0;                                    // of the refused callers, who repeat at once up to
-                                                               // ten times; others return once
+    std::size_t firstAccountRouters = 0;                       // that the callers of the first account come to; 0: all
+    double workDelay = 0;        // until peers hear of the accounts' use, besides that of beacons, s
+    double workFrozenFrom = 1e9; // from then on, peers tell the same use again and again, s
+    double repeatShare = 0;      // of the refused callers, who repeat at once up to ten times; others return once
     std::function<double(double now, int engine)> slowdown = [](double, int) { return 1; };
     double warmUp = 4;
     double end = 14;
@@ -77,6 +76,7 @@
         double sentAt = 0;
         int sent = 0;
         int repeats = 0; // by the caller
+        bool isOverShare = false;
         bool isDone = false;
     };
     using RequestPointer = std::shared_ptr<Request>;
@@ -90,6 +90,8 @@
         std::unique_ptr<LoadBalancer> balancer;
         std::unique_ptr<Admission> admission;
         std::map<WaitKey, RequestPointer> waiting;
+        std::vector<AccountWork> toldWork;
+        double nextWorkAt = 0;
     };
 
     explicit OverloadModel(OverloadPlan thePlan, std::uint64_t seed = 1)
@@ -183,14 +185,15 @@
     void arrive(const RequestPointer &request)
     {
         request->arrival = now;
-        request->router = static_cast<std::size_t>(uniform() * plan.routers);
+        const bool isFirst = request->account == 0 && plan.firstAccountRouters > 0;
+        request->router = static_cast<std::size_t>(
+            uniform() * (isFirst ? static_cast<double>(plan.firstAccountRouters) : plan.routers));
         request->excluded.clear();
         request->sent = 0;
         dispatch(request);
     }
 
-    /// Callers who repeat do so at once, others when they were told to, while
-    /// their time lasts.
+    /// Callers who repeat do so at once, others when they were told to, while their time lasts.
     void refuse(const RequestPointer &request, double retryAfter)
     {
         count(*request, [](Tally &tally) { ++tally.refused; });
@@ -205,10 +208,20 @@
 
     // Routers
 
+    bool isOverShare(const Request &request) const
+    {
+        AdmissionRequest asked;
+        asked.account = {"a" + std::to_string(request.account)};
+        asked.isAccountPriority = request.sent > 0;
+        return plan.hasAdmission && routers[request.router].admission->isOverShare(at(now), service, asked);
+    }
+
     SelectionRequest selection(const Request &request) const
     {
         SelectionRequest selection{service, request.prompt, request.excluded};
         selection.needsRoom = plan.hasAdmission;
+        selection.leavesBacklog = isOverShare(request);
+        selection.yielding = routers[request.router].admission->inProgressOverShare(service);
         return selection;
     }
 
@@ -281,7 +294,7 @@
             refuse(request, 0.25);
             return;
         }
-        router.admission->onSent(at(now), service, admissionRequest(*request));
+        request->isOverShare = router.admission->onSent(at(now), service, admissionRequest(*request));
         ++request->sent;
         ++arrivals;
         request->sentAt = now;
@@ -303,9 +316,40 @@
                 routers[to].balancer->onReportedLoads(at(now), reported);
             }
         }
+        tellWork(from);
         after(plan.beaconInterval, [this, from] { broadcast(from); });
     }
 
+    /// As often as `PeerLoadExchange` does.
+    void tellWork(std::size_t from)
+    {
+        const double interval = std::max(2.0, 3 * plan.beaconInterval);
+        Router &router = routers[from];
+        if (now < router.nextWorkAt) {
+            return;
+        }
+        if (now < plan.workFrozenFrom) {
+            router.toldWork = router.admission->workToTell(at(now));
+        }
+        if (router.toldWork.empty()) {
+            return;
+        }
+        router.nextWorkAt = now + interval;
+        const auto deliver = [this, from, interval, work = router.toldWork] {
+            for (std::size_t to = 0; to < routers.size(); ++to) {
+                if (to != from) {
+                    routers[to].admission->use().onPeerWork(at(now), static_cast<std::uint32_t>(from), work,
+                                                            at(3 * interval) - at(0));
+                }
+            }
+        };
+        if (plan.workDelay > 0) {
+            after(plan.workDelay, deliver);
+        } else {
+            deliver();
+        }
+    }
+
     void tick(std::size_t router)
     {
         drain(router);
@@ -361,23 +405,21 @@
             if (now < next->askedAt + next->kind->deadline) {
                 run(next, id);
             } else {
-                report(next, id, AttemptOutcome::Refused); // the time that it had was
-                                                           // over in the queue
+                report(next, id, AttemptOutcome::Refused); // the time that it had was over in the queue
                 ++notRun;
             }
         }
         drain(request->router);
     }
 
-    /// The router learns that the response has begun, or that the attempt has
-    /// ended, and the engine's load.
+    /// The router learns that the response has begun, or that the attempt has ended, and the engine's load.
     void report(const RequestPointer &request, const EndpointId &id, std::optional<AttemptOutcome> outcome)
     {
         const Engine &engine = engines[engineIndex(id)];
         LoadBalancer &balancer = *routers[request->router].balancer;
         if (outcome) {
             balancer.onEnded(at(now), id, *outcome);
-            routers[request->router].admission->onEnded(service);
+            routers[request->router].admission->onEnded(service, request->isOverShare);
         }
         if (!outcome || *outcome == AttemptOutcome::Refused) {
             const double slow = plan.slowdown(now, static_cast<int>(engineIndex(id)));
--- a/tests/replicaroom.cpp
+++ b/tests/replicaroom.cpp
@@ -80,6 +80,17 @@
     CHECK(balancer.freeSlots(at(0), {"s"}) <= 0);
 }
 
+/// What may wait at the engines stays free for requests of other accounts.
+TEST(ReplicaRoom, ARequestThatLeavesTheBacklogGetsFreeSlotsAlone)
+{
+    balancer.updateReplicas(at(0), replicas(10, 12));
+    SelectionRequest overShare = withPrompt(42);
+    overShare.leavesBacklog = true;
+    LONGS_EQUAL(120, fill(0, overShare));
+    LONGS_EQUAL(10, balancer.choose(at(0), overShare).skippedBusy);
+    LONGS_EQUAL(30, fill(0, withPrompt(42)));
+}
+
 TEST(ReplicaRoom, ARequestThatNeedsNoRoomIsSentAsBefore)
 {
     balancer.updateReplicas(at(0), replicas(10, 12));
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -28,6 +28,9 @@
 constexpr auto newcomersTime = std::chrono::milliseconds(500); // in which all start that start at once
 constexpr auto repeatedListInterval = std::chrono::seconds(2); // between lists to the same router that starts
 constexpr auto minPeerTimeout = std::chrono::seconds(2);       // a peer that is silent for longer does not count
+constexpr auto minAccountWorkInterval = std::chrono::seconds(2); // between beacons with client accounts' use
+constexpr int accountWorkBeacons = 3;   // one in so many carries it, so that load is told hardly less often
+constexpr int accountWorkLifetime = 3;  // intervals after which what a peer told of it no longer counts
 constexpr int peerTimeoutIntervals = 4; // the same, in broadcasts at the rate of the budget; the longer time counts
 
 static bool hasOtherSeed(const PeerSettings &settings)
@@ -133,6 +136,9 @@
     }
     m_loadBalancer.onPeerLoads(now, from, beacon.loads);
     m_loadBalancer.onReportedLoads(now, beacon.reported);
+    if (!beacon.accountWork.empty()) {
+        onAccountWork(now, from, beacon.accountWork, accountWorkInterval() * accountWorkLifetime);
+    }
     if (asksForList) {
         sendPeerListTo(now, from);
     }
@@ -276,6 +282,11 @@
     return std::max<Duration>(minPeerTimeout, m_beaconBudget.interval(broadcastBytes()) * peerTimeoutIntervals);
 }
 
+Duration PeerLoadExchange::accountWorkInterval() const
+{
+    return std::max<Duration>(minAccountWorkInterval, m_beaconBudget.interval(broadcastBytes()) * accountWorkBeacons);
+}
+
 void PeerLoadExchange::sendIfDue(Instant now)
 {
     const bool maySendEnds =
@@ -327,6 +338,10 @@
     beacon.news = m_queryOfDeath.takeNews(now);
     beacon.limits = m_loadBalancer.rateLimits().takeReport(now);
     beacon.limits.startId = now < m_startIdToldUntil ? m_startId : 0;
+    if (now >= m_nextAccountWorkAt) {
+        beacon.accountWork = accountWork(now);
+        m_nextAccountWorkAt = now + (beacon.accountWork.empty() ? Duration{} : accountWorkInterval());
+    }
     const std::string payload = encodeBeacon(beacon);
     m_beaconBytes += beaconSizeWeight * (datagramBytes(payload) - m_beaconBytes);
     m_lastSentAt = now;
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -70,6 +70,13 @@
     std::function<void()> onNewerPlaces;          // a peer has read or written newer places
     std::function<void()> onListReceived = [] {}; // a peer has told which peers and blocked prompts it knows
 
+    /// @return what client accounts use at this router, to be told now; empty: nothing
+    std::function<std::vector<AccountWork>(Instant)> accountWork = [](Instant) { return std::vector<AccountWork>(); };
+
+    /// A peer has told what client accounts use there. @param lifetime time after which it no longer counts
+    std::function<void(Instant, std::uint32_t peer, const std::vector<AccountWork> &, Duration lifetime)>
+        onAccountWork = [](Instant, std::uint32_t, const std::vector<AccountWork> &, Duration) {};
+
     /// Sets the version of the desired state in force at this router, for the next peer list. @param version -1: none
     void setStateVersion(DesiredStateVersion version) { m_stateVersion = version; }
 
@@ -109,6 +116,7 @@
     void reportDataCentre(Instant now);
     int broadcastBytes() const;
     Duration peerTimeout() const;
+    Duration accountWorkInterval() const;
 
     PeerSettings m_settings;
     LoadBalancer &m_loadBalancer;
@@ -132,6 +140,7 @@
     Instant m_nextPlacesNoticeAt{};          // earliest time of the next `onNewerPlaces`
     boost::random::mt19937_64 m_random;      // chooses the receivers and the contents of peer lists
     Instant m_lastSentAt{};                  // time of the last beacon
+    Instant m_nextAccountWorkAt{};           // when client accounts' use may be told again
     std::optional<Instant> m_unsentStartAt;  // time of the oldest start not yet sent to peers
     double m_startDelaySeconds = 0;          // smoothed delay from a start to its beacon
     std::uint32_t m_placesUpTo = 0;          // end of the places topic as read, plus 1; 0: store unreachable
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -39,7 +39,7 @@
     m_trial.begin();
     dropResponse();
     m_sentAt = now;
-    m_state.waitingForRoom.admission().onSent(now, m_selection.service, admissionRequest(now));
+    m_isOverShare = m_state.waitingForRoom.admission().onSent(now, m_selection.service, admissionRequest(now));
     ++m_attempts.sent;
     bool isNew = false;
     m_connection = m_state.connectionPool.acquire(now, m_endpoint, !m_route->isRetryable(), isNew);
@@ -314,7 +314,7 @@
         m_state.log.write(line, LogPriority::Notable);
     }
     m_connection.reset();
-    m_state.waitingForRoom.admission().onEnded(m_selection.service);
+    m_state.waitingForRoom.admission().onEnded(m_selection.service, m_isOverShare);
     m_state.waitingForRoom.drainSoon();
 }
 
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -146,6 +146,7 @@
     WaitKey m_waitKey{};              // while it waits for room
     bool m_isWaiting = false;         // for room at a replica
     Instant m_waitingSince{};         // start of that wait
+    bool m_isOverShare = false;       // its account was over its share when the attempt was sent
     Duration m_roomExpectedIn{};      // Retry-After of a refusal for lack of room
     DeadlineTimer m_timer;
     AttemptHistory m_attempts;
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -199,6 +199,9 @@
 ReplicaChoice RequestHandler::chooseReplica(Instant now)
 {
     m_selection.needsRoom = !m_attempts.isStreaming;
+    const Admission &admission = m_state.waitingForRoom.admission();
+    m_selection.leavesBacklog = admission.isOverShare(now, m_selection.service, admissionRequest(now));
+    m_selection.yielding = admission.inProgressOverShare(m_selection.service);
     ReplicaChoice choice = m_state.loadBalancer.choose(now, m_selection);
     if (!choice && choice.skippedBusy == 0 && m_selection.excluded != m_refusedBy) {
         m_selection.excluded = m_refusedBy;
--- a/traffic/requestwait.cpp
+++ b/traffic/requestwait.cpp
@@ -12,8 +12,7 @@
 constexpr double retryWaitFraction = 0.5;       // of the latency objective, for a request that was sent before
 constexpr std::size_t bytesBesidesBody = 4096;  // of a waiting request: head, decoded fields
 
-/// Refused at once if it cannot be expected to start in time. @return false if
-/// it does not wait
+/// Refused at once if it cannot be expected to start in time. @return false if it does not wait
 bool RequestHandler::waitForRoom(Instant now)
 {
     AdmissionRequest request = admissionRequest(now);
@@ -50,8 +49,7 @@
     return request;
 }
 
-/// @return time from the start of an attempt to its response, as far as it is
-/// known and the objective can be met
+/// @return time from the start of an attempt to its response, as far as it is known and the objective can be met
 Duration RequestHandler::expectedResponseTime() const
 {
     const Duration known = m_state.waitingForRoom.admission().expectedResponseTime(m_route->id);
@@ -61,8 +59,8 @@
     return known > Duration{} ? std::min(known, fraction(maxResponseFraction)) : fraction(unknownResponseFraction);
 }
 
-/// @return when the request must start at the latest: for a response within the
-/// objective, or, if it was sent before, soon
+/// @return when the request must start at the latest: for a response within the objective, or, if it was sent before,
+/// soon
 Instant RequestHandler::latestStart(Instant now) const
 {
     const Duration response = expectedResponseTime();
@@ -98,8 +96,7 @@
     giveUp(reason);
 }
 
-/// A request that was sent before stays with its route, as its other attempts
-/// did; its key is checked when it is sent.
+/// A request that was sent before stays with its route, as its other attempts did; its key is checked when it is sent.
 void RequestHandler::onDesiredState()
 {
     if (m_isFinished) {
@@ -125,8 +122,7 @@
     }
 }
 
-/// The time in which replicas of the route respond tells how long others may
-/// wait.
+/// The time in which replicas of the route respond tells how long others may wait.
 void RequestHandler::noteResponseTime(Instant now)
 {
     m_state.waitingForRoom.admission().onResponse(m_route->id, now - m_sentAt);
@@ -139,7 +135,9 @@
     LogLine line(decision.waits ? "request_waits" : "not_admitted");
     line.text("request", m_fields.request.text).text("service", m_selection.service.text);
     line.text("why", text(decision.refusal)).text("account", request.account.text);
-    line.number("priority", request.priority).number("cost", static_cast<std::int64_t>(request.cost));
+    line.number("priority", request.priority).number("rank", decision.rank);
+    line.number("use_pct", static_cast<std::int64_t>(decision.use * hundredths));
+    line.number("cost", static_cast<std::int64_t>(request.cost));
     line.number("waiting", static_cast<std::int64_t>(decision.waiting));
     line.number("work_before_pct", static_cast<std::int64_t>(decision.workBefore * hundredths));
     line.number("starts_per_s_pct", static_cast<std::int64_t>(decision.startRate * hundredths));
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -56,6 +56,11 @@
         releaseWaiting();
     };
     m_peers.onStateVersionTold = [this](DesiredStateVersion version) { onStateVersionTold(version); };
+    m_peers.accountWork = [this](Instant now) { return m_state.waitingForRoom.admission().workToTell(now); };
+    m_peers.onAccountWork = [this](Instant now, std::uint32_t peer, const std::vector<AccountWork> &work,
+                                   Duration lifetime) {
+        m_state.waitingForRoom.admission().use().onPeerWork(now, peer, work, lifetime);
+    };
     m_state.onPeerNews = [this] { m_peers.requestBeacon(); };
     m_state.queryOfDeath.onVerdict = [this](const PromptVerdict &verdict) { logVerdict(verdict); };
     CallerConnectionHooks &hooks = m_listener.hooks;
--- a/traffic/waitingrequests.cpp
+++ b/traffic/waitingrequests.cpp
@@ -8,6 +8,7 @@
 namespace galenafold
 {
 
+constexpr std::size_t maxHeavyAccounts = 16;                  // of a service, in metrics
 constexpr auto retryInterval = std::chrono::milliseconds(20); // between looks for room while requests wait
 
 WaitingRequests::WaitingRequests(asio::io_context &io, const AdmissionSettings &settings, std::uint64_t seed)
@@ -158,6 +159,9 @@
         writeMetric(out, "requests_waiting", name, static_cast<double>(m_admission.waiting(service)));
         writeMetric(out, "start_rate", name, m_admission.startRate(now, service));
         writeMetric(out, "start_window", name, m_admission.window(service));
+        for (const auto &[account, multiple] : m_admission.use().heaviest(now, service, maxHeavyAccounts)) {
+            writeMetric(out, "account_over_share", name + ',' + label("account", account.text), multiple);
+        }
         writeMetric(out, "admitted_total", name, static_cast<double>(metrics.started));
         metrics.waited.write(out, "waited_seconds", name);
         for (const auto &[why, count] : metrics.refused) {
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -36,6 +36,15 @@
                                 # link class in the lower 8; 0: not known
   peerSites @9 :List(UInt8);    # of the beacon's peers, in the same order: position in `sites`
   stateVersion @10 :Int64;      # 0: not told; else 1 + the version of the desired state in force at the sender
+  accountWork @11 :List(AccountWork);  # replaces what the sender told before; empty: as told before
+}
+
+# What client accounts have used of a service at the sender lately.
+struct AccountWork {
+  service @0 :UInt32;     # hash of its id
+  account @1 :UInt32;     # hash of its id; 0: all that the sender does not name, together
+  perSecond @2 :Float32;  # work a second, as a multiple of the service's usual request
+  accounts @3 :UInt64;    # with account 0: a bit for each account that uses the service
 }
 
 # Calls of all routers in progress at an endpoint, as it has just reported.
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(89d7e4adaefa4d18);
 CAPNP_DECLARE_SCHEMA(b36b346b0a144e6e);
+CAPNP_DECLARE_SCHEMA(912add06d33181c4);
 CAPNP_DECLARE_SCHEMA(eeb30253c259f311);
 CAPNP_DECLARE_SCHEMA(f2fa3eac28d5e2c3);
 CAPNP_DECLARE_SCHEMA(e00d435abed82c73);
@@ -73,7 +74,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 2, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(b36b346b0a144e6e, 2, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AccountWork {
+  AccountWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(912add06d33181c4, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -630,6 +646,9 @@
 
   inline  ::int64_t getStateVersion() const;
 
+  inline bool hasAccountWork() const;
+  inline  ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Reader getAccountWork() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -725,6 +744,13 @@
   inline  ::int64_t getStateVersion();
   inline void setStateVersion( ::int64_t value);
 
+  inline bool hasAccountWork();
+  inline  ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Builder getAccountWork();
+  inline void setAccountWork( ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Builder initAccountWork(unsigned int size);
+  inline void adoptAccountWork(::capnp::Orphan< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>> disownAccountWork();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -751,6 +777,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class AccountWork::Reader {
+public:
+  typedef AccountWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService() const;
+
+  inline  ::uint32_t getAccount() const;
+
+  inline float getPerSecond() const;
+
+  inline  ::uint64_t getAccounts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AccountWork::Builder {
+public:
+  typedef AccountWork Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
+
+  inline  ::uint32_t getAccount();
+  inline void setAccount( ::uint32_t value);
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+  inline  ::uint64_t getAccounts();
+  inline void setAccounts( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AccountWork::Pipeline {
+public:
+  typedef AccountWork Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ReportedLoad::Reader {
 public:
   typedef ReportedLoad Reads;
@@ -3335,6 +3452,96 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BeaconNews::Reader::hasAccountWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool BeaconNews::Builder::hasAccountWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Reader BeaconNews::Reader::getAccountWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::getAccountWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void BeaconNews::Builder::setAccountWork( ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>::Builder BeaconNews::Builder::initAccountWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void BeaconNews::Builder::adoptAccountWork(
+    ::capnp::Orphan< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>> BeaconNews::Builder::disownAccountWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::galenafold::wire::AccountWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t AccountWork::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AccountWork::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AccountWork::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AccountWork::Reader::getAccount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AccountWork::Builder::getAccount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AccountWork::Builder::setAccount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AccountWork::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float AccountWork::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AccountWork::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AccountWork::Reader::getAccounts() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AccountWork::Builder::getAccounts() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AccountWork::Builder::setAccounts( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ReportedLoad::Reader::getEndpointHash() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
