--- a/filters/admission.h
+++ b/filters/admission.h
@@ -8,14 +8,14 @@
 //
 // Load pattern: one account asks for many times its usual, or repeats each refused request at once. Its requests wait
 // behind each other, not before those of other accounts, and an account that has used less than its share lately goes
-// first.
+// first. What an account has used is counted over all routers. @see AccountUse
 //
 // While replicas have room nothing waits; only the work that starts is counted here.
 //
 // Sections of this file: Request, Admission.
 #pragma once
 
-#include "control/routes.h"
+#include "control/accountuse.h"
 #include "filters/headerfields.h"
 #include "filters/queue.h"
 #include "filters/rates.h"
@@ -46,7 +46,7 @@
 enum class AdmissionRefusal : std::uint8_t {
     None,    // it waits
     TooLate, // it cannot be expected to start in time
-    Full,    // as many requests wait as may; of its service, this one is the least urgent
+    Full,    // as many requests wait as may, and this one is the least urgent
 };
 
 const char *text(AdmissionRefusal refusal); ///< @return the refusal's name in logs and metrics
@@ -61,6 +61,8 @@
     double workBefore = 0;        // work to start before this request, as a multiple of the service's usual request
     double startRate = 0;         // such work per second that has started lately; 0: not known
     Duration expectedWait{};
+    double use = 0; // of the account lately, as a multiple of the mean of all accounts
+    int rank = 0; // the first to start first: the priority, and behind all of these, that of an account over its share
 };
 
 /// @return expected work of a request by the token counts that its fields give; 0: they give none
@@ -81,11 +83,20 @@
 public:
     Admission(const AdmissionSettings &settings, std::uint64_t seed);
 
+    AccountUse &use() { return m_use; } ///< @return what client accounts have used lately
+    const AccountUse &use() const { return m_use; }
+
+    /// @return this router's part of what accounts use, for its peers; empty unless requests have waited lately
+    std::vector<AccountWork> workToTell(Instant now) const;
+
     /// @return true if requests of the service wait, so that a new one must take its turn, or if enough are in progress
     bool mustWait(const ServiceId &service) const;
     std::size_t waiting(const ServiceId &service) const; ///< @return requests of the service that wait
     std::vector<ServiceId> servicesWaiting() const;      ///< @return services of which requests wait
 
+    /// @return true if the request's account has used more than its share lately, and has no priority of its own
+    bool isOverShare(Instant now, const ServiceId &service, const AdmissionRequest &request) const;
+
     /// A request found no replica with room, or others wait before it.
     AdmissionDecision push(Instant now, const ServiceId &service, const AdmissionRequest &request);
 
@@ -97,10 +108,14 @@
     /// @return false if none was started
     bool startNext(const ServiceId &service, const std::function<bool(WaitKey)> &start);
 
-    /// An attempt was sent to a replica, after a wait or at once.
-    void onSent(Instant now, const ServiceId &service, const AdmissionRequest &request);
+    /// An attempt was sent to a replica, after a wait or at once. @return true if its account is over its share
+    bool onSent(Instant now, const ServiceId &service, const AdmissionRequest &request);
+
+    /// An attempt that was sent has ended. @param isOverShare as returned by `onSent`
+    void onEnded(const ServiceId &service, bool isOverShare = false);
 
-    void onEnded(const ServiceId &service); ///< An attempt that was sent has ended.
+    /// @return requests of the service in progress that were over their account's share when they were sent
+    int inProgressOverShare(const ServiceId &service) const;
 
     /// A response told the load of its replica. @see StartWindow
     void onLoad(Instant now, const ServiceId &service, const ReplicaLoad &load);
@@ -114,8 +129,9 @@
 
     std::optional<Instant> nextExpiry() const; ///< @return when `expire` has something to remove next
 
-    /// @return time after which room is expected for a request of this priority that is refused now, spread by chance
-    Duration retryAfter(Instant now, const ServiceId &service, int priority);
+    /// @return time after which room is expected for a request that is refused now, spread by chance
+    Duration retryAfter(Instant now, const ServiceId &service, const AdmissionRequest &request);
+    Duration retryAfter(Instant now, const ServiceId &service, int rank);
 
     double startRate(Instant now, const ServiceId &service) const; ///< @return work per second that starts; 0: unknown
 
@@ -135,13 +151,19 @@
         double pessimism = 1; // factor on expected waits, raised when requests wait in vain
     };
 
+    /// Requests that wait, and since when there have been some.
+    struct Backlog {
+        std::size_t waiting = 0;
+        Instant since{};
+        void add(Instant now);
+        bool isStanding(Instant now) const; ///< @return true if it is no burst any more
+    };
+
     struct Service {
-        std::map<int, Level> levels;          // by rank, the first to start first. @see rank
-        std::map<AccountId, DecayingSum> use; // work started lately
+        std::map<int, Level> levels; // by rank, the first to start first. @see rank
         StartWindow window;
-        Instant nextUseCheckAt{}; // when accounts without recent use are dropped
-        std::size_t waiting = 0;
-        Instant backlogSince{};          // since when requests have been waiting
+        Backlog backlog;                 // of all requests
+        Backlog withinShare;             // of accounts that are not over their share
         double floorCredit = 0;          // work that priorities below the highest waiting one may start before it
         int lastBelow = 0;               // the rank below it that had its turn last
         std::optional<Tokens> usualCost; // smoothed, of requests whose cost is known
@@ -150,6 +172,7 @@
     struct Entry {
         ServiceId service;
         int rank = 0;
+        bool isOverShare = false; // its account was, when it came
         std::size_t bytes = 0;
     };
 
@@ -158,9 +181,11 @@
                   AdmissionDecision &decision) const;
     static bool isInTime(Instant now, const Service &service, const AdmissionRequest &request,
                          const AdmissionDecision &decision);
-    static double useOf(Instant now, const Service &service, const AccountId &account);
-    static int rank(Instant now, const Service &service, const AdmissionRequest &request);
-    static void dropOldUse(Instant now, Service &service);
+    void forget(std::unordered_map<WaitKey, Entry>::iterator entry);
+    static bool isOverShare(const AdmissionRequest &request, double use);
+    static int rank(const AdmissionRequest &request, double use);
+    int rankNow(Instant now, const ServiceId &service, const AdmissionRequest &request) const;
+    std::pair<const ServiceId, Service> &leastUrgentService();
     void evictBeyondLimits(Instant now, const AdmissionRequest &request, AdmissionDecision &decision);
     static Level *nextBelow(Service &service, int highest);
     static double startRate(Instant now, const Service &service, int ranksBelow);
@@ -171,6 +196,8 @@
     std::map<ServiceId, Service> m_services;
     std::unordered_map<WaitKey, Entry> m_entries;
     std::size_t m_bytes = 0; // of all that waits
+    AccountUse m_use;
+    std::optional<Instant> m_lastWaitAt; // when a request last had to wait or was refused
     std::unordered_map<RouteId, ResponseTimeEstimate> m_responseTimes;
 };
 
--- a/tests/admission.cpp
+++ b/tests/admission.cpp
@@ -263,6 +263,32 @@
     CHECK(waitsAt(10) < inBurst * 3 / 4);
 }
 
+/// What stands behind a request does not shorten the time that it may use.
+TEST(Admission, ABacklogOfAnAccountOverItsShareIsNoneToOthers)
+{
+    const auto waitsAt = [this](double now) {
+        int waits = 0;
+        for (int i = 0; i < 100; ++i) {
+            waits += admission.push(at(now), service, request("light" + std::to_string(i), 1, 100, now + 2)).waits;
+        }
+        return waits;
+    };
+    startFor(0, 50, "heavy");
+    startFor(0, 5, "light");
+    startFor(0, 5, "other");
+    admission.push(at(0), service, request("heavy")); // stands until the end
+    startFor(10, 10, "light");
+    startFor(10, 10, "other");
+    startFor(10, 50, "heavy");
+    const int beside = waitsAt(10);
+    Admission alone(settings, 1);
+    std::swap(admission, alone);
+    startFor(10, 10, "light");
+    startFor(10, 10, "other");
+    startFor(10, 50, "heavy");
+    LONGS_EQUAL(waitsAt(10), beside);
+}
+
 TEST(Admission, WithoutAKnownRateRequestsWaitUntilTheirTimeIsOver)
 {
     for (int i = 0; i < 20; ++i) {
@@ -332,6 +358,26 @@
     CHECK(seconds(admission.retryAfter(at(0), service, 0)) <= 0.5); // none of its priority or above was refused
 }
 
+/// What it is refused lies behind the others, and so does the time that it is told.
+TEST(Admission, RetryAfterOfAnAccountOverItsShareIsThatOfItsPlace)
+{
+    startFor(0, 50, "heavy");
+    startFor(0, 5, "light");
+    startFor(0, 5, "other");
+    for (int i = 0; i < 200; ++i) {
+        admission.push(at(0), service, request("heavy", 1, 100, 0));
+    }
+    const auto meanOf = [this](const AdmissionRequest &refused) {
+        double sum = 0;
+        for (int i = 0; i < 200; ++i) {
+            sum += seconds(admission.retryAfter(at(0), service, refused)) / 200;
+        }
+        return sum;
+    };
+    CHECK(meanOf(request("heavy")) > 1);
+    CHECK(meanOf(request("light")) < 0.5);
+}
+
 // Bounds
 
 TEST(Admission, WhenFullTheLeastUrgentOfTheLargestAccountGivesWay)
@@ -355,6 +401,28 @@
     LONGS_EQUAL(4, small.waiting(service));
 }
 
+/// Requests of a service without urgency took all places, and each request of another one was refused.
+TEST(Admission, WhenFullTheLeastUrgentOfAllServicesGivesWay)
+{
+    settings.capacity = 4;
+    Admission small(settings, 1);
+    const ServiceId other{"other"};
+    std::vector<AdmissionRequest> requests;
+    for (int i = 0; i < 4; ++i) {
+        requests.push_back(request("a", 5, 100, 100 + i));
+        CHECK(small.push(at(0), other, requests.back()).waits);
+    }
+    const AdmissionDecision urgent = small.push(at(0), service, request("b", 1));
+    CHECK(urgent.waits);
+    LONGS_EQUAL(1, urgent.evicted.size());
+    CHECK(urgent.evicted[0] == requests.back().key);
+    LONGS_EQUAL(1, small.waiting(service));
+    LONGS_EQUAL(3, small.waiting(other));
+    const AdmissionDecision least = small.push(at(0), service, request("b", 9));
+    CHECK(!least.waits);
+    CHECK(least.refusal == AdmissionRefusal::Full);
+}
+
 TEST(Admission, WhatWaitsHoldsBoundedMemory)
 {
     settings.maxBytes = 1000;
--- a/traffic/requestwait.cpp
+++ b/traffic/requestwait.cpp
@@ -92,8 +92,7 @@
     const Instant now = clockNow();
     m_isWaiting = false;
     m_state.waitingForRoom.onRefused(m_selection.service, reason == EndReason::NoRoomInTime ? "expired" : text(why));
-    m_roomExpectedIn =
-        m_state.waitingForRoom.admission().retryAfter(now, m_selection.service, admissionRequest(now).priority);
+    m_roomExpectedIn = m_state.waitingForRoom.admission().retryAfter(now, m_selection.service, admissionRequest(now));
     giveUp(reason);
 }
 
@@ -136,7 +135,9 @@
     LogLine line(decision.waits ? "request_waits" : "not_admitted");
     line.text("request", m_fields.request.text).text("service", m_selection.service.text);
     line.text("why", text(decision.refusal)).text("account", request.account.text);
-    line.number("priority", request.priority).number("cost", static_cast<std::int64_t>(request.cost));
+    line.number("priority", request.priority).number("rank", decision.rank);
+    line.number("use_pct", static_cast<std::int64_t>(decision.use * hundredths));
+    line.number("cost", static_cast<std::int64_t>(request.cost));
     line.number("waiting", static_cast<std::int64_t>(decision.waiting));
     line.number("work_before_pct", static_cast<std::int64_t>(decision.workBefore * hundredths));
     line.number("starts_per_s_pct", static_cast<std::int64_t>(decision.startRate * hundredths));
