Let how long a request may wait follow from its own tokens

Cause: admission kept an estimate of its own by route, the mean and deviation of all its requests. On a route with requests of unlike sizes long ones started too late, and short ones were refused that still had time.

Change: ServiceTimeModel tells a time to the first event that few requests of such work exceed, and the estimate by route is its fallback for requests without token counts. Slopes are learnt from requests that waited, too, and for responses that are no streams from their output.

--- a/filters/admission.cpp
+++ b/filters/admission.cpp
@@ -2,6 +2,8 @@
 // Estimates.
 #include "filters/admission.h"
 
+#include "filters/servicetime.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,9 +29,8 @@
 constexpr int maxTries = 4; // requests that find no room; others may fit where the first ones do not
 constexpr double maxPessimism = 3;
 constexpr auto minRetryAfter = std::chrono::milliseconds(250);
-constexpr double minRetrySpread = 0.125;     // seconds; half of the range over which callers are spread
-constexpr double maxRetrySpread = 2;         // seconds
-constexpr std::size_t maxRouteTimes = 16384; // routes whose response times are kept
+constexpr double minRetrySpread = 0.125; // seconds; half of the range over which callers are spread
+constexpr double maxRetrySpread = 2;     // seconds
 
 static double secondsOf(Duration time)
 {
@@ -58,16 +59,9 @@
 
 Tokens expectedCost(const RequestFields &fields)
 {
-    Tokens shared = 0;
-    for (std::size_t i = 0; i + 1 < fields.promptParts.size(); ++i) {
-        shared += fields.promptParts[i].tokens;
-    }
-    const Tokens prompt = fields.promptTokens > 0 || fields.promptParts.empty()
-        ? fields.promptTokens
-        : shared + fields.promptParts.back().tokens;
-    const Tokens output = fields.expectedOutput > 0 ? fields.expectedOutput : fields.maxOutput;
-    const Tokens unshared = std::max<Tokens>(0, prompt - shared);
-    return std::max<Tokens>(0, unshared + sharedTokenCost * shared + outputTokenCost * output);
+    const Tokens shared = sharedTokens(fields);
+    const Tokens unshared = std::max<Tokens>(0, promptTokens(fields) - shared);
+    return std::max<Tokens>(0, unshared + sharedTokenCost * shared + outputTokenCost * responseTokens(fields));
 }
 
 Admission::Level::Level()
@@ -426,18 +420,4 @@
     return minRetryAfter + durationOf(2 * seconds * chance);
 }
 
-void Admission::onResponse(const RouteId &route, Duration time)
-{
-    if (m_responseTimes.size() >= maxRouteTimes && m_responseTimes.count(route) == 0) {
-        m_responseTimes.clear(); // of routes that no longer exist, most of them
-    }
-    m_responseTimes[route].add(time);
-}
-
-Duration Admission::expectedResponseTime(const RouteId &route) const
-{
-    const auto found = m_responseTimes.find(route);
-    return found == m_responseTimes.end() ? Duration{} : found->second.expected();
-}
-
 } // namespace galenafold
--- a/filters/admission.h
+++ b/filters/admission.h
@@ -119,12 +119,6 @@
 
     double startRate(Instant now, const ServiceId &service) const; ///< @return work per second that starts; 0: unknown
 
-    /// The response to an attempt of a route has begun. @param time since the attempt was sent
-    void onResponse(const RouteId &route, Duration time);
-
-    /// @return time from the start of an attempt of the route to its response that few exceed; 0: not known
-    Duration expectedResponseTime(const RouteId &route) const;
-
 private:
     /// The requests of one service and one rank.
     struct Level {
@@ -171,7 +165,6 @@
     std::map<ServiceId, Service> m_services;
     std::unordered_map<WaitKey, Entry> m_entries;
     std::size_t m_bytes = 0; // of all that waits
-    std::unordered_map<RouteId, ResponseTimeEstimate> m_responseTimes;
 };
 
 } // namespace galenafold
--- a/tests/overload.cpp
+++ b/tests/overload.cpp
@@ -77,6 +77,34 @@
     CHECK(model.goodput() < keptShare / 2 * model.capacity());
 }
 
+/// Requests of unlike sizes whose routes have the names given, the long ones with a share of all.
+static OverloadPlan sizes(double longShare, const std::string &shortRoute, const std::string &longRoute)
+{
+    OverloadPlan result = plan(1.2);
+    result.kinds = {{shortRoute, 1, 1 - longShare, 0.5, 0.03, 0.6, 1000, 5, 830},
+                    {longRoute, 1, longShare, 1.0, 0.4, 0.6, 3000, 5, 21920}};
+    return result;
+}
+
+/// How long a request may wait follows from its own size, not from those of others on its route.
+TEST(Overload, longAndShortRequestsOfOneRouteAreServedAsThoseOfTwo)
+{
+    for (const double longShare : {0.1, 0.5}) {
+        OverloadModel mixed(sizes(longShare, "ask", "ask"));
+        mixed.run();
+        OverloadModel apart(sizes(longShare, "short", "long"));
+        apart.run();
+        print("one route", mixed);
+        print("two routes", apart);
+        for (std::size_t kind = 0; kind < mixed.byKind.size(); ++kind) {
+            std::printf("kind %zu: late %.3f, with two routes %.3f\n", kind, mixed.byKind[kind].lateShare(),
+                        apart.byKind[kind].lateShare());
+            CHECK(mixed.byKind[kind].lateShare() <= maxLateShare);
+            CHECK(mixed.byKind[kind].share() >= keptShare * apart.byKind[kind].share());
+        }
+    }
+}
+
 // Shares
 
 /// Served by order of urgency, and no kind starves.
--- a/tests/overloadmodel.h
+++ b/tests/overloadmodel.h
@@ -7,6 +7,7 @@
 
 #include "filters/admission.h"
 #include "filters/loadbalancer.h"
+#include "filters/servicetime.h"
 
 #include <boost/random/uniform_real_distribution.hpp>
 #include <cmath>
@@ -28,6 +29,7 @@
     double objective = 1; // for the first event, s
     Tokens cost = 0;      // as its fields tell; 0: not told
     double deadline = 5;  // time that callers wait, s
+    Tokens reads = 0;     // prompt tokens that the engine reads, as its fields tell; 0: not told
 };
 
 /// What is asked of the fleet. Times are in seconds, rates are multiples of what the engines can serve.
@@ -71,6 +73,7 @@
         std::uint64_t prompt = 0;
         std::set<EndpointId> excluded;
         double sentAt = 0;
+        ReplicaOccupancy occupancy; // of the engine when it was sent
         int sent = 0;
         int repeats = 0; // by the caller
         bool isDone = false;
@@ -85,6 +88,7 @@
     struct Router {
         std::unique_ptr<LoadBalancer> balancer;
         std::unique_ptr<Admission> admission;
+        ServiceTimeModel times;
         std::map<WaitKey, RequestPointer> waiting;
     };
 
@@ -210,7 +214,7 @@
     AdmissionRequest admissionRequest(const Request &request)
     {
         const OverloadKind &kind = *request.kind;
-        const double known = seconds(routers[request.router].admission->expectedResponseTime({kind.route}));
+        const double known = seconds(routers[request.router].times.likelyFirstEvent({kind.route}, {kind.reads}));
         const double response = known > 0 ? std::min(known, 0.9 * kind.objective) : kind.objective / 2;
         AdmissionRequest result;
         result.account = {"a" + std::to_string(request.account)};
@@ -281,6 +285,7 @@
         ++arrivals;
         request->sentAt = now;
         const EndpointId id = choice->record.id;
+        request->occupancy = router.balancer->occupancy(at(now), *choice);
         router.balancer->onSent(id);
         after(0.001, [this, request, id] { arriveAtEngine(request, id); });
     }
@@ -341,7 +346,10 @@
         ++served;
         const bool isGood = now <= request->arrival + request->kind->objective;
         count(*request, [isGood](Tally &tally) { ++(isGood ? tally.good : tally.late); });
-        routers[request->router].admission->onResponse({request->kind->route}, at(now) - at(request->sentAt));
+        if (request->sent == 1) {
+            routers[request->router].times.onFirstEvent({request->kind->route}, {request->kind->reads},
+                                                        request->occupancy, at(now) - at(request->sentAt));
+        }
         report(request, id, std::nullopt);
     }
 
--- a/tests/servicetime.cpp
+++ b/tests/servicetime.cpp
@@ -12,6 +12,7 @@
     static constexpr double secondsPerToken = 1 / 57000.0;
     static constexpr double base = 0.02; // s
     static constexpr double secondsPerOutputToken = 0.0003;
+    inline static const RouteId route{"ask"};
 
     double firstEvent(double tokens, double slowdown)
     {
@@ -25,7 +26,7 @@
             const ReplicaOccupancy occupancy{12, 5, random() % 5 == 0 ? 3.0 : 1.0};
             const double first = firstEvent(work.uncached, occupancy.slowdown);
             const double rest = work.output * secondsPerOutputToken * occupancy.slowdown;
-            model.onFirstEvent(work, occupancy, at(first));
+            model.onFirstEvent(route, work, occupancy, at(first));
             model.onEnd(work, occupancy, at(rest), at(first + rest));
         }
     }
@@ -74,6 +75,6 @@
 {
     engine.observe(model, 400);
     const double before = seconds(model.estimate({130, 300}, {12, 5, 1}).firstEvent);
-    model.onFirstEvent({130, 300}, {12, 5, 1}, std::chrono::milliseconds(500));
+    model.onFirstEvent(ObservedEngine::route, {130, 300}, {12, 5, 1}, std::chrono::milliseconds(500));
     CHECK(seconds(model.estimate({130, 300}, {12, 5, 1}).firstEvent) - before < 0.06);
 }
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -69,6 +69,7 @@
 
     bool waitForRoom(Instant now);
     AdmissionRequest admissionRequest(Instant now) const;
+    ServiceWork work(bool hasShared) const;
     Duration expectedResponseTime() const;
     Instant latestStart(Instant now) const;
     void logWait(const AdmissionDecision &decision, const AdmissionRequest &request) const;
@@ -103,7 +104,6 @@
     void noteRateLimit();
     void noteLeaving();
     void noteTurnedAway();
-    void noteResponseTime(Instant now);
     Duration retryAfter(EndReason reason) const;
     void onBody(std::string &body);
     void noteHeldBytes();
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -169,12 +169,7 @@
 void RequestHandler::expectTimes(Instant now, const ReplicaChoice &choice)
 {
     const bool isPreferred = choice.skippedFull + choice.skippedAvoided + choice.skippedBusy == 0;
-    const std::vector<PromptPart> &parts = m_fields.promptParts;
-    const Tokens output = m_fields.expectedOutput > 0 ? m_fields.expectedOutput : m_fields.maxOutput;
-    m_work = {m_fields.promptTokens, output};
-    if (isPreferred && m_selection.affinity) {
-        m_work.uncached = parts.back().tokens;
-    }
+    m_work = work(isPreferred && m_selection.affinity);
     m_occupancy = m_state.loadBalancer.occupancy(now, *choice);
     m_expected = m_state.serviceTimes[m_selection.service].estimate(m_work, m_occupancy);
 }
@@ -183,7 +178,7 @@
 {
     m_firstEventAt = now;
     if (m_attempts.sent == 1) {
-        m_state.serviceTimes[m_selection.service].onFirstEvent(m_work, m_occupancy, now - m_sentAt);
+        m_state.serviceTimes[m_selection.service].onFirstEvent(m_route->id, m_work, m_occupancy, now - m_sentAt);
     }
 }
 
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -46,7 +46,6 @@
         m_attempts.isStreaming = true;
         ++m_state.counts.streaming;
         m_firstByteAt = clockNow();
-        noteResponseTime(m_firstByteAt);
         m_sentStatus = m_head.status;
         m_caller->beginStream(m_sentStatus, endToEndFields(m_head.fields));
         m_caller->onDrained = [self = shared_from_this()] {
@@ -65,7 +64,6 @@
 {
     const int status = m_head.status;
     m_firstByteAt = clockNow();
-    noteResponseTime(m_firstByteAt);
     m_caller->sendResponse(status, endToEndFields(m_head.fields), m_body);
     finish("served", status, nullptr);
 }
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -26,18 +26,6 @@
     m_state.counts.streaming -= m_attempts.isStreaming ? 1 : 0;
 }
 
-/// @return tokens that a request holds at its replica
-static Tokens expectedTokens(const RequestFields &fields)
-{
-    Tokens prompt = fields.promptTokens;
-    if (prompt == 0) {
-        for (const PromptPart &part : fields.promptParts) {
-            prompt += part.tokens;
-        }
-    }
-    return prompt + (fields.expectedOutput > 0 ? fields.expectedOutput : fields.maxOutput);
-}
-
 void RequestHandler::begin()
 {
     const Instant now = clockNow();
@@ -84,7 +72,7 @@
         m_selection.affinity = affinityKey(m_fields.promptParts);
         m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
         const auto spec = m_table->services.find(m_selection.service);
-        m_selection.tokens = expectedTokens(m_fields);
+        m_selection.tokens = promptTokens(m_fields) + responseTokens(m_fields);
         m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
     m_selection.allowedDataCentres =
--- a/traffic/requestwait.cpp
+++ b/traffic/requestwait.cpp
@@ -49,10 +49,19 @@
     return request;
 }
 
+/// @param hasShared as in `expectedWork`
+ServiceWork RequestHandler::work(bool hasShared) const
+{
+    return expectedWork(m_fields, hasShared, m_route->kind == RequestKind::Stream);
+}
+
+/// The first replica with room is rarely the one that has the prompt's shared parts cached.
 /// @return time from the start of an attempt to its response, as far as it is known and the objective can be met
 Duration RequestHandler::expectedResponseTime() const
 {
-    const Duration known = m_state.waitingForRoom.admission().expectedResponseTime(m_route->id);
+    const auto times = m_state.serviceTimes.find(m_selection.service);
+    const Duration known =
+        times == m_state.serviceTimes.end() ? Duration{} : times->second.likelyFirstEvent(m_route->id, work(false));
     const auto fraction = [this](double of) {
         return std::chrono::duration_cast<Duration>(m_route->latencyObjective * of);
     };
@@ -123,12 +132,6 @@
     }
 }
 
-/// The time in which replicas of the route respond tells how long others may wait.
-void RequestHandler::noteResponseTime(Instant now)
-{
-    m_state.waitingForRoom.admission().onResponse(m_route->id, now - m_sentAt);
-}
-
 void RequestHandler::logWait(const AdmissionDecision &decision, const AdmissionRequest &request) const
 {
     constexpr double hundredths = 100;
