--- a/filters/admission.cpp
+++ b/filters/admission.cpp
@@ -19,7 +19,8 @@
 constexpr auto startRateWindow = std::chrono::seconds(1); // short enough to follow replicas that become slow
 constexpr auto refusedWindow = std::chrono::seconds(2);   // about the time after which refused callers return
 constexpr auto tellTime = std::chrono::seconds(5);        // after a request had to wait, in which peers are told of use
-constexpr int prioritiesOfRoutes = 16;                    // more than there are
+constexpr int priorities = 16;                            // more than there are
+constexpr int retryRank = -1;                             // ahead of all new requests
 constexpr auto standingAfter = std::chrono::seconds(1);   // a backlog that lasts longer is no burst
 constexpr double standingSlack = 0.6;                     // of the time to start, that a standing backlog may use
 constexpr double pessimismStep = 1.25;                    // factor for a request that waited in vain
@@ -200,14 +201,21 @@
 
 bool Admission::isOverShare(const AdmissionRequest &request, double use)
 {
-    return !request.isAccountPriority && use > heavyUse;
+    return !request.isRetry && use > heavyUse;
 }
 
-/// An account that uses much more than its share goes behind all others, by the priorities of its routes there too, and
-/// gets what the others leave.
+/// The account's priority comes first, and within it that of the route. An account that uses much more than its share
+/// goes behind the others of its priority, by the priorities of its routes there too, and gets what they leave. One
+/// without a priority counts by its route's, and goes behind all others when it is over its share.
 int Admission::rank(const AdmissionRequest &request, double use)
 {
-    return request.priority + (isOverShare(request, use) ? prioritiesOfRoutes : 0);
+    if (request.isRetry) {
+        return retryRank;
+    }
+    const int behind = isOverShare(request, use) ? priorities : 0;
+    const int first = request.accountPriority.value_or(request.priority + behind);
+    const int second = request.priority + (request.accountPriority ? behind : 0);
+    return first * 2 * priorities + second;
 }
 
 int Admission::rankNow(Instant now, const ServiceId &service, const AdmissionRequest &request) const
--- a/filters/admission.h
+++ b/filters/admission.h
@@ -34,12 +34,13 @@
 /// What the decision and the order depend on.
 struct AdmissionRequest {
     WaitKey key{};
-    AccountId account;              // empty: the route needs no API key
-    int priority = 5;               // of the account, or else of the route; 0: highest
-    bool isAccountPriority = false; // the priority is the account's, which it keeps however much it asks for
-    Tokens cost = 0;                // expected work; 0: not known
-    Instant startBy{};              // latest start after which the response would be late
-    std::size_t bytes = 0;          // memory that it holds while it waits
+    AccountId account;                  // empty: the route needs no API key
+    int priority = 5;                   // of the route; 0: highest
+    std::optional<int> accountPriority; // of the account, which goes before the route's
+    bool isRetry = false;               // it was sent before, and goes ahead of new requests
+    Tokens cost = 0;                    // expected work; 0: not known
+    Instant startBy{};                  // latest start after which the response would be late
+    std::size_t bytes = 0;              // memory that it holds while it waits
 };
 
 /// Why a request does not wait.
@@ -62,7 +63,7 @@
     double startRate = 0;         // such work per second that has started lately; 0: not known
     Duration expectedWait{};
     double use = 0; // of the account lately, as a multiple of the mean of all accounts
-    int rank = 0; // the first to start first: the priority, and behind all of these, that of an account over its share
+    int rank = 0;   // the first to start first. @see Admission::rank
 };
 
 /// @return expected work of a request by the token counts that its fields give; 0: they give none
@@ -94,7 +95,7 @@
     std::size_t waiting(const ServiceId &service) const; ///< @return requests of the service that wait
     std::vector<ServiceId> servicesWaiting() const;      ///< @return services of which requests wait
 
-    /// @return true if the request's account has used more than its share lately, and has no priority of its own
+    /// @return true if the request's account has used more than its share lately
     bool isOverShare(Instant now, const ServiceId &service, const AdmissionRequest &request) const;
 
     /// A request found no replica with room, or others wait before it.
--- a/tests/admission.cpp
+++ b/tests/admission.cpp
@@ -130,7 +130,7 @@
     startFor(0, 5, "light", 5);
     startFor(0, 5, "other", 5);
     AdmissionRequest preferred = request("heavy", 3);
-    preferred.isAccountPriority = true; // the operator's own word
+    preferred.accountPriority = 3; // the operator's own word
     admission.push(at(0), service, request("heavy", 0));
     admission.push(at(0), service, request("light", 5));
     admission.push(at(0), service, preferred);
--- a/tests/overload.cpp
+++ b/tests/overload.cpp
@@ -108,6 +108,16 @@
 // Shares
 
 /// Served by order of urgency, and no kind starves.
+static void checkKinds(const OverloadPlan &kinds)
+{
+    OverloadModel model(kinds);
+    model.run();
+    print("kinds", model);
+    CHECK(model.byKind[0].share() >= model.byKind[1].share());
+    CHECK(model.byKind[1].share() >= model.byKind[2].share());
+    CHECK(model.byKind[2].good > 0);
+}
+
 TEST(Overload, moreUrgentKindsAreServedALargerShare)
 {
     for (const double demand : {1.5, 3.0}) {
@@ -115,12 +125,21 @@
         kinds.kinds = {{"first", 0, 0.2, 0.8, 0.05, 0.5, 1000},
                        {"second", 3, 0.4, 0.8, 0.05, 0.5, 1000},
                        {"third", 7, 0.4, 0.8, 0.05, 0.5, 1000}};
-        OverloadModel model(kinds);
-        model.run();
-        print("kinds", model);
-        CHECK(model.byKind[0].share() >= model.byKind[1].share());
-        CHECK(model.byKind[1].share() >= model.byKind[2].share());
-        CHECK(model.byKind[2].good > 0);
+        checkKinds(kinds);
+    }
+}
+
+/// The most urgent kind has the least time to wait. Where all accounts had a priority of their own, it was served
+/// least.
+TEST(Overload, moreUrgentKindsOfAccountsWithPrioritiesAreServedALargerShare)
+{
+    for (const double demand : {1.5, 3.0}) {
+        OverloadPlan kinds = plan(demand);
+        kinds.kinds = {{"first", 0, 0.3, 0.9, 0.05, 0.4, 2300},
+                       {"second", 1, 0.3, 1.2, 0.2, 0.8, 5400},
+                       {"third", 2, 0.4, 0.1, 0.06, 0.5, 720}};
+        kinds.accountPriority = 1;
+        checkKinds(kinds);
     }
 }
 
--- a/tests/overloadmodel.h
+++ b/tests/overloadmodel.h
@@ -45,9 +45,10 @@
                                        {"tag", 1, 0.4, 0.1, 0.06, 0.5, 720}};
     std::vector<double> accounts = std::vector<double>(12, 1); // demand of each, as a multiple of the usual
     std::size_t firstAccountRouters = 0;                       // that the callers of the first account come to; 0: all
-    double workDelay = 0;        // until peers hear of the accounts' use, besides that of beacons, s
-    double workFrozenFrom = 1e9; // from then on, peers tell the same use again and again, s
-    double repeatShare = 0;      // of the refused callers, who repeat at once up to ten times; others return once
+    double workDelay = 0;               // until peers hear of the accounts' use, besides that of beacons, s
+    double workFrozenFrom = 1e9;        // from then on, peers tell the same use again and again, s
+    std::optional<int> accountPriority; // of all accounts; none: their routes' priorities count alone
+    double repeatShare = 0; // of the refused callers, who repeat at once up to ten times; others return once
     std::function<double(double now, int engine)> slowdown = [](double, int) { return 1; };
     double warmUp = 4;
     double end = 14;
@@ -216,7 +217,7 @@
     {
         AdmissionRequest asked;
         asked.account = {"a" + std::to_string(request.account)};
-        asked.isAccountPriority = request.sent > 0;
+        asked.isRetry = request.sent > 0;
         return plan.hasAdmission && routers[request.router].admission->isOverShare(at(now), service, asked);
     }
 
@@ -236,8 +237,9 @@
         const double response = known > 0 ? std::min(known, 0.9 * kind.objective) : kind.objective / 2;
         AdmissionRequest result;
         result.account = {"a" + std::to_string(request.account)};
-        result.priority = request.sent > 0 ? -1 : kind.priority;
-        result.isAccountPriority = request.sent > 0;
+        result.priority = kind.priority;
+        result.accountPriority = plan.accountPriority;
+        result.isRetry = request.sent > 0;
         result.cost = kind.cost;
         result.startBy = at(request.sent > 0 ? now + kind.objective / 2 : request.arrival + kind.objective - response);
         return result;
--- a/traffic/requestwait.cpp
+++ b/traffic/requestwait.cpp
@@ -6,7 +6,6 @@
 namespace galenafold
 {
 
-constexpr int retryPriority = -1;               // a request that has been sent before goes ahead of new ones
 constexpr double maxResponseFraction = 0.9;     // of the latency objective; the rest is left for a wait
 constexpr double unknownResponseFraction = 0.5; // of the latency objective, while response times are not known
 constexpr double retryWaitFraction = 0.5;       // of the latency objective, for a request that was sent before
@@ -36,13 +35,9 @@
     request.priority = m_route->priority;
     if (m_account) {
         request.account = m_account->id;
-        request.priority = m_account->priority.value_or(m_route->priority);
-        request.isAccountPriority = m_account->priority.has_value();
-    }
-    if (m_attempts.sent > 0) {
-        request.priority = retryPriority;
-        request.isAccountPriority = true;
+        request.accountPriority = m_account->priority;
     }
+    request.isRetry = m_attempts.sent > 0;
     request.cost = expectedCost(m_fields);
     request.startBy = latestStart(now);
     request.bytes = m_request.body.size() + bytesBesidesBody;
@@ -138,7 +133,8 @@
     LogLine line(decision.waits ? "request_waits" : "not_admitted");
     line.text("request", m_fields.request.text).text("service", m_selection.service.text);
     line.text("why", text(decision.refusal)).text("account", request.account.text);
-    line.number("priority", request.priority).number("rank", decision.rank);
+    line.number("priority", request.accountPriority.value_or(request.priority));
+    line.number("route_priority", request.priority).number("rank", decision.rank);
     line.number("use_pct", static_cast<std::int64_t>(decision.use * hundredths));
     line.number("cost", static_cast<std::int64_t>(request.cost));
     line.number("waiting", static_cast<std::int64_t>(decision.waiting));
