Limit the log lines on invalid requests

Cause: each request that is malformed, too large or too slow wrote a `rejected` line, so a crowd of such callers wrote as many lines as it sent requests; only refusals for a limit of the process were bounded. At the admin address and at our own interface nothing told of such requests.

Change: RefusalLog writes the `rejected` lines too, of each listener, ten a second with those on refused callers, and counts all by status: new metric `callers_rejected_total`.

--- a/runtime/httpfrontend.cpp
+++ b/runtime/httpfrontend.cpp
@@ -103,6 +103,9 @@
     m_listener.hooks.bodyCopies = bodyCopies;
     m_listener.hooks.receiveBytes = receiveBytes;
     m_listener.hooks.onRefused = [this](const CallerRefusal &refusal) { m_refusals.onRefused(clockNow(), refusal); };
+    m_listener.hooks.onRejected = [this](int status, const char *why) {
+        m_refusals.onRejected(clockNow(), status, why);
+    };
     m_listener.maxCallers = static_cast<std::size_t>(m_settings.maxConnections);
     if (m_settings.maxDescriptors > fileDescriptors) {
         const double share = (m_settings.maxDescriptors - fileDescriptors) * callersDescriptors;
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -198,6 +198,9 @@
     m_admin.maxWithUnused = divideDescriptors(m_settings).admin;
     m_admin.hooks.receiveBytes = receiveBytes(m_settings);
     m_admin.hooks.memory = std::make_shared<CallerMemory>(memorySettings(m_settings, adminPart));
+    m_admin.hooks.onRejected = [this](int status, const char *why) {
+        m_adminRefusals.onRejected(clockNow(), status, why);
+    };
     m_admin.hooks.onRefused = [this](const CallerRefusal &refusal) { m_adminRefusals.onRefused(clockNow(), refusal); };
     const bool listensToPeers = peerPort(m_settings) == 0 || m_relay.start(m_settings.peers);
     if (!m_admin.start(m_settings.admin) || !listensToPeers || !m_traffic.start()) {
--- a/tests/callermemory.cpp
+++ b/tests/callermemory.cpp
@@ -370,3 +370,40 @@
     STRCMP_CONTAINS("galenafold_callers_refused_total{listener=\"callers\",bound=\"memory\"} 50",
                     refusals.metrics().c_str());
 }
+
+/// Each request that was no HTTP wrote a line, so a crowd of them filled the log.
+TEST(RefusalLogs, MalformedRequestsWriteSomeLinesASecond)
+{
+    constexpr int requests = 300;
+    NodeFixture fixture;
+    int ends[2];
+    LONGS_EQUAL(0, pipe(ends));
+    EventLogSettings log;
+    log.fd = ends[1];
+    fixture.store.put("keyed.op", "config", desiredState(1));
+    fixture.node = std::make_unique<RouterNode>(fixture.settings, log);
+    CHECK(fixture.node->start());
+    fixture.thread = std::thread([&fixture] { fixture.node->run(); });
+    CHECK(waitFor([&fixture] { return fixture.readinessStatus() == 200; }));
+    const Instant start = clockNow();
+    for (int i = 0; i < requests; ++i) {
+        const auto caller = fixture.send("no request\r\n\r\n");
+        CHECK(caller->read());
+        LONGS_EQUAL(400, caller->status());
+    }
+    const double seconds = std::chrono::duration<double>(clockNow() - start).count();
+    fixture.node->stop();
+    fixture.thread.join();
+    fixture.node.reset(); // writes the rest of the log
+    std::string text(1 << 20, '\0');
+    text.resize(static_cast<std::size_t>(read(ends[0], text.data(), text.size())));
+    close(ends[0]);
+    close(ends[1]);
+    int lines = 0;
+    for (std::size_t at = 0; (at = text.find("\"rejected\"", at)) != std::string::npos; ++at) {
+        ++lines;
+    }
+    constexpr int linesPerSecond = 10;
+    CHECK(lines > 0);
+    CHECK_TEXT(lines <= linesPerSecond * (seconds + 2), std::to_string(lines).c_str());
+}
--- a/traffic/refusallog.h
+++ b/traffic/refusallog.h
@@ -1,5 +1,5 @@
-// Tells operators which callers were refused, or lost their connection, for a limit of this process: some log lines and
-// counters by limit.
+// Tells operators which callers were refused, or lost their connection, for a limit of this process, and how many
+// requests were no valid ones: some log lines, counters by limit and by status.
 #pragma once
 
 #include "galenafold/eventlog.h"
@@ -21,14 +21,19 @@
     /// line of their own; the first refusal in a later second also writes a line that counts the others.
     void onRefused(Instant now, const CallerRefusal &refusal);
 
+    /// The same for a request that was rejected before it was whole, or whose handling failed.
+    void onRejected(Instant now, int status, const char *why);
+
     std::string metrics() const; ///< @return counters in Prometheus text format
 
 private:
+    bool takeLine(Instant now);
     void beginSecond(Instant now);
 
     EventLog &m_log;
     const char *m_listener;
     std::map<std::string, std::int64_t> m_counts; // by bound
+    std::map<int, std::int64_t> m_rejected;       // by status
     Instant m_secondEnds{};
     std::int64_t m_linesInSecond = 0;
     std::int64_t m_leftOut = 0;
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -68,11 +68,7 @@
     hooks.onRequest = [this](const std::shared_ptr<CallerConnection> &caller, CallerRequest &&request) {
         onRequest(caller, std::move(request));
     };
-    hooks.onRejected = [this](int status, const char *why) {
-        LogLine line("rejected");
-        line.number("status", status).text("why", why);
-        m_state.log.write(line, LogPriority::Notable);
-    };
+    hooks.onRejected = [this](int status, const char *why) { m_refusals.onRejected(clockNow(), status, why); };
     hooks.limits = [this] { return m_state.table ? m_state.table->limits : CallerLimits(); };
     hooks.isDraining = [this] { return m_state.isDraining; };
     m_listener.onCountChanged = [this] { m_state.counts.callers = static_cast<int>(m_listener.count()); };
