Play more crowds at more doors, from one copy of each

The groups of callers that do not behave each had their own copy of some crowds and of the loop over the doors. Crowds are now built in one place, with sizes and bounds as before, and every one of them is played at our own interface too (ten that were not). The router has a further door, a route without any key. Two groups are new, of input that is odd though mostly legal: chunks of one byte, long chunk extensions, chunk sizes and fields without end, expectations without a body, upgrades and CONNECT sent ahead, HTTP/1.0 with keep-alive sent ahead, callers that end their sending half, and callers that read a byte at a time.

Not run: MisbehavingCallersOfAContract with its ten new crowds; any of them five times running.

--- a/tests/daemonprocess.h
+++ b/tests/daemonprocess.h
@@ -131,9 +131,11 @@
     std::shared_ptr<const std::string> payload; // sent after the head; null: nothing
     int repeats = 1;                            // of the payload
     std::size_t pieceBytes = SIZE_MAX;          // of the payload, sent at a time
+    bool endsSending = false;                   // with FIN, once all is sent
+    bool readsBytes = false;                    // one byte of the answers at a time
 };
 
-/// Connections that send as much as the daemon takes, read nothing and stay open.
+/// Connections that send as much as the daemon takes, read nothing or next to nothing, and stay open.
 class Crowd
 {
 public:
@@ -173,6 +175,7 @@
             for (Member &member : m_members) {
                 hasSent = sendPiece(member) || hasSent;
                 isDone = isDone && member.isDone;
+                readByte(member);
             }
             if (isDone) {
                 break;
@@ -211,9 +214,20 @@
             member.sent = 0;
             member.isDone = member.part++ == (m_input.payload ? m_input.repeats : 0);
         }
+        if (member.isDone && m_input.endsSending) {
+            ::shutdown(member.fd, SHUT_WR);
+        }
         return true;
     }
 
+    void readByte(const Member &member) const
+    {
+        char byte = 0;
+        if (m_input.readsBytes) {
+            ::recv(member.fd, &byte, 1, MSG_DONTWAIT);
+        }
+    }
+
     CrowdInput m_input;
     std::vector<Member> m_members;
 };
--- a/tests/misbehavingcallers.cpp
+++ b/tests/misbehavingcallers.cpp
@@ -2,7 +2,7 @@
 // descriptors stay under a bound, and an ordinary request is answered afterwards. Neither times nor shares of served
 // requests are checked. CTest runs this group apart from other load.
 //
-// Sections of this file: Set-up, Bodies, Fields, Requests sent ahead, Slow and silent, Own interface.
+// Sections of this file: Set-up, Crowds, Router, Own interface.
 #include "fakes/fleet.h"
 #include "tests/daemonprocess.h"
 
@@ -57,6 +57,13 @@
     return lines;
 }
 
+static int statusOf(int port, const std::string &request)
+{
+    RawCaller caller(port);
+    caller.send(request);
+    return caller.read() ? caller.status() : 0;
+}
+
 /// The checks that all crowds share.
 static void checkDaemon(DaemonProcess &process, const std::set<int> &ports, const std::string &crowd,
                         const std::function<bool()> &isServed)
@@ -71,25 +78,199 @@
     CHECK_TEXT(process.isAlive(), (crowd + ": the process has ended since").c_str());
 }
 
-static int statusOf(int port, const std::string &request)
+/// Connections that all send the same.
+struct CrowdKind {
+    int connections = 0;
+    std::function<CrowdInput(const Door &)> input; // what a connection sends to an address
+};
+
+/// Sends the crowd to each address, and checks the daemon while it stays.
+static void play(DaemonProcess &process, const std::vector<Door> &doors, const std::function<bool()> &isServed,
+                 const CrowdKind &kind)
 {
-    RawCaller caller(port);
-    caller.send(request);
-    return caller.read() ? caller.status() : 0;
+    std::set<int> ports;
+    for (const Door &door : doors) {
+        ports.insert(door.port);
+    }
+    for (const Door &door : doors) {
+        Crowd crowd(door.port, kind.input(door), kind.connections);
+        crowd.send();
+        checkDaemon(process, ports, door.name, isServed);
+    }
 }
 
-// clang-format takes a group that begins with a function for an initializer list.
-// clang-format off
-TEST_GROUP(MisbehavingCallers)
+// Crowds
+
+constexpr int bodyCrowd = 24;   // connections, each with a body of up to 4 MiB
+constexpr int fieldCrowd = 140; // connections, each with thousands of fields
+constexpr int slowCrowd = 60;
+constexpr const char *chunkedHead = "Transfer-Encoding: chunked\r\n\r\n";
+
+static CrowdKind bodiesThatStopShort(std::size_t pieceBytes = SIZE_MAX)
 {
-    void setup() override
+    const auto body = sharedText(std::string(maxBodyBytes - 1, 'x'));
+    return {bodyCrowd, [=](const Door &door) {
+                return CrowdInput{door.lines + length(maxBodyBytes), body, 1, pieceBytes};
+            }};
+}
+
+static CrowdKind wholeBodies()
+{
+    const auto body = sharedText(std::string(maxBodyBytes, 'x'));
+    return {bodyCrowd, [=](const Door &door) { return CrowdInput{door.lines + length(maxBodyBytes), body}; }};
+}
+
+static CrowdKind bodiesFarOverTheLimit()
+{
+    const auto body = sharedText(std::string(1U << 20U, 'x'));
+    return {bodyCrowd, [=](const Door &door) { return CrowdInput{door.lines + length(1U << 30U), body, 1000}; }};
+}
+
+/// @param bytes of each chunk @param chunks in all
+static CrowdKind chunks(std::size_t bytes, int chunks)
+{
+    std::string chunk;
+    appendChunk(chunk, std::string(bytes, 'x'));
+    const auto body = sharedText(std::move(chunk));
+    return {bodyCrowd, [=](const Door &door) { return CrowdInput{door.lines + chunkedHead, body, chunks}; }};
+}
+
+/// @param rest what follows the fields
+static CrowdKind headsOfManyFields(const std::string &rest)
+{
+    const auto fields = sharedText(manyFields() + rest);
+    return {fieldCrowd, [=](const Door &door) { return CrowdInput{door.lines, fields}; }};
+}
+
+static CrowdKind trailersOfManyFields()
+{
+    return headsOfManyFields(chunkedHead + std::string("1\r\nx\r\n0\r\n") + manyFields());
+}
+
+static CrowdKind requestsSentAhead()
+{
+    constexpr int connections = 30;
+    constexpr int requests = 5000;
+    return {connections, [](const Door &door) {
+                return CrowdInput{door.lines + length(0), sharedText(door.lines + length(0)), requests};
+            }};
+}
+
+static CrowdKind bodiesSentAhead()
+{
+    constexpr int requests = 100;
+    return {bodyCrowd, [](const Door &door) {
+                const std::string request = door.lines + length(100000) + std::string(100000, 'x');
+                return CrowdInput{request, sharedText(request), requests};
+            }};
+}
+
+static CrowdKind headsInSingleBytes()
+{
+    return {slowCrowd, [](const Door &door) { return CrowdInput{"", sharedText(door.lines + length(2)), 1, 1}; }};
+}
+
+static CrowdKind bodiesInSingleBytesAfterHalf()
+{
+    const std::string half(maxBodyBytes / 2, 'x');
+    const auto rest = sharedText(half);
+    return {slowCrowd, [=](const Door &door) {
+                return CrowdInput{door.lines + length(maxBodyBytes) + half, rest, 1, 1};
+            }};
+}
+
+static CrowdKind connectionsThatNeverSpeak()
+{
+    constexpr int connections = 390;
+    return {connections, [](const Door &) { return CrowdInput{"", nullptr, 0}; }};
+}
+
+/// Chunks of one byte, each with an extension of nearly the size of a head.
+static CrowdKind chunksWithLongExtensions()
+{
+    const auto chunk = sharedText("1;a=" + std::string(maxHeadBytes - 100, 'e') + "\r\nx\r\n");
+    return {bodyCrowd, [=](const Door &door) { return CrowdInput{door.lines + chunkedHead, chunk, 1000}; }};
+}
+
+static CrowdKind chunkSizeThatDoesNotEnd()
+{
+    const auto zeros = sharedText(std::string(1U << 16U, '0'));
+    return {bodyCrowd, [=](const Door &door) { return CrowdInput{door.lines + chunkedHead, zeros, 1000}; }};
+}
+
+static CrowdKind fieldThatDoesNotEnd()
+{
+    const auto value = sharedText(std::string(1U << 16U, 'v'));
+    return {bodyCrowd, [=](const Door &door) { return CrowdInput{door.lines + "a: ", value, 1000}; }};
+}
+
+static CrowdKind expectationsWithoutABody()
+{
+    const std::string expect = "Expect: 100-continue\r\n" + length(maxBodyBytes);
+    return {fieldCrowd, [=](const Door &door) { return CrowdInput{door.lines + expect, nullptr, 0}; }};
+}
+
+/// @return the lines with another method, version and further fields
+static std::string changed(const Door &door, const std::string &method, const std::string &version,
+                           const std::string &fields)
+{
+    std::string lines = method + door.lines.substr(door.lines.find(' '));
+    lines.replace(lines.find("HTTP/1.1"), version.size(), version);
+    return lines + fields;
+}
+
+static CrowdKind upgradesSentAhead(const std::string &method)
+{
+    return {slowCrowd, [=](const Door &door) {
+                const std::string request =
+                    changed(door, method, "HTTP/1.1", "Connection: Upgrade\r\nUpgrade: websocket\r\n" + length(0));
+                return CrowdInput{request, sharedText(request + std::string(1000, 'x')), 1000};
+            }};
+}
+
+static CrowdKind oldRequestsSentAhead()
+{
+    return {slowCrowd, [](const Door &door) {
+                const std::string method = door.lines.substr(0, door.lines.find(' '));
+                const std::string request = changed(door, method, "HTTP/1.0", "Connection: keep-alive\r\n" + length(0));
+                return CrowdInput{request, sharedText(request), 1000};
+            }};
+}
+
+/// Callers that send all they have to say, end their sending half and read nothing.
+static CrowdKind endedSenders()
+{
+    return {fieldCrowd, [](const Door &door) {
+                CrowdInput input{door.lines + length(0), sharedText(door.lines + length(0)), 20};
+                input.endsSending = true;
+                return input;
+            }};
+}
+
+/// Callers that ask for many answers and read a byte of them now and then.
+static CrowdKind slowReaders()
+{
+    return {slowCrowd, [](const Door &door) {
+                CrowdInput input{door.lines + length(0), sharedText(door.lines + length(0)), 2000};
+                input.readsBytes = true;
+                return input;
+            }};
+}
+
+// Router
+
+/// The daemon as a router, with a store and one replica.
+struct RouterUnderCrowds {
+    void start()
     {
         store.start();
         replica.start();
         store.put("keyed.servers", replica.id(), replica.entry());
         auto state = nlohmann::json::parse(sampleDesiredState(1, {{"once", "non_idempotent"}}, {"k1"}));
-        state["limits"] = {{"maxHeaderBytes", maxHeadBytes}, {"maxBodyBytes", maxBodyBytes},
-                           {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
+        state["limits"] = {{"maxHeaderBytes", maxHeadBytes},
+                           {"maxBodyBytes", maxBodyBytes},
+                           {"headerTimeoutMs", 3000},
+                           {"idleTimeoutMs", 15000}};
         store.put("keyed.op", "config", state.dump());
         const std::string settings = "[router]\nname = r1\ndata_centre = here\nmemory_mb = "
             + std::to_string(memoryMegabytes) + "\n[listen]\ncallers = 127.0.0.1:" + std::to_string(port)
@@ -111,17 +292,14 @@
         return {{"route", port, callerLines("/once/x", "k1")},
                 {"no route", port, callerLines("/nowhere/x", "k1")},
                 {"unknown key", port, callerLines("/once/x", "none")},
+                {"no key", port, "POST /once/x HTTP/1.1\r\nHost: app.example\r\n"},
                 {"readiness", adminPort, "GET /-/readiness HTTP/1.1\r\nHost: h\r\n"},
                 {"metrics", adminPort, "GET /metrics HTTP/1.1\r\nHost: h\r\n"}};
     }
-    /// Sends the same crowd to each address. @param input what a connection sends there
-    void play(int connections, const std::function<CrowdInput(const Door &)> &input)
+    void play(const CrowdKind &kind)
     {
-        for (const Door &door : doors()) {
-            Crowd crowd(door.port, input(door), connections);
-            crowd.send();
-            checkDaemon(*process, {port, adminPort}, door.name, [this] { return isServed(); });
-        }
+        ::play(
+            *process, doors(), [this] { return isServed(); }, kind);
     }
 
     int port = freePort();
@@ -131,133 +309,159 @@
     FakeReplica replica{"a", "svc", respondOk};
     std::unique_ptr<DaemonProcess> process;
 };
-// clang-format on
 
-// Bodies
+TEST_GROUP(MisbehavingCallers)
+{
+    RouterUnderCrowds daemon;
 
-constexpr int bodyCrowd = 24; // connections, each with a body of up to 4 MiB
+    void setup() override
+    {
+        daemon.start();
+    }
+};
 
 TEST(MisbehavingCallers, BodiesThatStopShortOfTheirEnd)
 {
-    const auto body = sharedText(std::string(maxBodyBytes - 1, 'x'));
-    play(bodyCrowd, [&](const Door &door) { return CrowdInput{door.lines + length(maxBodyBytes), body}; });
+    daemon.play(bodiesThatStopShort());
 }
 
 TEST(MisbehavingCallers, BodiesInSmallPieces)
 {
-    const auto body = sharedText(std::string(maxBodyBytes - 1, 'x'));
-    play(bodyCrowd, [&](const Door &door) { return CrowdInput{door.lines + length(maxBodyBytes), body, 1, 8000}; });
+    daemon.play(bodiesThatStopShort(8000));
 }
 
 TEST(MisbehavingCallers, BodiesInChunksWithoutTheLast)
 {
-    std::string chunk;
-    appendChunk(chunk, std::string(1000, 'x'));
-    const auto body = sharedText(std::move(chunk));
-    play(bodyCrowd, [&](const Door &door) {
-        return CrowdInput{door.lines + "Transfer-Encoding: chunked\r\n\r\n", body, maxBodyBytes / 1000};
-    });
+    daemon.play(chunks(1000, maxBodyBytes / 1000));
 }
 
 /// The route's replica returns the body, which nobody reads.
 TEST(MisbehavingCallers, WholeBodiesWithAnswersThatNobodyReads)
 {
-    const auto body = sharedText(std::string(maxBodyBytes, 'x'));
-    play(bodyCrowd, [&](const Door &door) { return CrowdInput{door.lines + length(maxBodyBytes), body}; });
+    daemon.play(wholeBodies());
 }
 
 TEST(MisbehavingCallers, BodiesFarOverTheLimit)
 {
-    const auto body = sharedText(std::string(1U << 20U, 'x'));
-    play(bodyCrowd, [&](const Door &door) { return CrowdInput{door.lines + length(1U << 30U), body, 1000}; });
+    daemon.play(bodiesFarOverTheLimit());
 }
 
 TEST(MisbehavingCallers, ChunksFarOverTheLimit)
 {
-    std::string chunk;
-    appendChunk(chunk, std::string(1U << 20U, 'x'));
-    const auto body = sharedText(std::move(chunk));
-    play(bodyCrowd, [&](const Door &door) {
-        return CrowdInput{door.lines + "Transfer-Encoding: chunked\r\n\r\n", body, 1000};
-    });
+    daemon.play(chunks(1U << 20U, 1000));
 }
 
-// Fields
-
-constexpr int fieldCrowd = 140; // connections, each with thousands of fields
-
 TEST(MisbehavingCallers, HeadsOfManyFieldsThatDoNotEnd)
 {
-    const auto fields = sharedText(manyFields());
-    play(fieldCrowd, [&](const Door &door) { return CrowdInput{door.lines, fields}; });
+    daemon.play(headsOfManyFields(""));
 }
 
 TEST(MisbehavingCallers, HeadsOfManyFieldsBeforeABodyThatDoesNotEnd)
 {
-    const auto rest = sharedText(manyFields() + length(2) + "x");
-    play(fieldCrowd, [&](const Door &door) { return CrowdInput{door.lines, rest}; });
+    daemon.play(headsOfManyFields(length(2) + "x"));
 }
 
 TEST(MisbehavingCallers, WholeRequestsOfManyFields)
 {
-    const auto rest = sharedText(manyFields() + length(0));
-    play(fieldCrowd, [&](const Door &door) { return CrowdInput{door.lines, rest}; });
+    daemon.play(headsOfManyFields(length(0)));
 }
 
 TEST(MisbehavingCallers, TrailersOfManyFields)
 {
-    const auto rest = sharedText(manyFields() + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + manyFields());
-    play(fieldCrowd, [&](const Door &door) { return CrowdInput{door.lines, rest}; });
+    daemon.play(trailersOfManyFields());
 }
 
-// Requests sent ahead
-
 TEST(MisbehavingCallers, RequestsSentAheadWithoutReadingTheAnswers)
 {
-    constexpr int connections = 30;
-    constexpr int requests = 5000;
-    play(connections, [&](const Door &door) {
-        return CrowdInput{door.lines + length(0), sharedText(door.lines + length(0)), requests};
-    });
+    daemon.play(requestsSentAhead());
 }
 
 TEST(MisbehavingCallers, BodiesSentAheadWithoutReadingTheAnswers)
 {
-    constexpr int requests = 100;
-    play(bodyCrowd, [&](const Door &door) {
-        const std::string request = door.lines + length(100000) + std::string(100000, 'x');
-        return CrowdInput{request, sharedText(request), requests};
-    });
+    daemon.play(bodiesSentAhead());
 }
 
-// Slow and silent
-
-constexpr int slowCrowd = 60;
-
 TEST(MisbehavingCallers, HeadsInSingleBytes)
 {
-    play(slowCrowd, [&](const Door &door) { return CrowdInput{"", sharedText(door.lines + length(2)), 1, 1}; });
+    daemon.play(headsInSingleBytes());
 }
 
 TEST(MisbehavingCallers, BodiesInSingleBytesAfterHalf)
 {
-    const std::string half(maxBodyBytes / 2, 'x');
-    const auto rest = sharedText(half);
-    play(slowCrowd, [&](const Door &door) { return CrowdInput{door.lines + length(maxBodyBytes) + half, rest, 1, 1}; });
+    daemon.play(bodiesInSingleBytesAfterHalf());
 }
 
 TEST(MisbehavingCallers, ConnectionsThatNeverSpeak)
 {
-    constexpr int connections = 390;
-    play(connections, [](const Door &) { return CrowdInput{"", nullptr, 0}; });
+    daemon.play(connectionsThatNeverSpeak());
 }
 
-// Own interface
-
-// clang-format off
-TEST_GROUP(MisbehavingCallersOfAContract)
+/// Input that is odd, though most of it is legal.
+TEST_GROUP(MisbehavingCallersOfHttp)
 {
+    RouterUnderCrowds daemon;
+
     void setup() override
+    {
+        daemon.start();
+    }
+};
+
+TEST(MisbehavingCallersOfHttp, ChunksOfOneByte)
+{
+    daemon.play(chunks(1, 100000));
+}
+
+TEST(MisbehavingCallersOfHttp, ChunksWithLongExtensions)
+{
+    daemon.play(chunksWithLongExtensions());
+}
+
+TEST(MisbehavingCallersOfHttp, ChunkSizesThatDoNotEnd)
+{
+    daemon.play(chunkSizeThatDoesNotEnd());
+}
+
+TEST(MisbehavingCallersOfHttp, FieldsThatDoNotEnd)
+{
+    daemon.play(fieldThatDoesNotEnd());
+}
+
+TEST(MisbehavingCallersOfHttp, ExpectationsWithoutABody)
+{
+    daemon.play(expectationsWithoutABody());
+}
+
+TEST(MisbehavingCallersOfHttp, UpgradesSentAhead)
+{
+    daemon.play(upgradesSentAhead("GET"));
+}
+
+TEST(MisbehavingCallersOfHttp, TunnelsSentAhead)
+{
+    daemon.play(upgradesSentAhead("CONNECT"));
+}
+
+TEST(MisbehavingCallersOfHttp, OldRequestsSentAhead)
+{
+    daemon.play(oldRequestsSentAhead());
+}
+
+TEST(MisbehavingCallersOfHttp, CallersThatEndTheirSendingHalf)
+{
+    daemon.play(endedSenders());
+}
+
+TEST(MisbehavingCallersOfHttp, CallersThatReadAByteAtATime)
+{
+    daemon.play(slowReaders());
+}
+
+// Own interface
+
+/// The daemon with its own interface.
+struct ContractUnderCrowds {
+    void start()
     {
         log.start();
         vmList.start();
@@ -283,13 +487,10 @@
                 {"readiness", port, "GET /readyz" + rest},
                 {"metrics", port, "GET /metrics" + rest}};
     }
-    void play(int connections, const std::function<CrowdInput(const Door &)> &input)
+    void play(const CrowdKind &kind)
     {
-        for (const Door &door : doors()) {
-            Crowd crowd(door.port, input(door), connections);
-            crowd.send();
-            checkDaemon(*process, {port}, door.name, [this] { return isServed(); });
-        }
+        ::play(
+            *process, doors(), [this] { return isServed(); }, kind);
     }
 
     const std::string memory = "memory_mb = " + std::to_string(memoryMegabytes) + '\n';
@@ -298,41 +499,149 @@
     FakeVmList vmList;
     std::unique_ptr<DaemonProcess> process;
 };
-// clang-format on
+
+TEST_GROUP(MisbehavingCallersOfAContract)
+{
+    ContractUnderCrowds daemon;
+
+    void setup() override
+    {
+        daemon.start();
+    }
+};
 
 TEST(MisbehavingCallersOfAContract, BodiesThatStopShortOfTheirEnd)
 {
-    const auto body = sharedText(std::string(maxBodyBytes - 1, 'x'));
-    play(bodyCrowd, [&](const Door &door) { return CrowdInput{door.lines + length(maxBodyBytes), body}; });
+    daemon.play(bodiesThatStopShort());
+}
+
+TEST(MisbehavingCallersOfAContract, BodiesInSmallPieces)
+{
+    daemon.play(bodiesThatStopShort(8000));
 }
 
 TEST(MisbehavingCallersOfAContract, BodiesInChunksWithoutTheLast)
 {
-    std::string chunk;
-    appendChunk(chunk, std::string(1000, 'x'));
-    const auto body = sharedText(std::move(chunk));
-    play(bodyCrowd, [&](const Door &door) {
-        return CrowdInput{door.lines + "Transfer-Encoding: chunked\r\n\r\n", body, maxBodyBytes / 1000};
-    });
+    daemon.play(chunks(1000, maxBodyBytes / 1000));
+}
+
+TEST(MisbehavingCallersOfAContract, WholeBodiesWithAnswersThatNobodyReads)
+{
+    daemon.play(wholeBodies());
+}
+
+TEST(MisbehavingCallersOfAContract, BodiesFarOverTheLimit)
+{
+    daemon.play(bodiesFarOverTheLimit());
+}
+
+TEST(MisbehavingCallersOfAContract, ChunksFarOverTheLimit)
+{
+    daemon.play(chunks(1U << 20U, 1000));
+}
+
+TEST(MisbehavingCallersOfAContract, HeadsOfManyFieldsThatDoNotEnd)
+{
+    daemon.play(headsOfManyFields(""));
+}
+
+TEST(MisbehavingCallersOfAContract, HeadsOfManyFieldsBeforeABodyThatDoesNotEnd)
+{
+    daemon.play(headsOfManyFields(length(2) + "x"));
+}
+
+TEST(MisbehavingCallersOfAContract, WholeRequestsOfManyFields)
+{
+    daemon.play(headsOfManyFields(length(0)));
 }
 
 TEST(MisbehavingCallersOfAContract, TrailersOfManyFields)
 {
-    const auto rest = sharedText(manyFields() + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + manyFields());
-    play(fieldCrowd, [&](const Door &door) { return CrowdInput{door.lines, rest}; });
+    daemon.play(trailersOfManyFields());
 }
 
 TEST(MisbehavingCallersOfAContract, RequestsSentAheadWithoutReadingTheAnswers)
 {
-    constexpr int connections = 30;
-    constexpr int requests = 5000;
-    play(connections, [&](const Door &door) {
-        return CrowdInput{door.lines + length(0), sharedText(door.lines + length(0)), requests};
-    });
+    daemon.play(requestsSentAhead());
+}
+
+TEST(MisbehavingCallersOfAContract, BodiesSentAheadWithoutReadingTheAnswers)
+{
+    daemon.play(bodiesSentAhead());
+}
+
+TEST(MisbehavingCallersOfAContract, HeadsInSingleBytes)
+{
+    daemon.play(headsInSingleBytes());
+}
+
+TEST(MisbehavingCallersOfAContract, BodiesInSingleBytesAfterHalf)
+{
+    daemon.play(bodiesInSingleBytesAfterHalf());
 }
 
 TEST(MisbehavingCallersOfAContract, ConnectionsThatNeverSpeak)
 {
-    constexpr int connections = 390;
-    play(connections, [](const Door &) { return CrowdInput{"", nullptr, 0}; });
+    daemon.play(connectionsThatNeverSpeak());
+}
+
+/// Input that is odd, though most of it is legal.
+TEST_GROUP(MisbehavingCallersOfAContractsHttp)
+{
+    ContractUnderCrowds daemon;
+
+    void setup() override
+    {
+        daemon.start();
+    }
+};
+
+TEST(MisbehavingCallersOfAContractsHttp, ChunksOfOneByte)
+{
+    daemon.play(chunks(1, 100000));
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, ChunksWithLongExtensions)
+{
+    daemon.play(chunksWithLongExtensions());
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, ChunkSizesThatDoNotEnd)
+{
+    daemon.play(chunkSizeThatDoesNotEnd());
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, FieldsThatDoNotEnd)
+{
+    daemon.play(fieldThatDoesNotEnd());
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, ExpectationsWithoutABody)
+{
+    daemon.play(expectationsWithoutABody());
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, UpgradesSentAhead)
+{
+    daemon.play(upgradesSentAhead("GET"));
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, TunnelsSentAhead)
+{
+    daemon.play(upgradesSentAhead("CONNECT"));
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, OldRequestsSentAhead)
+{
+    daemon.play(oldRequestsSentAhead());
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, CallersThatEndTheirSendingHalf)
+{
+    daemon.play(endedSenders());
+}
+
+TEST(MisbehavingCallersOfAContractsHttp, CallersThatReadAByteAtATime)
+{
+    daemon.play(slowReaders());
 }
