Leave empty lists out of the news in beacons

Cause: each list that a beacon's news could carry was written, also when empty: any news cost some 35 bytes for nothing, which made a broadcast with what client accounts use nearly twice as long. Change: only lists with entries are written. BeaconEncoding, QueryOfDeathDetector, QueryOfDeath, ReplicaLimits, ReplicaRateLimit, PeerBeacons and AccountUse pass.

--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -200,6 +200,26 @@
     }
 }
 
+/// A list costs bytes also while it is empty.
+static void fillFields(wire::BeaconNews::Builder root, const LoadBeacon &beacon)
+{
+    if (!beacon.news.isEmpty()) {
+        fillNews(root, beacon.news);
+    }
+    if (!beacon.limits.isEmpty()) {
+        fillLimits(root, beacon.limits);
+    }
+    if (!beacon.reported.empty()) {
+        fillReportedLoads(root, beacon.reported);
+    }
+    if (!beacon.accountWork.empty()) {
+        fillAccountWork(root, beacon.accountWork);
+    }
+    if (!beacon.peerSites.empty()) {
+        fillSites(root, beacon.peerSites);
+    }
+}
+
 std::string encodeBeacon(const LoadBeacon &beacon)
 {
     capnp::MallocMessageBuilder builder;
@@ -212,11 +232,7 @@
         capnp::MallocMessageBuilder newsBuilder;
         auto news = newsBuilder.initRoot<wire::BeaconNews>();
         news.setIsStarting(beacon.isStarting);
-        fillNews(news, beacon.news);
-        fillLimits(news, beacon.limits);
-        fillReportedLoads(news, beacon.reported);
-        fillAccountWork(news, beacon.accountWork);
-        fillSites(news, beacon.peerSites);
+        fillFields(news, beacon);
         news.setStateVersion(beacon.stateVersion + 1); // 0 on the wire: not told
         capnp::writePackedMessage(out, newsBuilder);
     }
