Tell an outage of the store from its silence for single routers

These regained it by what others told, lost it again, and told of the return. Each of the others, which read the store all the while, took itself to have lost it and to be back, so replicas whose entries had been deleted got requests for another grace period: 16 of 28 were dropped 2.3 s after they had left, the other 12 only 4.7 s after.

Change: a router whose proofs follow each other with no longer gap than two reads of the store no longer believes that there was an outage (control/storeoutage).

Tests: StoreOutages fails without the gap.

--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -21,8 +21,6 @@
 constexpr auto askAgainPause = std::chrono::milliseconds(200);
 constexpr std::size_t packedBytes = 16 << 10;               // of records that are packed; fewer are not worth it
 constexpr auto packedTime = std::chrono::milliseconds(250); // in which packed records are used, as their proof ages
-constexpr auto returnTolerance =
-    std::chrono::milliseconds(500); // between two routers' words on one return of the store
 
 static std::string addressText(const TopicSource &source)
 {
@@ -39,6 +37,7 @@
     , m_cache(settings.cache)
     , m_consumer(settings.reading, cachingHooks(), settings.seed)
     , m_sources(text(settings.topic), settings.seed)
+    , m_outage(settings.reading)
     , m_timer(io)
 {
     if (settings.topic == StoreTopic::Registry) { // it is mostly heartbeats
@@ -62,6 +61,7 @@
     hooks.onCaughtUp = [this](Instant provedAt) {
         m_cache.setEnd(m_consumer.nextOffset());
         m_stats.provedAt = std::max(m_stats.provedAt, provedAt);
+        m_outage.onProof(provedAt);
         m_renewedAt = clockNow();
         m_hooks.topic.onCaughtUp(provedAt);
     };
@@ -247,7 +247,7 @@
         return;
     }
     m_sources.onUseful(m_source);
-    if (m_isLost) {
+    if (m_outage.isLost()) {
         m_sources.onStoreRegained();
         regain(now);
     }
@@ -265,8 +265,8 @@
     ++m_stats.failures;
     m_stats.bytes += abandoned;
     m_stats.abandonedBytes += abandoned;
-    if (!m_isLost || abandoned > 0) {
-        LogLine line(m_isLost ? "store_still_lost" : "store_lost");
+    if (!m_outage.isLost() || abandoned > 0) {
+        LogLine line(m_outage.isLost() ? "store_still_lost" : "store_lost");
         line.text("topic", text(m_settings.topic)).text("why", reason).millis("after_ms", now - m_sentAt);
         line.number("received", abandoned);
         m_log.write(line, LogPriority::Notable);
@@ -285,16 +285,14 @@
 
 void TopicSubscription::lose(Instant now)
 {
-    if (!m_isLost) {
-        m_isLost = true;
+    if (m_outage.onLost()) {
         m_hooks.onLost(now);
     }
 }
 
 void TopicSubscription::regain(Instant returnedAt)
 {
-    m_isLost = false;
-    m_returnedAt = returnedAt;
+    m_outage.onRegained(returnedAt);
     m_hooks.onRegained(returnedAt);
 }
 
@@ -345,7 +343,7 @@
         scheduleNext();
         return;
     }
-    if (answer->isTooLarge && !m_isLost && !m_consumer.isListingLarge()) {
+    if (answer->isTooLarge && !m_outage.isLost() && !m_consumer.isListingLarge()) {
         m_mustAskStore = true;
         scheduleNext();
         return;
@@ -381,7 +379,7 @@
     const Instant provedAt = std::min<Instant>(now, m_sentAt + std::clamp(answer.provedAfter, -longestAge, longestAge));
     const bool tellsOfReturn = answer.sinceReturned < longestReturn;
     const Instant returnedAt = tellsOfReturn ? now - answer.sinceReturned : now;
-    if (tellsOfReturn && returnedAt > m_returnedAt + returnTolerance) {
+    if (tellsOfReturn && m_outage.hasMissed(now, returnedAt)) {
         lose(now); // what lapsed meanwhile may return, as if this router had read the store itself
     }
     bool isTold = true;
@@ -395,10 +393,11 @@
     const bool isNews = provedAt > provedBefore || !answer.records.empty() || !needsNews;
     const bool isSound = isTold && isNews && !answer.isStoreLost;
     const bool isUseful = isSound && now < provedAt + m_settings.reading.maxSourceAge;
-    if (m_isLost && isUseful) {
+    if (m_outage.isLost() && isUseful) {
         regain(returnedAt);
     }
-    return isUseful || (isSound && answer.isListing && !m_isLost); // a large listing takes long; its proof ages
+    return isUseful
+        || (isSound && answer.isListing && !m_outage.isLost()); // a large listing takes long; its proof ages
 }
 
 void TopicSubscription::onUselessRouter(const char *reason)
@@ -424,7 +423,7 @@
     if (isLongPoll) {
         m_store.abandon();
     }
-    if (isLongPoll || (isWaiting && !m_isLost)) {
+    if (isLongPoll || (isWaiting && !m_outage.isLost())) {
         m_timer.cancel();
         scheduleNext();
     }
@@ -432,7 +431,7 @@
 
 bool TopicSubscription::hasNews(const TopicQuestion &question, Instant waitsSince) const
 {
-    if (m_isLost) {
+    if (m_outage.isLost()) {
         return true; // the asker goes on to the next router
     }
     if (!m_cache.isFilled()) {
@@ -459,11 +458,11 @@
 {
     TopicAnswer answer;
     answer.isKnown = m_cache.isFilled();
-    answer.isStoreLost = m_isLost;
+    answer.isStoreLost = m_outage.isLost();
     answer.era = m_era;
     answer.end = m_cache.end();
     answer.provedAfter = m_stats.provedAt - arrivedAt;
-    answer.sinceReturned = std::min<Duration>(clockNow() - m_returnedAt, longestReturn);
+    answer.sinceReturned = std::min<Duration>(clockNow() - m_outage.returnedAt(), longestReturn);
     if (!answer.isKnown || (question.era && m_era && *question.era > *m_era)) {
         return answer; // nothing to tell, or the asker knows more
     }
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -4,6 +4,7 @@
 // Sections of this file: Settings, Subscription.
 #pragma once
 
+#include "control/storeoutage.h"
 #include "control/topiccache.h"
 #include "control/topicsources.h"
 #include "galenafold/eventlog.h"
@@ -118,20 +119,19 @@
     TopicCache m_cache;
     TopicConsumer m_consumer;
     TopicSources m_sources;
+    StoreOutage m_outage;                 // of the store, by this topic
     TopicSource m_source;                 // of the current or next call
     DeadlineTimer m_timer;                // of the next call
     TopicRequest m_request;               // the current or next call, if it goes to the store
     Instant m_sentAt{};                   // of the last call
     Instant m_renewedAt{};                // when the last proof came
     Instant m_sharedUntil{};              // a router has asked this one shortly before
-    Instant m_returnedAt{};               // when the store came back after it was last lost
     std::optional<StoreEra> m_era;        // of the last response
     std::size_t m_maxAnswerBytes = 0;     // of records that are told to another router
     std::string m_sourceReason = "start"; // why the source was changed last, for logs
-    bool m_isLost = false;
-    bool m_mustAskStore = false; // the next call
-    Instant m_askAgainAt{};      // earliest time, after a router had not read the topic yet
-    mutable Packed m_packed;     // the last ones
+    bool m_mustAskStore = false;          // the next call
+    Instant m_askAgainAt{};               // earliest time, after a router had not read the topic yet
+    mutable Packed m_packed;              // the last ones
     mutable TopicSubscriptionStats m_stats;
 };
 
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -1,7 +1,9 @@
 // Tests how the routers of a data centre get the news of a topic: the records that one keeps for the others, whom a
 // router asks, the messages between them, and a data centre of router nodes on a fake of the store.
 //
-// Sections of this file: Records, Sources, Messages, Data centre.
+// Sections of this file: Records, Sources, Outages, Messages, Data centre.
+#include "control/storeoutage.h"
+#include "control/storetopics.h"
 #include "net/topicmessages.h"
 #include "platform/documents.h"
 #include "tests/routerfleet.h"
@@ -229,6 +231,42 @@
     CHECK(router.next(at(now)).router == source.router);
 }
 
+// Outages
+
+TEST_GROUP(StoreOutages)
+{
+    static TopicSettings registry()
+    {
+        RouterSettings settings;
+        settings.maxDrainDelay = seconds(3);
+        return registryTopic(settings); // the store is read every 2.25 s, a follower is told every 0.75 s
+    }
+    StoreOutage outage{registry()};
+};
+
+/// A replica that had left got requests for over three seconds: neighbours that the store did not answer told of its
+/// return.
+TEST(StoreOutages, ARouterThatReadsTheStoreKnowsThatItWasThere)
+{
+    for (const double sentAt : {1.0, 3.25, 5.5}) {
+        outage.onProof(at(sentAt));
+        CHECK(!outage.hasMissed(at(sentAt + 2.3), at(sentAt + 1)));
+    }
+}
+
+TEST(StoreOutages, ARouterThatHeardNothingForLongBelievesInTheReturnOnce)
+{
+    outage.onProof(at(1));
+    outage.onProof(at(0.5)); // what an answer tells may be older
+    CHECK(outage.hasMissed(at(9), at(8)));
+    CHECK(outage.onLost());
+    CHECK(!outage.onLost());
+    outage.onRegained(at(8));
+    CHECK(!outage.isLost());
+    CHECK(!outage.hasMissed(at(9), at(8.2))); // another router's word on the same return
+    CHECK(outage.hasMissed(at(9), at(8.8)));
+}
+
 // Messages
 
 TEST_GROUP(FollowedMessages){};
@@ -448,6 +486,27 @@
     }));
 }
 
+/// The routers that the others follow lost the store and heard of its return again and again, and told so. To the
+/// others the replicas might have expired: they used those that had left for another grace period.
+TEST(DataCentreOutages, ReplicasThatLeaveAreDroppedInTimeWhileTheStoreIsSilentForTheReaders)
+{
+    fleet.turnedAway = {0, 1};
+    fleet.startAndWaitUntilFollowing();
+    fleet.otherStore.setFault(StoreFault::NoResponse);
+    std::this_thread::sleep_for(seconds(5)); // until the others read the store
+    for (int left = 1; left <= 3; ++left) {
+        fleet.store.put("keyed.servers", "e" + std::to_string(left), "");
+        const Instant removed = clockNow();
+        CHECK(waitFor([&] {
+            return fleet.everywhere([&](int router) {
+                return fleet.turnedAway.count(router) > 0 || fleet.metric(router, "replicas_usable") == 4 - left;
+            });
+        }));
+        const double took = std::chrono::duration<double>(clockNow() - removed).count();
+        CHECK_TEXT(took < 4, std::to_string(took).c_str()); // the drain delay
+    }
+}
+
 /// Each asks the others while the store is silent. What they tell then is old: it must not keep a router from noticing
 /// that the store is back, and a router that is asked must go on reading.
 TEST(DataCentreOutages, AFewRoutersThatAskEachOtherNoticeTheStoresReturn)
