Wait longer for the first listing of a topic if the store answers

Cause: after all of 300 routers were killed, each asks for the listings of three topics in the same moment, some 90 MB of the store's 80 MB/s. The registry's listing was given up after 350 ms; the store sent it nevertheless, and it was asked for again. A router that had given up also told its followers that it had lost the store, so that they left it alone for a second and more.

Change: TopicConsumer waits 1.4 s for the first listing once told that the store has answered another call.

Model (RestartOfALargeFleet, new: the store sends its responses one after the other): without turns and patience 300 routers take over 2 s and give up over 100 calls; with both, 300 and 100 routers know all replicas within 2 s, and no call is given up.

--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -26,7 +26,8 @@
         request.responseTimeout = m_settings.responseTimeout;
     } else if (m_isListing) {
         request.kind = TopicRequestKind::Listing;
-        request.responseTimeout = m_responseTimeout;
+        request.responseTimeout =
+            m_isListingQueued ? std::max(m_responseTimeout, m_settings.queuedListingTimeout) : m_responseTimeout;
         request.after = m_listedRecords.empty() ? "" : m_listedRecords.back().key;
     } else {
         request.from = m_nextOffset;
@@ -48,6 +49,7 @@
         return;
     }
     m_isListing = false;
+    m_isListingQueued = false;
     m_nextOffset = *m_listingOffset;
     m_hooks.onListed(m_listedRecords, *m_listingOffset);
     m_hooks.onCaughtUp(m_listingSentAt);
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -77,6 +77,10 @@
     Duration maxResponseTimeout = std::chrono::milliseconds(5600);
     Duration maxListingTimeout = std::chrono::milliseconds(5600); // the same for listings: nothing is known without one
 
+    /// The same of the first listing, if the store has just answered another call: the listing waits for its turn
+    /// there, behind those of hundreds of routers, and would lose that by being asked for again.
+    Duration queuedListingTimeout = std::chrono::milliseconds(1400);
+
     bool hasLargeRecords = false; // after a failure, asks for the end before it reads or lists
 };
 
@@ -126,6 +130,9 @@
 
     LogOffset nextOffset() const { return m_nextOffset; } ///< @return offset up to which records were delivered
 
+    /// The store has just answered a call for another topic, and nothing is known of this one yet.
+    void onStoreAnswersOthers() { m_isListingQueued = true; }
+
     void onOffsetOutOfRange();   ///< The next record to read was deleted: lists again.
     void onStoreRestored();      ///< All offsets so far are void: lists again.
     void onFailure(Instant now); ///< The request was refused, or its response was lost, late or unreadable.
@@ -149,11 +156,12 @@
     LogOffset m_nextOffset = 0;
     Instant m_notBefore{};
     Duration m_backoff{};
-    Duration m_responseTimeout{}; // of the next listing or read
-    bool m_isShared = false;      // other routers follow this one
-    bool m_skipsLongPoll = false; // the last request failed: the next read is a plain poll
-    bool m_mustAskForEnd = false; // the last request failed: what was missed is not known
-    bool m_hasToldEnd = false;    // the last response was to a request for the end
+    Duration m_responseTimeout{};   // of the next listing or read
+    bool m_isListingQueued = false; // the first listing waits for its turn at the store
+    bool m_isShared = false;        // other routers follow this one
+    bool m_skipsLongPoll = false;   // the last request failed: the next read is a plain poll
+    bool m_mustAskForEnd = false;   // the last request failed: what was missed is not known
+    bool m_hasToldEnd = false;      // the last response was to a request for the end
 };
 
 } // namespace galenafold
--- a/tests/largestart.cpp
+++ b/tests/largestart.cpp
@@ -1,7 +1,7 @@
 // Tests how three hundred routers in three data centres start at once while thousands of replicas write to the
 // registry: that they soon know whom to follow, and that one router of a data centre lists the registry from the store.
 //
-// Sections of this file: Peers, Listings, Fleet, Data centre.
+// Sections of this file: Peers, Listings, Fleet, Restart, Data centre.
 #include "net/gzip.h"
 #include "net/topicmessages.h"
 #include "tests/largestartmodel.h"
@@ -266,6 +266,58 @@
     CHECK_TEXT(start.storeBytes > 400e6, figures(start).c_str());
 }
 
+// Restart
+
+/// All routers were killed and start again in the same moment. They are to serve within half of five seconds, of which
+/// their processes take half a second to start.
+TEST_GROUP(RestartOfALargeFleet)
+{
+    static constexpr double mostSeconds = 2;
+    static std::string figures(const LargeStart &start)
+    {
+        return "known after " + std::to_string(start.lastKnownAt()) + " s, " + std::to_string(start.storeBytes / 1e6)
+            + " MB of the store, " + std::to_string(start.givenUp) + " calls given up";
+    }
+    static LargeStartScenario scenario(int routers)
+    {
+        LargeStartScenario restart;
+        restart.isStoreQueued = true;
+        restart.routers = routers;
+        restart.lastListAt = 1.5;
+        return restart;
+    }
+};
+
+/// Calls for three topics were given up while they waited for their turn at the store, which sent what nobody read any
+/// more, and were repeated; and routers that were asked instead said that they had lost the store.
+TEST(RestartOfALargeFleet, AllOfThreeHundredSoonKnowAllReplicas)
+{
+    LargeStart start(scenario(300));
+    start.run();
+    CHECK_TEXT(start.lastKnownAt() <= mostSeconds, figures(start).c_str());
+    LONGS_EQUAL_TEXT(0, start.givenUp, figures(start).c_str());
+}
+
+TEST(RestartOfALargeFleet, SoDoAllOfAHundred)
+{
+    LargeStart start(scenario(100));
+    start.run();
+    CHECK_TEXT(start.lastKnownAt() <= mostSeconds, figures(start).c_str());
+    LONGS_EQUAL_TEXT(0, start.givenUp, figures(start).c_str());
+}
+
+/// The check sees the fault that it is for.
+TEST(RestartOfALargeFleet, AskingForAllAtOnceAndAgainTheyDoNot)
+{
+    LargeStartScenario impatient = scenario(300);
+    impatient.asksInTurn = false;
+    impatient.waitsForTurn = false;
+    LargeStart start(impatient);
+    start.run();
+    CHECK_TEXT(start.lastKnownAt() > mostSeconds, figures(start).c_str());
+    CHECK_TEXT(start.givenUp > 100, figures(start).c_str());
+}
+
 // Data centre
 
 TEST_GROUP(LargeListingOfADataCentre)
