Ask the store for one topic after the other at a start

Change: a router asks for the registry when its first call for the desired state has ended, and for the places when that for the registry has. If the store did not answer, other routers are asked for the registry first.

Test: LargeListingOfADataCentre, ARouterThatStartsAsksForOneTopicAfterTheOther (one call waits at a slow store in place of three; not run on the code before).

--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -143,7 +143,10 @@
         asio::post(m_io, [this, self, others] { setDataCentre(self, others); });
     };
     for (const StoreTopic relayed : {StoreTopic::DesiredState, StoreTopic::Registry, StoreTopic::Places}) {
-        subscription(relayed).onProgress = [this, relayed] { m_relay.onProgress(relayed); };
+        subscription(relayed).onProgress = [this, relayed] {
+            startAfter(relayed);
+            m_relay.onProgress(relayed);
+        };
     }
     m_traffic.onStateVersionTold = [this](DesiredStateVersion version) {
         asio::post(m_io, [this, version] { onVersionTold(version); });
@@ -206,9 +209,7 @@
     LogLine line("start");
     line.text("name", m_settings.name.text).text("callers", m_settings.callers).text("version", GALENAFOLD_VERSION);
     m_log.write(line, LogPriority::Notable);
-    m_desiredState.start();
-    m_registry.start();
-    m_sharedState.start();
+    m_desiredState.start(); // the others follow
     return true;
 }
 
--- a/runtime/routernode.h
+++ b/runtime/routernode.h
@@ -40,6 +40,7 @@
 private:
     TopicSubscriptionSettings subscriptionSettings(StoreTopic topic) const;
     TopicSubscription &subscription(StoreTopic topic);
+    void startAfter(StoreTopic topic);
     void setDataCentre(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others);
     TopicSubscriptionHooks desiredStateHooks();
     TopicSubscriptionHooks registryHooks();
--- a/runtime/routerstore.cpp
+++ b/runtime/routerstore.cpp
@@ -19,6 +19,17 @@
     return m_sharedState.topic();
 }
 
+/// The store is asked for one topic after the other, what requests need first: of hundreds of routers that start in the
+/// same moment, all get that before it sends the larger listings.
+void RouterNode::startAfter(StoreTopic topic)
+{
+    if (topic == StoreTopic::DesiredState) {
+        m_registry.startAfterCall(!m_isDesiredStateLost);
+    } else if (topic == StoreTopic::Registry) {
+        m_sharedState.startAfterCall(!m_isRegistryLost);
+    }
+}
+
 void RouterNode::setDataCentre(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)
 {
     m_desiredState.setRouters(self, others);
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -93,6 +93,11 @@
     m_subscription.start();
 }
 
+void SharedState::startAfterCall(bool isAnswered)
+{
+    m_subscription.startAfterCall(isAnswered);
+}
+
 TopicSubscriptionHooks SharedState::subscriptionHooks()
 {
     TopicSubscriptionHooks hooks;
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -28,6 +28,9 @@
 
     void start();
 
+    /// Likewise, unless it was started. @param isAnswered the store has answered a call for another topic
+    void startAfterCall(bool isAnswered);
+
     // Both append records on condition that the topic has no records which this router has not read yet. They do
     // nothing before the first read or while another save is in progress. A failed save is not retried: the leader
     // saves again when it finds that the records are still missing.
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -72,13 +72,28 @@
 
 void TopicSubscription::start()
 {
+    m_hasStarted = true;
     scheduleNext();
 }
 
+/// A store that is slow because hundreds of routers start is waited for; one that fails is asked after other routers.
+void TopicSubscription::startAfterCall(bool isAnswered)
+{
+    if (m_hasStarted) {
+        return;
+    }
+    if (isAnswered) {
+        m_consumer.onStoreAnswersOthers();
+    } else {
+        m_sources.onStoreFailed(clockNow() + m_settings.reading.responseTimeout);
+    }
+    start();
+}
+
 void TopicSubscription::readNow()
 {
     const bool isCalling = m_store.isCalling() || m_router.isCalling();
-    if (!isCalling) {
+    if (m_hasStarted && !isCalling) {
         m_timer.cancel();
         chooseSource(clockNow());
         send();
@@ -415,7 +430,7 @@
 {
     const bool isFirst = now >= m_sharedUntil;
     m_sharedUntil = now + sharedTime;
-    if (!isFirst) {
+    if (!isFirst || !m_hasStarted) {
         return;
     }
     m_consumer.setShared(now, true, true);
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -58,6 +58,9 @@
 
     void start();
 
+    /// Likewise, unless it was started, after a call for another topic. @param isAnswered the store has answered that
+    void startAfterCall(bool isAnswered);
+
     // Both send the next call without waiting for the pause or backoff, unless one is in progress.
 
     void readNow();
@@ -128,6 +131,7 @@
     std::optional<StoreEra> m_era;        // of the last response
     std::size_t m_maxAnswerBytes = 0;     // of records that are told to another router
     std::string m_sourceReason = "start"; // why the source was changed last, for logs
+    bool m_hasStarted = false;
     bool m_isLost = false;
     bool m_mustAskStore = false; // the next call
     Instant m_askAgainAt{};      // earliest time, after a router had not read the topic yet
--- a/tests/largestart.cpp
+++ b/tests/largestart.cpp
@@ -356,3 +356,24 @@
     // Twelve beginnings are a sixth each; two routers may each take themselves for the first.
     CHECK_TEXT(listings < 5, std::to_string(listings).c_str());
 }
+
+/// Three calls of each of three hundred routers waited at the store together.
+TEST(LargeListingOfADataCentre, ARouterThatStartsAsksForOneTopicAfterTheOther)
+{
+    fleet.addReplica("e0", [](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        reply->beginStream(request);
+        reply->sendEvent(0, "x");
+        reply->endStream();
+    });
+    fleet.routerCount = 1;
+    fleet.start();
+    fleet.routers[0]->stop();
+    fleet.store.setFault(StoreFault::Delayed);
+    const std::int64_t before = fleet.store.requestCount();
+    fleet.routers[0]->start();
+    std::this_thread::sleep_for(milliseconds(300)); // less than the wait for the desired state
+    LONGS_EQUAL(1, fleet.store.requestCount() - before);
+    fleet.store.setFault(StoreFault::None);
+    CHECK(waitFor([this] { return fleet.allServe(); }));
+    CHECK(waitFor([&] { return fleet.store.requestCount() >= before + 3; }));
+}
