Raise the pace of a router that hears few answers more slowly

Cause: at 114 routers each sends a plain replica less than a request a second, and raised its rate before an answer told what the rise had done. Change: the increase scales down to half at one request a second or less; from two a second on it is as before. How fast a recovered replica gets its requests back was not measured.

--- a/filters/requestpace.cpp
+++ b/filters/requestpace.cpp
@@ -11,6 +11,8 @@
 
 constexpr double decreaseFactor = 0.8;     // on the rate, for a congested replica
 constexpr double increasePerSecond = 0.1;  // of the rate, in the first second after a decrease
+constexpr double fullIncreaseRate = 2;     // requests per second; at lower rates too few answers tell of the increase
+constexpr double minIncreaseShare = 0.5;   // of the increase; a replica that has recovered is to get its requests soon
 constexpr double increaseStep = 0.75;      // of the least rate, each second; makes the rates of the routers alike
 constexpr double maxTokens = 1;            // requests sent at once after a pause
 constexpr double unusedFactor = 2;         // the limit is dropped when it is so many times the rate of requests
@@ -25,7 +27,8 @@
 double RequestPace::rateAt(Instant now) const
 {
     const double since = secondsOf(now - m_slowedAt);
-    return m_rate * std::exp(increasePerSecond * since * since) + increaseStep * m_minRate * since;
+    const double increase = increasePerSecond * std::clamp(m_rate / fullIncreaseRate, minIncreaseShare, 1.0);
+    return m_rate * std::exp(increase * since * since) + increaseStep * m_minRate * since;
 }
 
 double RequestPace::tokensAt(Instant now) const
--- a/filters/requestpace.h
+++ b/filters/requestpace.h
@@ -5,7 +5,9 @@
 // older than the requests last. What tells of a queue are refusals and answers that take longer than usual. While it
 // sees these, each router lowers its rate by a factor, at most once for the requests of one rate; otherwise it raises
 // the rate, ever faster, until its own requests no longer need it (additive increase, multiplicative decrease, as in
-// TCP). So the sum over the routers follows what the replica can run, with a short queue.
+// TCP). So the sum over the routers follows what the replica can run, with a short queue. A router of a large fleet
+// sends a request a second or less, and would double its rate before it hears what that did: it raises the rate more
+// slowly.
 //
 // Until a replica is found congested there is no limit.
 #pragma once
