Let no read of the store that is due wait for another router's news

Cause, by reading of a drain broken by 10 to 164 ms: a router whose read of the registry is due asks its preferred router before, which may hold the question for 0.95 s, so that the entry of a replica that left is read up to 3.2 s after. Change: a question waits no longer than until the next read is due. Measured: AReadThatIsDueDoesNotWaitForNewsOfAnotherRouter (new; its function is new, so it was not run on the code before) and StoreOutages, DataCentre and DataCentreOutages pass.

--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -7,6 +7,8 @@
 namespace galenafold
 {
 
+constexpr auto waitMargin = std::chrono::milliseconds(200); // that a router waits for its next read beyond its interval
+
 TopicConsumer::TopicConsumer(const TopicSettings &settings, TopicHooks hooks, std::uint64_t seed)
     : m_settings(settings)
     , m_hooks(std::move(hooks))
@@ -108,6 +110,16 @@
     return m_settings.sharedInterval > Duration{} ? now : std::max(now, m_notBefore);
 }
 
+Duration TopicConsumer::followingWait(Instant now, Instant provedAt) const
+{
+    if (m_settings.sharedInterval == Duration{}) {
+        return Duration{};
+    }
+    const Duration wait = m_settings.sharedInterval + waitMargin;
+    const bool isPaced = !m_isListing && m_settings.pollInterval > Duration{};
+    return isPaced ? std::clamp(provedAt + m_settings.pollInterval - now, Duration{}, wait) : wait;
+}
+
 bool TopicConsumer::pollsForOthers() const
 {
     return m_isShared && m_settings.sharedInterval > Duration{};
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -123,6 +123,10 @@
 
     Instant nextFollowing(Instant now) const; ///< @return when to ask another router next
 
+    /// @param provedAt all records up to that time are known
+    /// @return how long another router that is asked may wait for news: a read of the store that is due comes first
+    Duration followingWait(Instant now, Instant provedAt) const;
+
     bool isListing() const { return m_isListing; } ///< @return true until a listing is complete
 
     /// @return true while a listing of more than one page is in progress
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::size_t loggedTransferBytes = 64 << 10; // of a response that gets a log line of its own
 constexpr auto sharedTime = std::chrono::seconds(3);  // for which the topic is read often after a router has asked
-constexpr auto waitMargin = std::chrono::milliseconds(200); // that a router waits for its next read beyond its interval
 constexpr auto answerTimeout = std::chrono::milliseconds(300); // beyond the wait for news
 constexpr auto listingWait = std::chrono::seconds(1);          // for a router that is itself reading a large listing
 constexpr auto listingAnswerTimeout = std::chrono::milliseconds(1500); // beyond that: all followers are sent it at once
@@ -323,8 +322,7 @@
     if (!m_consumer.isListing()) {
         question.from = m_consumer.nextOffset();
     }
-    const Duration interval = m_settings.reading.sharedInterval;
-    question.wait = interval > Duration{} ? interval + waitMargin : Duration{};
+    question.wait = m_consumer.followingWait(m_sentAt, m_stats.provedAt);
     const bool isListingLarge = m_consumer.isListingLarge();
     if (isListingLarge) {
         question.wait = std::max<Duration>(question.wait, listingWait);
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -267,6 +267,24 @@
     CHECK(outage.hasMissed(at(9), at(8.8)));
 }
 
+/// A router that read the store every 2.25 s waited for nearly a second for news of another one before each further
+/// read, and sent requests to replicas that had left over three seconds before.
+TEST(StoreOutages, AReadThatIsDueDoesNotWaitForNewsOfAnotherRouter)
+{
+    const Duration usual = milliseconds(950);
+    const TopicHooks hooks{[](const KeyedRecord &) {}, [](const std::vector<KeyedRecord> &, LogOffset) {},
+                           [](Instant) {}};
+    TopicConsumer consumer(registry(), hooks, 1);
+    CHECK(consumer.followingWait(at(9), Instant{}) == usual); // until a listing is known
+    consumer.onPage(at(1), at(1), {});
+    CHECK(consumer.followingWait(at(2), at(1)) == usual);
+    CHECK(consumer.followingWait(at(3), at(1)) == milliseconds(250));
+    CHECK(consumer.followingWait(at(3.3), at(1)) == Duration{});
+    TopicSettings desiredState;
+    desiredState.sharedInterval = milliseconds(750); // it is read by long polls
+    CHECK(TopicConsumer(desiredState, {}, 1).followingWait(at(9), at(1)) == usual);
+}
+
 // Messages
 
 TEST_GROUP(FollowedMessages){};
