--- a/filters/loadbalancer.cpp
+++ b/filters/loadbalancer.cpp
@@ -299,20 +299,6 @@
 
 } // namespace
 
-/// The bound is a multiple of the mean load of the whole service. Replicas of an evacuated data centre, or of a region
-/// that the request may not reach, lower it as they empty; those that fail do not, as the others must take their load.
-std::vector<const EndpointState *> LoadBalancer::boundedReplicas(Instant now, const ServiceId &service,
-                                                                 const std::vector<EndpointState *> &candidates) const
-{
-    std::vector<const EndpointState *> counted;
-    for (const EndpointState *state : replicasOf(service)) {
-        if (now >= state->avoidUntil) {
-            counted.push_back(state);
-        }
-    }
-    return counted.empty() ? std::vector<const EndpointState *>(candidates.begin(), candidates.end()) : counted;
-}
-
 ReplicaChoice LoadBalancer::chooseByAffinity(Instant now, const SelectionRequest &request,
                                              const std::vector<EndpointState *> &candidates)
 {
@@ -320,7 +306,7 @@
     if (candidates.empty()) {
         return choice;
     }
-    const double bound = loadBoundFor(meanLoad(now, boundedReplicas(now, request.service, candidates)));
+    const double bound = loadBoundFor(meanLoad(now, {candidates.begin(), candidates.end()}));
     choice.bound = bound;
     for (EndpointState *state : candidates) {
         state->servesPrompts = true;
--- a/filters/loadbalancer.h
+++ b/filters/loadbalancer.h
@@ -261,8 +261,6 @@
     PlaceDemand placeDemand(Instant now, const std::vector<const EndpointState *> &engines) const;
     void recordDraining(Instant now, const std::vector<ReplicaRecord> &draining);
     double meanLoad(Instant now, const std::vector<const EndpointState *> &endpoints) const;
-    std::vector<const EndpointState *> boundedReplicas(Instant now, const ServiceId &service,
-                                                       const std::vector<EndpointState *> &candidates) const;
     double loadBoundFor(double meanLoad) const { return m_settings.loadBound * meanLoad + m_settings.loadAllowance; }
     void sumPeerLoads(Instant now);
     bool hasHeadroom(Instant now, EndpointState &state, double bound);
