Ask whether an account is over its share without building a whole admission request

Cause: each choice of a replica built an AdmissionRequest, with the latest start by the estimate of service, to know one account's use. The variant of Admission::retryAfter by rank was public though only the class itself knows ranks, and took a priority for one. Change: isOverShare takes the account; retryAfter by rank is private; push and onSent ask once whether a request is over its share. Behaviour is as before.

--- a/filters/admission.cpp
+++ b/filters/admission.cpp
@@ -135,10 +135,11 @@
     }
     decision.waits = true;
     level.queue.push(call, decision.use <= 1 ? CustomerPlace::Ahead : CustomerPlace::Last);
-    m_entries[request.key] = {service, decision.rank, isOverShare(request, decision.use), request.bytes};
+    const bool isHeavy = isOverShare(request, decision.use);
+    m_entries[request.key] = {service, decision.rank, isHeavy, request.bytes};
     m_bytes += request.bytes;
     state.backlog.add(now);
-    if (!isOverShare(request, decision.use)) {
+    if (!isHeavy) {
         state.withinShare.add(now);
     }
     evictBeyondLimits(now, request, decision);
@@ -180,8 +181,7 @@
 }
 
 /// A short burst may use all the time that its requests have. While a backlog stands, a part of it stays free, so that
-/// those that are admitted are rarely late. What waits of accounts over their share is no
-/// backlog to others.
+/// those that are admitted are rarely late. What waits of accounts over their share is no backlog to others.
 bool Admission::isInTime(Instant now, const Service &service, const AdmissionRequest &request,
                          const AdmissionDecision &decision)
 {
@@ -194,9 +194,9 @@
     return decision.workBefore <= 0 || secondsOf(decision.expectedWait) <= slack;
 }
 
-bool Admission::isOverShare(Instant now, const ServiceId &service, const AdmissionRequest &request) const
+bool Admission::isOverShare(Instant now, const ServiceId &service, const AccountId &account) const
 {
-    return isOverShare(request, m_use.multipleOfMean(now, service, request.account));
+    return m_use.multipleOfMean(now, service, account) > heavyUse;
 }
 
 bool Admission::isOverShare(const AdmissionRequest &request, double use)
@@ -304,8 +304,9 @@
     const double use = m_use.multipleOfMean(now, service, request.account);
     state.levels[rank(request, use)].started.add(now, work);
     m_use.onStarted(now, service, request.account, work);
-    state.window.onSent(isOverShare(request, use));
-    return isOverShare(request, use);
+    const bool isHeavy = isOverShare(request, use);
+    state.window.onSent(isHeavy);
+    return isHeavy;
 }
 
 void Admission::onEnded(const ServiceId &service, bool isOverShare)
--- a/filters/admission.h
+++ b/filters/admission.h
@@ -95,8 +95,8 @@
     std::size_t waiting(const ServiceId &service) const; ///< @return requests of the service that wait
     std::vector<ServiceId> servicesWaiting() const;      ///< @return services of which requests wait
 
-    /// @return true if the request's account has used more than its share lately
-    bool isOverShare(Instant now, const ServiceId &service, const AdmissionRequest &request) const;
+    /// @return true if the account has used more than its share lately
+    bool isOverShare(Instant now, const ServiceId &service, const AccountId &account) const;
 
     /// A request found no replica with room, or others wait before it.
     AdmissionDecision push(Instant now, const ServiceId &service, const AdmissionRequest &request);
@@ -132,7 +132,6 @@
 
     /// @return time after which room is expected for a request that is refused now, spread by chance
     Duration retryAfter(Instant now, const ServiceId &service, const AdmissionRequest &request);
-    Duration retryAfter(Instant now, const ServiceId &service, int rank);
 
     double startRate(Instant now, const ServiceId &service) const; ///< @return work per second that starts; 0: unknown
 
@@ -179,6 +178,7 @@
     void forget(std::unordered_map<WaitKey, Entry>::iterator entry);
     static bool isOverShare(const AdmissionRequest &request, double use);
     static int rank(const AdmissionRequest &request, double use);
+    Duration retryAfter(Instant now, const ServiceId &service, int rank);
     int rankNow(Instant now, const ServiceId &service, const AdmissionRequest &request) const;
     std::pair<const ServiceId, Service> &leastUrgentService();
     void evictBeyondLimits(Instant now, const AdmissionRequest &request, AdmissionDecision &decision);
--- a/tests/overloadmodel.h
+++ b/tests/overloadmodel.h
@@ -215,10 +215,9 @@
 
     bool isOverShare(const Request &request) const
     {
-        AdmissionRequest asked;
-        asked.account = {"a" + std::to_string(request.account)};
-        asked.isRetry = request.sent > 0;
-        return plan.hasAdmission && routers[request.router].admission->isOverShare(at(now), service, asked);
+        const AccountId account{"a" + std::to_string(request.account)};
+        return plan.hasAdmission && request.sent == 0
+            && routers[request.router].admission->isOverShare(at(now), service, account);
     }
 
     SelectionRequest selection(const Request &request) const
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -188,7 +188,8 @@
 {
     m_selection.needsRoom = !m_attempts.isStreaming;
     const Admission &admission = m_state.waitingForRoom.admission();
-    m_selection.leavesBacklog = admission.isOverShare(now, m_selection.service, admissionRequest(now));
+    const AccountId account = m_account ? m_account->id : AccountId();
+    m_selection.leavesBacklog = m_attempts.sent == 0 && admission.isOverShare(now, m_selection.service, account);
     m_selection.yielding = admission.inProgressOverShare(m_selection.service);
     ReplicaChoice choice = m_state.loadBalancer.choose(now, m_selection);
     if (!choice && choice.skippedBusy == 0 && m_selection.excluded != m_refusedBy) {
