Test desired states that are larger than a read or a listing of the store holds

No test had a version of that size, and the fake of the store kept none of the limits of a read or a listing. It keeps them now: 1,024 KB of records, unless the first one is larger.

--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -11,7 +11,8 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t pieceBytes = 8192; // of a body that is sent at a limited rate
+constexpr std::size_t pieceBytes = 8192;         // of a body that is sent at a limited rate
+constexpr std::size_t maxReadBytes = 1024 << 10; // of records in a response, unless the first one is larger
 
 std::string sampleDesiredState(int version, const std::vector<SampleRoute> &routes,
                                const std::vector<std::string> &keys)
@@ -222,6 +223,10 @@
     appendBigEndian(body, topic.firstRetained, 8);
     for (std::size_t i = from; i < topic.records.size(); ++i) {
         const Record &record = topic.records[i];
+        const std::size_t bytes = body.size() + record.key.size() + record.value.size();
+        if (i > from && bytes > maxReadBytes) {
+            break;
+        }
         appendBigEndian(body, 1 + record.key.size() + record.value.size(), 4);
         appendBigEndian(body, record.key.size(), 1);
         body += record.key + record.value;
@@ -294,12 +299,14 @@
         newest[topic.records[i].key] = i;
     }
     Json items = Json::array();
+    std::size_t bytes = 0;
     bool isTruncated = false;
     for (const auto &[key, offset] : newest) {
         if (key <= after || topic.records[offset].value.empty()) {
             continue;
         }
-        if (items.size() == m_pageSize) {
+        bytes += topic.records[offset].value.size();
+        if (items.size() == m_pageSize || (!items.empty() && bytes > maxReadBytes)) {
             isTruncated = true;
             break;
         }
--- a/tests/largedesiredstate.cpp
+++ b/tests/largedesiredstate.cpp
@@ -4,10 +4,9 @@
 
 using namespace galenafold;
 
-/// @return a desired state of about 600 KB
-static std::string largeDesiredState(int version)
+/// @return a desired state of about 600 KB, or more with more routes
+static std::string largeDesiredState(int version, int routes = 2500)
 {
-    constexpr int routes = 2500;
     std::vector<SampleRoute> list = {{"any", "idempotent", 2}};
     for (int i = 0; i < routes; ++i) {
         list.push_back({"unused" + std::to_string(i), "idempotent"});
@@ -60,6 +59,32 @@
     LONGS_EQUAL(9, fixture.metric("desired_state_version"));
 }
 
+/// Three steps of 1,400 routes were in force late: by the third, a version is as large as a read or a listing of the
+/// store may be, and the next ones are larger.
+TEST(LargeDesiredState, VersionsThatAreLargerThanAReadHoldsAreInForceEachInTurn)
+{
+    constexpr int routesPerVersion = 2000; // from the third version on, one is more than a read holds
+    fixture.startAndWaitReady();
+    fixture.store.setRate(size * 4);
+    for (int version = 2; version <= 4; ++version) {
+        fixture.store.put("keyed.op", "config", largeDesiredState(version, version * routesPerVersion));
+        CHECK(waitForVersion(version));
+    }
+    fixture.store.put("keyed.op", "config", largeDesiredState(5, 5 * routesPerVersion));
+    fixture.store.put("keyed.op", "config", largeDesiredState(6, 5 * routesPerVersion));
+    CHECK(waitForVersion(6));
+}
+
+TEST(LargeDesiredState, AVersionThatIsLargerThanAListingHoldsIsInForceAtTheStart)
+{
+    fixture.store.setRate(size * 2);
+    fixture.store.put("keyed.op", "another", "{}");
+    fixture.store.put("keyed.op", "config", largeDesiredState(1, 8000));
+    fixture.store.put("keyed.op", "third", "{}");
+    fixture.start();
+    CHECK(waitForVersion(1));
+}
+
 /// A response that stops midway must not hold the router up: the next call may be answered.
 TEST(LargeDesiredState, IsAskedForAgainWhenItsTransferStops)
 {
