Tell which requests crash replicas, by a hash of their content

Requests without a prompt left no trace of what was asked when their replica ended. attempt_broken tells a hash of service, method, host, path, account and body, and how long the attempt had run; replica_crashed is written for all requests. No decision changes.

--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -43,6 +43,16 @@
     return keys;
 }
 
+PromptKey contentKey(const RequestContent &content)
+{
+    PromptKey key = hashName(content.service.text);
+    for (const std::string *text :
+         {&content.method, &content.host, &content.target, &content.account.text, &content.body}) {
+        key = rendezvousScore(key, hashName(*text));
+    }
+    return key;
+}
+
 // Trial
 
 void PromptTrial::onEvent(Instant now)
--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -38,6 +38,19 @@
     PromptKey whole = 0;          // all parts together; requests that repeat the same prompt are blamed by it
 };
 
+/// What makes a request the same as another one. Its id and its deadline do not: a caller that asks again has new ones.
+struct RequestContent {
+    ServiceId service;
+    std::string method;
+    std::string host;
+    std::string target;
+    AccountId account; // empty: none
+    const std::string &body;
+};
+
+/// @return hash of all of it, the same on each router
+PromptKey contentKey(const RequestContent &content);
+
 /// @return keys of a prompt at a service, as a part that crashes one service's replicas may be sound at another's
 PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts);
 
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -139,6 +139,7 @@
     const ClientAccount *m_account = nullptr;
     SelectionRequest m_selection;
     PromptKeys m_prompt;              // empty if the route's requests have no prompts
+    PromptKey m_content = 0;          // tells repeats of this request
     std::set<EndpointId> m_refusedBy; // replicas that answered that they did not run the request
     Instant m_deadline{};             // for the whole response
     Instant m_turnedAwayUntil{};      // shortest time that replicas named, if no other replica was left
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -135,7 +135,8 @@
     m_state.log.write(line, isServed ? LogPriority::Routine : LogPriority::Notable);
 }
 
-/// The shared parts of the prompts whose attempts ended before their first event tell which part crashes engines.
+/// The shared parts of the prompts whose attempts ended before their first event tell which part crashes engines, and
+/// the content which request does when it is repeated.
 void RequestHandler::logBroken() const
 {
     constexpr std::size_t maxLoggedParts = 8;
@@ -146,7 +147,8 @@
     LogLine line("attempt_broken");
     line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
     line.text("service", m_selection.service.text).number("try", m_attempts.sent);
-    line.flag("had_event", hasReceivedEvents()).text("parts", parts);
+    line.millis("ran_ms", clockNow() - m_sentAt).flag("had_event", hasReceivedEvents());
+    line.text("parts", parts).text("content", toHex(m_content));
     m_state.log.write(line, LogPriority::Notable);
 }
 
@@ -202,7 +204,7 @@
 /// connection, and if its trial was open. Otherwise a complete response clears it.
 void RequestHandler::reportIfCrashed(bool isResponseComplete) const
 {
-    if (m_prompt.whole == 0 || !m_trial.isOpen(clockNow())) {
+    if (!m_trial.isOpen(clockNow())) {
         return;
     }
     const auto onResult = [&state = m_state, prompt = m_prompt, replica = m_endpoint, incarnation = m_incarnation,
@@ -210,6 +212,9 @@
         LogLine line(isReachable ? "replica_reachable" : "replica_crashed");
         line.text("replica", replica.text).text("request", request.text);
         state.log.write(line, LogPriority::Notable);
+        if (prompt.whole == 0) {
+            return;
+        }
         if (!isReachable) {
             state.queryOfDeath.onCrash(brokenAt, incarnation, prompt);
             state.onPeerNews();
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -75,6 +75,8 @@
         m_selection.tokens = promptTokens(m_fields) + responseTokens(m_fields);
         m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
+    m_content = contentKey({m_selection.service, m_request.head.method, *findField(m_request.head.fields, "host"),
+                            m_request.head.target, m_account ? m_account->id : AccountId(), m_request.body});
     m_selection.allowedDataCentres =
         allowedDataCentres(m_state.settings.regions, m_route->allowedRegions,
                            m_account ? m_account->allowedRegions : std::vector<RegionId>());
