--- a/fakes/replica.cpp
+++ b/fakes/replica.cpp
@@ -5,6 +5,7 @@
 
 #include "net/timer.h"
 
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 namespace galenafold
@@ -186,6 +187,11 @@
     return isListening;
 }
 
+void FakeReplica::post(std::function<void()> callback)
+{
+    asio::post(m_io, std::move(callback));
+}
+
 void FakeReplica::crash(std::chrono::milliseconds downTime)
 {
     if (!m_acceptor.is_open()) {
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -82,6 +82,8 @@
     /// on the replica's thread, from the script. Has no effect while the replica is down.
     void crash(std::chrono::milliseconds downTime);
 
+    void post(std::function<void()> callback); ///< Calls a function on the replica's thread.
+
     int crashes() const { return m_crashes; } ///< @return crashes so far
     const std::string &id() const { return m_id; }
     int port() const { return m_port; }
--- a/tests/queryofdeathdetector.cpp
+++ b/tests/queryofdeathdetector.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::uint64_t serviceInstruction = 1; // shared by all prompts
 constexpr std::uint64_t deadlyPart = 666;
+constexpr PromptKey deadlyContent = 667; // of a request without a prompt
 constexpr Instant start{seconds(100)};
 
 static PromptKeys prompt(const std::vector<std::uint64_t> &ids)
@@ -59,7 +60,14 @@
     QueryOfDeathDetector &anyRouter() { return *routers[below(routerCount)]; }
     void at(Instant when, std::function<void()> event) { events.emplace(when, std::move(event)); }
 
-    PromptKeys soundPrompt() { return prompt({serviceInstruction, 10 + below(3), 1000 + below(20), ++lastPart}); }
+    PromptKeys soundPrompt()
+    {
+        if (!isPlainService) {
+            return prompt({serviceInstruction, 10 + below(3), 1000 + below(20), ++lastPart});
+        }
+        constexpr PromptKey popularContent = 500; // one request in four is the same
+        return {{}, below(4) == 0 ? popularContent : PromptKey{1000} + ++lastPart};
+    }
 
     void sendSound()
     {
@@ -90,8 +98,25 @@
                [this, sound, &other] { other.onAnswered(now, sound); });
         }
     }
+    /// The same request each time, which runs for longer, and is sent to another replica at once when the first is
+    /// gone.
+    void sendDeadlyRequest(QueryOfDeathDetector &router, int attempts)
+    {
+        const PromptKeys deadly{{}, deadlyContent};
+        if (attempts > 0 && !router.isBlocked(now, deadly)) {
+            sends.push_back(now);
+            at(now + milliseconds(50), [this, deadly, &router, attempts] {
+                crash(router, deadly);
+                sendDeadlyRequest(router, attempts - 1);
+            });
+        }
+    }
     void sendDeadly()
     {
+        if (isPlainService) {
+            sendDeadlyRequest(anyRouter(), 2);
+            return;
+        }
         const PromptKeys deadly = prompt({serviceInstruction, 10 + below(3), deadlyPart, ++lastPart});
         QueryOfDeathDetector &router = anyRouter();
         if (!router.isBlocked(now, deadly)) {
@@ -143,6 +168,7 @@
     static constexpr std::uint64_t lossPercent = 20;
     static constexpr auto broadcastInterval = milliseconds(1500);
     static constexpr auto warmUp = seconds(10); // before the first request with the deadly part
+    bool isPlainService = false;                // requests have no prompts
     std::uint64_t deadlyPercent = 5;            // per 10 ms
     Duration answerTime{};                      // from an attempt's first event until it counts as answered
     Duration crashInterval{};                   // between replicas that crash for a reason of their own; 0: none does
@@ -392,6 +418,28 @@
     LONGS_EQUAL(56, news.blocks.at(0).ageMillis);
 }
 
+TEST_GROUP(CrashingRequestsOfALargeFleet){};
+
+/// A hundred routers with late news, one request without a prompt that comes at any of them, often from several at
+/// once.
+TEST(CrashingRequestsOfALargeFleet, theRequestIsBlockedInTimeAndNoOther)
+{
+    constexpr auto maxRecoveryTime = seconds(4);
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        for (const std::uint64_t deadlyPercent : {1, 2, 20}) {
+            GossipingFleet fleet(seed);
+            fleet.isPlainService = true;
+            fleet.soundRequestsAsk = true;
+            fleet.deadlyPercent = deadlyPercent;
+            fleet.run(seconds(25));
+            CHECK(fleet.crashes.size() >= 3);
+            const int late = fleet.sendsAfter(fleet.crashes[2] + maxRecoveryTime);
+            CHECK_TEXT(late <= 3, std::to_string(late).c_str());
+            CHECK(fleet.blockedKeys == std::set<PromptKey>{deadlyContent});
+        }
+    }
+}
+
 TEST_GROUP(SoundPromptsAtCrashes){};
 
 /// Some routers hear of three crashes and not of the answers between them, and block a sound part for a moment.
