Block requests that crash the replicas of a plain service

Cause: what routers tell each other of crashes was about prompts, and a request without one had nothing to be remembered by. Behind it a second one: replicas lost within 100 ms counted as one, and a retry crashes the second replica 50 ms after the first.

Change: requests are known by a hash of service, method, host, path, account, body and parts, in the detector that prompts have. Crash reports tell how long the attempt had run, so that one that began after another loss counts apart. Crashes that a blocked request explains are not held against others that ran there; a request whose crashes are all explained by others is tried once more.

The test counts a crash for each such request that runs at the replica, as the users' record does, in place of the one that finished first: a request was blocked before it had crashed three by that count. Its time runs from an earlier crash now.

--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -22,18 +22,18 @@
 constexpr auto answerInterval = std::chrono::milliseconds(500); // between broadcasts of answers of the same part
 constexpr auto savedAccuracy = std::chrono::minutes(1);         // of the time of the last crash in the store
 constexpr std::uint64_t staggerSteps = 1024;
-constexpr auto trialTime = std::chrono::seconds(1); // from the first event; engines write several in it
+constexpr std::size_t maxRecentAnswers = 2048;                  // that are recalled when the request becomes a suspect
+constexpr auto newsDelayMargin = std::chrono::milliseconds(20); // by which what peers tell may seem later than it was
+constexpr auto unknownBlockTime = std::chrono::seconds(1);      // after which a crash shows that a peer lacks a block
+constexpr auto trialTime = std::chrono::seconds(1);             // from the first event; engines write several in it
 
 // Prompt
 
-PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts)
+PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts, PromptKey content)
 {
     PromptKeys keys;
-    if (parts.empty()) {
-        return keys;
-    }
+    keys.whole = content;
     const std::uint64_t scope = hashName(service.text);
-    keys.whole = scope;
     for (std::size_t i = 0; i < parts.size(); ++i) {
         keys.whole = rendezvousScore(keys.whole, parts[i].id);
         if (i + 1 < parts.size() && i < maxParts) {
@@ -81,8 +81,25 @@
         noteAnswer(part, now);
     }
     const auto isSamePrompt = [&](const Crash &crash) { return crash.prompt.whole == prompt.whole; };
-    if (m_blocks.count(prompt.whole) > 0 || std::any_of(m_crashes.begin(), m_crashes.end(), isSamePrompt)) {
+    const auto crashes = std::count_if(m_crashes.begin(), m_crashes.end(), isSamePrompt);
+    if (crashes > 0 || m_blocks.count(prompt.whole) > 0) {
         noteAnswer(prompt.whole, now);
+        m_hasUnsentNews = m_hasUnsentNews || crashes >= m_settings.minSeparate; // the others may be about to block it
+        return;
+    }
+    m_recentAnswers.emplace_back(prompt.whole, now);
+    if (m_recentAnswers.size() > maxRecentAnswers) {
+        m_recentAnswers.pop_front();
+    }
+}
+
+/// Answers of whole requests are kept apart, as most requests never become suspects.
+void QueryOfDeathDetector::recallAnswer(PromptKey whole)
+{
+    const auto isSame = [whole](const auto &answer) { return answer.first == whole; };
+    const auto newest = std::find_if(m_recentAnswers.rbegin(), m_recentAnswers.rend(), isSame);
+    if (newest != m_recentAnswers.rend()) {
+        noteAnswer(whole, newest->second);
     }
 }
 
@@ -100,9 +117,9 @@
     }
 }
 
-void QueryOfDeathDetector::onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt)
+void QueryOfDeathDetector::onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt, Instant startedAt)
 {
-    addCrash(now, {now, replica, prompt, sendsPerNews});
+    addCrash(now, {{now, startedAt, true}, replica, prompt, sendsPerNews});
 }
 
 void QueryOfDeathDetector::addCrash(Instant now, Crash crash)
@@ -115,6 +132,7 @@
     }
     m_hasUnsentNews = m_hasUnsentNews || crash.sendsLeft > 0;
     renewBlocks(now, crash);
+    recallAnswer(crash.prompt.whole);
     m_crashes.push_back(std::move(crash));
     if (m_crashes.size() > maxCrashes) {
         m_crashes.erase(m_crashes.begin());
@@ -127,21 +145,26 @@
     for (auto &[key, block] : m_blocks) {
         const std::vector<PromptKey> &parts = crash.prompt.parts;
         const bool isBlamed = key == crash.prompt.whole || std::find(parts.begin(), parts.end(), key) != parts.end();
-        if (!isBlamed || crash.at <= block.lastCrash) {
+        if (!isBlamed || crash.time.at <= block.lastCrash) {
             continue;
         }
-        if (!isActive(now, block)) {
+        const bool isRenewed = !isActive(now, block);
+        const bool isPeerIgnorant = !crash.time.isOwn && crash.time.at > block.lastCrash + unknownBlockTime;
+        if (isRenewed || isPeerIgnorant) {
             block.sendsLeft = sendsPerNews;
             m_hasUnsentNews = true;
+        }
+        if (isRenewed) {
             onVerdict({key, true, 1, 1});
         }
-        block.lastCrash = crash.at;
+        block.isOnProbation = false;
+        block.lastCrash = crash.time.at;
     }
 }
 
 bool QueryOfDeathDetector::isActive(Instant now, const Block &block) const
 {
-    return now < block.lastCrash + m_settings.blockTime + m_stagger;
+    return !block.isOnProbation && now < block.lastCrash + m_settings.blockTime + m_stagger;
 }
 
 bool QueryOfDeathDetector::wasAnsweredSince(PromptKey key, Instant when) const
@@ -150,50 +173,87 @@
     return answer != m_answers.end() && answer->second.at >= when;
 }
 
-/// @param explained replicas whose crash a blocked part explains; it is not held against other prompts that waited
-/// there
-QueryOfDeathDetector::Suspects QueryOfDeathDetector::findSuspects(const std::set<std::uint32_t> &explained) const
+std::map<PromptKey, int> QueryOfDeathDetector::crashesPerWhole() const
+{
+    std::map<PromptKey, int> counts;
+    for (const Crash &crash : m_crashes) {
+        ++counts[crash.prompt.whole];
+    }
+    return counts;
+}
+
+/// A whole request that replicas crashed with once is left out: most are sound ones that are never repeated.
+QueryOfDeathDetector::Suspects QueryOfDeathDetector::findSuspects(const Explained &explained) const
 {
     Suspects suspects;
     const auto suspectKey = [&](PromptKey key, std::size_t depth, const Crash &crash) {
-        if (wasAnsweredSince(key, crash.at)) {
+        if (wasAnsweredSince(key, crash.time.at)) {
             return;
         }
         Suspect &suspect = suspects[key];
-        suspect.lastCrash = std::max(suspect.lastCrash, crash.at);
-        suspect.crashes.insert(crash.at);
+        suspect.lastCrash = std::max(suspect.lastCrash, crash.time.at);
+        suspect.crashes.insert(crash.time);
         suspect.replicas.insert(crash.replica);
         suspect.prompts.insert(crash.prompt.whole);
         suspect.depth = std::max(suspect.depth, depth);
         suspect.isAnswered = m_answers.count(key) > 0;
     };
+    const std::map<PromptKey, int> counts = crashesPerWhole();
     for (const Crash &crash : m_crashes) {
-        if (explained.count(crash.replica) > 0) {
+        if (explained.byPart.count(crash.replica) > 0) {
             continue;
         }
+        const PromptKey whole = crash.prompt.whole;
         for (std::size_t i = 0; i < crash.prompt.parts.size(); ++i) {
             suspectKey(crash.prompt.parts[i], i + 1, crash);
         }
-        suspectKey(crash.prompt.whole, 0, crash);
+        const bool isRepeated = counts.at(whole) > 1 || m_blocks.count(whole) > 0;
+        if (isRepeated && explained.byWhole.count(crash.replica) == 0) {
+            suspectKey(whole, 0, crash);
+        }
     }
     return suspects;
 }
 
-bool QueryOfDeathDetector::isConvicted(const Suspect &suspect) const
+/// @param all the suspect with all crashes @param unexplained the same without those that others explain
+bool QueryOfDeathDetector::isConvicted(const Suspect &all, const Suspect &unexplained) const
+{
+    return unexplained.depth > 0 ? isPartConvicted(unexplained) : isWholeConvicted(all, unexplained);
+}
+
+bool QueryOfDeathDetector::isPartConvicted(const Suspect &suspect) const
 {
-    const int minPrompts = suspect.depth == 0 ? 1 : m_settings.minPrompts;
     return static_cast<int>(suspect.replicas.size()) >= m_settings.minReplicas
-        && separateCrashes(suspect) >= m_settings.minReplicas && static_cast<int>(suspect.prompts.size()) >= minPrompts;
+        && separateCrashes(suspect) >= m_settings.minReplicas
+        && static_cast<int>(suspect.prompts.size()) >= m_settings.minPrompts;
+}
+
+/// Of two requests that crash replicas, one may have run at a crash that the other explains.
+bool QueryOfDeathDetector::isWholeConvicted(const Suspect &all, const Suspect &unexplained) const
+{
+    return static_cast<int>(all.replicas.size()) >= m_settings.minReplicas
+        && static_cast<int>(unexplained.replicas.size()) >= m_settings.minSeparate
+        && separateCrashes(unexplained) >= m_settings.minSeparate;
+}
+
+/// An attempt that was sent once a replica was gone cannot have been at the same loss.
+bool QueryOfDeathDetector::hasBegunAfter(const CrashTime &crash, const CrashTime &earlier)
+{
+    const Duration margin = crash.isOwn && earlier.isOwn ? Duration{} : Duration(newsDelayMargin);
+    return crash.startedAt >= earlier.at + margin;
 }
 
 int QueryOfDeathDetector::separateCrashes(const Suspect &suspect) const
 {
+    const bool isWhole = suspect.depth == 0;
+    const CrashTime *counted = nullptr;
     int count = 0;
-    Instant next = Instant::min();
-    for (const Instant at : suspect.crashes) {
-        if (at >= next) {
+    for (const CrashTime &crash : suspect.crashes) {
+        const bool isSeparate =
+            !counted || crash.at >= counted->at + m_settings.minSpacing || (isWhole && hasBegunAfter(crash, *counted));
+        if (isSeparate) {
             ++count;
-            next = at + m_settings.minSpacing;
+            counted = &crash;
         }
     }
     return count;
@@ -216,25 +276,30 @@
 }
 
 /// Blames the likeliest suspect, then those of the crashes that it does not explain, and so on. Blocks that the crashes
-/// no longer support are ended: routers may decide differently until all of them have the same news.
+/// no longer support are ended: routers may decide differently until all of them have the same news. Of whole requests
+/// that compete, the likeliest may be another one after each crash, so that all keep the start of their settle time.
 void QueryOfDeathDetector::decide(Instant now)
 {
     std::map<PromptKey, Instant> convictedAt;
     std::set<PromptKey> blamed;
-    std::set<std::uint32_t> explained;
+    Explained explained;
     const Suspects all = findSuspects({});
     m_decideAt = Instant::max();
     for (;;) {
         const Suspects suspects = findSuspects(explained);
-        const auto best = likeliest(suspects, blamed);
+        const auto best = likeliest(all, suspects, blamed);
         if (best == suspects.end()) {
             break;
         }
-        if (m_blocks.count(best->first) == 0) {
-            const auto known = m_convictedAt.find(best->first);
-            const Instant since = known == m_convictedAt.end() ? now : known->second;
-            convictedAt[best->first] = since;
-            const Instant settledAt = since + settleTime(best->second);
+        if (!isBlamed(best->first)) {
+            noteConvicted(now, best->first, convictedAt);
+            for (const auto &[key, suspect] : suspects) {
+                const bool competes = suspect.depth == 0 && !isBlamed(key);
+                if (competes && isConvicted(all.at(key), suspect)) {
+                    noteConvicted(now, key, convictedAt);
+                }
+            }
+            const Instant settledAt = convictedAt.at(best->first) + settleTime(best->second);
             if (now < settledAt) {
                 m_decideAt = settledAt;
                 break;
@@ -242,9 +307,8 @@
             block(best->first, best->second);
         }
         blamed.insert(best->first);
-        if (best->second.depth > 0) {
-            explained.insert(best->second.replicas.begin(), best->second.replicas.end());
-        }
+        const std::set<std::uint32_t> &replicas = best->second.replicas;
+        (best->second.depth > 0 ? explained.byPart : explained.byWhole).insert(replicas.begin(), replicas.end());
     }
     m_convictedAt = std::move(convictedAt);
     if (m_decideAt == Instant::max()) {
@@ -252,13 +316,22 @@
     }
 }
 
+void QueryOfDeathDetector::noteConvicted(Instant now, PromptKey key, std::map<PromptKey, Instant> &convictedAt) const
+{
+    const auto known = m_convictedAt.find(key);
+    convictedAt.emplace(key, known == m_convictedAt.end() ? now : known->second);
+}
+
+/// @param all suspects with all crashes
 /// @return the likeliest of the suspects that are convicted or blocked already, without those in `blamed`
-QueryOfDeathDetector::Suspects::const_iterator QueryOfDeathDetector::likeliest(const Suspects &suspects,
+QueryOfDeathDetector::Suspects::const_iterator QueryOfDeathDetector::likeliest(const Suspects &all,
+                                                                               const Suspects &suspects,
                                                                                const std::set<PromptKey> &blamed) const
 {
     auto best = suspects.end();
     for (auto suspect = suspects.begin(); suspect != suspects.end(); ++suspect) {
-        const bool isCandidate = m_blocks.count(suspect->first) > 0 || isConvicted(suspect->second);
+        const auto &[key, evidence] = *suspect;
+        const bool isCandidate = isBlamed(key) || isConvicted(all.at(key), evidence);
         if (!isCandidate || blamed.count(suspect->first) > 0) {
             continue;
         }
@@ -269,19 +342,39 @@
     return best;
 }
 
-/// Ends the blocks of suspects that are not to blame. A block without a known crash was learnt from a peer and stays.
+/// @return true for a block, also for one that has ended with time
+bool QueryOfDeathDetector::isBlamed(PromptKey key) const
+{
+    const auto block = m_blocks.find(key);
+    return block != m_blocks.end() && !block->second.isOnProbation;
+}
+
+/// Ends the blocks of suspects that are not to blame. A block without a known crash was learnt from a peer and stays. A
+/// whole request may have run beside another one that crashes replicas, or may crash them itself: it is tried once
+/// more.
 void QueryOfDeathDetector::endUnsupported(const Suspects &suspects, const std::set<PromptKey> &blamed)
 {
     for (const auto &[key, suspect] : suspects) {
-        if (blamed.count(key) == 0 && m_blocks.erase(key) > 0) {
-            onVerdict({key, false, 0, 0});
+        const auto block = m_blocks.find(key);
+        if (blamed.count(key) > 0 || !isBlamed(key) || block->second.wasOnProbation) {
+            continue;
+        }
+        if (suspect.depth > 0) {
+            m_blocks.erase(block);
+        } else {
+            block->second.isOnProbation = true;
+            block->second.wasOnProbation = true;
         }
+        onVerdict({key, false, 0, 0});
     }
 }
 
 void QueryOfDeathDetector::block(PromptKey key, const Suspect &suspect)
 {
-    m_blocks[key] = {suspect.lastCrash, sendsPerNews};
+    Block &block = m_blocks[key];
+    block.lastCrash = suspect.lastCrash;
+    block.sendsLeft = sendsPerNews;
+    block.isOnProbation = false;
     m_hasUnsentNews = true;
     onVerdict({key, true, static_cast<int>(suspect.replicas.size()), static_cast<int>(suspect.prompts.size())});
 }
@@ -307,12 +400,14 @@
     std::set<PromptKey> suspected;
     m_hasUnsentNews = false;
     for (Crash &crash : m_crashes) {
-        if (now < crash.at + suspicionTime) {
+        if (now < crash.time.at + suspicionTime) {
             suspected.insert(crash.prompt.parts.begin(), crash.prompt.parts.end());
+            suspected.insert(crash.prompt.whole);
         }
         if (crash.sendsLeft > 0 && news.crashes.size() < maxSentCrashes) {
             --crash.sendsLeft;
-            news.crashes.push_back({crash.replica, crash.prompt, ageMillis(crash.at, now)});
+            const std::uint32_t run = std::max(ageMillis(crash.time.startedAt, crash.time.at), std::uint32_t{1});
+            news.crashes.push_back({crash.replica, crash.prompt, ageMillis(crash.time.at, now), run});
         }
     }
     for (auto release = m_releases.begin(); release != m_releases.end();) {
@@ -329,7 +424,7 @@
         }
     }
     for (auto &[key, block] : m_blocks) {
-        if (block.sendsLeft > 0 && news.blocks.size() < maxSentBlocks) {
+        if (block.sendsLeft > 0 && !block.isOnProbation && news.blocks.size() < maxSentBlocks) {
             --block.sendsLeft;
             news.blocks.push_back({key, ageMillis(block.lastCrash, now)});
         }
@@ -341,7 +436,8 @@
 {
     PromptNews news;
     for (const auto &[key, block] : m_blocks) {
-        if (now < block.lastCrash + m_settings.blockTime && news.blocks.size() < maxSentBlocks) {
+        const bool isInForce = !block.isOnProbation && now < block.lastCrash + m_settings.blockTime;
+        if (isInForce && news.blocks.size() < maxSentBlocks) {
             news.blocks.push_back({key, ageMillis(block.lastCrash, now)});
         }
     }
@@ -355,12 +451,15 @@
     if (hasEnded || wasAnsweredSince(told.key, lastCrash)) {
         return false;
     }
-    const auto [block, isAdded] = m_blocks.try_emplace(told.key, Block{lastCrash, sendsPerNews});
-    block->second.lastCrash = std::max(block->second.lastCrash, lastCrash);
-    if (isAdded) {
+    const auto [known, isAdded] = m_blocks.try_emplace(told.key, Block{lastCrash, sendsPerNews});
+    Block &block = known->second;
+    const bool isRenewed = block.isOnProbation && lastCrash >= block.lastCrash + m_settings.minSpacing;
+    block.lastCrash = std::max(block.lastCrash, lastCrash);
+    block.isOnProbation = block.isOnProbation && !isRenewed;
+    if (isAdded || isRenewed) {
         onVerdict({told.key, true, 0, 0});
     }
-    return isAdded;
+    return isAdded || isRenewed;
 }
 
 bool QueryOfDeathDetector::onNews(Instant now, const PromptNews &news)
@@ -377,7 +476,10 @@
     }
     m_hasUnsentNews = m_hasUnsentNews || isNew;
     for (const CrashReport &told : news.crashes) {
-        addCrash(now, {now - std::chrono::milliseconds(told.ageMillis), told.replica, told.prompt, 0});
+        const Instant at = now - std::chrono::milliseconds(told.ageMillis);
+        const bool isRunKnown = told.runMillis > 0;
+        const Instant startedAt = isRunKnown ? at - std::chrono::milliseconds(told.runMillis) : Instant::min();
+        addCrash(now, {{at, startedAt, false}, told.replica, told.prompt, 0});
     }
     if (!m_crashes.empty() && !(news.answers.empty() && news.blocks.empty())) {
         decide(now);
@@ -418,7 +520,7 @@
 
 void QueryOfDeathDetector::expire(Instant now)
 {
-    const auto isOld = [now](const Crash &crash) { return now >= crash.at + crashLifetime; };
+    const auto isOld = [now](const Crash &crash) { return now >= crash.time.at + crashLifetime; };
     m_crashes.erase(std::remove_if(m_crashes.begin(), m_crashes.end(), isOld), m_crashes.end());
     for (auto answer = m_answers.begin(); answer != m_answers.end();) {
         answer = now >= answer->second.at + answerLifetime ? m_answers.erase(answer) : std::next(answer);
--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -1,16 +1,20 @@
-// Finds prompts that crash replicas (queries of death), and blocks them.
+// Finds requests that crash replicas (queries of death), and blocks them.
 //
 // Load pattern: one part of a prompt crashes each engine that begins to answer it. Requests with it come at any router,
 // each with another end, among hundreds of sound ones that share their account and other parts. A router that knows of
 // its own attempts only sees one or two crashes while the fleet loses an engine for each request, and again for each
 // retry.
 //
+// Load pattern: one request, with a prompt or without, crashes each replica that begins to run it, and comes again with
+// the same path, caller and body. It is known by a hash of these. Sound requests run beside it at each crash, of which
+// few come again; one that does has crashes of its own only as far as the crashing request does not explain them.
+//
 // Each router reports to its peers the prompts that a replica had yet to answer, or had just begun to answer, when it
 // crashed, and the parts under suspicion that it has seen answered since. A part is blocked once replicas have crashed
 // with it and it was not answered anywhere since. A few events are no answer yet: such an engine may crash shortly
 // after the first one. A response that is complete, or that goes on for some time, is. Sound requests at the same
 // replicas are answered at their next attempt, which clears their parts. Replicas that are lost at the same moment, as
-// in a power failure, count as one.
+// in a power failure, count as one; an attempt that began after a loss had no part in it.
 //
 // A block ends some time after the last crash. Routers end it one after the other, so that a request that still crashes
 // its replica costs one replica and not one for each router; a single further crash renews the block.
@@ -20,6 +24,7 @@
 
 #include "filters/headerfields.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,10 +37,10 @@
 
 using PromptKey = std::uint64_t; // hash of a prompt's part, or of a whole prompt, at one service
 
-/// What of a request can be blamed for a crash. Empty for a request without a prompt.
+/// What of a request can be blamed for a crash.
 struct PromptKeys {
     std::vector<PromptKey> parts; // in order, without the last one, which is not shared with other requests
-    PromptKey whole = 0;          // all parts together; requests that repeat the same prompt are blamed by it
+    PromptKey whole = 0;          // all parts and the content; a request that is repeated is blamed by it
 };
 
 /// What makes a request the same as another one. Its id and its deadline do not: a caller that asks again has new ones.
@@ -51,8 +56,9 @@
 /// @return hash of all of it, the same on each router
 PromptKey contentKey(const RequestContent &content);
 
-/// @return keys of a prompt at a service, as a part that crashes one service's replicas may be sound at another's
-PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts);
+/// @param parts of the request's prompt; empty: it has none @param content as from `contentKey`
+/// @return keys of a request at a service, as a part that crashes one service's replicas may be sound at another's
+PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts, PromptKey content);
 
 // Trial
 
@@ -77,6 +83,7 @@
     std::uint32_t replica = 0; // hash of the replica's id and start time
     PromptKeys prompt;
     std::uint32_t ageMillis = 0; // time since the crash
+    std::uint32_t runMillis = 0; // time from the attempt's start to the crash; 0: not told
 };
 
 /// A part under suspicion, or a prompt that was blocked, that was answered.
@@ -113,7 +120,9 @@
 struct QueryOfDeathSettings {
     int minReplicas = 3; // replicas that crashed with a part before it is blocked
     int minPrompts = 2;  // different prompts among them; a single one is blamed as a whole
-    Duration minSpacing = std::chrono::milliseconds(100); // replicas lost sooner after each other count as one
+    int minSeparate = 2; // of the crashes with a whole request, that cannot have been one loss of several replicas
+    Duration minSpacing = std::chrono::milliseconds(100); // replicas lost sooner after each other count as one, unless
+                                                          // the attempt began after the earlier loss
     Duration settleTime = std::chrono::milliseconds(500); // in which answers of a suspect may still become known;
                                                           // longer where news are late, and for parts known as answered
     Duration maxSettleTime = std::chrono::seconds(2);     // so that a block is in time
@@ -139,8 +148,8 @@
     void onAnswered(Instant now, const PromptKeys &prompt);
 
     /// A replica crashed while the trial of an attempt was open.
-    /// @param replica hash of its id and start time
-    void onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt);
+    /// @param replica hash of its id and start time @param startedAt when the attempt was sent
+    void onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt, Instant startedAt);
 
     bool isBlocked(Instant now, const PromptKeys &prompt); ///< @return true if no replica may get the prompt
 
@@ -167,8 +176,16 @@
     std::function<void(const PromptVerdict &)> onVerdict = [](const PromptVerdict &) {};
 
 private:
-    struct Crash {
+    /// When an attempt began and ended with a crash.
+    struct CrashTime {
         Instant at{};
+        Instant startedAt{};
+        bool isOwn = false; // this router's attempt; else both times may be late by the news' delay
+
+        friend bool operator<(const CrashTime &a, const CrashTime &b) { return a.at < b.at; }
+    };
+    struct Crash {
+        CrashTime time;
         std::uint32_t replica = 0;
         PromptKeys prompt;
         int sendsLeft = 0; // in broadcasts; more than one, as datagrams are lost
@@ -180,10 +197,12 @@
     struct Block {
         Instant lastCrash{}; // newest crash that it is blamed for
         int sendsLeft = 0;
+        bool isOnProbation = false; // ended as others explain its crashes; the next crash renews it for good
+        bool wasOnProbation = false;
     };
     struct Suspect {
         Instant lastCrash{};
-        std::set<Instant> crashes;
+        std::set<CrashTime> crashes;
         std::set<std::uint32_t> replicas;
         std::set<PromptKey> prompts;
         std::size_t depth = 0;   // position in the prompt, from 1; 0: a whole prompt
@@ -191,16 +210,30 @@
     };
     using Suspects = std::map<PromptKey, Suspect>;
 
+    /// Replicas whose crash a blocked key explains, so that it is not held against others that waited there.
+    struct Explained {
+        std::set<std::uint32_t> byPart;  // not held against any other key
+        std::set<std::uint32_t> byWhole; // not held against other whole requests; a part of it may be to blame
+    };
+
     void addCrash(Instant now, Crash crash);
     void noteAnswer(PromptKey key, Instant when);
     void renewBlocks(Instant now, const Crash &crash);
     bool learnBlock(Instant now, const PromptBlock &told);
     void decide(Instant now);
-    Suspects findSuspects(const std::set<std::uint32_t> &explained) const;
-    Suspects::const_iterator likeliest(const Suspects &suspects, const std::set<PromptKey> &blamed) const;
+    std::map<PromptKey, int> crashesPerWhole() const;
+    Suspects findSuspects(const Explained &explained) const;
+    Suspects::const_iterator likeliest(const Suspects &all, const Suspects &suspects,
+                                       const std::set<PromptKey> &blamed) const;
+    bool isBlamed(PromptKey key) const;
     void endUnsupported(const Suspects &suspects, const std::set<PromptKey> &blamed);
-    bool isConvicted(const Suspect &suspect) const;
+    void noteConvicted(Instant now, PromptKey key, std::map<PromptKey, Instant> &convictedAt) const;
+    bool isConvicted(const Suspect &all, const Suspect &unexplained) const;
+    bool isPartConvicted(const Suspect &suspect) const;
+    bool isWholeConvicted(const Suspect &all, const Suspect &unexplained) const;
     int separateCrashes(const Suspect &suspect) const;
+    static bool hasBegunAfter(const CrashTime &crash, const CrashTime &earlier);
+    void recallAnswer(PromptKey whole);
     Duration settleTime(const Suspect &suspect) const;
     static bool isLikelier(const Suspect &a, const Suspect &b);
     void block(PromptKey key, const Suspect &suspect);
@@ -212,6 +245,7 @@
     Duration m_newsInterval{};
     std::vector<Crash> m_crashes; // oldest first
     std::unordered_map<PromptKey, Answer> m_answers;
+    std::deque<std::pair<PromptKey, Instant>> m_recentAnswers; // of whole requests that are no suspects, oldest first
     std::map<PromptKey, Block> m_blocks; // those that have ended are kept, as a single crash renews them
     std::optional<std::map<PromptKey, Instant>> m_stored; // last crashes of the blocks in the store; nothing: not read
     std::map<PromptKey, int> m_releases;        // blocks that an answer has ended; broadcasts that still tell so
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -26,6 +26,7 @@
         const CrashReport &crash = news.crashes[i];
         crashes[i].setReplica(crash.replica);
         crashes[i].setAgeMillis(crash.ageMillis);
+        crashes[i].setRunMillis(crash.runMillis);
         crashes[i].setPrompt(crash.prompt.whole);
         auto parts = crashes[i].initParts(static_cast<unsigned>(crash.prompt.parts.size()));
         for (unsigned part = 0; part < parts.size(); ++part) {
@@ -47,7 +48,7 @@
 static void readNews(wire::BeaconNews::Reader root, PromptNews &news)
 {
     for (const auto crash : root.getCrashes()) {
-        CrashReport report{crash.getReplica(), {{}, crash.getPrompt()}, crash.getAgeMillis()};
+        CrashReport report{crash.getReplica(), {{}, crash.getPrompt()}, crash.getAgeMillis(), crash.getRunMillis()};
         for (const PromptKey part : crash.getParts()) {
             report.prompt.parts.push_back(part);
         }
--- a/tests/crashingrequests.cpp
+++ b/tests/crashingrequests.cpp
@@ -46,17 +46,18 @@
         if (isDeadly(body)) {
             const std::lock_guard<std::mutex> lock(mutex);
             deadly[body].arrivals.push_back(clockNow());
+            running[replica].insert(body);
         }
         reply->runAfter(runTime, [this, replica, body, request, reply] {
             if (isDeadly(body)) {
-                crash(replica, body);
+                crash(replica);
             } else if (!reply->isClosed()) {
                 reply->sendResponse(request, 200, "ok");
             }
         });
     }
-    /// The replica's next run has a start time of its own.
-    void crash(std::size_t replica, const std::string &body)
+    /// Counts for each deadly request that runs there. The replica's next run has a start time of its own.
+    void crash(std::size_t replica)
     {
         const int before = replicas[replica]->crashes();
         replicas[replica]->crash(downTime);
@@ -65,9 +66,10 @@
         }
         const std::lock_guard<std::mutex> lock(mutex);
         store.put("keyed.servers", replicas[replica]->id(), replicas[replica]->entry("ready", ++lastStart));
-        if (isDeadly(body)) {
+        for (const std::string &body : running[replica]) {
             deadly[body].crashes.push_back(clockNow());
         }
+        running[replica].clear();
     }
     int ask(int router, const std::string &body)
     {
@@ -132,8 +134,9 @@
     static constexpr std::size_t replicaCount = 3;
     static constexpr auto runTime = milliseconds(30);
     static constexpr auto downTime = milliseconds(600);
-    std::mutex mutex; // guards the next two, which the replicas' threads fill
+    std::mutex mutex; // guards the next three, which the replicas' threads fill
     std::map<std::string, Deadly> deadly;
+    std::map<std::size_t, std::set<std::string>> running; // deadly requests at each replica
     std::int64_t lastStart = 1;
     double repeatedServed = 0; // share of the sound requests that are all the same
     double otherServed = 0;    // share of those with the same path and caller and a body of their own
@@ -193,7 +196,7 @@
     fleet.run(seconds(10), {}, [&] {
         if (clockNow() >= next && next < last) {
             for (std::size_t i = 0; i < PlainFleet::replicaCount; ++i) {
-                fleet.replicas[i]->post([this, i] { fleet.crash(i, ""); });
+                fleet.replicas[i]->post([this, i] { fleet.crash(i); });
             }
             next += milliseconds(1200);
         }
--- a/tests/queryofdeathdetector.cpp
+++ b/tests/queryofdeathdetector.cpp
@@ -26,7 +26,7 @@
     for (const std::uint64_t id : ids) {
         parts.push_back({id, static_cast<Tokens>(100)});
     }
-    return promptKeys({"chat"}, parts);
+    return promptKeys({"chat"}, parts, 0);
 }
 
 static PromptKey partKey(std::uint64_t id)
@@ -83,7 +83,7 @@
     void crash(QueryOfDeathDetector &router, const PromptKeys &deadly)
     {
         crashes.push_back(now);
-        router.onCrash(now, lastReplica + 1, deadly);
+        router.onCrash(now, lastReplica + 1, deadly, now - (isPlainService ? milliseconds(50) : milliseconds(20)));
         crashWithSoundPrompts();
     }
     /// A replica crashes for a reason of its own.
@@ -93,7 +93,7 @@
         for (int i = 0; i < waitingPerReplica; ++i) {
             const PromptKeys sound = soundPrompt();
             QueryOfDeathDetector &other = anyRouter();
-            other.onCrash(now, replica, sound);
+            other.onCrash(now, replica, sound, now - milliseconds(15));
             at(now + answerTime + milliseconds(100 + below(300)),
                [this, sound, &other] { other.onAnswered(now, sound); });
         }
@@ -202,7 +202,7 @@
         for (int i = 0; i < count; ++i) {
             std::vector<std::uint64_t> ids = parts;
             ids.push_back(static_cast<std::uint64_t>(now.time_since_epoch().count()));
-            detector.onCrash(now, static_cast<std::uint32_t>(++replica), prompt(ids));
+            detector.onCrash(now, static_cast<std::uint32_t>(++replica), prompt(ids), now - milliseconds(20));
             now += milliseconds(200);
         }
     }
@@ -293,7 +293,8 @@
 TEST(QueryOfDeathDetector, replicasThatAreLostAtTheSameMomentCountAsOne)
 {
     for (int i = 0; i < 20; ++i) {
-        detector.onCrash(now, static_cast<std::uint32_t>(i), prompt({20, static_cast<std::uint64_t>(100 + i)}));
+        detector.onCrash(now, static_cast<std::uint32_t>(i), prompt({20, static_cast<std::uint64_t>(100 + i)}),
+                         now - milliseconds(20));
         now += milliseconds(2);
     }
     now += seconds(5);
@@ -304,7 +305,7 @@
 TEST(QueryOfDeathDetector, oneRepeatedPromptIsBlockedAsAWhole)
 {
     for (int i = 0; i < 3; ++i) {
-        detector.onCrash(now, static_cast<std::uint32_t>(i), prompt({20, 99}));
+        detector.onCrash(now, static_cast<std::uint32_t>(i), prompt({20, 99}), now - milliseconds(20));
         now += milliseconds(200);
     }
     now += seconds(1);
@@ -347,7 +348,8 @@
     crashWith({20}, 3);
     now += seconds(1);
     CHECK(blocks(20));
-    CHECK(!detector.isBlocked(now, promptKeys({"other"}, {{20, static_cast<Tokens>(9)}, {7, static_cast<Tokens>(9)}})));
+    CHECK(!detector.isBlocked(now,
+                              promptKeys({"other"}, {{20, static_cast<Tokens>(9)}, {7, static_cast<Tokens>(9)}}, 0)));
 }
 
 /// Routers try a part again one after the other, and one further crash is enough to block it again everywhere.
@@ -387,7 +389,8 @@
 TEST(QueryOfDeathDetector, manyCrashesAreForgottenInOrder)
 {
     for (int i = 0; i < 2000; ++i) {
-        detector.onCrash(now, static_cast<std::uint32_t>(i), prompt({static_cast<std::uint64_t>(i), 5}));
+        detector.onCrash(now, static_cast<std::uint32_t>(i), prompt({static_cast<std::uint64_t>(i), 5}),
+                         now - milliseconds(20));
         now += milliseconds(10);
     }
     now += seconds(1);
@@ -401,7 +404,7 @@
 {
     LoadBeacon sent;
     sent.isStarting = true;
-    sent.news.crashes.push_back({7, prompt({20, 21, 5}), 12});
+    sent.news.crashes.push_back({7, prompt({20, 21, 5}), 12, 34});
     sent.news.answers.push_back({partKey(22), 34});
     sent.news.blocks.push_back({partKey(23), 56});
     LoadBeacon received;
@@ -410,6 +413,7 @@
     const PromptNews &news = received.news;
     LONGS_EQUAL(7, news.crashes.at(0).replica);
     LONGS_EQUAL(12, news.crashes.at(0).ageMillis);
+    LONGS_EQUAL(34, news.crashes.at(0).runMillis);
     CHECK(news.crashes.at(0).prompt.parts == prompt({20, 21, 5}).parts);
     CHECK(news.crashes.at(0).prompt.whole == prompt({20, 21, 5}).whole);
     CHECK(news.answers.at(0).key == partKey(22));
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -138,8 +138,7 @@
     const Route *m_route = nullptr;
     const ClientAccount *m_account = nullptr;
     SelectionRequest m_selection;
-    PromptKeys m_prompt;              // empty if the route's requests have no prompts
-    PromptKey m_content = 0;          // tells repeats of this request
+    PromptKeys m_prompt;              // what of the request can be blamed for a crash
     std::set<EndpointId> m_refusedBy; // replicas that answered that they did not run the request
     Instant m_deadline{};             // for the whole response
     Instant m_turnedAwayUntil{};      // shortest time that replicas named, if no other replica was left
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -148,7 +148,7 @@
     line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
     line.text("service", m_selection.service.text).number("try", m_attempts.sent);
     line.millis("ran_ms", clockNow() - m_sentAt).flag("had_event", hasReceivedEvents());
-    line.text("parts", parts).text("content", toHex(m_content));
+    line.text("parts", parts).text("content", toHex(m_prompt.whole));
     m_state.log.write(line, LogPriority::Notable);
 }
 
@@ -208,15 +208,13 @@
         return;
     }
     const auto onResult = [&state = m_state, prompt = m_prompt, replica = m_endpoint, incarnation = m_incarnation,
-                           brokenAt = clockNow(), request = m_fields.request, isResponseComplete](bool isReachable) {
+                           sentAt = m_sentAt, brokenAt = clockNow(), request = m_fields.request,
+                           isResponseComplete](bool isReachable) {
         LogLine line(isReachable ? "replica_reachable" : "replica_crashed");
         line.text("replica", replica.text).text("request", request.text);
         state.log.write(line, LogPriority::Notable);
-        if (prompt.whole == 0) {
-            return;
-        }
         if (!isReachable) {
-            state.queryOfDeath.onCrash(brokenAt, incarnation, prompt);
+            state.queryOfDeath.onCrash(brokenAt, incarnation, prompt, sentAt);
             state.onPeerNews();
         } else if (isResponseComplete) {
             state.queryOfDeath.onAnswered(brokenAt, prompt);
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -70,13 +70,15 @@
     m_selection.service = selectService(*m_route, m_fields.request);
     if (m_route->hasPrefixAffinity) {
         m_selection.affinity = affinityKey(m_fields.promptParts);
-        m_prompt = promptKeys(m_selection.service, m_fields.promptParts);
         const auto spec = m_table->services.find(m_selection.service);
         m_selection.tokens = promptTokens(m_fields) + responseTokens(m_fields);
         m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
-    m_content = contentKey({m_selection.service, m_request.head.method, *findField(m_request.head.fields, "host"),
-                            m_request.head.target, m_account ? m_account->id : AccountId(), m_request.body});
+    const PromptKey content =
+        contentKey({m_selection.service, m_request.head.method, *findField(m_request.head.fields, "host"),
+                    m_request.head.target, m_account ? m_account->id : AccountId(), m_request.body});
+    const bool hasPrompt = m_route->hasPrefixAffinity;
+    m_prompt = promptKeys(m_selection.service, hasPrompt ? m_fields.promptParts : std::vector<PromptPart>(), content);
     m_selection.allowedDataCentres =
         allowedDataCentres(m_state.settings.regions, m_route->allowedRegions,
                            m_account ? m_account->allowedRegions : std::vector<RegionId>());
@@ -141,7 +143,7 @@
 
 bool RequestHandler::isBlocked(Instant now)
 {
-    return m_prompt.whole != 0 && m_state.queryOfDeath.isBlocked(now, m_prompt);
+    return m_state.queryOfDeath.isBlocked(now, m_prompt);
 }
 
 /// @param choice an empty one @return what keeps requests away from replicas, first what ends soonest
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -26,7 +26,7 @@
 struct BeaconNews {
   crashes @0 :List(CrashReport);
   answers @1 :List(PromptAge);  # answered prompts; the age is that of the latest answer
-  blocks @2 :List(PromptAge);   # prompts that no replica gets; the age is that of the last crash
+  blocks @2 :List(PromptAge);   # prompts and requests that no replica gets; the age is that of the last crash
   isStarting @3 :Bool;          # the sender has just started and wants to know of blocked prompts
   limits @4 :List(RateLimit);
   limitedSends @5 :List(LimitedSends);
@@ -60,12 +60,13 @@
 # Requests that the sender has sent to a replica with a limit within the last seconds.
 struct LimitedSends { replica @0 :UInt32; count @1 :UInt8; }
 
-# A prompt that had no event yet when its replica crashed.
+# A request that had no event yet, or had just begun to be answered, when its replica crashed.
 struct CrashReport {
   replica @0 :UInt32;      # hash of its id and start time
   ageMillis @1 :UInt32;
-  prompt @2 :UInt64;       # hash of the whole prompt
-  parts @3 :List(UInt64);  # hashes of its shared parts, in order
+  prompt @2 :UInt64;       # hash of the whole request
+  parts @3 :List(UInt64);  # hashes of its prompt's shared parts, in order; empty without a prompt
+  runMillis @4 :UInt32;    # from the attempt's start to the crash; 0: not told
 }
 
 struct PromptAge { key @0 :UInt64; ageMillis @1 :UInt32; }
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -149,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e0fcd784d092cf24, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e0fcd784d092cf24, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1142,6 +1142,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
+  inline  ::uint32_t getRunMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1187,6 +1189,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
+  inline  ::uint32_t getRunMillis();
+  inline void setRunMillis( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3720,6 +3725,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t CrashReport::Reader::getRunMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getRunMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRunMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PromptAge::Reader::getKey() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
