--- a/net/stream.cpp
+++ b/net/stream.cpp
@@ -59,7 +59,7 @@
             break;
         }
         if (error) {
-            end(error == asio::error::eof ? StreamEnd::Finished : StreamEnd::Broken);
+            end(error == asio::error::eof && !m_isReset ? StreamEnd::Finished : StreamEnd::Broken);
             return;
         }
         total += size;
@@ -142,6 +142,8 @@
         if (error) {
             m_sendBuffer = std::string();
             m_sendOffset = 0;
+            // Where the peer's FIN came before its reset, the kernel tells of a broken pipe instead.
+            m_isReset = m_isReset || error != asio::error::broken_pipe;
             // `onEnd` must not run inside `write`, so the error is left to the next read from the event loop. That read
             // first delivers what the peer sent before, such as a response.
             m_isPaused = false;
--- a/net/stream.h
+++ b/net/stream.h
@@ -83,6 +83,7 @@
     bool m_isWaitingWritable = false;
     bool m_closesWhenDrained = false;
     bool m_isDiscarding = false;     // FIN was sent: input is discarded
+    bool m_isReset = false;          // a write was told so; the kernel does not tell a read as well
     DeadlineTimer m_closingTimer;    // of the checks after `closeWhenDrained`
     Duration m_stallTimeout{};       // passed to `closeWhenDrained`
     std::uint64_t m_takenBefore = 0; // acknowledged at the last check that showed progress
--- a/tests/connectionstates.cpp
+++ b/tests/connectionstates.cpp
@@ -205,6 +205,7 @@
         };
         hooks.onDone = [this] {
             ++ends;
+            ++completions;
             cancelIn("done");
         };
         hooks.onFailed = [this](RequestProgress) {
@@ -241,7 +242,8 @@
     std::shared_ptr<EndpointConnection> connection;
     std::string cancelsIn; // name of the callback in which the owner cancels, or ""
     int requests = 0;
-    int ends = 0; // of requests
+    int ends = 0;        // of requests
+    int completions = 0; // of these, with a complete response
     int idleCloses = 0;
 };
 
@@ -353,6 +355,51 @@
     LONGS_EQUAL(2, harness.ends);
 }
 
+static void awaitEnd(EndpointHarness &harness)
+{
+    CHECK(waitFor([&harness] {
+        harness.poll();
+        return harness.ends == 1;
+    }));
+}
+
+/// Begins a long upload, and has it answered while it is written. What follows is told to the write first.
+static void answerUploadEarly(EndpointHarness &harness)
+{
+    harness.connection->send(getLine + "\r\n" + std::string(largeBytes, 'u'), RequestId{"r"}, false, harness.hooks());
+    harness.connection->connect(harness.acceptor.local_endpoint(), clockNow() + std::chrono::seconds(5));
+    harness.far = harness.acceptor.accept();
+    CHECK(waitFor([&harness] {
+        harness.poll();
+        return harness.far.available() > 0;
+    }));
+    harness.connection->pauseReading(true);
+    asio::write(harness.far, asio::buffer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + std::string(600, 'b')));
+}
+
+/// A reset is told to a socket once. Where the write of a long upload was told of it, the read that followed saw an
+/// ordinary end, and what had come of a response without a length counted as all of it.
+TEST(ConnectionStates, AResetThatAWriteIsToldOfEndsNoResponse)
+{
+    EndpointHarness harness;
+    answerUploadEarly(harness);
+    harness.reset();
+    awaitEnd(harness);
+    LONGS_EQUAL(0, harness.completions);
+}
+
+TEST(ConnectionStates, AResponseThatHasEndedBeforeAResetIsComplete)
+{
+    EndpointHarness harness;
+    answerUploadEarly(harness);
+    asio::error_code ignored;
+    harness.far.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::this_thread::sleep_for(milliseconds(20)); // the kernel has the end
+    harness.reset();
+    awaitEnd(harness);
+    LONGS_EQUAL(1, harness.completions);
+}
+
 // Store client
 
 struct ClientHarness : Peer {
