Take a status below 100 for no response

Callers of a replica that answered with status 000 and kept the connection waited for a final response until their deadline, as the status counted as an interim one: 504 before, 502 at once now (the new test). On other systems callers got such a status as an answer; here they never did.

--- a/net/message.cpp
+++ b/net/message.cpp
@@ -1,6 +1,8 @@
 // HTTP/1.1 message parsing on top of Boost.Beast, and serialisation helpers.
 #include "net/message.h"
 
+#include "net/status.h"
+
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
@@ -210,6 +212,9 @@
         this->response.status = status;
         this->response.reason.assign(reason.data(), reason.size());
         checkVersion(version, error);
+        if (status < firstStatus) {
+            error = http::error::bad_status;
+        }
     }
 
     static void checkVersion(int version, beast::error_code &error)
--- a/net/status.h
+++ b/net/status.h
@@ -21,6 +21,7 @@
 inline constexpr int statusUnavailable = 503;
 inline constexpr int statusGatewayTimeout = 504;
 
+inline constexpr int firstStatus = 100;      // lower codes are no responses
 inline constexpr int firstFinalStatus = 200; // lower codes are interim (1xx) responses
 inline constexpr int firstNonSuccessStatus = 300;
 inline constexpr int firstServerErrorStatus = 500;
--- a/tests/responseintegrity.cpp
+++ b/tests/responseintegrity.cpp
@@ -37,6 +37,25 @@
                 }));
 }
 
+/// On other systems callers got an answer with such a status. It is none, and not an interim response either, after
+/// which the caller would wait for the final one until its deadline.
+TEST(NodeResponseIntegrity, AStatusBelowTheInterimOnesIsNoAnswer)
+{
+    std::atomic<int> requests{0};
+    fixture.addReplica("a", [&requests](const ReplicaRequest &request, const std::shared_ptr<ReplicaReply> &reply) {
+        const char *status = std::array{"000", "099", "020"}[static_cast<std::size_t>(requests++) % 3];
+        reply->send(std::string("HTTP/1.1 ") + status + " Odd\r\nX-Galenafold-Response-Seal: s\r\n"
+                    + "X-Galenafold-Attempt-Id: " + request.field("X-Galenafold-Attempt-Id")
+                    + "\r\nContent-Length: 2\r\n\r\nhi");
+    });
+    fixture.startAndWaitReady();
+    for (int i = 0; i < 3; ++i) {
+        const auto caller = fixture.send(encodeCallerRequest("/once/x", "id-1", "k1", 3000));
+        CHECK(caller->read());
+        LONGS_EQUAL(502, caller->status()); // 504: it has waited for the whole time
+    }
+}
+
 /// On other systems callers got a 200 with an empty body.
 TEST(NodeResponseIntegrity, AHeadThatStopsMidwayIsNeverAnAnswer)
 {
