--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -176,6 +176,8 @@
     std::function<void(const PromptVerdict &)> onVerdict = [](const PromptVerdict &) {};
 
 private:
+    static constexpr int sendsPerNews = 4; // broadcasts that carry each crash and block
+
     /// When an attempt began and ended with a crash.
     struct CrashTime {
         Instant at{};
