--- a/traffic/callerconnection.cpp
+++ b/traffic/callerconnection.cpp
@@ -1,4 +1,6 @@
-// One caller's connection. Sections of this file: Reading, Memory, Timer, Responding.
+// One caller's connection. @see callerresponse.cpp for how it is responded to
+//
+// Sections of this file: Reading, Memory, Timer, Next request.
 #include "traffic/callerconnection.h"
 
 #include "net/status.h"
@@ -13,7 +15,6 @@
 constexpr std::size_t maxUnsentBytes = 32768;    // above this, the next request waits until the caller has taken more
 constexpr std::size_t minBodyRoom = 65536;       // first room for a body of unknown length
 constexpr std::size_t readBytes = 32768;         // that a stream delivers at a time
-constexpr std::size_t joinedBodyBytes = 16384;   // a larger body is sent apart from its head, to save a copy
 constexpr auto unusedAfter = std::chrono::seconds(1);  // without input in the middle of a request
 constexpr auto untakenAfter = std::chrono::seconds(5); // without output; the kernel accepts it in large pieces
 constexpr std::string_view refusalRetryAfter = "1";    // seconds; some memory is free again by then, mostly
@@ -334,103 +335,7 @@
     return hasTakenMore && m_stream->unacknowledged() > 0;
 }
 
-// Responding
-
-bool CallerConnection::closesAfterResponse() const
-{
-    return !m_keepsAlive || m_hooks.isDraining();
-}
-
-void CallerConnection::appendHead(std::string &out, int status, const HttpFields &fields)
-{
-    out += "HTTP/1.1 " + std::to_string(status) + ' ' + statusPhrase(status) + "\r\n";
-    for (const HttpField &field : fields) {
-        appendField(out, field.name, field.value);
-    }
-    if (closesAfterResponse()) {
-        m_keepsAlive = false;
-        appendField(out, "Connection", "close");
-    }
-}
-
-void CallerConnection::sendResponse(int status, const HttpFields &fields, std::string_view body)
-{
-    if (m_state != State::Processing) {
-        return;
-    }
-    std::string bytes;
-    appendHead(bytes, status, fields);
-    const bool mayHaveBody = status >= firstFinalStatus && status != statusNoContent && status != statusNotModified;
-    if (mayHaveBody && !m_isHeadRequest) {
-        appendField(bytes, "Content-Length", std::to_string(body.size()));
-    }
-    bytes += "\r\n";
-    const bool sendsBody = mayHaveBody && !m_isHeadRequest;
-    const bool isJoined = sendsBody && body.size() <= joinedBodyBytes;
-    if (isJoined) {
-        bytes += body;
-    }
-    m_stream->write(bytes);
-    if (sendsBody && !isJoined) {
-        m_stream->write(body);
-    }
-    nextRequest();
-}
-
-void CallerConnection::beginStream(int status, const HttpFields &fields)
-{
-    if (m_state != State::Processing) {
-        return;
-    }
-    std::string bytes;
-    if (!m_acceptsChunks) {
-        m_keepsAlive = false; // the end of the connection delimits the body
-    }
-    appendHead(bytes, status, fields);
-    if (m_acceptsChunks) {
-        appendField(bytes, "Transfer-Encoding", "chunked");
-    }
-    bytes += "\r\n";
-    m_stream->write(bytes);
-}
-
-void CallerConnection::streamBytes(std::string_view bytes)
-{
-    if (m_state != State::Processing) {
-        return;
-    }
-    if (!m_acceptsChunks) {
-        m_stream->write(bytes);
-    } else {
-        std::string chunk;
-        appendChunk(chunk, bytes);
-        m_stream->write(chunk);
-    }
-    noteHeldBytes();
-}
-
-void CallerConnection::endStream()
-{
-    if (m_state != State::Processing) {
-        return;
-    }
-    if (m_acceptsChunks) {
-        m_stream->write(lastChunk);
-    }
-    nextRequest();
-}
-
-void CallerConnection::abortResponse()
-{
-    if (m_state == State::Closed) {
-        return;
-    }
-    const bool isIncomplete = m_state == State::Processing || m_stream->pending() > 0;
-    if (isIncomplete && !m_acceptsChunks) {
-        m_stream->reset(); // an orderly close would look like a complete response
-    }
-    close();
-}
+// Next request
 
 void CallerConnection::nextRequest()
 {
