--- a/control/gossip.h
+++ b/control/gossip.h
@@ -92,7 +92,7 @@
     std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
     std::vector<PeerLoad> loads;           // endpoints with longer calls of the sender; brief calls go as start notices
     std::vector<ReportedLoad> reported;    // endpoints that are fuller than the counts of all routers tell
-    PromptNews news;                       // of prompts that crash replicas
+    CrashNews news;                        // of requests that crash replicas
     LimitReport limits;                    // of replicas that name a limit
     std::vector<AccountWork> accountWork;  // of client accounts, while requests wait; empty: as told before
     bool isStarting = false;               // the sender has just started and does not know of blocked prompts
--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -29,9 +29,9 @@
 
 // Prompt
 
-PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts, PromptKey content)
+SuspectKeys suspectKeys(const ServiceId &service, const std::vector<PromptPart> &parts, SuspectKey content)
 {
-    PromptKeys keys;
+    SuspectKeys keys;
     keys.whole = content;
     const std::uint64_t scope = hashName(service.text);
     for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -43,9 +43,9 @@
     return keys;
 }
 
-PromptKey contentKey(const RequestContent &content)
+SuspectKey contentKey(const RequestContent &content)
 {
-    PromptKey key = hashName(content.service.text);
+    SuspectKey key = hashName(content.service.text);
     for (const std::string *text :
          {&content.method, &content.host, &content.target, &content.account.text, &content.body}) {
         key = rendezvousScore(key, hashName(*text));
@@ -55,14 +55,14 @@
 
 // Trial
 
-void PromptTrial::onEvent(Instant now)
+void AttemptTrial::onEvent(Instant now)
 {
     if (!m_firstEventAt) {
         m_firstEventAt = now;
     }
 }
 
-bool PromptTrial::isOpen(Instant now) const
+bool AttemptTrial::isOpen(Instant now) const
 {
     return !m_firstEventAt || now < *m_firstEventAt + trialTime;
 }
@@ -75,9 +75,9 @@
 {
 }
 
-void QueryOfDeathDetector::onAnswered(Instant now, const PromptKeys &prompt)
+void QueryOfDeathDetector::onAnswered(Instant now, const SuspectKeys &prompt)
 {
-    for (const PromptKey part : prompt.parts) {
+    for (const SuspectKey part : prompt.parts) {
         noteAnswer(part, now);
     }
     const auto isSamePrompt = [&](const Crash &crash) { return crash.prompt.whole == prompt.whole; };
@@ -94,7 +94,7 @@
 }
 
 /// Answers of whole requests are kept apart, as most requests never become suspects.
-void QueryOfDeathDetector::recallAnswer(PromptKey whole)
+void QueryOfDeathDetector::recallAnswer(SuspectKey whole)
 {
     const auto isSame = [whole](const auto &answer) { return answer.first == whole; };
     const auto newest = std::find_if(m_recentAnswers.rbegin(), m_recentAnswers.rend(), isSame);
@@ -104,7 +104,7 @@
 }
 
 /// An answer that is later than the last crash ends a block.
-void QueryOfDeathDetector::noteAnswer(PromptKey key, Instant when)
+void QueryOfDeathDetector::noteAnswer(SuspectKey key, Instant when)
 {
     Answer &answer = m_answers[key];
     answer.at = std::max(answer.at, when);
@@ -117,7 +117,7 @@
     }
 }
 
-void QueryOfDeathDetector::onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt, Instant startedAt)
+void QueryOfDeathDetector::onCrash(Instant now, std::uint32_t replica, const SuspectKeys &prompt, Instant startedAt)
 {
     addCrash(now, {{now, startedAt, true}, replica, prompt, sendsPerNews});
 }
@@ -143,7 +143,7 @@
 void QueryOfDeathDetector::renewBlocks(Instant now, const Crash &crash)
 {
     for (auto &[key, block] : m_blocks) {
-        const std::vector<PromptKey> &parts = crash.prompt.parts;
+        const std::vector<SuspectKey> &parts = crash.prompt.parts;
         const bool isBlamed = key == crash.prompt.whole || std::find(parts.begin(), parts.end(), key) != parts.end();
         if (!isBlamed || crash.time.at <= block.lastCrash) {
             continue;
@@ -167,13 +167,13 @@
     return !block.isOnProbation && now < block.lastCrash + m_settings.blockTime + m_stagger;
 }
 
-bool QueryOfDeathDetector::wasAnsweredSince(PromptKey key, Instant when) const
+bool QueryOfDeathDetector::wasAnsweredSince(SuspectKey key, Instant when) const
 {
     const auto answer = m_answers.find(key);
     return answer != m_answers.end() && answer->second.at >= when;
 }
 
-bool QueryOfDeathDetector::isBlocked(Instant now, const PromptKeys &prompt)
+bool QueryOfDeathDetector::isBlocked(Instant now, const SuspectKeys &prompt)
 {
     if (now >= m_decideAt) {
         decide(now);
@@ -181,17 +181,17 @@
     if (m_blocks.empty()) {
         return false;
     }
-    const auto isKeyBlocked = [&](PromptKey key) {
+    const auto isKeyBlocked = [&](SuspectKey key) {
         const auto block = m_blocks.find(key);
         return block != m_blocks.end() && isActive(now, block->second);
     };
     return isKeyBlocked(prompt.whole) || std::any_of(prompt.parts.begin(), prompt.parts.end(), isKeyBlocked);
 }
 
-PromptNews QueryOfDeathDetector::takeNews(Instant now)
+CrashNews QueryOfDeathDetector::takeNews(Instant now)
 {
-    PromptNews news;
-    std::set<PromptKey> suspected;
+    CrashNews news;
+    std::set<SuspectKey> suspected;
     m_hasUnsentNews = false;
     for (Crash &crash : m_crashes) {
         if (now < crash.time.at + suspicionTime) {
@@ -209,7 +209,7 @@
         m_answers[release->first].toldAt = Instant{};
         release = --release->second == 0 ? m_releases.erase(release) : std::next(release);
     }
-    for (const PromptKey key : suspected) {
+    for (const SuspectKey key : suspected) {
         const auto answer = m_answers.find(key);
         const bool isUntold = answer != m_answers.end() && answer->second.at > answer->second.toldAt + answerInterval;
         if (isUntold && news.answers.size() < maxSentAnswers) {
@@ -226,9 +226,9 @@
     return news;
 }
 
-PromptNews QueryOfDeathDetector::knownBlocks(Instant now) const
+CrashNews QueryOfDeathDetector::knownBlocks(Instant now) const
 {
-    PromptNews news;
+    CrashNews news;
     for (const auto &[key, block] : m_blocks) {
         const bool isInForce = !block.isOnProbation && now < block.lastCrash + m_settings.blockTime;
         if (isInForce && news.blocks.size() < maxSentBlocks) {
@@ -238,7 +238,7 @@
     return news;
 }
 
-bool QueryOfDeathDetector::learnBlock(Instant now, const PromptBlock &told)
+bool QueryOfDeathDetector::learnBlock(Instant now, const SuspectBlock &told)
 {
     const Instant lastCrash = now - std::chrono::milliseconds(told.ageMillis);
     const bool hasEnded = now >= lastCrash + m_settings.blockTime;
@@ -256,16 +256,16 @@
     return isAdded || isRenewed;
 }
 
-bool QueryOfDeathDetector::onNews(Instant now, const PromptNews &news)
+bool QueryOfDeathDetector::onNews(Instant now, const CrashNews &news)
 {
-    for (const PromptAnswer &told : news.answers) {
+    for (const SuspectAnswer &told : news.answers) {
         const Instant at = now - std::chrono::milliseconds(told.ageMillis);
         noteAnswer(told.key, at);
         Answer &answer = m_answers[told.key];
         answer.toldAt = std::max(answer.toldAt, at);
     }
     bool isNew = false;
-    for (const PromptBlock &told : news.blocks) {
+    for (const SuspectBlock &told : news.blocks) {
         isNew = learnBlock(now, told) || isNew;
     }
     m_hasUnsentNews = m_hasUnsentNews || isNew;
@@ -281,18 +281,18 @@
     return isNew;
 }
 
-void QueryOfDeathDetector::onStored(Instant now, const std::vector<PromptBlock> &stored)
+void QueryOfDeathDetector::onStored(Instant now, const std::vector<SuspectBlock> &stored)
 {
     m_stored.emplace();
-    for (const PromptBlock &block : stored) {
+    for (const SuspectBlock &block : stored) {
         (*m_stored)[block.key] = now - std::chrono::milliseconds(block.ageMillis);
         learnBlock(now, block);
     }
 }
 
-PromptBlockChanges QueryOfDeathDetector::unsavedChanges(Instant now) const
+BlockChanges QueryOfDeathDetector::unsavedChanges(Instant now) const
 {
-    PromptBlockChanges changes;
+    BlockChanges changes;
     if (!m_stored) {
         return changes;
     }
--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -35,12 +35,12 @@
 
 // Prompt
 
-using PromptKey = std::uint64_t; // hash of a prompt's part, or of a whole prompt, at one service
+using SuspectKey = std::uint64_t; // hash of a prompt's part, or of a whole request, at one service
 
 /// What of a request can be blamed for a crash.
-struct PromptKeys {
-    std::vector<PromptKey> parts; // in order, without the last one, which is not shared with other requests
-    PromptKey whole = 0;          // all parts and the content; a request that is repeated is blamed by it
+struct SuspectKeys {
+    std::vector<SuspectKey> parts; // in order, without the last one, which is not shared with other requests
+    SuspectKey whole = 0;          // all parts and the content; a request that is repeated is blamed by it
 };
 
 /// What makes a request the same as another one. Its id and its deadline do not: a caller that asks again has new ones.
@@ -54,22 +54,22 @@
 };
 
 /// @return hash of all of it, the same on each router
-PromptKey contentKey(const RequestContent &content);
+SuspectKey contentKey(const RequestContent &content);
 
 /// @param parts of the request's prompt; empty: it has none @param content as from `contentKey`
 /// @return keys of a request at a service, as a part that crashes one service's replicas may be sound at another's
-PromptKeys promptKeys(const ServiceId &service, const std::vector<PromptPart> &parts, PromptKey content);
+SuspectKeys suspectKeys(const ServiceId &service, const std::vector<PromptPart> &parts, SuspectKey content);
 
 // Trial
 
-/// What the events of one attempt tell of its prompt.
-class PromptTrial
+/// What the events of one attempt tell of its request.
+class AttemptTrial
 {
 public:
-    void begin() { m_firstEventAt.reset(); } ///< A replica gets the prompt.
+    void begin() { m_firstEventAt.reset(); } ///< A replica gets the request.
     void onEvent(Instant now);               ///< An event was received.
 
-    /// @return true while a crash of the replica may be due to the prompt: it has not written for long
+    /// @return true while a crash of the replica may be due to the request: it has not written for long
     bool isOpen(Instant now) const;
 
 private:
@@ -78,39 +78,39 @@
 
 // News
 
-/// A prompt whose answer had yet to come, or had just begun, when its replica crashed.
+/// A request whose answer had yet to come, or had just begun, when its replica crashed.
 struct CrashReport {
     std::uint32_t replica = 0; // hash of the replica's id and start time
-    PromptKeys prompt;
+    SuspectKeys prompt;
     std::uint32_t ageMillis = 0; // time since the crash
     std::uint32_t runMillis = 0; // time from the attempt's start to the crash; 0: not told
 };
 
-/// A part under suspicion, or a prompt that was blocked, that was answered.
-struct PromptAnswer {
-    PromptKey key = 0;
+/// A part or a whole request under suspicion, or one that was blocked, that was answered.
+struct SuspectAnswer {
+    SuspectKey key = 0;
     std::uint32_t ageMillis = 0; // time since its latest answer
 };
 
-/// A part or a whole prompt that no replica gets.
-struct PromptBlock {
-    PromptKey key = 0;
+/// A part or a whole request that no replica gets.
+struct SuspectBlock {
+    SuspectKey key = 0;
     std::uint32_t ageMillis = 0; // time since the last crash with it
 };
 
 /// What a router tells its peers.
-struct PromptNews {
+struct CrashNews {
     std::vector<CrashReport> crashes;
-    std::vector<PromptAnswer> answers;
-    std::vector<PromptBlock> blocks;
+    std::vector<SuspectAnswer> answers;
+    std::vector<SuspectBlock> blocks;
 
     bool isEmpty() const { return crashes.empty() && answers.empty() && blocks.empty(); }
 };
 
 /// What the store must be told.
-struct PromptBlockChanges {
-    std::vector<PromptBlock> blocks;
-    std::vector<PromptKey> ended; // no longer blocked
+struct BlockChanges {
+    std::vector<SuspectBlock> blocks;
+    std::vector<SuspectKey> ended; // no longer blocked
 
     bool isEmpty() const { return blocks.empty() && ended.empty(); }
 };
@@ -130,8 +130,8 @@
 };
 
 /// A decision, for the log.
-struct PromptVerdict {
-    PromptKey key = 0;
+struct SuspectVerdict {
+    SuspectKey key = 0;
     bool isBlocked = false; // false: no longer, as it was answered, or another part is to blame
     int replicas = 0;       // that crashed with it, as known here; 0: the block was learnt from a peer or the store
     int prompts = 0;        // different ones among them
@@ -145,35 +145,35 @@
     QueryOfDeathDetector(const QueryOfDeathSettings &settings, std::uint64_t seed);
 
     /// An attempt has delivered a complete response, or events for so long that its trial has ended.
-    void onAnswered(Instant now, const PromptKeys &prompt);
+    void onAnswered(Instant now, const SuspectKeys &prompt);
 
     /// A replica crashed while the trial of an attempt was open.
     /// @param replica hash of its id and start time @param startedAt when the attempt was sent
-    void onCrash(Instant now, std::uint32_t replica, const PromptKeys &prompt, Instant startedAt);
+    void onCrash(Instant now, std::uint32_t replica, const SuspectKeys &prompt, Instant startedAt);
 
-    bool isBlocked(Instant now, const PromptKeys &prompt); ///< @return true if no replica may get the prompt
+    bool isBlocked(Instant now, const SuspectKeys &prompt); ///< @return true if no replica may get the prompt
 
     bool hasUnsentNews() const { return m_hasUnsentNews; } ///< @return true if peers do not know of a crash or a block
-    PromptNews takeNews(Instant now);                      ///< @return news for all peers, which then count as sent
-    PromptNews knownBlocks(Instant now) const;             ///< @return all blocks, for a router that has started
+    CrashNews takeNews(Instant now);                       ///< @return news for all peers, which then count as sent
+    CrashNews knownBlocks(Instant now) const;              ///< @return all blocks, for a router that has started
 
     /// @param interval time between two broadcasts of a router; news are late by up to that much
     void setNewsInterval(Duration interval) { m_newsInterval = interval; }
 
     /// @return true if a block became known
-    bool onNews(Instant now, const PromptNews &news);
+    bool onNews(Instant now, const CrashNews &news);
 
     /// The store was read. @param stored all blocks in it
-    void onStored(Instant now, const std::vector<PromptBlock> &stored);
+    void onStored(Instant now, const std::vector<SuspectBlock> &stored);
 
     /// @return blocks that the store does not have as they are known here; none before it was read
-    PromptBlockChanges unsavedChanges(Instant now) const;
+    BlockChanges unsavedChanges(Instant now) const;
 
     void expire(Instant now); ///< Forgets what is too old. Call periodically.
 
     int blocks(Instant now) const; ///< @return parts and prompts that are blocked now
 
-    std::function<void(const PromptVerdict &)> onVerdict = [](const PromptVerdict &) {};
+    std::function<void(const SuspectVerdict &)> onVerdict = [](const SuspectVerdict &) {};
 
 private:
     static constexpr int sendsPerNews = 4; // broadcasts that carry each crash and block
@@ -189,7 +189,7 @@
     struct Crash {
         CrashTime time;
         std::uint32_t replica = 0;
-        PromptKeys prompt;
+        SuspectKeys prompt;
         int sendsLeft = 0; // in broadcasts; more than one, as datagrams are lost
     };
     struct Answer {
@@ -206,11 +206,11 @@
         Instant lastCrash{};
         std::set<CrashTime> crashes;
         std::set<std::uint32_t> replicas;
-        std::set<PromptKey> prompts;
+        std::set<SuspectKey> prompts;
         std::size_t depth = 0;   // position in the prompt, from 1; 0: a whole prompt
         bool isAnswered = false; // before the crashes
     };
-    using Suspects = std::map<PromptKey, Suspect>;
+    using Suspects = std::map<SuspectKey, Suspect>;
 
     /// Replicas whose crash a blocked key explains, so that it is not held against others that waited there.
     struct Explained {
@@ -219,40 +219,40 @@
     };
 
     void addCrash(Instant now, Crash crash);
-    void noteAnswer(PromptKey key, Instant when);
+    void noteAnswer(SuspectKey key, Instant when);
     void renewBlocks(Instant now, const Crash &crash);
-    bool learnBlock(Instant now, const PromptBlock &told);
+    bool learnBlock(Instant now, const SuspectBlock &told);
     void decide(Instant now);
-    std::map<PromptKey, int> crashesPerWhole() const;
+    std::map<SuspectKey, int> crashesPerWhole() const;
     Suspects findSuspects(const Explained &explained) const;
     Suspects::const_iterator likeliest(const Suspects &all, const Suspects &suspects,
-                                       const std::set<PromptKey> &blamed) const;
-    bool isBlamed(PromptKey key) const;
-    void endUnsupported(const Suspects &suspects, const std::set<PromptKey> &blamed);
-    void noteConvicted(Instant now, PromptKey key, std::map<PromptKey, Instant> &convictedAt) const;
+                                       const std::set<SuspectKey> &blamed) const;
+    bool isBlamed(SuspectKey key) const;
+    void endUnsupported(const Suspects &suspects, const std::set<SuspectKey> &blamed);
+    void noteConvicted(Instant now, SuspectKey key, std::map<SuspectKey, Instant> &convictedAt) const;
     bool isConvicted(const Suspect &all, const Suspect &unexplained) const;
     bool isPartConvicted(const Suspect &suspect) const;
     bool isWholeConvicted(const Suspect &all, const Suspect &unexplained) const;
     int separateCrashes(const Suspect &suspect) const;
     static bool hasBegunAfter(const CrashTime &crash, const CrashTime &earlier);
-    void recallAnswer(PromptKey whole);
+    void recallAnswer(SuspectKey whole);
     Duration settleTime(const Suspect &suspect) const;
     static bool isLikelier(const Suspect &a, const Suspect &b);
-    void block(PromptKey key, const Suspect &suspect);
+    void block(SuspectKey key, const Suspect &suspect);
     bool isActive(Instant now, const Block &block) const;
-    bool wasAnsweredSince(PromptKey key, Instant when) const;
+    bool wasAnsweredSince(SuspectKey key, Instant when) const;
 
     QueryOfDeathSettings m_settings;
     Duration m_stagger{}; // by which this router ends a block later than the first one
     Duration m_newsInterval{};
     std::vector<Crash> m_crashes; // oldest first
-    std::unordered_map<PromptKey, Answer> m_answers;
-    std::deque<std::pair<PromptKey, Instant>> m_recentAnswers; // of whole requests that are no suspects, oldest first
-    std::map<PromptKey, Block> m_blocks; // those that have ended are kept, as a single crash renews them
-    std::optional<std::map<PromptKey, Instant>> m_stored; // last crashes of the blocks in the store; nothing: not read
-    std::map<PromptKey, int> m_releases;        // blocks that an answer has ended; broadcasts that still tell so
-    std::map<PromptKey, Instant> m_convictedAt; // when the settle time of a suspect began
-    Instant m_decideAt = Instant::max();        // when a settle time ends
+    std::unordered_map<SuspectKey, Answer> m_answers;
+    std::deque<std::pair<SuspectKey, Instant>> m_recentAnswers; // of whole requests that are no suspects, oldest first
+    std::map<SuspectKey, Block> m_blocks; // those that have ended are kept, as a single crash renews them
+    std::optional<std::map<SuspectKey, Instant>> m_stored; // last crashes of the blocks in the store; nothing: not read
+    std::map<SuspectKey, int> m_releases;        // blocks that an answer has ended; broadcasts that still tell so
+    std::map<SuspectKey, Instant> m_convictedAt; // when the settle time of a suspect began
+    Instant m_decideAt = Instant::max();         // when a settle time ends
     bool m_hasUnsentNews = false;
 };
 
--- a/control/queryofdeathsuspects.cpp
+++ b/control/queryofdeathsuspects.cpp
@@ -12,9 +12,9 @@
 
 // Evidence
 
-std::map<PromptKey, int> QueryOfDeathDetector::crashesPerWhole() const
+std::map<SuspectKey, int> QueryOfDeathDetector::crashesPerWhole() const
 {
-    std::map<PromptKey, int> counts;
+    std::map<SuspectKey, int> counts;
     for (const Crash &crash : m_crashes) {
         ++counts[crash.prompt.whole];
     }
@@ -25,7 +25,7 @@
 QueryOfDeathDetector::Suspects QueryOfDeathDetector::findSuspects(const Explained &explained) const
 {
     Suspects suspects;
-    const auto suspectKey = [&](PromptKey key, std::size_t depth, const Crash &crash) {
+    const auto suspectKey = [&](SuspectKey key, std::size_t depth, const Crash &crash) {
         if (wasAnsweredSince(key, crash.time.at)) {
             return;
         }
@@ -37,12 +37,12 @@
         suspect.depth = std::max(suspect.depth, depth);
         suspect.isAnswered = m_answers.count(key) > 0;
     };
-    const std::map<PromptKey, int> counts = crashesPerWhole();
+    const std::map<SuspectKey, int> counts = crashesPerWhole();
     for (const Crash &crash : m_crashes) {
         if (explained.byPart.count(crash.replica) > 0) {
             continue;
         }
-        const PromptKey whole = crash.prompt.whole;
+        const SuspectKey whole = crash.prompt.whole;
         for (std::size_t i = 0; i < crash.prompt.parts.size(); ++i) {
             suspectKey(crash.prompt.parts[i], i + 1, crash);
         }
@@ -121,8 +121,8 @@
 /// that compete, the likeliest may be another one after each crash, so that all keep the start of their settle time.
 void QueryOfDeathDetector::decide(Instant now)
 {
-    std::map<PromptKey, Instant> convictedAt;
-    std::set<PromptKey> blamed;
+    std::map<SuspectKey, Instant> convictedAt;
+    std::set<SuspectKey> blamed;
     Explained explained;
     const Suspects all = findSuspects({});
     m_decideAt = Instant::max();
@@ -157,7 +157,7 @@
     }
 }
 
-void QueryOfDeathDetector::noteConvicted(Instant now, PromptKey key, std::map<PromptKey, Instant> &convictedAt) const
+void QueryOfDeathDetector::noteConvicted(Instant now, SuspectKey key, std::map<SuspectKey, Instant> &convictedAt) const
 {
     const auto known = m_convictedAt.find(key);
     convictedAt.emplace(key, known == m_convictedAt.end() ? now : known->second);
@@ -167,7 +167,7 @@
 /// @return the likeliest of the suspects that are convicted or blocked already, without those in `blamed`
 QueryOfDeathDetector::Suspects::const_iterator QueryOfDeathDetector::likeliest(const Suspects &all,
                                                                                const Suspects &suspects,
-                                                                               const std::set<PromptKey> &blamed) const
+                                                                               const std::set<SuspectKey> &blamed) const
 {
     auto best = suspects.end();
     for (auto suspect = suspects.begin(); suspect != suspects.end(); ++suspect) {
@@ -184,7 +184,7 @@
 }
 
 /// @return true for a block, also for one that has ended with time
-bool QueryOfDeathDetector::isBlamed(PromptKey key) const
+bool QueryOfDeathDetector::isBlamed(SuspectKey key) const
 {
     const auto block = m_blocks.find(key);
     return block != m_blocks.end() && !block->second.isOnProbation;
@@ -193,7 +193,7 @@
 /// Ends the blocks of suspects that are not to blame. A block without a known crash was learnt from a peer and stays. A
 /// whole request may have run beside another one that crashes replicas, or may crash them itself: it is tried once
 /// more.
-void QueryOfDeathDetector::endUnsupported(const Suspects &suspects, const std::set<PromptKey> &blamed)
+void QueryOfDeathDetector::endUnsupported(const Suspects &suspects, const std::set<SuspectKey> &blamed)
 {
     for (const auto &[key, suspect] : suspects) {
         const auto block = m_blocks.find(key);
@@ -210,7 +210,7 @@
     }
 }
 
-void QueryOfDeathDetector::block(PromptKey key, const Suspect &suspect)
+void QueryOfDeathDetector::block(SuspectKey key, const Suspect &suspect)
 {
     Block &block = m_blocks[key];
     block.lastCrash = suspect.lastCrash;
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -19,7 +19,7 @@
 constexpr float maxWorkPerSecond = 1e6F;          // of one account at one router
 constexpr std::uint64_t maxTraversalWords = 2048; // Cap'n Proto traversal limit for untrusted input
 
-static void fillNews(wire::BeaconNews::Builder root, const PromptNews &news)
+static void fillNews(wire::BeaconNews::Builder root, const CrashNews &news)
 {
     auto crashes = root.initCrashes(static_cast<unsigned>(news.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i) {
@@ -45,11 +45,11 @@
     }
 }
 
-static void readNews(wire::BeaconNews::Reader root, PromptNews &news)
+static void readNews(wire::BeaconNews::Reader root, CrashNews &news)
 {
     for (const auto crash : root.getCrashes()) {
         CrashReport report{crash.getReplica(), {{}, crash.getPrompt()}, crash.getAgeMillis(), crash.getRunMillis()};
-        for (const PromptKey part : crash.getParts()) {
+        for (const SuspectKey part : crash.getParts()) {
             report.prompt.parts.push_back(part);
         }
         news.crashes.push_back(std::move(report));
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -123,7 +123,7 @@
     , m_versionTimer(m_io)
     , m_newestVersion(settings.maxRecoveryTime)
 {
-    m_sharedState.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &blocks,
+    m_sharedState.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &blocks,
                                   LogOffset end) {
         LogLine line("places");
         line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
@@ -131,7 +131,7 @@
         m_traffic.setPlaces(places, end);
         m_traffic.setStoredBlocks(blocks);
     };
-    m_sharedState.onRestored = [this](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &blocks,
+    m_sharedState.onRestored = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &blocks,
                                       LogOffset end) {
         LogLine line("places_restored");
         line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
@@ -155,7 +155,7 @@
     m_traffic.onPlacesToSave = [this](std::vector<PlaceRecord> places) {
         asio::post(m_io, [this, places = std::move(places)] { m_sharedState.savePlaces(places); });
     };
-    m_traffic.onBlocksToSave = [this](PromptBlockChanges changes) {
+    m_traffic.onBlocksToSave = [this](BlockChanges changes) {
         asio::post(m_io, [this, changes = std::move(changes)] { m_sharedState.saveBlocks(changes); });
     };
     m_log.onBufferNonEmpty = [this] { asio::post(m_io, [this] { scheduleFlush(); }); };
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -27,7 +27,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-static KeyedRecord encodeBlock(const PromptBlock &block)
+static KeyedRecord encodeBlock(const SuspectBlock &block)
 {
     const Json value{{"last_crash", unixMillis() - block.ageMillis}};
     return {blockPrefix + toHex(block.key), value.dump(), 0};
@@ -147,7 +147,7 @@
         places.push_back(record);
     }
     const std::int64_t now = unixMillis();
-    std::vector<PromptBlock> blocks;
+    std::vector<SuspectBlock> blocks;
     for (const auto &[key, lastCrash] : m_blocks) {
         const auto prompt = parseHex(key.substr(std::string(blockPrefix).size()));
         const std::int64_t age =
@@ -186,13 +186,13 @@
     save(records);
 }
 
-void SharedState::saveBlocks(const PromptBlockChanges &changes)
+void SharedState::saveBlocks(const BlockChanges &changes)
 {
     std::vector<KeyedRecord> records;
-    for (const PromptBlock &block : changes.blocks) {
+    for (const SuspectBlock &block : changes.blocks) {
         records.push_back(encodeBlock(block));
     }
-    for (const PromptKey key : changes.ended) {
+    for (const SuspectKey key : changes.ended) {
         records.push_back({blockPrefix + toHex(key), "", 0}); // a tombstone
     }
     save(records);
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -17,7 +17,7 @@
 
 /// Gets all that is stored, and the end of the topic.
 using StoredStateHook =
-    std::function<void(const std::vector<PlaceRecord> &, const std::vector<PromptBlock> &, LogOffset end)>;
+    std::function<void(const std::vector<PlaceRecord> &, const std::vector<SuspectBlock> &, LogOffset end)>;
 
 /// Used on the control thread only.
 class SharedState
@@ -36,7 +36,7 @@
     // saves again when it finds that the records are still missing.
 
     void savePlaces(const std::vector<PlaceRecord> &places);
-    void saveBlocks(const PromptBlockChanges &changes);
+    void saveBlocks(const BlockChanges &changes);
 
     /// Reads without waiting for the interval, unless a read is in progress. For when a peer has read further, or the
     /// store is available again.
--- a/tests/queryofdeathdetector.cpp
+++ b/tests/queryofdeathdetector.cpp
@@ -17,19 +17,19 @@
 
 constexpr std::uint64_t serviceInstruction = 1; // shared by all prompts
 constexpr std::uint64_t deadlyPart = 666;
-constexpr PromptKey deadlyContent = 667; // of a request without a prompt
+constexpr SuspectKey deadlyContent = 667; // of a request without a prompt
 constexpr Instant start{seconds(100)};
 
-static PromptKeys prompt(const std::vector<std::uint64_t> &ids)
+static SuspectKeys prompt(const std::vector<std::uint64_t> &ids)
 {
     std::vector<PromptPart> parts;
     for (const std::uint64_t id : ids) {
         parts.push_back({id, static_cast<Tokens>(100)});
     }
-    return promptKeys({"chat"}, parts, 0);
+    return suspectKeys({"chat"}, parts, 0);
 }
 
-static PromptKey partKey(std::uint64_t id)
+static SuspectKey partKey(std::uint64_t id)
 {
     return prompt({id, 0}).parts.front();
 }
@@ -45,7 +45,7 @@
     {
         for (int i = 0; i < routerCount; ++i) {
             routers.push_back(std::make_unique<QueryOfDeathDetector>(QueryOfDeathSettings(), random()));
-            routers.back()->onVerdict = [this](const PromptVerdict &verdict) {
+            routers.back()->onVerdict = [this](const SuspectVerdict &verdict) {
                 if (verdict.isBlocked) {
                     blockedKeys.insert(verdict.key);
                 }
@@ -60,18 +60,18 @@
     QueryOfDeathDetector &anyRouter() { return *routers[below(routerCount)]; }
     void at(Instant when, std::function<void()> event) { events.emplace(when, std::move(event)); }
 
-    PromptKeys soundPrompt()
+    SuspectKeys soundPrompt()
     {
         if (!isPlainService) {
             return prompt({serviceInstruction, 10 + below(3), 1000 + below(20), ++lastPart});
         }
-        constexpr PromptKey popularContent = 500; // one request in four is the same
-        return {{}, below(4) == 0 ? popularContent : PromptKey{1000} + ++lastPart};
+        constexpr SuspectKey popularContent = 500; // one request in four is the same
+        return {{}, below(4) == 0 ? popularContent : SuspectKey{1000} + ++lastPart};
     }
 
     void sendSound()
     {
-        const PromptKeys sound = soundPrompt();
+        const SuspectKeys sound = soundPrompt();
         QueryOfDeathDetector &router = anyRouter();
         ++soundSends;
         if (soundRequestsAsk && router.isBlocked(now, sound)) {
@@ -80,7 +80,7 @@
         }
         at(now + answerTime + milliseconds(50), [this, sound, &router] { router.onAnswered(now, sound); });
     }
-    void crash(QueryOfDeathDetector &router, const PromptKeys &deadly)
+    void crash(QueryOfDeathDetector &router, const SuspectKeys &deadly)
     {
         crashes.push_back(now);
         router.onCrash(now, lastReplica + 1, deadly, now - (isPlainService ? milliseconds(50) : milliseconds(20)));
@@ -91,7 +91,7 @@
     {
         const std::uint32_t replica = ++lastReplica;
         for (int i = 0; i < waitingPerReplica; ++i) {
-            const PromptKeys sound = soundPrompt();
+            const SuspectKeys sound = soundPrompt();
             QueryOfDeathDetector &other = anyRouter();
             other.onCrash(now, replica, sound, now - milliseconds(15));
             at(now + answerTime + milliseconds(100 + below(300)),
@@ -102,7 +102,7 @@
     /// gone.
     void sendDeadlyRequest(QueryOfDeathDetector &router, int attempts)
     {
-        const PromptKeys deadly{{}, deadlyContent};
+        const SuspectKeys deadly{{}, deadlyContent};
         if (attempts > 0 && !router.isBlocked(now, deadly)) {
             sends.push_back(now);
             at(now + milliseconds(50), [this, deadly, &router, attempts] {
@@ -117,7 +117,7 @@
             sendDeadlyRequest(anyRouter(), 2);
             return;
         }
-        const PromptKeys deadly = prompt({serviceInstruction, 10 + below(3), deadlyPart, ++lastPart});
+        const SuspectKeys deadly = prompt({serviceInstruction, 10 + below(3), deadlyPart, ++lastPart});
         QueryOfDeathDetector &router = anyRouter();
         if (!router.isBlocked(now, deadly)) {
             sends.push_back(now);
@@ -130,7 +130,7 @@
             return;
         }
         nextBroadcast[from] = now + broadcastInterval;
-        const PromptNews news = routers[from]->takeNews(now);
+        const CrashNews news = routers[from]->takeNews(now);
         for (std::size_t to = 0; to < routers.size(); ++to) {
             if (to != from && below(100) >= lossPercent) {
                 at(now + milliseconds(5 + below(100)), [this, to, news] { routers[to]->onNews(now, news); });
@@ -183,7 +183,7 @@
     bool soundRequestsAsk = false; // whether they are blocked, as all requests do
     int soundSends = 0;
     int soundRefused = 0;
-    std::set<PromptKey> blockedKeys;
+    std::set<SuspectKey> blockedKeys;
     std::uint64_t lastPart = 1 << 20;
     std::uint32_t lastReplica = 0;
 };
@@ -224,7 +224,7 @@
             fleet.run(seconds(19));
             CHECK(fleet.crashes.size() >= 5);
             CHECK(fleet.sendsAfter(fleet.crashes[4] + maxRecoveryTime) <= 3);
-            CHECK(fleet.blockedKeys == std::set<PromptKey>{partKey(deadlyPart)});
+            CHECK(fleet.blockedKeys == std::set<SuspectKey>{partKey(deadlyPart)});
         }
     }
 }
@@ -242,7 +242,7 @@
             fleet.run(seconds(19));
             CHECK(fleet.crashes.size() >= 5);
             CHECK(fleet.sendsAfter(fleet.crashes[4] + maxRecoveryTime) <= 3);
-            CHECK(fleet.blockedKeys == std::set<PromptKey>{partKey(deadlyPart)});
+            CHECK(fleet.blockedKeys == std::set<SuspectKey>{partKey(deadlyPart)});
         }
     }
 }
@@ -265,7 +265,7 @@
 
 TEST(QueryOfDeathDetector, anAttemptIsOnTrialUntilItHasWrittenForASecond)
 {
-    PromptTrial trial;
+    AttemptTrial trial;
     trial.begin();
     CHECK(trial.isOpen(now + minutes(1)));
     trial.onEvent(now);
@@ -335,7 +335,7 @@
     other.onNews(now, detector.takeNews(now));
     now += seconds(1);
     detector.onNews(now, other.takeNews(now));
-    const PromptNews blocksOfOther = other.takeNews(now);
+    const CrashNews blocksOfOther = other.takeNews(now);
     detector.onNews(now, blocksOfOther);
     now += seconds(1);
     CHECK(blocks(21));
@@ -349,7 +349,7 @@
     now += seconds(1);
     CHECK(blocks(20));
     CHECK(!detector.isBlocked(now,
-                              promptKeys({"other"}, {{20, static_cast<Tokens>(9)}, {7, static_cast<Tokens>(9)}}, 0)));
+                              suspectKeys({"other"}, {{20, static_cast<Tokens>(9)}, {7, static_cast<Tokens>(9)}}, 0)));
 }
 
 /// Routers try a part again one after the other, and one further crash is enough to block it again everywhere.
@@ -410,7 +410,7 @@
     LoadBeacon received;
     CHECK(decodeBeacon(encodeBeacon(sent), received));
     CHECK(received.isStarting);
-    const PromptNews &news = received.news;
+    const CrashNews &news = received.news;
     LONGS_EQUAL(7, news.crashes.at(0).replica);
     LONGS_EQUAL(12, news.crashes.at(0).ageMillis);
     LONGS_EQUAL(34, news.crashes.at(0).runMillis);
@@ -439,7 +439,7 @@
             CHECK(fleet.crashes.size() >= 3);
             const int late = fleet.sendsAfter(fleet.crashes[2] + maxRecoveryTime);
             CHECK_TEXT(late <= 3, std::to_string(late).c_str());
-            CHECK(fleet.blockedKeys == std::set<PromptKey>{deadlyContent});
+            CHECK(fleet.blockedKeys == std::set<SuspectKey>{deadlyContent});
         }
     }
 }
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -119,7 +119,7 @@
     }
     StoredStateHook record(const char *name)
     {
-        return [this, name](const std::vector<PlaceRecord> &places, const std::vector<PromptBlock> &, LogOffset) {
+        return [this, name](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &, LogOffset) {
             events.push_back(name + std::to_string(places.size()));
         };
     }
--- a/traffic/requesthandler.cpp
+++ b/traffic/requesthandler.cpp
@@ -350,7 +350,7 @@
     }
     const bool isError = m_head.status >= firstServerErrorStatus;
     noteTimes(now, isError);
-    notePromptAnswered(now);
+    noteAnswered(now);
     if (!isError) {
         m_state.loadBalancer.holds().onServed(now, m_incarnation);
     }
--- a/traffic/requesthandler.h
+++ b/traffic/requesthandler.h
@@ -98,7 +98,7 @@
     void logCutOff() const;
     bool isBlocked(Instant now);
     void reportIfCrashed(bool isResponseComplete) const;
-    void notePromptAnswered(Instant now);
+    void noteAnswered(Instant now);
     void addBudget(LogLine &line, Instant now) const;
     void onHead(ResponseHead &head, const ResponseFields &fields);
     void noteRateLimit();
@@ -138,7 +138,7 @@
     const Route *m_route = nullptr;
     const ClientAccount *m_account = nullptr;
     SelectionRequest m_selection;
-    PromptKeys m_prompt;              // what of the request can be blamed for a crash
+    SuspectKeys m_suspect;            // what of the request can be blamed for a crash
     std::set<EndpointId> m_refusedBy; // replicas that answered that they did not run the request
     Instant m_deadline{};             // for the whole response
     Instant m_turnedAwayUntil{};      // shortest time that replicas named, if no other replica was left
@@ -160,7 +160,7 @@
     Instant m_sentAt{};
     Instant m_lastEventAt{};      // when the last bytes of a stream were received, from any attempt
     Instant m_stallCheckedAt{};   // last check whether the replica is stalled
-    PromptTrial m_trial;          // of the prompt at this replica
+    AttemptTrial m_trial;         // of the prompt at this replica
     ServiceWork m_work;           // at this replica, as expected
     ReplicaOccupancy m_occupancy; // of the replica when the request was sent
     ServiceTime m_expected;       // since `m_sentAt`
--- a/traffic/requestreport.cpp
+++ b/traffic/requestreport.cpp
@@ -148,7 +148,7 @@
     line.text("request", m_fields.request.text).text("replica", m_endpoint.text);
     line.text("service", m_selection.service.text).number("try", m_attempts.sent);
     line.millis("ran_ms", clockNow() - m_sentAt).flag("had_event", hasReceivedEvents());
-    line.text("parts", parts).text("content", toHex(m_prompt.whole));
+    line.text("parts", parts).text("content", toHex(m_suspect.whole));
     m_state.log.write(line, LogPriority::Notable);
 }
 
@@ -207,7 +207,7 @@
     if (!m_trial.isOpen(clockNow())) {
         return;
     }
-    const auto onResult = [&state = m_state, prompt = m_prompt, replica = m_endpoint, incarnation = m_incarnation,
+    const auto onResult = [&state = m_state, prompt = m_suspect, replica = m_endpoint, incarnation = m_incarnation,
                            sentAt = m_sentAt, brokenAt = clockNow(), request = m_fields.request,
                            isResponseComplete](bool isReachable) {
         LogLine line(isReachable ? "replica_reachable" : "replica_crashed");
@@ -224,12 +224,12 @@
 }
 
 /// The response is complete. Where only the end of the connection says so, it may have been the replica's end too.
-void RequestHandler::notePromptAnswered(Instant now)
+void RequestHandler::noteAnswered(Instant now)
 {
     if (m_head.isCloseDelimited) {
         reportIfCrashed(true);
     } else {
-        m_state.queryOfDeath.onAnswered(now, m_prompt);
+        m_state.queryOfDeath.onAnswered(now, m_suspect);
     }
 }
 
--- a/traffic/requestresponse.cpp
+++ b/traffic/requestresponse.cpp
@@ -29,7 +29,7 @@
     const bool wasOnTrial = m_trial.isOpen(m_lastEventAt);
     m_trial.onEvent(now);
     if (wasOnTrial && !m_trial.isOpen(now)) {
-        m_state.queryOfDeath.onAnswered(now, m_prompt);
+        m_state.queryOfDeath.onAnswered(now, m_suspect);
     }
     if (!hasReceivedEvents()) {
         noteFirstEvent(now);
--- a/traffic/requestrouting.cpp
+++ b/traffic/requestrouting.cpp
@@ -53,7 +53,7 @@
     m_route = nullptr; // a request that waited is routed anew: nothing of the table before may be used
     m_account = nullptr;
     m_selection = SelectionRequest();
-    m_prompt = PromptKeys();
+    m_suspect = SuspectKeys();
     m_table = m_state.table;
     if (!findRoute(now) || !checkApiKey(now)) {
         return false;
@@ -74,11 +74,11 @@
         m_selection.tokens = promptTokens(m_fields) + responseTokens(m_fields);
         m_selection.replicaTokens = spec == m_table->services.end() ? 0 : spec->second.cacheTokens;
     }
-    const PromptKey content =
+    const SuspectKey content =
         contentKey({m_selection.service, m_request.head.method, *findField(m_request.head.fields, "host"),
                     m_request.head.target, m_account ? m_account->id : AccountId(), m_request.body});
     const bool hasPrompt = m_route->hasPrefixAffinity;
-    m_prompt = promptKeys(m_selection.service, hasPrompt ? m_fields.promptParts : std::vector<PromptPart>(), content);
+    m_suspect = suspectKeys(m_selection.service, hasPrompt ? m_fields.promptParts : std::vector<PromptPart>(), content);
     m_selection.allowedDataCentres =
         allowedDataCentres(m_state.settings.regions, m_route->allowedRegions,
                            m_account ? m_account->allowedRegions : std::vector<RegionId>());
@@ -143,7 +143,7 @@
 
 bool RequestHandler::isBlocked(Instant now)
 {
-    return m_state.queryOfDeath.isBlocked(now, m_prompt);
+    return m_state.queryOfDeath.isBlocked(now, m_suspect);
 }
 
 /// @param choice an empty one @return what keeps requests away from replicas, first what ends soonest
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -62,7 +62,7 @@
         m_state.waitingForRoom.admission().use().onPeerWork(now, peer, work, lifetime);
     };
     m_state.onPeerNews = [this] { m_peers.requestBeacon(); };
-    m_state.queryOfDeath.onVerdict = [this](const PromptVerdict &verdict) { logVerdict(verdict); };
+    m_state.queryOfDeath.onVerdict = [this](const SuspectVerdict &verdict) { logVerdict(verdict); };
     CallerConnectionHooks &hooks = m_listener.hooks;
     hooks.memory = m_state.memory;
     hooks.bodyCopies = bodyCopies;
@@ -179,7 +179,7 @@
     });
 }
 
-void TrafficThread::logVerdict(const PromptVerdict &verdict)
+void TrafficThread::logVerdict(const SuspectVerdict &verdict)
 {
     LogLine line(verdict.isBlocked ? "prompt_blocked" : "prompt_released");
     line.text("key", toHex(verdict.key)).number("replicas", verdict.replicas).number("prompts", verdict.prompts);
@@ -218,7 +218,7 @@
     if (!onBlocksToSave || !m_peers.isLeader()) {
         return;
     }
-    PromptBlockChanges changes = m_state.queryOfDeath.unsavedChanges(now);
+    BlockChanges changes = m_state.queryOfDeath.unsavedChanges(now);
     if (!changes.isEmpty()) {
         onBlocksToSave(std::move(changes));
     }
@@ -299,7 +299,7 @@
     });
 }
 
-void TrafficThread::setStoredBlocks(std::vector<PromptBlock> blocks)
+void TrafficThread::setStoredBlocks(std::vector<SuspectBlock> blocks)
 {
     asio::post(m_io, [this, blocks = std::move(blocks)] {
         m_state.queryOfDeath.onStored(clockNow(), blocks);
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -125,7 +125,7 @@
     /// Tells what the store has of the places after it was restored from a copy. The places in use stay.
     void setStoredPlaces(std::vector<PlaceRecord> stored, LogOffset upTo);
 
-    void setStoredBlocks(std::vector<PromptBlock> blocks); ///< Sets the blocked prompts as recorded in the store.
+    void setStoredBlocks(std::vector<SuspectBlock> blocks); ///< Sets the blocked prompts as recorded in the store.
     void setStoreLost(); ///< The store is unreachable: routers that reach it come first as leader; no request waits.
     void setProof(Instant provedAt); ///< The desired state was confirmed to be the newest at this time.
     void beginDrain();               ///< From now on, each response closes its connection.
@@ -139,7 +139,7 @@
     std::function<void(std::vector<PlaceRecord>)> onPlacesToSave;
 
     /// Called like `onPlacesToSave`, with blocked prompts that are missing from the store or differ there.
-    std::function<void(PromptBlockChanges)> onBlocksToSave;
+    std::function<void(BlockChanges)> onBlocksToSave;
 
     /// Called on the traffic thread when a peer has read or written newer places. Set before `start`.
     std::function<void()> onNewerPlaces;
@@ -164,7 +164,7 @@
     void releaseWaiting();
     void sweep();
     void logPeers(Instant now);
-    void logVerdict(const PromptVerdict &verdict);
+    void logVerdict(const SuspectVerdict &verdict);
     void savePlaces(Instant now) const;
     void saveBlocks(Instant now) const;
     std::string metricsText();
