Ask for no broadcast for answers of requests that are no longer under suspicion

Cause: crashes are kept for an hour, and each answer of a request with two of them asked for a broadcast, also when the suspicion had ended or peers had just been told, so that the broadcast told nothing. Change: only crashes under suspicion count, and only an answer that takeNews would tell (one check for both, Answer::isUntold). Result: the new test of QueryOfDeathDetector failed before and passes; CrashingRequests, CrashingRequestsOfALargeFleet, QueryOfDeath and QueryOfDeathDetector pass.

--- a/control/queryofdeath.cpp
+++ b/control/queryofdeath.cpp
@@ -80,11 +80,17 @@
     for (const SuspectKey part : prompt.parts) {
         noteAnswer(part, now);
     }
-    const auto isSamePrompt = [&](const Crash &crash) { return crash.prompt.whole == prompt.whole; };
-    const auto crashes = std::count_if(m_crashes.begin(), m_crashes.end(), isSamePrompt);
-    if (crashes > 0 || m_blocks.count(prompt.whole) > 0) {
+    bool isKnown = m_blocks.count(prompt.whole) > 0;
+    int recentCrashes = 0;
+    for (const Crash &crash : m_crashes) {
+        const bool isSame = crash.prompt.whole == prompt.whole;
+        isKnown = isKnown || isSame;
+        recentCrashes += isSame && now < crash.time.at + suspicionTime ? 1 : 0;
+    }
+    if (isKnown) {
         noteAnswer(prompt.whole, now);
-        m_hasUnsentNews = m_hasUnsentNews || crashes >= m_settings.minSeparate; // the others may be about to block it
+        const bool othersMayBlockIt = recentCrashes >= m_settings.minSeparate;
+        m_hasUnsentNews = m_hasUnsentNews || (othersMayBlockIt && m_answers[prompt.whole].isUntold());
         return;
     }
     m_recentAnswers.emplace_back(prompt.whole, now);
@@ -93,6 +99,11 @@
     }
 }
 
+bool QueryOfDeathDetector::Answer::isUntold() const
+{
+    return at > toldAt + answerInterval;
+}
+
 /// Answers of whole requests are kept apart, as most requests never become suspects.
 void QueryOfDeathDetector::recallAnswer(SuspectKey whole)
 {
@@ -211,7 +222,7 @@
     }
     for (const SuspectKey key : suspected) {
         const auto answer = m_answers.find(key);
-        const bool isUntold = answer != m_answers.end() && answer->second.at > answer->second.toldAt + answerInterval;
+        const bool isUntold = answer != m_answers.end() && answer->second.isUntold();
         if (isUntold && news.answers.size() < maxSentAnswers) {
             answer->second.toldAt = answer->second.at;
             news.answers.push_back({key, ageMillis(answer->second.at, now)});
--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -196,6 +196,8 @@
     struct Answer {
         Instant at{};
         Instant toldAt{}; // latest answer that peers know of
+
+        bool isUntold() const; // peers know of none, or only of an earlier one
     };
     struct Block {
         Instant lastCrash{}; // newest crash that it is blamed for
--- a/tests/queryofdeathdetector.cpp
+++ b/tests/queryofdeathdetector.cpp
@@ -422,6 +422,29 @@
     LONGS_EQUAL(56, news.blocks.at(0).ageMillis);
 }
 
+/// Crashes are kept for an hour. Each answer in it asked for a broadcast, which told nothing.
+TEST(QueryOfDeathDetector, answersOfARequestThatIsNoLongerUnderSuspicionAreNoNews)
+{
+    const auto takeAllNews = [this] {
+        while (detector.hasUnsentNews()) {
+            CHECK(!detector.takeNews(now).isEmpty());
+        }
+    };
+    for (std::uint32_t i = 1; i <= 2; ++i) {
+        detector.onCrash(now, i, {{}, 7}, now - milliseconds(20));
+        now += milliseconds(200);
+    }
+    takeAllNews();
+    detector.onAnswered(now, {{}, 7});
+    CHECK(detector.hasUnsentNews());
+    takeAllNews();
+    detector.onAnswered(now + milliseconds(10), {{}, 7});
+    CHECK(!detector.hasUnsentNews());
+    now += seconds(11);
+    detector.onAnswered(now, {{}, 7});
+    CHECK(!detector.hasUnsentNews());
+}
+
 TEST_GROUP(CrashingRequestsOfALargeFleet){};
 
 /// A hundred routers with late news, one request without a prompt that comes at any of them, often from several at
