Look through the crashes once where nothing is convicted, and name what competing suspects keep

Cause: decide looked for suspects twice before its first choice, with the same result, and had the settle times of competing requests three levels deep. Change: the first choice is made among all suspects; convictionTimes is a function. Same decisions.

--- a/control/queryofdeath.h
+++ b/control/queryofdeath.h
@@ -232,7 +232,8 @@
                                        const std::set<SuspectKey> &blamed) const;
     bool isBlamed(SuspectKey key) const;
     void endUnsupported(const Suspects &suspects, const std::set<SuspectKey> &blamed);
-    void noteConvicted(Instant now, SuspectKey key, std::map<SuspectKey, Instant> &convictedAt) const;
+    std::map<SuspectKey, Instant> convictionTimes(Instant now, const Suspects &all, const Suspects &suspects,
+                                                  SuspectKey best) const;
     bool isConvicted(const Suspect &all, const Suspect &unexplained) const;
     bool isPartConvicted(const Suspect &suspect) const;
     bool isWholeConvicted(const Suspect &all, const Suspect &unexplained) const;
--- a/control/queryofdeathsuspects.cpp
+++ b/control/queryofdeathsuspects.cpp
@@ -126,20 +126,13 @@
     Explained explained;
     const Suspects all = findSuspects({});
     m_decideAt = Instant::max();
-    for (;;) {
-        const Suspects suspects = findSuspects(explained);
+    for (Suspects suspects = all;; suspects = findSuspects(explained)) {
         const auto best = likeliest(all, suspects, blamed);
         if (best == suspects.end()) {
             break;
         }
         if (!isBlamed(best->first)) {
-            noteConvicted(now, best->first, convictedAt);
-            for (const auto &[key, suspect] : suspects) {
-                const bool competes = suspect.depth == 0 && !isBlamed(key);
-                if (competes && isConvicted(all.at(key), suspect)) {
-                    noteConvicted(now, key, convictedAt);
-                }
-            }
+            convictedAt.merge(convictionTimes(now, all, suspects, best->first));
             const Instant settledAt = convictedAt.at(best->first) + settleTime(best->second);
             if (now < settledAt) {
                 m_decideAt = settledAt;
@@ -157,10 +150,20 @@
     }
 }
 
-void QueryOfDeathDetector::noteConvicted(Instant now, SuspectKey key, std::map<SuspectKey, Instant> &convictedAt) const
+/// @param best the likeliest of the suspects @return since when it is convicted, and whole requests that compete with
+/// it
+std::map<SuspectKey, Instant> QueryOfDeathDetector::convictionTimes(Instant now, const Suspects &all,
+                                                                    const Suspects &suspects, SuspectKey best) const
 {
-    const auto known = m_convictedAt.find(key);
-    convictedAt.emplace(key, known == m_convictedAt.end() ? now : known->second);
+    std::map<SuspectKey, Instant> times;
+    for (const auto &[key, suspect] : suspects) {
+        const bool competes = suspect.depth == 0 && !isBlamed(key) && isConvicted(all.at(key), suspect);
+        if (key == best || competes) {
+            const auto known = m_convictedAt.find(key);
+            times[key] = known == m_convictedAt.end() ? now : known->second;
+        }
+    }
+    return times;
 }
 
 /// @param all suspects with all crashes
