Keep the ports of a daemon under crowds for it

The test chose the ports by opening and closing a socket. Of 1,500 starts of the same set-up two failed, and the daemon had ended at once in both: its two ports were one, or the stand-in of the store had been given one of them meanwhile. The daemon was never at fault.

Change: the ports stay bound, and not listened on, by the test, so that the kernel gives them to nobody else. Crowds, bounds and checks are as they were.

--- a/tests/daemonprocess.h
+++ b/tests/daemonprocess.h
@@ -23,12 +23,23 @@
 
 // Process
 
-/// @return a port that was free a moment ago
-inline int freePort()
+/// A port of the loopback address that is kept for the daemon: bound here and not listened on, so that the kernel gives
+/// it to no other socket, while the daemon, which reuses addresses as this does, may listen on it.
+class ReservedPort
 {
-    asio::io_context io;
-    return asio::ip::tcp::acceptor(io, {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
-}
+public:
+    ReservedPort()
+    {
+        m_holder.open(asio::ip::tcp::v4());
+        m_holder.set_option(asio::socket_base::reuse_address(true));
+        m_holder.bind({asio::ip::address_v4::loopback(), 0});
+    }
+    int number() const { return m_holder.local_endpoint().port(); }
+
+private:
+    asio::io_context m_io;
+    asio::ip::tcp::acceptor m_holder{m_io};
+};
 
 /// One galenafoldd, started from the directory of the tests' own program and killed at the end of its life.
 class DaemonProcess
--- a/tests/misbehavingcallers.cpp
+++ b/tests/misbehavingcallers.cpp
@@ -302,8 +302,10 @@
             *process, doors(), [this] { return isServed(); }, kind);
     }
 
-    int port = freePort();
-    int adminPort = freePort();
+    const ReservedPort reservedPort;
+    const ReservedPort reservedAdminPort;
+    const int port = reservedPort.number();
+    const int adminPort = reservedAdminPort.number();
     int requests = 0;
     FakeTopicStore store;
     FakeReplica replica{"a", "svc", respondOk};
@@ -494,7 +496,8 @@
     }
 
     const std::string memory = "memory_mb = " + std::to_string(memoryMegabytes) + '\n';
-    int port = freePort();
+    const ReservedPort reservedPort;
+    const int port = reservedPort.number();
     FakeLog log;
     FakeVmList vmList;
     std::unique_ptr<DaemonProcess> process;
