Log each listing of a topic with its era, its source and its end

Cause: what a router took over after a restore of the store could not be seen. `store_restored` tells that an era was noted, not whose records were then taken for records of that era, so logs could not tell apart a follower that does not notice the restore, one that notices and reads on, and one that is told old records under the new era. Change: a line `topic_listed` with topic, source, era, end and count of records; a listing is rare, so it costs nothing.

--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -54,6 +54,7 @@
     };
     hooks.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
         m_sources.onListed();
+        logListing(records.size(), begin);
         m_cache.setListing(records, begin);
         m_hooks.topic.onListed(records, begin);
     };
@@ -67,6 +68,17 @@
     return hooks;
 }
 
+/// Tells under which era of the store a listing was taken over and from whom: one that is from before a restore has
+/// another end than what the store itself tells.
+void TopicSubscription::logListing(std::size_t records, LogOffset begin)
+{
+    LogLine line("topic_listed");
+    line.text("topic", text(m_settings.topic)).text("from", addressText(m_source));
+    line.number("era", m_era.value_or(0)).number("up_to", begin);
+    line.number("records", static_cast<std::int64_t>(records));
+    m_log.write(line, LogPriority::Notable);
+}
+
 // Calls
 
 void TopicSubscription::start()
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -95,6 +95,7 @@
     };
 
     TopicHooks cachingHooks();
+    void logListing(std::size_t records, LogOffset begin);
     void scheduleNext();
     void chooseSource(Instant now);
     void send();
