Tell records of a topic under the era that they are from

Cause: a router noted the store's new era with the first answer, and told its followers under it what it knew from before: records, end and proof. They took that end for one of the new era, read on from it, and never saw what the store wrote at the offsets below it, which it gives out again. Change: an offset and its era are one type. The records for followers keep the era of their listing, and are told under that one until the listing of the new era is complete; a follower notes an era only with all records of it.

--- a/control/storetopics.h
+++ b/control/storetopics.h
@@ -15,9 +15,6 @@
 
 const char *text(StoreTopic topic); ///< @return the topic's name in logs and metrics
 
-/// Number of times that the store has been restored from a copy. Offsets of different eras cannot be compared.
-using StoreEra = std::int64_t;
-
 /// @return for the topic of the desired state: a long poll
 TopicSettings desiredStateTopic(const RouterSettings &settings);
 
--- a/control/topiccache.cpp
+++ b/control/topiccache.cpp
@@ -11,13 +11,13 @@
 {
 }
 
-void TopicCache::setListing(const std::vector<KeyedRecord> &records, LogOffset begin)
+void TopicCache::setListing(const std::vector<KeyedRecord> &records, const TopicPosition &begin)
 {
     m_changes.clear();
     m_lastChange.clear();
     m_bytes = 0;
     m_isFilled = true;
-    m_completeFrom = begin;
+    m_completeFrom = begin.offset;
     m_end = begin;
     for (const KeyedRecord &record : records) {
         m_changes[record.offset] = {std::nullopt, record};
@@ -53,7 +53,7 @@
 
 void TopicCache::setEnd(LogOffset end)
 {
-    m_end = std::max(m_end, end);
+    m_end.offset = std::max(m_end.offset, end);
 }
 
 void TopicCache::forgetOldVersions()
@@ -71,18 +71,19 @@
     }
 }
 
-bool TopicCache::hasChangesSince(LogOffset from) const
+bool TopicCache::hasChangesSince(const TopicPosition &from) const
 {
-    return from < m_completeFrom || m_changes.lower_bound(from) != m_changes.end();
+    return !isSameEra(from, m_end) || from.offset < m_completeFrom
+        || m_changes.lower_bound(from.offset) != m_changes.end();
 }
 
-std::optional<std::vector<KeyedRecord>> TopicCache::changesSince(LogOffset from) const
+std::optional<std::vector<KeyedRecord>> TopicCache::changesSince(const TopicPosition &from) const
 {
-    if (from < m_completeFrom) {
+    if (!isSameEra(from, m_end) || from.offset < m_completeFrom) {
         return std::nullopt;
     }
     std::vector<KeyedRecord> records;
-    for (auto change = m_changes.lower_bound(from); change != m_changes.end(); ++change) {
+    for (auto change = m_changes.lower_bound(from.offset); change != m_changes.end(); ++change) {
         if (change->second.before) {
             records.push_back(*change->second.before);
         }
--- a/control/topiccache.h
+++ b/control/topiccache.h
@@ -27,19 +27,22 @@
     explicit TopicCache(TopicCacheSettings settings);
 
     /// Replaces all records. @param begin end of the topic when the listing began
-    void setListing(const std::vector<KeyedRecord> &records, LogOffset begin);
+    void setListing(const std::vector<KeyedRecord> &records, const TopicPosition &begin);
+
+    // Both go on in the era of the listing.
 
     void add(const KeyedRecord &record); ///< Adds the next record of the topic.
     void setEnd(LogOffset end);          ///< The records before `end` have been added, or tell nothing new.
 
-    bool isFilled() const { return m_isFilled; } ///< @return true once a listing was set
-    LogOffset end() const { return m_end; }      ///< @return offset up to which the topic is known
+    bool isFilled() const { return m_isFilled; }       ///< @return true once a listing was set
+    const TopicPosition &end() const { return m_end; } ///< @return up to where the topic is known
 
     /// @return true if `changesSince` would return a record, or nothing
-    bool hasChangesSince(LogOffset from) const;
+    bool hasChangesSince(const TopicPosition &from) const;
 
-    /// @return the records that tell something new since that offset; nothing if some of them are no longer known
-    std::optional<std::vector<KeyedRecord>> changesSince(LogOffset from) const;
+    /// @return the records that tell something new since then; nothing if some of them are not known, or the position
+    /// is of another era
+    std::optional<std::vector<KeyedRecord>> changesSince(const TopicPosition &from) const;
 
     std::vector<KeyedRecord> all() const; ///< @return the records of all keys that have not been deleted
 
@@ -57,7 +60,7 @@
     std::map<std::string, LogOffset> m_lastChange; // of each key
     std::size_t m_bytes = 0;                       // of values, while versions are kept
     LogOffset m_completeFrom = 0;                  // all changes from here on are known
-    LogOffset m_end = 0;
+    TopicPosition m_end;
     bool m_isFilled = false;
 };
 
--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -32,7 +32,7 @@
             m_isListingQueued ? std::max(m_responseTimeout, m_settings.queuedListingTimeout) : m_responseTimeout;
         request.after = m_listedRecords.empty() ? "" : m_listedRecords.back().key;
     } else {
-        request.from = m_nextOffset;
+        request.from = m_next.offset;
         request.longPollTimeout = m_skipsLongPoll || pollsForOthers() ? Duration{} : m_settings.longPollTimeout;
     }
     return request;
@@ -52,8 +52,8 @@
     }
     m_isListing = false;
     m_isListingQueued = false;
-    m_nextOffset = *m_listingOffset;
-    m_hooks.onListed(m_listedRecords, *m_listingOffset);
+    m_next = {*m_listingOffset, m_era};
+    m_hooks.onListed(m_listedRecords, m_next);
     m_hooks.onCaughtUp(m_listingSentAt);
     m_listedRecords.clear();
     m_listingOffset.reset();
@@ -63,11 +63,11 @@
 {
     for (const KeyedRecord &record : read.records) {
         m_hooks.onRecord(record);
-        m_nextOffset = record.offset + 1;
+        m_next.offset = record.offset + 1;
     }
     onRecords(sentAt, now);
     m_skipsLongPoll = false;
-    if (m_nextOffset >= read.end) {
+    if (m_next.offset >= read.end) {
         onCaughtUp(sentAt, now);
     }
 }
@@ -81,23 +81,23 @@
     if (m_isListing) {
         return;
     }
-    if (end == m_nextOffset) {
+    if (end == m_next.offset) {
         m_skipsLongPoll = false;
         onCaughtUp(sentAt, now);
-    } else if (end < m_nextOffset) {
+    } else if (end < m_next.offset) {
         listAgain();
     }
 }
 
 bool TopicConsumer::onFollowed(Instant provedAt, Instant now, const TopicRead &read)
 {
-    if (read.end < m_nextOffset) {
+    if (read.end < m_next.offset) {
         return false;
     }
     for (const KeyedRecord &record : read.records) {
         m_hooks.onRecord(record);
     }
-    m_nextOffset = read.end;
+    m_next.offset = read.end;
     if (m_settings.sharedInterval == Duration{}) { // paced by this, as it does not wait for news at the other router
         m_notBefore = now + m_settings.pollInterval;
     }
@@ -163,11 +163,20 @@
 }
 
 /// The next request does not wait for the poll interval: until then removals are missed.
-void TopicConsumer::onStoreRestored()
+bool TopicConsumer::onEra(const std::optional<StoreEra> &era)
 {
+    if (!era || era == m_era) {
+        return false;
+    }
+    const bool knowsNothing = !m_era && m_isListing && !m_listingOffset;
+    m_era = era;
+    if (knowsNothing) {
+        return false;
+    }
     listAgain();
     m_mustAskForEnd = false;
     m_notBefore = Instant{};
+    return true;
 }
 
 void TopicConsumer::onFailure(Instant now)
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -16,7 +16,7 @@
 // Sections of this file: Records, Requests, Consumer.
 #pragma once
 
-#include "galenafold/galenafold.h"
+#include "control/topicposition.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <optional>
@@ -88,7 +88,7 @@
     std::function<void(const KeyedRecord &)> onRecord; // from a read, in order
 
     /// All pages of a listing were received. `begin`: end of the topic when the listing began.
-    std::function<void(const std::vector<KeyedRecord> &, LogOffset begin)> onListed;
+    std::function<void(const std::vector<KeyedRecord> &, TopicPosition begin)> onListed;
 
     std::function<void(Instant)> onCaughtUp; // all records up to that time have been delivered
 };
@@ -112,6 +112,14 @@
     /// @param sentAt when the request for the end was sent @param end of the topic
     void onEnd(Instant sentAt, Instant now, LogOffset end);
 
+    // What the store or another router tells belongs to an era, which is noted before the records are passed on.
+
+    /// @param era as it came with an answer; nothing: the answer does not tell
+    /// @return true if another era was known: the answer is for an offset of that one, and a listing follows
+    bool onEra(const std::optional<StoreEra> &era);
+
+    const std::optional<StoreEra> &era() const { return m_era; } ///< @return the newest that is known
+
     /// Another router told what it knows that is new. Its records are all that changed up to the end, so there may be
     /// gaps between their offsets. How the store's next call is made does not change: this tells nothing of its state.
     /// @param provedAt the topic ended there then @return false if that end is before what this router has read
@@ -132,13 +140,12 @@
     /// @return true while a listing of more than one page is in progress
     bool isListingLarge() const { return m_isListing && !m_listedRecords.empty(); }
 
-    LogOffset nextOffset() const { return m_nextOffset; } ///< @return offset up to which records were delivered
+    const TopicPosition &position() const { return m_next; } ///< @return up to where records were delivered
 
     /// The store has just answered a call for another topic, and nothing is known of this one yet.
     void onStoreAnswersOthers() { m_isListingQueued = true; }
 
     void onOffsetOutOfRange();   ///< The next record to read was deleted: lists again.
-    void onStoreRestored();      ///< All offsets so far are void: lists again.
     void onFailure(Instant now); ///< The request was refused, or its response was lost, late or unreadable.
 
     /// Like `onFailure`: the response had not begun in time.
@@ -155,9 +162,10 @@
     mutable boost::random::mt19937_64 m_random;
     bool m_isListing = true;
     std::vector<KeyedRecord> m_listedRecords; // of the pages so far
+    std::optional<StoreEra> m_era;            // of the last answer that told it
     std::optional<LogOffset> m_listingOffset; // end of the topic at the first page
     Instant m_listingSentAt{};
-    LogOffset m_nextOffset = 0;
+    TopicPosition m_next;
     Instant m_notBefore{};
     Duration m_backoff{};
     Duration m_responseTimeout{};   // of the next listing or read
--- /dev/null
+++ b/control/topicposition.h
@@ -0,0 +1,29 @@
+// A place in a topic of the platform's store.
+//
+// Load pattern: the store comes back from a copy some seconds old and gives out its offsets again, for other records.
+// Routers learn of it one after the other, and meanwhile tell each other what they know. A bare offset would compare
+// what one of them knew before with what another one knows since, and records in between would never be read.
+#pragma once
+
+#include "galenafold/galenafold.h"
+
+#include <optional>
+
+namespace galenafold
+{
+
+/// Number of times that the store has been restored from a copy. Later ones are higher, by one or more.
+using StoreEra = std::int64_t;
+
+struct TopicPosition {
+    LogOffset offset = 0;
+    std::optional<StoreEra> era{}; // in which the offset was given out; nothing: the store does not tell
+};
+
+/// @return true if the offsets can be compared
+inline bool isSameEra(const TopicPosition &left, const TopicPosition &right)
+{
+    return left.era == right.era;
+}
+
+} // namespace galenafold
--- a/net/topicmessages.h
+++ b/net/topicmessages.h
@@ -13,18 +13,18 @@
 
 struct TopicQuestion {
     StoreTopic topic = StoreTopic::DesiredState;
-    std::optional<StoreEra> era;   // nothing: no response of the store has told it yet
-    std::optional<LogOffset> from; // the asker knows the topic up to here; nothing: it wants all records
+    std::optional<StoreEra> era;   // the newest that the asker knows of; nothing: nobody has told it yet
+    std::optional<LogOffset> from; // the asker knows the topic up to here, in that era; nothing: it wants all records
     Duration wait{};               // the answer may wait so long for news
     bool acceptsGzip = false;      // told by a field of the HTTP request
 };
 
 struct TopicAnswer {
-    bool isKnown = false;     // otherwise the asked router has not read the topic yet
-    bool isListing = false;   // all records, not only changes
-    bool isStoreLost = false; // the asked router gets no answer of the store
-    bool isTooLarge = false;  // the records are left out: its link is too narrow to send them to all in time
-    std::optional<StoreEra> era;
+    bool isKnown = false;        // otherwise the asked router has not read the topic yet
+    bool isListing = false;      // all records, not only changes
+    bool isStoreLost = false;    // the asked router gets no answer of the store
+    bool isTooLarge = false;     // the records are left out: its link is too narrow to send them to all in time
+    std::optional<StoreEra> era; // of all that the answer tells
     LogOffset end = 0;
     Duration provedAfter{}; // from the question's arrival to the last proof that the topic ends there; may be negative
     Duration sinceReturned{}; // since the store came back after it had been lost, `longestReturn` at most
--- a/runtime/routerstore.cpp
+++ b/runtime/routerstore.cpp
@@ -49,8 +49,9 @@
             applyDesiredState(record.value, record.offset);
         }
     };
-    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
-        listEvacuations(records, begin); // before the desired state, which lets a router that starts serve requests
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
+        listEvacuations(records,
+                        begin.offset); // before the desired state, which lets a router that starts serve requests
         for (const KeyedRecord &record : records) {
             ++m_storeRecords;
             if (record.key == desiredStateKey && !record.value.empty()) {
@@ -195,13 +196,13 @@
             logReplica(update);
         }
     };
-    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
         std::vector<RegistryUpdate> listing;
         listing.reserve(records.size());
         for (const KeyedRecord &record : records) {
             listing.push_back(registryUpdate(record));
         }
-        m_hasRegistryChanged = m_directory.applyListing(clockNow(), listing, begin) || m_hasRegistryChanged;
+        m_hasRegistryChanged = m_directory.applyListing(clockNow(), listing, begin.offset) || m_hasRegistryChanged;
     };
     hooks.topic.onCaughtUp = [this](Instant provedAt) {
         m_registryProvedAt = std::max(m_registryProvedAt, provedAt);
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -105,10 +105,10 @@
         m_isRestored = false; // the leader has written again
         applyRecord(record);
     };
-    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
         m_places.clear();
         m_blocks.clear();
-        m_end = begin;
+        m_end = begin.offset;
         for (const KeyedRecord &record : records) {
             applyRecord(record);
         }
--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -52,14 +52,14 @@
         m_cache.add(record);
         m_hooks.topic.onRecord(record);
     };
-    hooks.onListed = [this](const std::vector<KeyedRecord> &records, LogOffset begin) {
+    hooks.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
         m_sources.onListed();
         logListing(records.size(), begin);
         m_cache.setListing(records, begin);
         m_hooks.topic.onListed(records, begin);
     };
     hooks.onCaughtUp = [this](Instant provedAt) {
-        m_cache.setEnd(m_consumer.nextOffset());
+        m_cache.setEnd(m_consumer.position().offset);
         m_stats.provedAt = std::max(m_stats.provedAt, provedAt);
         m_outage.onProof(provedAt);
         m_renewedAt = clockNow();
@@ -70,11 +70,11 @@
 
 /// Tells under which era of the store a listing was taken over and from whom: one that is from before a restore has
 /// another end than what the store itself tells.
-void TopicSubscription::logListing(std::size_t records, LogOffset begin)
+void TopicSubscription::logListing(std::size_t records, const TopicPosition &begin)
 {
     LogLine line("topic_listed");
     line.text("topic", text(m_settings.topic)).text("from", addressText(m_source));
-    line.number("era", m_era.value_or(0)).number("up_to", begin);
+    line.number("era", begin.era.value_or(0)).number("up_to", begin.offset);
     line.number("records", static_cast<std::int64_t>(records));
     m_log.write(line, LogPriority::Notable);
 }
@@ -232,17 +232,20 @@
     m_log.write(line, LogPriority::Notable);
 }
 
-/// A store that has been restored since the last response has given out offsets again: a listing follows.
-void TopicSubscription::noteEra(Instant now, const std::optional<StoreEra> &era)
+/// A store that has been restored since the last response has given out offsets again: a listing follows. Until it is
+/// complete, routers that follow this one are told what was known before, as of the era before.
+/// @return true if what is known is of another era
+bool TopicSubscription::noteEra(Instant now, const std::optional<StoreEra> &era)
 {
-    if (era && m_era && *era != *m_era) {
-        LogLine line("store_restored");
-        line.text("topic", text(m_settings.topic)).number("era", *era).number("before", *m_era);
-        m_log.write(line, LogPriority::Notable);
-        m_consumer.onStoreRestored();
-        m_hooks.onRestored(now);
+    const auto before = m_consumer.era();
+    if (!m_consumer.onEra(era)) {
+        return false;
     }
-    m_era = era ? era : m_era;
+    LogLine line("store_restored");
+    line.text("topic", text(m_settings.topic)).number("era", *era).number("before", before.value_or(0));
+    m_log.write(line, LogPriority::Notable);
+    m_hooks.onRestored(now);
+    return true;
 }
 
 /// @return false if the body is malformed
@@ -263,9 +266,7 @@
 {
     const Instant now = clockNow();
     noteTransfer(now);
-    const auto before = m_era;
-    noteEra(now, decodeStoreEra(response.fields));
-    const bool isRestored = before && before != m_era;
+    const bool isRestored = noteEra(now, decodeStoreEra(response.fields));
     const bool isAnswered = response.status == statusOk || response.status == statusGone;
     if (!isAnswered || (!isRestored && !handleAnswer(now, response))) {
         m_store.disconnect();
@@ -330,9 +331,9 @@
     m_router.setAddress(address);
     TopicQuestion question;
     question.topic = m_settings.topic;
-    question.era = m_era;
+    question.era = m_consumer.era();
     if (!m_consumer.isListing()) {
-        question.from = m_consumer.nextOffset();
+        question.from = m_consumer.position().offset;
     }
     question.wait = m_consumer.followingWait(m_sentAt, m_stats.provedAt);
     const bool isListingLarge = m_consumer.isListingLarge();
@@ -388,18 +389,17 @@
     return !answer.isKnown && !answer.isStoreLost && m_consumer.isListingLarge() && m_sources.onNotYetKnown(now);
 }
 
+/// An answer of another era replaces all that is known, or changes nothing: changes alone are not comparable with it.
 /// @return true if it tells more than was known, and its proof is young enough
 bool TopicSubscription::applyAnswer(Instant now, const TopicAnswer &answer)
 {
     constexpr Duration longestAge = std::chrono::hours(1); // keeps sums with what another process tells in range
-    const bool isBeforeRestore = answer.era && m_era && *answer.era < *m_era;
-    if (isBeforeRestore) {
+    const bool isBeforeRestore = answer.era < m_consumer.era();
+    const bool wantsAll = m_consumer.isListing() || answer.era != m_consumer.era();
+    if (isBeforeRestore || (wantsAll && !answer.isListing)) {
         return false;
     }
     noteEra(now, answer.era);
-    if (!answer.isListing && m_consumer.isListing()) {
-        return false; // it tells changes only, and all records are wanted
-    }
     const Instant provedBefore = m_stats.provedAt;
     const Instant provedAt = std::min<Instant>(now, m_sentAt + std::clamp(answer.provedAfter, -longestAge, longestAge));
     const bool tellsOfReturn = answer.sinceReturned < longestReturn;
@@ -459,15 +459,28 @@
     if (m_outage.isLost()) {
         return true; // the asker goes on to the next router
     }
-    if (!m_cache.isFilled()) {
+    if (!isKnownTo(question)) {
         return false;
     }
-    const bool isOtherEra = question.era && m_era && *question.era != *m_era;
-    if (isOtherEra || !question.from) {
+    const auto from = changesFrom(question);
+    if (!from) {
         return true;
     }
-    const bool hasCaughtUp = m_cache.end() >= *question.from;
-    return hasCaughtUp && (m_renewedAt > waitsSince || m_cache.hasChangesSince(*question.from));
+    const bool hasCaughtUp = m_cache.end().offset >= from->offset;
+    return hasCaughtUp && (m_renewedAt > waitsSince || m_cache.hasChangesSince(*from));
+}
+
+/// @return false if there is nothing to tell yet, or the asker knows of a restore whose listing is still in progress
+bool TopicSubscription::isKnownTo(const TopicQuestion &question) const
+{
+    return m_cache.isFilled() && question.era <= m_cache.end().era;
+}
+
+/// @return from where on changes are told; nothing: all records are
+std::optional<TopicPosition> TopicSubscription::changesFrom(const TopicQuestion &question) const
+{
+    const bool isSame = question.from && question.era == m_cache.end().era;
+    return isSame ? std::optional(TopicPosition{*question.from, question.era}) : std::nullopt;
 }
 
 static std::size_t sizeOf(const std::vector<KeyedRecord> &records)
@@ -482,17 +495,16 @@
 TopicAnswer TopicSubscription::answer(const TopicQuestion &question, Instant arrivedAt) const
 {
     TopicAnswer answer;
-    answer.isKnown = m_cache.isFilled();
+    answer.isKnown = isKnownTo(question);
     answer.isStoreLost = m_outage.isLost();
-    answer.era = m_era;
-    answer.end = m_cache.end();
+    answer.era = m_cache.end().era;
+    answer.end = m_cache.end().offset;
     answer.provedAfter = m_stats.provedAt - arrivedAt;
     answer.sinceReturned = std::min<Duration>(clockNow() - m_outage.returnedAt(), longestReturn);
-    if (!answer.isKnown || (question.era && m_era && *question.era > *m_era)) {
-        return answer; // nothing to tell, or the asker knows more
+    if (!answer.isKnown) {
+        return answer;
     }
-    const bool isSameEra = !question.era || !m_era || *question.era == *m_era;
-    const std::optional<LogOffset> from = isSameEra ? question.from : std::nullopt;
+    const auto from = changesFrom(question);
     if (question.acceptsGzip && isPackedUsable(from)) {
         addPacked(answer, arrivedAt);
         return answer;
@@ -513,20 +525,19 @@
     return answer;
 }
 
-bool TopicSubscription::isPackedUsable(std::optional<LogOffset> from) const
+/// @return true if the packed records are of the same era, and begin where the question asks for
+bool TopicSubscription::isPackedUsable(const std::optional<TopicPosition> &from) const
 {
-    return clockNow() < m_packed.usableUntil && m_packed.from == from && m_packed.era == m_era;
+    const bool isSameBegin =
+        from.has_value() == m_packed.from.has_value() && (!from || from->offset == m_packed.from->offset);
+    return clockNow() < m_packed.usableUntil && isSameBegin && isSameEra(m_packed.end, m_cache.end());
 }
 
-void TopicSubscription::pack(std::optional<LogOffset> from, const TopicAnswer &answer) const
+void TopicSubscription::pack(const std::optional<TopicPosition> &from, const TopicAnswer &answer) const
 {
-    m_packed = {answer.isListing,
-                from,
-                m_era,
-                answer.end,
-                m_stats.provedAt,
-                clockNow() + packedTime,
-                packTopicRecords(answer.records)};
+    m_packed = {answer.isListing,        from,
+                m_cache.end(),           m_stats.provedAt,
+                clockNow() + packedTime, packTopicRecords(answer.records)};
     ++m_stats.packings;
 }
 
@@ -534,7 +545,7 @@
 void TopicSubscription::addPacked(TopicAnswer &answer, Instant arrivedAt) const
 {
     answer.isListing = m_packed.isListing;
-    answer.end = m_packed.end;
+    answer.end = m_packed.end.offset;
     answer.provedAfter = m_packed.provedAt - arrivedAt;
     answer.records.clear();
     answer.isTooLarge = m_packed.records.size() > m_maxAnswerBytes * (answer.isListing ? listingSeconds : 1);
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -73,7 +73,7 @@
     const TopicSubscriptionStats &stats() const { return m_stats; }
 
     /// @return how often the store had been restored when it was last read; nothing if it does not tell
-    const std::optional<StoreEra> &era() const { return m_era; }
+    const std::optional<StoreEra> &era() const { return m_consumer.era(); }
 
     // For routers that follow this one
     void onAsked(Instant now) override;
@@ -86,16 +86,15 @@
     /// Records that many followers ask for at the same time.
     struct Packed {
         bool isListing = false;
-        std::optional<LogOffset> from; // as the question told
-        std::optional<StoreEra> era;
-        LogOffset end = 0;
+        std::optional<TopicPosition> from; // as the question told
+        TopicPosition end;
         Instant provedAt{}; // the topic ended there then
         Instant usableUntil{};
         std::string records;
     };
 
     TopicHooks cachingHooks();
-    void logListing(std::size_t records, LogOffset begin);
+    void logListing(std::size_t records, const TopicPosition &begin);
     void scheduleNext();
     void chooseSource(Instant now);
     void send();
@@ -107,12 +106,14 @@
     void onRouterResponse(const ClientResponse &response);
     void onUselessRouter(const char *reason);
     bool isToBeAskedAgain(Instant now, const TopicAnswer &answer);
-    bool isPackedUsable(std::optional<LogOffset> from) const;
-    void pack(std::optional<LogOffset> from, const TopicAnswer &answer) const;
+    bool isKnownTo(const TopicQuestion &question) const;
+    std::optional<TopicPosition> changesFrom(const TopicQuestion &question) const;
+    bool isPackedUsable(const std::optional<TopicPosition> &from) const;
+    void pack(const std::optional<TopicPosition> &from, const TopicAnswer &answer) const;
     void addPacked(TopicAnswer &answer, Instant arrivedAt) const;
     bool applyAnswer(Instant now, const TopicAnswer &answer);
     void noteTransfer(Instant now);
-    void noteEra(Instant now, const std::optional<StoreEra> &era);
+    bool noteEra(Instant now, const std::optional<StoreEra> &era);
     bool handleAnswer(Instant now, const ClientResponse &response);
     bool decodeBody(Instant now, const std::string &body);
     void lose(Instant now);
@@ -133,7 +134,6 @@
     Instant m_sentAt{};                   // of the last call
     Instant m_renewedAt{};                // when the last proof came
     Instant m_sharedUntil{};              // a router has asked this one shortly before
-    std::optional<StoreEra> m_era;        // of the last response
     std::size_t m_maxAnswerBytes = 0;     // of records that are told to another router
     std::string m_sourceReason = "start"; // why the source was changed last, for logs
     bool m_hasStarted = false;            // `start` was called
