Order what a replica says of itself by its start and heartbeats alone

Cause: the store carried out a heartbeat seconds after it was sent, when the entry had been removed. The directory compared starts and heartbeats only for replicas that had left at a restore; after any other removal the late entry counted as a registration. Change: an older word of a replica changes nothing, wherever it stands; after a removal only a newer one brings it back; a late report of draining still counts.

--- a/control/replicadirectory.cpp
+++ b/control/replicadirectory.cpp
@@ -11,6 +11,10 @@
 
 constexpr auto warmUpTolerance = std::chrono::milliseconds(200); // between what two heartbeats tell of its end
 
+/// A late write comes seconds after it was sent, and a copy of the store is some seconds old: an hour is far beyond
+/// both, and few replicas leave within one.
+constexpr auto departedMemory = std::chrono::hours(1);
+
 std::uint32_t incarnationHash(const ReplicaRecord &record)
 {
     return static_cast<std::uint32_t>(
@@ -57,15 +61,24 @@
         return false;
     }
     const bool wasUsable = isUsable(entry.record);
+    forgetReplica(now, entry);
+    return wasUsable;
+}
+
+/// The entry stays for a while, to tell what the replica wrote before it left.
+void ReplicaDirectory::forgetReplica(Instant now, Entry &entry)
+{
     entry.record.reset();
     entry.removeAt.reset();
-    return wasUsable;
+    entry.forgetAt = now + departedMemory;
 }
 
-bool ReplicaDirectory::isFromBefore(const Entry &entry, const ReplicaRecord &record)
+/// @return false if the replica has said something newer since, or has left after it said this
+bool ReplicaDirectory::isNews(const Entry &entry, const ReplicaRecord &record)
 {
-    const auto written = std::make_pair(record.started, record.heartbeatCount);
-    return entry.hasLeft && written <= std::make_pair(entry.lastStarted, entry.lastHeartbeat);
+    const Writing writing{record.started, record.heartbeatCount};
+    const bool isDrainReport = entry.record && record.isDraining && record.started == entry.record->started;
+    return !entry.last || *entry.last < writing || (entry.record && *entry.last == writing) || isDrainReport;
 }
 
 bool ReplicaDirectory::apply(Instant now, const RegistryUpdate &update)
@@ -78,20 +91,16 @@
     if (!update.record) {
         return remove(now, entry);
     }
-    if (isFromBefore(entry, *update.record)) {
+    if (!isNews(entry, *update.record)) {
         return false;
     }
     const auto before = entry.record;
     if (before && before->started == update.record->started && before->isDraining && !update.record->isDraining) {
         return false; // a draining replica stays so until its process restarts
     }
-    if (before && update.record->started < before->started) {
-        return false; // written before the replica restarted
-    }
+    const Writing writing{update.record->started, update.record->heartbeatCount};
+    entry.last = std::max(entry.last.value_or(writing), writing);
     entry.record = update.record;
-    entry.lastStarted = update.record->started;
-    entry.lastHeartbeat = update.record->heartbeatCount;
-    entry.hasLeft = false;
     entry.removeAt.reset();
     return !isSameForRouting(now, before, entry.record);
 }
@@ -137,20 +146,19 @@
 void ReplicaDirectory::onStoreRestored(Instant now)
 {
     m_reregistrationEnd = std::max<Instant>(m_reregistrationEnd, now + m_reregistrationTimeout);
-    for (auto &[id, entry] : m_entries) {
-        entry.hasLeft = !entry.record;
-    }
 }
 
 bool ReplicaDirectory::expire(Instant provedAt)
 {
     bool hasChanged = false;
-    for (auto &[id, entry] : m_entries) {
+    for (auto known = m_entries.begin(); known != m_entries.end();) {
+        Entry &entry = known->second;
         if (entry.removeAt && provedAt >= *entry.removeAt) {
             hasChanged = isUsable(entry.record) || hasChanged;
-            entry.record.reset();
-            entry.removeAt.reset();
+            forgetReplica(provedAt, entry);
         }
+        const bool isOver = !entry.record && provedAt >= entry.forgetAt;
+        known = isOver ? m_entries.erase(known) : std::next(known);
     }
     return hasChanged;
 }
--- a/control/replicadirectory.h
+++ b/control/replicadirectory.h
@@ -2,9 +2,12 @@
 //
 // Load pattern: replicas start, drain, fail and return under the same name all day, while the store becomes unavailable
 // and comes back, its history is truncated, and reads arrive late. A record is applied only if its position is past
-// that of the last record of the same replica, so a late page never restores a replica that was removed. When the
-// store itself is restored from a copy, offsets go back, replicas that have left are listed again, and others are
-// missing until they write again.
+// that of the last record of the same replica, so a late page never restores a replica that was removed.
+//
+// Load pattern: the store carries out a write seconds after its replica gave it up, or is restored from a copy that
+// still names replicas which have left. What a replica says of itself is ordered by the start of its process and its
+// heartbeat counter, wherever it stands in the topic and whatever the entry went through: an older word changes
+// nothing, and one that is not newer than the last does not bring back a replica that has left.
 //
 // Sections of this file: Records, Directory.
 #pragma once
@@ -69,7 +72,7 @@
     /// again; one that has left returns only by a record that it wrote later.
     void onStoreRestored(Instant now);
 
-    /// Removes replicas that did not register again within the grace period.
+    /// Removes replicas that did not register again within the grace period, and forgets those that left long ago.
     /// @param provedAt all entries that were written until then are known @return true if the set changed
     bool expire(Instant provedAt);
 
@@ -82,22 +85,22 @@
     /// @return from when on a read lets `expire` remove a replica; nothing if no replica is in its grace period
     std::optional<Instant> nextExpiry() const;
 
-    std::size_t size() const { return m_entries.size(); } ///< @return known replicas, including removed ones
+    std::size_t size() const { return m_entries.size(); } ///< @return known replicas, with those that left lately
 
 private:
+    using Writing = std::pair<UnixMillis, std::int64_t>; // start of the process and heartbeat counter: their order
+
     struct Entry {
         std::optional<ReplicaRecord> record;
         TopicPosition position{-1};      // of its last record
-        UnixMillis lastStarted{};        // of the last record with a replica
-        std::int64_t lastHeartbeat = 0;  // likewise
-        bool hasLeft = false;            // before the store was restored
+        std::optional<Writing> last;     // newest word of the replica
         std::optional<Instant> removeAt; // end of the grace period, if the entry has expired
+        Instant forgetAt{};              // while there is no replica
     };
 
+    static bool isNews(const Entry &entry, const ReplicaRecord &record);
     bool remove(Instant now, Entry &entry) const;
-
-    /// @return true if a replica that has left wrote the record before that
-    static bool isFromBefore(const Entry &entry, const ReplicaRecord &record);
+    static void forgetReplica(Instant now, Entry &entry);
 
     Duration m_reregistrationTimeout;
     std::map<EndpointId, Entry> m_entries;
--- a/fakes/topicstore.cpp
+++ b/fakes/topicstore.cpp
@@ -179,8 +179,8 @@
         m_changed.wait(lock, [this] { return m_isStopping || m_fault != StoreFault::Delayed; });
         return false;
     }
-    if (fault == StoreFault::NoResponse) {
-        m_changed.wait(lock, [this] { return m_isStopping || m_fault != StoreFault::NoResponse; });
+    if (fault == StoreFault::NoResponse || fault == StoreFault::LateWrites) {
+        m_changed.wait(lock, [this, fault] { return m_isStopping || m_fault != fault; });
     }
     // A content provider that fails makes the server close the connection during the response.
     response.set_content_provider(1, "text/plain", [](std::size_t, std::size_t, httplib::DataSink &) { return false; });
@@ -245,19 +245,28 @@
     return number;
 }
 
-/// Body format, all integers big-endian: for each record its size (4 bytes), key size (1), key and value.
-void FakeTopicStore::append(const httplib::Request &request, httplib::Response &response)
+int FakeTopicStore::lateWrites() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<int>(m_lateWrites.size());
+}
+
+int FakeTopicStore::carryOutLateWrites()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto done = std::count_if(m_lateWrites.begin(), m_lateWrites.end(),
+                                    [this](const httplib::Request &request) { return appendRecords(request); });
+    m_lateWrites.clear();
+    return static_cast<int>(done);
+}
+
+/// Body format, all integers big-endian: for each record its size (4 bytes), key size (1), key and value. The mutex is
+/// held. @return false if the condition does not hold
+bool FakeTopicStore::appendRecords(const httplib::Request &request)
 {
-    if (applyFault(response)) {
-        return;
-    }
-    std::unique_lock<std::mutex> lock(m_mutex);
     std::vector<Record> &records = m_topics[request.get_param_value("topic")].records;
-    const std::size_t offset = records.size();
-    if (request.has_param("at") && request.get_param_value("at") != std::to_string(offset)) {
-        response.status = statusPreconditionFailed;
-        response.set_content(Json{{"end", offset}}.dump(), "application/json");
-        return;
+    if (request.has_param("at") && request.get_param_value("at") != std::to_string(records.size())) {
+        return false;
     }
     std::string_view body = request.body;
     while (!body.empty()) {
@@ -268,6 +277,28 @@
         records.push_back({std::string(record.substr(0, keySize)), std::string(record.substr(keySize))});
     }
     m_changed.notify_all();
+    return true;
+}
+
+void FakeTopicStore::append(const httplib::Request &request, httplib::Response &response)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_fault == StoreFault::LateWrites) {
+            m_lateWrites.push_back(request);
+        }
+    }
+    if (applyFault(response)) {
+        return;
+    }
+    std::unique_lock<std::mutex> lock(m_mutex);
+    const std::vector<Record> &records = m_topics[request.get_param_value("topic")].records;
+    const std::size_t offset = records.size();
+    if (!appendRecords(request)) {
+        response.status = statusPreconditionFailed;
+        response.set_content(Json{{"end", offset}}.dump(), "application/json");
+        return;
+    }
     response.set_content(Json{{"offset", offset}, {"end", records.size()}}.dump(), "application/json");
     response.set_header("Store-Era", std::to_string(m_era)); // of the append, also if it is answered later
     if (m_holdsAppendAnswers) {
--- a/fakes/topicstore.h
+++ b/fakes/topicstore.h
@@ -20,6 +20,7 @@
     CloseConnection, // closes the connection without a complete response
     NoResponse,      // does not respond; closes the connections of these requests when the fault ends
     Delayed,         // delays the processing of requests until the fault ends
+    LateWrites,      // like NoResponse, but appends are kept for `carryOutLateWrites`
 };
 
 /// One route of a sample desired state. Its host is app.example, its path prefix its name, its service "svc".
@@ -55,6 +56,10 @@
     void holdAppendAnswers(bool isOn);
     int heldAnswers() const { return m_heldAnswers; } ///< @return appends that took effect and were held so far
 
+    /// Carries out the appends that were kept, if their condition holds now. @return how many of them it did
+    int carryOutLateWrites();
+    int lateWrites() const; ///< @return appends that are kept
+
     void setPageSize(std::size_t records) { m_pageSize = records; } ///< Of listings; default 500.
 
     /// Excludes the present records from reads. Listings still contain them.
@@ -90,6 +95,7 @@
     void read(const httplib::Request &request, httplib::Response &response);
     void list(const httplib::Request &request, httplib::Response &response);
     void append(const httplib::Request &request, httplib::Response &response);
+    bool appendRecords(const httplib::Request &request);
     void sendBody(httplib::Response &response, std::string body, const char *contentType);
     bool waitForTurn(std::size_t bytes);
 
@@ -106,6 +112,7 @@
     std::atomic<std::int64_t> m_requestCount{0};
     std::atomic<int> m_heldAnswers{0};
     bool m_holdsAppendAnswers = false;
+    std::vector<httplib::Request> m_lateWrites; // unanswered appends
     bool m_isStopping = false;
     HttpServer m_server;
 };
--- a/tests/datapath.cpp
+++ b/tests/datapath.cpp
@@ -166,6 +166,13 @@
     return update;
 }
 
+static RegistryUpdate heartbeat(const std::string &id, LogOffset offset, std::int64_t started, std::int64_t heartbeats)
+{
+    RegistryUpdate update = ready(id, offset, started);
+    update.record->heartbeatCount = heartbeats;
+    return update;
+}
+
 static RegistryUpdate removed(const std::string &id, LogOffset offset)
 {
     return {{id}, {offset}, std::nullopt};
@@ -246,6 +253,76 @@
     LONGS_EQUAL(1, directory.usable().size());
 }
 
+/// A heartbeat that the store carried out late brought a replica back that had left, and it got requests until it
+/// exited.
+TEST(RegistryDirectory, ALateHeartbeatDoesNotBringBackAReplicaThatHasLeft)
+{
+    directory.apply(at(0), heartbeat("a", 0, 1, 4));
+    directory.apply(at(1), heartbeat("a", 1, 1, 6));
+    directory.apply(at(2), removed("a", 2));
+    CHECK(!directory.apply(at(3), heartbeat("a", 3, 1, 5)));
+    CHECK(!directory.apply(at(3), heartbeat("a", 4, 1, 6)));
+    LONGS_EQUAL(0, directory.usable().size());
+    directory.applyListing(at(4), {heartbeat("a", 4, 1, 6)}, {9}); // as a listing names it from then on
+    LONGS_EQUAL(0, directory.usable().size());
+}
+
+/// What a replica says of itself is ordered by its start, then by its heartbeats, whatever its entry went through.
+TEST(RegistryDirectory, ARecordOfAnEarlierStartChangesNothing)
+{
+    directory.apply(at(0), heartbeat("a", 0, 1, 90));
+    directory.apply(at(1), heartbeat("a", 1, 2, 1)); // restarted under the same name
+    CHECK(!directory.apply(at(2), heartbeat("a", 2, 1, 91)));
+    CHECK(!directory.apply(at(2), draining("a", 3)));
+    LONGS_EQUAL(1, directory.usable().size());
+    directory.apply(at(3), removed("a", 4));
+    CHECK(!directory.apply(at(4), heartbeat("a", 5, 1, 92)));
+    LONGS_EQUAL(0, directory.usable().size());
+    CHECK(directory.apply(at(5), heartbeat("a", 6, 3, 1)));
+    LONGS_EQUAL(1, directory.usable().size());
+}
+
+/// A replica that drains does so until its process ends, also if the store carries the report out late.
+TEST(RegistryDirectory, ALateReportOfDrainingCounts)
+{
+    directory.apply(at(0), heartbeat("a", 0, 1, 6));
+    RegistryUpdate late = heartbeat("a", 1, 1, 5);
+    late.record->isDraining = true;
+    CHECK(directory.apply(at(1), late));
+    LONGS_EQUAL(1, directory.draining().size());
+    CHECK(!directory.apply(at(2), heartbeat("a", 2, 1, 7)));
+    LONGS_EQUAL(0, directory.usable().size());
+}
+
+TEST(RegistryDirectory, AReplicaThatLapsedReturnsWithItsNextHeartbeat)
+{
+    directory.apply(at(0), heartbeat("a", 0, 1, 6));
+    directory.onStoreLost();
+    directory.onStoreRegained(at(10));
+    directory.apply(at(10), removed("a", 1));
+    CHECK(directory.expire(at(12)));
+    LONGS_EQUAL(0, directory.usable().size());
+    CHECK(directory.apply(at(13), heartbeat("a", 2, 1, 7))); // it was only slow to write again
+    LONGS_EQUAL(1, directory.usable().size());
+}
+
+/// Each replica that was ever replaced was remembered for as long as the router ran.
+TEST(RegistryDirectory, ReplicasThatHaveLeftAreForgottenInTheEnd)
+{
+    constexpr int replaced = 3500;
+    constexpr int perHour = 150; // about that many a day
+    for (int i = 0; i < replaced; ++i) {
+        const double now = 3600.0 * i / perHour;
+        const std::string id = "a" + std::to_string(i);
+        directory.apply(at(now), heartbeat(id, 2 * i, 1, 6));
+        directory.apply(at(now), removed(id, 2 * i + 1));
+        directory.expire(at(now));
+        CHECK(!directory.apply(at(now + 6), heartbeat(id, 2 * i + 2, 1, 5))); // as late as the store carries it out
+    }
+    CHECK(directory.size() > 1);
+    CHECK_TEXT(directory.size() <= 2 * perHour, std::to_string(directory.size()).c_str());
+}
+
 // Topic consumption
 
 /// A topic consumer whose callbacks record the topic's state and the time as of which it is caught up.
