Test writes of routers that are carried out late, or after a restore

LateSaves: a late save does not replace what was written since; nothing is saved between a restore and its listing; an answer of the restored store to an older save is read anew.

--- a/tests/latewrites.cpp
+++ b/tests/latewrites.cpp
@@ -1,4 +1,6 @@
-// Tests of writes that the store does not answer and carries out seconds later.
+// Tests of writes that the store does not answer and carries out seconds later: by replicas, and by the routers
+// themselves.
+#include "runtime/sharedstate.h"
 #include "tests/nodefixture.h"
 
 using namespace galenafold;
@@ -60,3 +62,95 @@
     fixture.store.put("keyed.servers", "b", b.entry());
     CHECK(waitFor([this] { return fixture.metric("replicas_usable") == 2; }));
 }
+
+// Routers
+
+TEST_GROUP(LateSaves)
+{
+    void setup() override
+    {
+        const auto record = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
+                                   LogOffset) { known = places.size(); };
+        state.onRead = record;
+        state.onRestored = record;
+    }
+    /// Saves until that has been read, as the leader of the routers does.
+    bool saveUntilKnown(const PlaceRecord &place, std::size_t count)
+    {
+        return runUntil([&] {
+            state.savePlaces({place});
+            return known == count;
+        });
+    }
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const Instant deadline = clockNow() + eventTimeout;
+        while (!condition() && clockNow() < deadline) {
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+        return condition();
+    }
+    static EventLogSettings withoutOutput()
+    {
+        EventLogSettings settings;
+        settings.fd = -1;
+        return settings;
+    }
+    /// Sends a save whose answer is lost, which the store may carry out later.
+    void loseSave()
+    {
+        fixture.store.setFault(StoreFault::LateWrites);
+        state.savePlaces({{{"llm"}, 7, {"e7"}}});
+        CHECK(runUntil([this] { return fixture.store.lateWrites() == 1; }));
+        fixture.store.setFault(StoreFault::None);
+        CHECK(runUntil([this] { return state.stats().failures > 0; }));
+    }
+
+    NodeFixture fixture;
+    asio::io_context io;
+    EventLog log{withoutOutput()};
+    SharedState state{io, fixture.store.address(), 0, log, 1};
+    std::size_t known = 99; // places, as told last
+};
+
+/// A late write of a router is conditional on what it had read: nothing written since is replaced by it.
+TEST(LateSaves, ALateSaveDoesNotReplaceWhatWasWrittenSince)
+{
+    state.start();
+    CHECK(runUntil([this] { return known == 0; }));
+    loseSave();
+    CHECK(saveUntilKnown({{"llm"}, 7, {"e8"}}, 1));
+    LONGS_EQUAL(0, fixture.store.carryOutLateWrites());
+}
+
+/// Between a restore and the listing that follows it, the end from before would be a condition on another topic.
+TEST(LateSaves, NothingIsSavedBetweenARestoreAndItsListing)
+{
+    state.start();
+    CHECK(runUntil([this] { return known == 0; }));
+    fixture.store.backUp();
+    state.savePlaces({{{"llm"}, 7, {"e7"}}});
+    CHECK(runUntil([this] { return known == 1; }));
+    fixture.store.restore({{"keyed.places", "other", "x"}}); // ends where the router would go on
+    state.readNow();
+    CHECK(runUntil([this] { return state.topic().era() == std::optional<StoreEra>(2); }));
+    const std::int64_t before = state.stats().calls;
+    state.savePlaces({{{"llm"}, 8, {"e8"}}});
+    LONGS_EQUAL(before, state.stats().calls);
+    CHECK(runUntil([this] { return known == 0; })); // as the copy tells
+    CHECK(saveUntilKnown({{"llm"}, 8, {"e8"}}, 1));
+}
+
+/// A save that reaches the restored store at an end that happens to be the same says nothing of what is there.
+TEST(LateSaves, AnAnswerOfTheRestoredStoreToAnOlderSaveIsReadAnew)
+{
+    state.start();
+    CHECK(runUntil([this] { return known == 0; }));
+    fixture.store.backUp();
+    state.savePlaces({{{"llm"}, 7, {"e7"}}});
+    CHECK(runUntil([this] { return known == 1; }));
+    fixture.store.restore({{"keyed.places", "other", "x"}});
+    state.savePlaces({{{"llm"}, 8, {"e8"}}}); // this router has not read since
+    CHECK(runUntil([this] { return state.topic().era() == std::optional<StoreEra>(2); }));
+    CHECK(saveUntilKnown({{"llm"}, 9, {"e9"}}, 2)); // 8 and 9; 7 is lost
+}
