Take what a router knows of a topic, and what it tells, out of the subscription

Cause: runtime/topicsubscription did several jobs: calls and their sources, what follows from the answers, and what other routers are told. The fault of records that were told under another era lay between the last two, and no test could reach it without sockets and a real clock. Change: `TopicKnowledge` applies answers of the store and of other routers, each as of one era; `ToldTopic` keeps records, end and proof for followers. Neither does I/O, both take the time from outside. No behaviour changes.

--- a/runtime/topicsubscription.cpp
+++ b/runtime/topicsubscription.cpp
@@ -16,10 +16,7 @@
 constexpr auto answerTimeout = std::chrono::milliseconds(300); // beyond the wait for news
 constexpr auto listingWait = std::chrono::seconds(1);          // for a router that is itself reading a large listing
 constexpr auto listingAnswerTimeout = std::chrono::milliseconds(1500); // beyond that: all followers are sent it at once
-constexpr std::size_t listingSeconds = 3; // that listings to all may take: the store would not be quicker
 constexpr auto askAgainPause = std::chrono::milliseconds(200);
-constexpr std::size_t packedBytes = 16 << 10;               // of records that are packed; fewer are not worth it
-constexpr auto packedTime = std::chrono::milliseconds(250); // in which packed records are used, as their proof ages
 
 static std::string addressText(const TopicSource &source)
 {
@@ -33,10 +30,8 @@
     , m_log(log)
     , m_store(io, settings.store)
     , m_router(io, "")
-    , m_cache(settings.cache)
-    , m_consumer(settings.reading, cachingHooks(), settings.seed)
+    , m_knowledge(settings.reading, settings.cache, knowledgeHooks(), settings.seed)
     , m_sources(text(settings.topic), settings.seed)
-    , m_outage(settings.reading)
     , m_timer(io)
 {
     if (settings.topic == StoreTopic::Registry) { // it is mostly heartbeats
@@ -44,26 +39,23 @@
     }
 }
 
-/// @return the hooks of the topic, which also keep the records for routers that follow this one
-TopicHooks TopicSubscription::cachingHooks()
+TopicKnowledgeHooks TopicSubscription::knowledgeHooks()
 {
-    TopicHooks hooks;
-    hooks.onRecord = [this](const KeyedRecord &record) {
-        m_cache.add(record);
-        m_hooks.topic.onRecord(record);
-    };
-    hooks.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
+    TopicKnowledgeHooks hooks;
+    hooks.topic = m_hooks.topic;
+    hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
         m_sources.onListed();
         logListing(records.size(), begin);
-        m_cache.setListing(records, begin);
         m_hooks.topic.onListed(records, begin);
     };
-    hooks.onCaughtUp = [this](Instant provedAt) {
-        m_cache.setEnd(m_consumer.position().offset);
-        m_stats.provedAt = std::max(m_stats.provedAt, provedAt);
-        m_outage.onProof(provedAt);
-        m_renewedAt = clockNow();
-        m_hooks.topic.onCaughtUp(provedAt);
+    hooks.onLost = m_hooks.onLost;
+    hooks.onRegained = m_hooks.onRegained;
+    hooks.onRestored = [this](Instant now, const std::optional<StoreEra> &before) {
+        LogLine line("store_restored");
+        line.text("topic", text(m_settings.topic));
+        line.number("era", era().value_or(0)).number("before", before.value_or(0));
+        m_log.write(line, LogPriority::Notable);
+        m_hooks.onRestored(now);
     };
     return hooks;
 }
@@ -79,6 +71,14 @@
     m_log.write(line, LogPriority::Notable);
 }
 
+TopicSubscriptionStats TopicSubscription::stats() const
+{
+    TopicSubscriptionStats stats = m_stats;
+    stats.packings = m_knowledge.told().packings();
+    stats.provedAt = m_knowledge.provedAt();
+    return stats;
+}
+
 // Calls
 
 void TopicSubscription::start()
@@ -94,7 +94,7 @@
         return;
     }
     if (isAnswered) {
-        m_consumer.onStoreAnswersOthers();
+        m_knowledge.consumer().onStoreAnswersOthers();
     } else {
         m_sources.onStoreFailed(clockNow() + m_settings.reading.responseTimeout);
     }
@@ -124,10 +124,10 @@
     }
     constexpr std::size_t megabitBytes = 125000;
     const std::size_t bytesPerSecond = megabitBytes << static_cast<unsigned>(self.linkClass);
-    m_maxAnswerBytes = bytesPerSecond / (others.size() + 1); // all of them may ask at once, and are told in a second
+    m_knowledge.told().setMaxAnswerBytes(bytesPerSecond / (others.size() + 1)); // all may ask at once: a second's worth
     m_sources.setRouters(self, others);
     const bool isCalling = m_store.isCalling() || m_router.isCalling();
-    if (m_consumer.isListingLarge() && !isCalling) { // it waits to know whom to ask
+    if (m_knowledge.consumer().isListingLarge() && !isCalling) { // it waits to know whom to ask
         m_timer.cancel();
         scheduleNext();
     }
@@ -135,7 +135,7 @@
 
 void TopicSubscription::chooseSource(Instant now)
 {
-    const bool isLeft = m_consumer.isListingLarge() && m_settings.peerPort > 0;
+    const bool isLeft = m_knowledge.consumer().isListingLarge() && m_settings.peerPort > 0;
     if (isLeft && m_sources.onLargeListing(now)) {
         LogLine line("large_listing");
         const TopicSource next = m_sources.next(now);
@@ -148,21 +148,21 @@
         LogLine line("topic_source");
         line.text("topic", text(m_settings.topic)).text("from", addressText(source));
         line.text("before", addressText(m_source)).text("why", m_sourceReason);
-        line.millis("proof_age_ms", now - m_stats.provedAt);
+        line.millis("proof_age_ms", now - m_knowledge.provedAt());
         m_log.write(line, LogPriority::Notable);
     }
     m_source = source;
     m_sourceReason = "preferred";
     m_stats.followsRouter = !source.isStore();
-    m_consumer.setShared(now, now < m_sharedUntil, false);
-    m_request = m_consumer.next(now);
+    m_knowledge.consumer().setShared(now, now < m_sharedUntil, false);
+    m_request = m_knowledge.consumer().next(now);
 }
 
 void TopicSubscription::scheduleNext()
 {
     const Instant now = clockNow();
     chooseSource(now);
-    const Instant paced = m_source.isStore() ? m_request.notBefore : m_consumer.nextFollowing(now);
+    const Instant paced = m_source.isStore() ? m_request.notBefore : m_knowledge.consumer().nextFollowing(now);
     const Instant notBefore = m_mustAskStore ? now : std::max({paced, m_source.notBefore, m_askAgainAt});
     if (notBefore <= now) {
         send();
@@ -204,15 +204,15 @@
     if (m_request.kind != TopicRequestKind::Read) {
         auto page = decodeListingPage(body);
         if (page && m_request.kind == TopicRequestKind::End) {
-            m_consumer.onEnd(m_sentAt, now, page->end);
+            m_knowledge.consumer().onEnd(m_sentAt, now, page->end);
         } else if (page) {
-            m_consumer.onPage(m_sentAt, now, std::move(*page));
+            m_knowledge.consumer().onPage(m_sentAt, now, std::move(*page));
         }
         return page.has_value();
     }
     auto read = decodeRead(body, m_request.from);
     if (read) {
-        m_consumer.onRead(m_sentAt, now, std::move(*read));
+        m_knowledge.consumer().onRead(m_sentAt, now, std::move(*read));
     }
     return read.has_value();
 }
@@ -232,22 +232,6 @@
     m_log.write(line, LogPriority::Notable);
 }
 
-/// A store that has been restored since the last response has given out offsets again: a listing follows. Until it is
-/// complete, routers that follow this one are told what was known before, as of the era before.
-/// @return true if what is known is of another era
-bool TopicSubscription::noteEra(Instant now, const std::optional<StoreEra> &era)
-{
-    const auto before = m_consumer.era();
-    if (!m_consumer.onEra(era)) {
-        return false;
-    }
-    LogLine line("store_restored");
-    line.text("topic", text(m_settings.topic)).number("era", *era).number("before", before.value_or(0));
-    m_log.write(line, LogPriority::Notable);
-    m_hooks.onRestored(now);
-    return true;
-}
-
 /// @return false if the body is malformed
 bool TopicSubscription::handleAnswer(Instant now, const ClientResponse &response)
 {
@@ -257,7 +241,7 @@
     LogLine line("history_cut");
     line.text("topic", text(m_settings.topic)).number("from", m_request.from);
     m_log.write(line, LogPriority::Notable);
-    m_consumer.onOffsetOutOfRange();
+    m_knowledge.consumer().onOffsetOutOfRange();
     return true;
 }
 
@@ -266,7 +250,7 @@
 {
     const Instant now = clockNow();
     noteTransfer(now);
-    const bool isRestored = noteEra(now, decodeStoreEra(response.fields));
+    const bool isRestored = m_knowledge.onStoreEra(now, decodeStoreEra(response.fields));
     const bool isAnswered = response.status == statusOk || response.status == statusGone;
     if (!isAnswered || (!isRestored && !handleAnswer(now, response))) {
         m_store.disconnect();
@@ -274,9 +258,9 @@
         return;
     }
     m_sources.onUseful(m_source);
-    if (m_outage.isLost()) {
+    if (m_knowledge.outage().isLost()) {
         m_sources.onStoreRegained();
-        regain(now);
+        m_knowledge.onStoreRegained(now);
     }
     m_stats.calls = m_store.calls();
     onProgress();
@@ -292,51 +276,33 @@
     ++m_stats.failures;
     m_stats.bytes += abandoned;
     m_stats.abandonedBytes += abandoned;
-    if (!m_outage.isLost() || abandoned > 0) {
-        LogLine line(m_outage.isLost() ? "store_still_lost" : "store_lost");
+    if (!m_knowledge.outage().isLost() || abandoned > 0) {
+        LogLine line(m_knowledge.outage().isLost() ? "store_still_lost" : "store_lost");
         line.text("topic", text(m_settings.topic)).text("why", reason).millis("after_ms", now - m_sentAt);
         line.number("received", abandoned);
         m_log.write(line, LogPriority::Notable);
     }
     if (transfer.bytes == 0) {
-        m_consumer.onNoResponse(now);
+        m_knowledge.consumer().onNoResponse(now);
     } else {
-        m_consumer.onFailure(now);
+        m_knowledge.consumer().onFailure(now);
     }
-    m_sources.onStoreFailed(m_consumer.next(now).notBefore);
+    m_sources.onStoreFailed(m_knowledge.consumer().next(now).notBefore);
     m_sourceReason = reason;
-    lose(now);
+    m_knowledge.onStoreLost(now);
     onProgress();
     scheduleNext();
 }
 
-void TopicSubscription::lose(Instant now)
-{
-    if (m_outage.onLost()) {
-        m_hooks.onLost(now);
-    }
-}
-
-void TopicSubscription::regain(Instant returnedAt)
-{
-    m_outage.onRegained(returnedAt);
-    m_hooks.onRegained(returnedAt);
-}
-
 // Other routers
 
 void TopicSubscription::askRouter(std::uint32_t router)
 {
     const std::string address = asio::ip::address_v4(router).to_string() + ':' + std::to_string(m_settings.peerPort);
     m_router.setAddress(address);
-    TopicQuestion question;
+    TopicQuestion question = m_knowledge.question(m_sentAt);
     question.topic = m_settings.topic;
-    question.era = m_consumer.era();
-    if (!m_consumer.isListing()) {
-        question.from = m_consumer.position().offset;
-    }
-    question.wait = m_consumer.followingWait(m_sentAt, m_stats.provedAt);
-    const bool isListingLarge = m_consumer.isListingLarge();
+    const bool isListingLarge = m_knowledge.consumer().isListingLarge();
     if (isListingLarge) {
         question.wait = std::max<Duration>(question.wait, listingWait);
     }
@@ -369,12 +335,12 @@
         scheduleNext();
         return;
     }
-    if (answer->isTooLarge && !m_outage.isLost() && !m_consumer.isListingLarge()) {
+    if (answer->isTooLarge && !m_knowledge.outage().isLost() && !m_knowledge.consumer().isListingLarge()) {
         m_mustAskStore = true;
         scheduleNext();
         return;
     }
-    if (!answer->isKnown || answer->isTooLarge || !applyAnswer(now, *answer)) {
+    if (!answer->isKnown || answer->isTooLarge || !m_knowledge.applyAnswer(m_sentAt, now, *answer)) {
         onUselessRouter(answer->isStoreLost ? "store_lost" : answer->isKnown ? "stale" : "unknown");
         return;
     }
@@ -386,43 +352,8 @@
 /// @return true if the router reads a large listing itself, and this one waits for it
 bool TopicSubscription::isToBeAskedAgain(Instant now, const TopicAnswer &answer)
 {
-    return !answer.isKnown && !answer.isStoreLost && m_consumer.isListingLarge() && m_sources.onNotYetKnown(now);
-}
-
-/// An answer of another era replaces all that is known, or changes nothing: changes alone are not comparable with it.
-/// @return true if it tells more than was known, and its proof is young enough
-bool TopicSubscription::applyAnswer(Instant now, const TopicAnswer &answer)
-{
-    constexpr Duration longestAge = std::chrono::hours(1); // keeps sums with what another process tells in range
-    const bool isBeforeRestore = answer.era < m_consumer.era();
-    const bool wantsAll = m_consumer.isListing() || answer.era != m_consumer.era();
-    if (isBeforeRestore || (wantsAll && !answer.isListing)) {
-        return false;
-    }
-    noteEra(now, answer.era);
-    const Instant provedBefore = m_stats.provedAt;
-    const Instant provedAt = std::min<Instant>(now, m_sentAt + std::clamp(answer.provedAfter, -longestAge, longestAge));
-    const bool tellsOfReturn = answer.sinceReturned < longestReturn;
-    const Instant returnedAt = tellsOfReturn ? now - answer.sinceReturned : now;
-    if (tellsOfReturn && m_outage.hasMissed(now, returnedAt)) {
-        lose(now); // what lapsed meanwhile may return, as if this router had read the store itself
-    }
-    bool isTold = true;
-    if (answer.isListing) {
-        m_consumer.onOffsetOutOfRange();
-        m_consumer.onPage(provedAt, now, {answer.records, false, answer.end});
-    } else {
-        isTold = m_consumer.onFollowed(provedAt, now, {answer.records, answer.end});
-    }
-    const bool needsNews = m_settings.reading.sharedInterval > Duration{}; // the question waited for a younger proof
-    const bool isNews = provedAt > provedBefore || !answer.records.empty() || !needsNews;
-    const bool isSound = isTold && isNews && !answer.isStoreLost;
-    const bool isUseful = isSound && now < provedAt + m_settings.reading.maxSourceAge;
-    if (m_outage.isLost() && isUseful) {
-        regain(returnedAt);
-    }
-    return isUseful
-        || (isSound && answer.isListing && !m_outage.isLost()); // a large listing takes long; its proof ages
+    return !answer.isKnown && !answer.isStoreLost && m_knowledge.consumer().isListingLarge()
+        && m_sources.onNotYetKnown(now);
 }
 
 void TopicSubscription::onUselessRouter(const char *reason)
@@ -442,13 +373,13 @@
     if (!isFirst || !m_hasStarted) {
         return;
     }
-    m_consumer.setShared(now, true, true);
+    m_knowledge.consumer().setShared(now, true, true);
     const bool isLongPoll = m_store.isCalling() && m_request.longPollTimeout > Duration{};
     const bool isWaiting = !m_store.isCalling() && !m_router.isCalling();
     if (isLongPoll) {
         m_store.abandon();
     }
-    if (isLongPoll || (isWaiting && !m_outage.isLost())) {
+    if (isLongPoll || (isWaiting && !m_knowledge.outage().isLost())) {
         m_timer.cancel();
         scheduleNext();
     }
@@ -456,102 +387,12 @@
 
 bool TopicSubscription::hasNews(const TopicQuestion &question, Instant waitsSince) const
 {
-    if (m_outage.isLost()) {
-        return true; // the asker goes on to the next router
-    }
-    if (!isKnownTo(question)) {
-        return false;
-    }
-    const auto from = changesFrom(question);
-    if (!from) {
-        return true;
-    }
-    const bool hasCaughtUp = m_cache.end().offset >= from->offset;
-    return hasCaughtUp && (m_renewedAt > waitsSince || m_cache.hasChangesSince(*from));
-}
-
-/// @return false if there is nothing to tell yet, or the asker knows of a restore whose listing is still in progress
-bool TopicSubscription::isKnownTo(const TopicQuestion &question) const
-{
-    return m_cache.isFilled() && question.era <= m_cache.end().era;
-}
-
-/// @return from where on changes are told; nothing: all records are
-std::optional<TopicPosition> TopicSubscription::changesFrom(const TopicQuestion &question) const
-{
-    const bool isSame = question.from && question.era == m_cache.end().era;
-    return isSame ? std::optional(TopicPosition{*question.from, question.era}) : std::nullopt;
-}
-
-static std::size_t sizeOf(const std::vector<KeyedRecord> &records)
-{
-    std::size_t bytes = 0;
-    for (const KeyedRecord &record : records) {
-        bytes += record.key.size() + record.value.size();
-    }
-    return bytes;
+    return m_knowledge.hasNews(question, waitsSince);
 }
 
 TopicAnswer TopicSubscription::answer(const TopicQuestion &question, Instant arrivedAt) const
 {
-    TopicAnswer answer;
-    answer.isKnown = isKnownTo(question);
-    answer.isStoreLost = m_outage.isLost();
-    answer.era = m_cache.end().era;
-    answer.end = m_cache.end().offset;
-    answer.provedAfter = m_stats.provedAt - arrivedAt;
-    answer.sinceReturned = std::min<Duration>(clockNow() - m_outage.returnedAt(), longestReturn);
-    if (!answer.isKnown) {
-        return answer;
-    }
-    const auto from = changesFrom(question);
-    if (question.acceptsGzip && isPackedUsable(from)) {
-        addPacked(answer, arrivedAt);
-        return answer;
-    }
-    const auto changes = from ? m_cache.changesSince(*from) : std::nullopt;
-    answer.isListing = !changes;
-    answer.records = changes ? *changes : m_cache.all();
-    const std::size_t bytes = sizeOf(answer.records);
-    if (question.acceptsGzip && bytes > packedBytes) {
-        pack(from, answer);
-        addPacked(answer, arrivedAt);
-        return answer;
-    }
-    answer.isTooLarge = bytes > m_maxAnswerBytes;
-    if (answer.isTooLarge) {
-        answer.records.clear();
-    }
-    return answer;
-}
-
-/// @return true if the packed records are of the same era, and begin where the question asks for
-bool TopicSubscription::isPackedUsable(const std::optional<TopicPosition> &from) const
-{
-    const bool isSameBegin =
-        from.has_value() == m_packed.from.has_value() && (!from || from->offset == m_packed.from->offset);
-    return clockNow() < m_packed.usableUntil && isSameBegin && isSameEra(m_packed.end, m_cache.end());
-}
-
-void TopicSubscription::pack(const std::optional<TopicPosition> &from, const TopicAnswer &answer) const
-{
-    m_packed = {answer.isListing,        from,
-                m_cache.end(),           m_stats.provedAt,
-                clockNow() + packedTime, packTopicRecords(answer.records)};
-    ++m_stats.packings;
-}
-
-/// The answer tells what was known when the records were packed, and the proof is that of then.
-void TopicSubscription::addPacked(TopicAnswer &answer, Instant arrivedAt) const
-{
-    answer.isListing = m_packed.isListing;
-    answer.end = m_packed.end.offset;
-    answer.provedAfter = m_packed.provedAt - arrivedAt;
-    answer.records.clear();
-    answer.isTooLarge = m_packed.records.size() > m_maxAnswerBytes * (answer.isListing ? listingSeconds : 1);
-    if (!answer.isTooLarge) {
-        answer.packedRecords = m_packed.records;
-    }
+    return m_knowledge.answer(question, arrivedAt, clockNow());
 }
 
 } // namespace galenafold
--- a/runtime/topicsubscription.h
+++ b/runtime/topicsubscription.h
@@ -1,15 +1,14 @@
 // Subscription to one topic of the platform's store: sends the calls that `TopicConsumer` decides on, to the store or
-// to the router of this data centre that `TopicSources` names, and keeps the records for routers that follow this one.
+// to the router of this data centre that `TopicSources` names. What the answers tell goes into `TopicKnowledge`.
 //
 // Sections of this file: Settings, Subscription.
 #pragma once
 
-#include "control/storeoutage.h"
-#include "control/topiccache.h"
 #include "control/topicsources.h"
 #include "galenafold/eventlog.h"
 #include "platform/store.h"
 #include "runtime/httpclientconnection.h"
+#include "runtime/topicknowledge.h"
 #include "runtime/topicrelay.h"
 
 namespace galenafold
@@ -70,10 +69,10 @@
     /// Sets the routers of this data centre that are heard. @param self this router
     void setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others);
 
-    const TopicSubscriptionStats &stats() const { return m_stats; }
+    TopicSubscriptionStats stats() const;
 
     /// @return how often the store had been restored when it was last read; nothing if it does not tell
-    const std::optional<StoreEra> &era() const { return m_consumer.era(); }
+    const std::optional<StoreEra> &era() const { return m_knowledge.consumer().era(); }
 
     // For routers that follow this one
     void onAsked(Instant now) override;
@@ -83,17 +82,7 @@
     std::function<void()> onProgress = [] {}; // there are new records, or a younger proof, or the store is lost
 
 private:
-    /// Records that many followers ask for at the same time.
-    struct Packed {
-        bool isListing = false;
-        std::optional<TopicPosition> from; // as the question told
-        TopicPosition end;
-        Instant provedAt{}; // the topic ended there then
-        Instant usableUntil{};
-        std::string records;
-    };
-
-    TopicHooks cachingHooks();
+    TopicKnowledgeHooks knowledgeHooks();
     void logListing(std::size_t records, const TopicPosition &begin);
     void scheduleNext();
     void chooseSource(Instant now);
@@ -106,41 +95,27 @@
     void onRouterResponse(const ClientResponse &response);
     void onUselessRouter(const char *reason);
     bool isToBeAskedAgain(Instant now, const TopicAnswer &answer);
-    bool isKnownTo(const TopicQuestion &question) const;
-    std::optional<TopicPosition> changesFrom(const TopicQuestion &question) const;
-    bool isPackedUsable(const std::optional<TopicPosition> &from) const;
-    void pack(const std::optional<TopicPosition> &from, const TopicAnswer &answer) const;
-    void addPacked(TopicAnswer &answer, Instant arrivedAt) const;
-    bool applyAnswer(Instant now, const TopicAnswer &answer);
     void noteTransfer(Instant now);
-    bool noteEra(Instant now, const std::optional<StoreEra> &era);
     bool handleAnswer(Instant now, const ClientResponse &response);
     bool decodeBody(Instant now, const std::string &body);
-    void lose(Instant now);
-    void regain(Instant returnedAt);
 
     TopicSubscriptionSettings m_settings;
     TopicSubscriptionHooks m_hooks;
     EventLog &m_log;
     HttpClientConnection m_store;
     HttpClientConnection m_router; // to the router that was asked last
-    TopicCache m_cache;
-    TopicConsumer m_consumer;
+    TopicKnowledge m_knowledge;
     TopicSources m_sources;
-    StoreOutage m_outage;                 // of the store, by this topic
     TopicSource m_source;                 // of the current or next call
     DeadlineTimer m_timer;                // of the next call
     TopicRequest m_request;               // the current or next call, if it goes to the store
     Instant m_sentAt{};                   // of the last call
-    Instant m_renewedAt{};                // when the last proof came
     Instant m_sharedUntil{};              // a router has asked this one shortly before
-    std::size_t m_maxAnswerBytes = 0;     // of records that are told to another router
     std::string m_sourceReason = "start"; // why the source was changed last, for logs
     bool m_hasStarted = false;            // `start` was called
     bool m_mustAskStore = false;          // the next call
     Instant m_askAgainAt{};               // earliest time, after a router had not read the topic yet
-    mutable Packed m_packed;              // the last ones
-    mutable TopicSubscriptionStats m_stats;
+    TopicSubscriptionStats m_stats;
 };
 
 } // namespace galenafold
