Tell a record beyond the known end of a topic only once all before it are known

What callers would have seen: requests to replicas that have left, or an older version, through a router that follows one which follows another. It holds some records from after its beginning, and lacks others. Told as changes, they moved the end of the router that was told beyond records that it did not know, and it told that end on, with a proof. Change: changes are told up to the end that is known; a router leaves out what it is told beyond the end of the answer. Result: FollowedRecords, ARecordBeyondTheEndIsToldOnceAllBeforeItAreKnown failed before and passes.

--- a/control/topiccache.cpp
+++ b/control/topiccache.cpp
@@ -73,8 +73,9 @@
 
 bool TopicCache::hasChangesSince(const TopicPosition &from) const
 {
-    return !isSameEra(from, m_end) || from.offset < m_completeFrom
-        || m_changes.lower_bound(from.offset) != m_changes.end();
+    const auto next = m_changes.lower_bound(from.offset);
+    const bool isNextKnown = next != m_changes.end() && next->first < m_end.offset;
+    return !isSameEra(from, m_end) || from.offset < m_completeFrom || isNextKnown;
 }
 
 std::optional<std::vector<KeyedRecord>> TopicCache::changesSince(const TopicPosition &from) const
@@ -84,6 +85,9 @@
     }
     std::vector<KeyedRecord> records;
     for (auto change = m_changes.lower_bound(from.offset); change != m_changes.end(); ++change) {
+        if (change->first >= m_end.offset) {
+            break;
+        }
         if (change->second.before) {
             records.push_back(*change->second.before);
         }
--- a/control/topiccache.h
+++ b/control/topiccache.h
@@ -3,6 +3,9 @@
 // Load pattern: forty routers of a data centre ask twice a second what has changed, while the heartbeats of thousands
 // of replicas add hundreds of records a second that mean the same as those before. Such a record replaces the one
 // before and is told to nobody. A router that was away for longer than the kept history gets all records once.
+//
+// A listing of several pages is no snapshot: it holds records that were written after it began, while others from then
+// are missing. Such a record is told as a change only once the topic is known beyond it.
 #pragma once
 
 #include "control/topicconsumer.h"
@@ -40,8 +43,8 @@
     /// @return true if `changesSince` would return a record, or nothing
     bool hasChangesSince(const TopicPosition &from) const;
 
-    /// @return the records that tell something new since then; nothing if some of them are not known, or the position
-    /// is of another era
+    /// @return the records up to the end that tell something new since then; nothing if some of them are not known, or
+    /// the position is of another era
     std::optional<std::vector<KeyedRecord>> changesSince(const TopicPosition &from) const;
 
     std::vector<KeyedRecord> all() const; ///< @return the records of all keys that have not been deleted
--- a/control/topicconsumer.cpp
+++ b/control/topicconsumer.cpp
@@ -103,6 +103,8 @@
     if (read.end < m_next.offset) {
         return false;
     }
+    const auto isBeyond = [&read](const KeyedRecord &record) { return record.position.offset >= read.end; };
+    read.records.erase(std::remove_if(read.records.begin(), read.records.end(), isBeyond), read.records.end());
     deliver(read.records);
     m_next.offset = read.end;
     if (m_settings.sharedInterval == Duration{}) { // paced by this, as it does not wait for news at the other router
--- a/control/topicconsumer.h
+++ b/control/topicconsumer.h
@@ -121,7 +121,8 @@
     const std::optional<StoreEra> &era() const { return m_era; } ///< @return the newest that is known
 
     /// Another router told what it knows that is new. Its records are all that changed up to the end, so there may be
-    /// gaps between their offsets. How the store's next call is made does not change: this tells nothing of its state.
+    /// gaps between their offsets; one beyond the end is left out, as others there may be missing. How the store's next
+    /// call is made does not change: this tells nothing of its state.
     /// @param provedAt the topic ended there then @return false if that end is before what this router has read
     bool onFollowed(Instant provedAt, Instant now, TopicRead read);
 
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -83,6 +83,20 @@
     CHECK(cache.hasChangesSince({49}));
 }
 
+/// A listing of several pages holds records from after its beginning, though not all of them. Told as changes they
+/// moved the end of those who were told beyond records that they did not know, and told others in their turn.
+TEST(FollowedRecords, ARecordBeyondTheEndIsToldOnceAllBeforeItAreKnown)
+{
+    cache.setListing({{"a", entry(1), 3}, {"b", entry(1), 20}}, {5});
+    CHECK(!cache.hasChangesSince({5}));
+    LONGS_EQUAL(0, cache.changesSince({5})->size());
+    cache.add({"c", entry(1), 5}); // read on from where the listing began
+    STRCMP_EQUAL("c ", keysOf(*cache.changesSince({5})).c_str());
+    LONGS_EQUAL(6, cache.end().offset);
+    cache.setEnd(21);
+    STRCMP_EQUAL("c b ", keysOf(*cache.changesSince({5})).c_str());
+}
+
 /// The last record of a key may be an older version that was written late.
 TEST(FollowedRecords, AllVersionsAreToldUpToABound)
 {
