Tell on a return of which the removal was not told

What callers would have seen: a replica that lapsed for a moment gets no requests through some routers although it lives. Cause: a follower is told the newest record of a key. Of a replica that lapsed and returned in between it was told the return alone, which means the same as what it knew, and so kept it as a mere heartbeat. Others that knew of the lapse and then asked this router were never told of the return. Change: what another router tells counts as a change; only records that are read from the store one after the other are compared with the last one. Such records are few, heartbeats still are told to nobody. Result: FollowedRecords, AReturnIsToldOnByThoseWhoWereNotToldOfTheRemoval (new call, so it could not be run before).

--- a/control/topiccache.cpp
+++ b/control/topiccache.cpp
@@ -27,18 +27,28 @@
 }
 
 void TopicCache::add(const KeyedRecord &record)
+{
+    const auto last = m_lastChange.find(record.key);
+    if (last == m_lastChange.end() || m_settings.keepsVersions || !m_settings.isSameMeaning) {
+        addChange(record);
+        return;
+    }
+    KeyedRecord &before = m_changes.at(last->second).record;
+    const bool bothExist = !before.value.empty() && !record.value.empty();
+    if (bothExist && m_settings.isSameMeaning(before.value, record.value)) {
+        before = record;
+        setEnd(record.position.offset + 1);
+        return;
+    }
+    addChange(record);
+}
+
+void TopicCache::addChange(const KeyedRecord &record)
 {
     const auto last = m_lastChange.find(record.key);
     Change change{std::nullopt, record};
     if (last != m_lastChange.end() && !m_settings.keepsVersions) {
         const auto before = m_changes.find(last->second);
-        const std::string &value = before->second.record.value;
-        const bool bothExist = !value.empty() && !record.value.empty();
-        if (bothExist && m_settings.isSameMeaning && m_settings.isSameMeaning(value, record.value)) {
-            before->second.record = record;
-            setEnd(record.position.offset + 1);
-            return;
-        }
         if (record.value.empty()) {
             change.before = before->second.record;
         }
--- a/control/topiccache.h
+++ b/control/topiccache.h
@@ -35,7 +35,11 @@
     // Both go on in the era of the listing.
 
     void add(const KeyedRecord &record); ///< Adds the next record of the topic.
-    void setEnd(LogOffset end);          ///< The records before `end` have been added, or tell nothing new.
+
+    /// Adds one that another router told. Records of the key in between may not be known, though they are to others: so
+    /// it counts as a change also if it means the same as the last one that is known.
+    void addChange(const KeyedRecord &record);
+    void setEnd(LogOffset end); ///< The records before `end` have been added, or tell nothing new.
 
     bool isFilled() const { return m_isFilled; }       ///< @return true once a listing was set
     const TopicPosition &end() const { return m_end; } ///< @return up to where the topic is known
--- a/runtime/toldtopic.cpp
+++ b/runtime/toldtopic.cpp
@@ -25,6 +25,11 @@
     m_cache.add(record);
 }
 
+void ToldTopic::addChange(const KeyedRecord &record)
+{
+    m_cache.addChange(record);
+}
+
 void ToldTopic::setProof(Instant now, LogOffset end, Instant provedAt)
 {
     m_cache.setEnd(end);
--- a/runtime/toldtopic.h
+++ b/runtime/toldtopic.h
@@ -20,7 +20,8 @@
     /// Replaces all that was known. @param begin end of the topic when the listing began
     void setListing(const std::vector<KeyedRecord> &records, const TopicPosition &begin);
 
-    void add(const KeyedRecord &record); ///< Adds the next record of the topic.
+    void add(const KeyedRecord &record);       ///< Adds the next record of the topic.
+    void addChange(const KeyedRecord &record); ///< Adds one that another router told; those in between told nothing.
 
     /// @param end the topic is known up to here @param provedAt it ended there then
     void setProof(Instant now, LogOffset end, Instant provedAt);
--- a/runtime/topicknowledge.cpp
+++ b/runtime/topicknowledge.cpp
@@ -23,7 +23,11 @@
 {
     TopicHooks hooks;
     hooks.onRecord = [this](const KeyedRecord &record) {
-        m_told.add(record);
+        if (m_isFollowing) {
+            m_told.addChange(record);
+        } else {
+            m_told.add(record);
+        }
         m_hooks.topic.onRecord(record);
     };
     hooks.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
@@ -101,7 +105,9 @@
         m_consumer.onOffsetOutOfRange();
         m_consumer.onPage(proof, now, {answer.records, false, answer.end});
     } else {
+        m_isFollowing = true;
         isTold = m_consumer.onFollowed(proof, now, {answer.records, answer.end});
+        m_isFollowing = false;
     }
     const bool needsNews = m_reading.sharedInterval > Duration{}; // the question waited for a younger proof
     const bool isNews = proof > provedBefore || !answer.records.empty() || !needsNews;
--- a/runtime/topicknowledge.h
+++ b/runtime/topicknowledge.h
@@ -74,6 +74,7 @@
     ToldTopic m_told;
     TopicConsumer m_consumer;
     StoreOutage m_outage;
+    bool m_isFollowing = false; // while changes that another router told are delivered
 };
 
 } // namespace galenafold
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -98,6 +98,19 @@
 }
 
 /// The last record of a key may be an older version that was written late.
+/// Of a replica that lapsed and returned between two words of its source a router was told the return alone, which
+/// means the same as what it knew. Others who knew of the lapse asked it, and were never told of the return.
+TEST(FollowedRecords, AReturnIsToldOnByThoseWhoWereNotToldOfTheRemoval)
+{
+    cache.setListing({{"a", entry(1), 3}, {"b", entry(1), 4}}, {5});
+    cache.addChange({"a", entry(9), 11}); // as told; it was deleted at 7
+    cache.setEnd(15);
+    STRCMP_EQUAL("a ", keysOf(*cache.changesSince({8})).c_str());
+    cache.add({"a", entry(10), 15}); // a heartbeat, as read
+    CHECK(!cache.hasChangesSince({15}));
+    STRCMP_EQUAL("a ", keysOf(*cache.changesSince({8})).c_str());
+}
+
 TEST(FollowedRecords, AllVersionsAreToldUpToABound)
 {
     TopicCacheSettings settings;
