Tell the era of the places in beacons

What callers would have seen: for up to half a minute after a restore some prompts go to other engines than at most routers, and are prefilled there again. Cause: beacons tell the offset up to which a router has read the places, and peers compare it as a number. After a restore the routers that have listed tell a lower one: the others take it for older and wait out their interval, while those that have listed take the higher number from before for newer and read again. Change: the lowest eight bits of the era go with the offset, and the later era counts as further. They fill a byte of the message that was padding: three words as before. Generated with the command in wire/peer.capnp.

--- a/control/gossip.cpp
+++ b/control/gossip.cpp
@@ -26,6 +26,15 @@
     return static_cast<std::uint32_t>(now.time_since_epoch() / beaconNumberStep);
 }
 
+bool isFurther(const PlacesProgress &other, const PlacesProgress &own)
+{
+    if (other.upTo == 0 || own.upTo == 0) {
+        return false;
+    }
+    const auto eras = static_cast<std::int8_t>(other.era - own.era);
+    return eras == 0 ? other.upTo > own.upTo : eras > 0;
+}
+
 bool isNewerBeacon(std::uint32_t number, std::uint32_t than)
 {
     return static_cast<std::int32_t>(number - than) > 0;
--- a/control/gossip.h
+++ b/control/gossip.h
@@ -78,6 +78,15 @@
     bool isLong = false;
 };
 
+/// Up to where a router has read the topic of places.
+struct PlacesProgress {
+    std::uint32_t upTo = 0; // end of the topic, plus 1; 0: store unreachable
+    std::uint8_t era = 0;   // of the store, its lowest eight bits: few restores lie between two routers
+};
+
+/// @return true if a router that has read up to `other` knows something that one which has read up to `own` does not
+bool isFurther(const PlacesProgress &other, const PlacesProgress &own);
+
 /// A router's own calls in progress, sent to all peers as often as the byte budget allows. Delivery is lossy; only the
 /// newest beacon counts. In a small fleet beacons make every router's view nearly exact. In a large fleet the budget
 /// suppresses them, and routers rely on the endpoints' load reports.
@@ -89,7 +98,7 @@
     std::vector<std::uint32_t> peers;  // IPv4 addresses, as numbers, of routers that the sender receives beacons from
     std::vector<RouterSite> peerSites; // of the peers, in the same order; empty: not told
     RouterSite site;                   // of the sender; no data centre: as told before
-    std::optional<std::uint32_t> placesUpTo; // end of the places topic as read, plus 1; 0: store unreachable
+    std::optional<PlacesProgress> places;  // as the sender has read them
     std::vector<PeerLoad> loads;           // endpoints with longer calls of the sender; brief calls go as start notices
     std::vector<ReportedLoad> reported;    // endpoints that are fuller than the counts of all routers tell
     CrashNews news;                        // of requests that crash replicas
--- a/net/beacons.cpp
+++ b/net/beacons.cpp
@@ -186,7 +186,8 @@
     auto slowdowns = root.initSlowdowns(sendsSlowdowns ? count : 0);
     const auto peers = static_cast<unsigned>(std::min(beacon.peers.size(), maxListedPeers));
     auto peerList = root.initPeers(peers);
-    root.setPlacesUpTo(beacon.placesUpTo ? *beacon.placesUpTo + 1 : 0); // 0 on the wire: not set
+    root.setPlacesUpTo(beacon.places ? beacon.places->upTo + 1 : 0); // 0 on the wire: not set
+    root.setPlacesEra(beacon.places ? beacon.places->era : 0);
     root.setSite(encodeSite(beacon.site));
     for (unsigned i = 0; i < peers; ++i) {
         peerList.set(i, beacon.peers[i]);
@@ -257,7 +258,7 @@
         beacon.loads.push_back({endpoints[i], totals[i], longLanes[i], slowdown});
     }
     if (root.getPlacesUpTo() > 0) {
-        beacon.placesUpTo = root.getPlacesUpTo() - 1;
+        beacon.places = PlacesProgress{root.getPlacesUpTo() - 1, root.getPlacesEra()};
     }
     beacon.site = decodeSite(root.getSite());
     const auto peers = root.getPeers();
--- a/runtime/routernode.cpp
+++ b/runtime/routernode.cpp
@@ -124,17 +124,17 @@
     , m_newestVersion(settings.maxRecoveryTime)
 {
     m_sharedState.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &blocks,
-                                  LogOffset end) {
+                                  const TopicPosition &end) {
         LogLine line("places");
-        line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
+        line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end.offset);
         m_log.write(line, LogPriority::Notable);
         m_traffic.setPlaces(places, end);
         m_traffic.setStoredBlocks(blocks);
     };
     m_sharedState.onRestored = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &blocks,
-                                      LogOffset end) {
+                                      const TopicPosition &end) {
         LogLine line("places_restored");
-        line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end);
+        line.number("known", static_cast<std::int64_t>(places.size())).number("up_to", end.offset);
         m_log.write(line, LogPriority::Notable);
         m_traffic.setStoredPlaces(places, end);
         m_traffic.setStoredBlocks(blocks);
--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -156,7 +156,7 @@
             blocks.push_back({*prompt, static_cast<std::uint32_t>(age)});
         }
     }
-    hook(places, blocks, m_end.offset);
+    hook(places, blocks, m_end);
 }
 
 void SharedState::setRouters(const DataCentreRouter &self, const std::vector<DataCentreRouter> &others)
--- a/runtime/sharedstate.h
+++ b/runtime/sharedstate.h
@@ -17,7 +17,7 @@
 
 /// Gets all that is stored, and the end of the topic.
 using StoredStateHook =
-    std::function<void(const std::vector<PlaceRecord> &, const std::vector<SuspectBlock> &, LogOffset end)>;
+    std::function<void(const std::vector<PlaceRecord> &, const std::vector<SuspectBlock> &, const TopicPosition &end)>;
 
 /// Used on the control thread only.
 class SharedState
--- a/tests/decisions.cpp
+++ b/tests/decisions.cpp
@@ -422,8 +422,10 @@
     beacon.from = 77;
     beacon.number = 5;
     beacon.loads = {{11, 3, 1}, {12, 300, 0}};
+    beacon.places = PlacesProgress{9, 200};
     LoadBeacon decoded;
     CHECK(decodeBeacon(encodeBeacon(beacon), decoded));
+    CHECK(decoded.places && decoded.places->upTo == 9 && decoded.places->era == 200);
     LONGS_EQUAL(2, decoded.loads.size());
     LONGS_EQUAL(255, decoded.loads[1].total);
     CHECK(!decoded.isStartNotice);
--- a/tests/latewrites.cpp
+++ b/tests/latewrites.cpp
@@ -70,7 +70,7 @@
     void setup() override
     {
         const auto record = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
-                                   LogOffset) { known = places.size(); };
+                                   const TopicPosition &) { known = places.size(); };
         state.onRead = record;
         state.onRestored = record;
     }
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -1,5 +1,6 @@
 // Tests of a store that comes back from a copy some seconds old: what was written since is lost, offsets go back and
 // are given out again, and the writers of the desired state and of the registry write again.
+#include "control/gossip.h"
 #include "control/newestversion.h"
 #include "control/replicadirectory.h"
 #include "runtime/sharedstate.h"
@@ -119,9 +120,8 @@
     }
     StoredStateHook record(const char *name)
     {
-        return [this, name](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &, LogOffset) {
-            events.push_back(name + std::to_string(places.size()));
-        };
+        return [this, name](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
+                            const TopicPosition &) { events.push_back(name + std::to_string(places.size())); };
     }
     void runUntil(const std::string &event)
     {
@@ -189,6 +189,19 @@
     LONGS_EQUAL(1, events.size());
 }
 
+/// Routers that had not read since a restore saw a lower end at those that had, and did not read until their interval
+/// was over; the others read once more and once more for the higher end from before it.
+TEST(RestoredPlaces, AnEndOfTheRestoredStoreIsFurtherThanAHigherOneFromBefore)
+{
+    CHECK(isFurther({40, 2}, {50, 1}));
+    CHECK(!isFurther({50, 1}, {40, 2}));
+    CHECK(isFurther({50, 2}, {40, 2}));
+    CHECK(!isFurther({40, 2}, {40, 2}));
+    CHECK(isFurther({1, 3}, {50, 255})); // the eras wrap
+    CHECK(!isFurther({0, 3}, {50, 2}));  // it cannot reach the store
+    CHECK(!isFurther({50, 3}, {0, 0}));  // nothing is read yet: a listing is due anyway
+}
+
 // Routers that start
 
 TEST_GROUP(StartAfterARestore)
--- a/traffic/peerloadexchange.cpp
+++ b/traffic/peerloadexchange.cpp
@@ -142,10 +142,9 @@
             other->second.site = beacon.peerSites[i];
         }
     }
-    if (beacon.placesUpTo) {
-        peer.placesUpTo = *beacon.placesUpTo;
-        const bool isNewer = peer.placesUpTo > m_placesUpTo && m_placesUpTo > 0;
-        if (isNewer && now >= m_nextPlacesNoticeAt && onNewerPlaces) {
+    if (beacon.places) {
+        peer.places = *beacon.places;
+        if (isFurther(peer.places, m_places) && now >= m_nextPlacesNoticeAt && onNewerPlaces) {
             m_nextPlacesNoticeAt = now + placesNoticeInterval;
             onNewerPlaces();
         }
@@ -253,18 +252,18 @@
     }
 }
 
-void PeerLoadExchange::setPlacesUpTo(std::uint32_t upTo)
+void PeerLoadExchange::setPlaces(const PlacesProgress &places)
 {
-    m_placesUpTo = upTo;
+    m_places = places;
 }
 
 bool PeerLoadExchange::isLeader() const
 {
     const Instant now = m_time.now();
-    const auto own = std::make_pair(m_placesUpTo == 0, m_ownAddress);
+    const auto own = std::make_pair(m_places.upTo == 0, m_ownAddress);
     for (const auto &[address, peer] : m_peers) {
         const bool isHeard = peer.number > 0 && now < peer.heardAt + peerTimeout();
-        if (isHeard && std::make_pair(peer.placesUpTo == 0, address) < own) {
+        if (isHeard && std::make_pair(peer.places.upTo == 0, address) < own) {
             return false;
         }
     }
@@ -332,7 +331,7 @@
     LoadBeacon beacon;
     beacon.isStarting = now < m_startingUntil;
     beacon.number = ++m_beaconNumber;
-    beacon.placesUpTo = m_placesUpTo;
+    beacon.places = m_places;
     if (now < m_startIdToldUntil) {
         beacon.site = m_settings.site;
     }
--- a/traffic/peerloadexchange.h
+++ b/traffic/peerloadexchange.h
@@ -68,7 +68,7 @@
 
     /// Sets how far this router has read the places topic (the engines' positions for rendezvous hashing) in the store,
     /// for the next beacon. @param upTo end of the topic as read, plus 1; 0 while the store is unreachable
-    void setPlacesUpTo(std::uint32_t upTo);
+    void setPlaces(const PlacesProgress &places);
 
     /// @return true if this router assigns places: it has the lowest address among the routers heard that reach the
     /// store, or among all routers heard if none does
@@ -99,13 +99,13 @@
 
 private:
     struct Peer {
-        Instant heardAt{};            // last beacon; when the peer became known, if none was received
-        std::uint32_t number = 0;     // of the last beacon; 0: none was received
-        std::uint32_t placesUpTo = 0; // from its last beacon
-        bool isNewcomer = false;      // has started and was sent no peer list yet
-        Instant newcomerUntil{};      // until then it asks for a list unless another peer has sent it one
-        Instant listSentAt{};         // last peer list
-        RouterSite site;              // no data centre: not known yet
+        Instant heardAt{};        // last beacon; when the peer became known, if none was received
+        std::uint32_t number = 0; // of the last beacon; 0: none was received
+        PlacesProgress places;    // from its last beacon
+        bool isNewcomer = false;  // has started and was sent no peer list yet
+        Instant newcomerUntil{};  // until then it asks for a list unless another peer has sent it one
+        Instant listSentAt{};     // last peer list
+        RouterSite site;          // no data centre: not known yet
     };
 
     void onBeacon(const LoadBeacon &beacon, const asio::ip::udp::endpoint &sender);
@@ -155,7 +155,7 @@
     Instant m_nextAccountWorkAt{};           // when client accounts' use may be told again
     std::optional<Instant> m_unsentStartAt;  // time of the oldest start not yet sent to peers
     double m_startDelaySeconds = 0;          // smoothed delay from a start to its beacon
-    std::uint32_t m_placesUpTo = 0;          // end of the places topic as read, plus 1; 0: store unreachable
+    PlacesProgress m_places;                 // as read by this router
     DesiredStateVersion m_stateVersion = -1; // in force at this router; -1: none
     int m_port = 0;                          // UDP port, the same on all routers
     double m_beaconBytes = 100;              // smoothed size of one datagram
--- a/traffic/trafficthread.cpp
+++ b/traffic/trafficthread.cpp
@@ -282,20 +282,25 @@
     asio::post(m_io, [this, callback = std::move(callback)] { callback(metricsText()); });
 }
 
-void TrafficThread::setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo)
+static PlacesProgress placesProgress(const TopicPosition &upTo)
+{
+    return {static_cast<std::uint32_t>(upTo.offset) + 1, static_cast<std::uint8_t>(upTo.era.value_or(0))};
+}
+
+void TrafficThread::setPlaces(std::vector<PlaceRecord> agreed, const TopicPosition &upTo)
 {
     asio::post(m_io, [this, agreed = std::move(agreed), upTo] {
         m_state.loadBalancer.setAgreedPlaces(agreed);
         m_agreedPlaces = agreed;
-        m_peers.setPlacesUpTo(static_cast<std::uint32_t>(upTo) + 1);
+        m_peers.setPlaces(placesProgress(upTo));
     });
 }
 
-void TrafficThread::setStoredPlaces(std::vector<PlaceRecord> stored, LogOffset upTo)
+void TrafficThread::setStoredPlaces(std::vector<PlaceRecord> stored, const TopicPosition &upTo)
 {
     asio::post(m_io, [this, stored = std::move(stored), upTo] {
         m_agreedPlaces = stored;
-        m_peers.setPlacesUpTo(static_cast<std::uint32_t>(upTo) + 1);
+        m_peers.setPlaces(placesProgress(upTo));
     });
 }
 
@@ -312,7 +317,7 @@
 {
     asio::post(m_io, [this] {
         m_agreedPlaces.reset();
-        m_peers.setPlacesUpTo(0);
+        m_peers.setPlaces({});
         m_state.gate.onStoreLost();
         releaseWaiting();
     });
--- a/traffic/trafficthread.h
+++ b/traffic/trafficthread.h
@@ -120,10 +120,10 @@
 
     /// Sets the engines' places (positions for rendezvous hashing) as recorded in the store.
     /// @param upTo offset up to which the places topic was read
-    void setPlaces(std::vector<PlaceRecord> agreed, LogOffset upTo);
+    void setPlaces(std::vector<PlaceRecord> agreed, const TopicPosition &upTo);
 
     /// Tells what the store has of the places after it was restored from a copy. The places in use stay.
-    void setStoredPlaces(std::vector<PlaceRecord> stored, LogOffset upTo);
+    void setStoredPlaces(std::vector<PlaceRecord> stored, const TopicPosition &upTo);
 
     void setStoredBlocks(std::vector<SuspectBlock> blocks); ///< Sets the blocked prompts as recorded in the store.
     void setStoreLost(); ///< The store is unreachable: routers that reach it come first as leader; no request waits.
--- a/wire/peer.capnp
+++ b/wire/peer.capnp
@@ -20,6 +20,7 @@
   placesUpTo @9 :UInt32;   # 0: not set; 1: the sender cannot reach the store; else 2 + the store offset
                            # up to which the sender has read the places topic
   site @11 :UInt32;        # where the sender runs, as in BeaconNews.peerSites; 0: as told before
+  placesEra @12 :UInt8;    # of the store, in which placesUpTo is an offset: the lowest eight bits
 }
 
 # Follows a load beacon in the same datagram if there is any news: an empty field would cost bytes in each beacon.
--- a/wire/peer.capnp.h
+++ b/wire/peer.capnp.h
@@ -484,6 +484,8 @@
 
   inline  ::uint32_t getSite() const;
 
+  inline  ::uint8_t getPlacesEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -573,6 +575,9 @@
   inline  ::uint32_t getSite();
   inline void setSite( ::uint32_t value);
 
+  inline  ::uint8_t getPlacesEra();
+  inline void setPlacesEra( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3135,6 +3140,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t LoadBeacon::Reader::getPlacesEra() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LoadBeacon::Builder::getPlacesEra() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void LoadBeacon::Builder::setPlacesEra( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BeaconNews::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
