Forget old deletions that routers tell each other of

Cause: the records that a router keeps for its followers had no bound on deletions: each replica that was ever replaced stayed, with its last entry, until the next listing, which a steady router never needs. Change: the last 4,000 are kept, as many as a large fleet has replicas; who was away for longer gets all records, as before.

--- a/control/topiccache.cpp
+++ b/control/topiccache.cpp
@@ -6,6 +6,8 @@
 namespace galenafold
 {
 
+constexpr std::size_t keptDeletions = 4000; // a large fleet that lapses at once; who missed more gets all records
+
 TopicCache::TopicCache(TopicCacheSettings settings)
     : m_settings(std::move(settings))
 {
@@ -15,6 +17,7 @@
 {
     m_changes.clear();
     m_lastChange.clear();
+    m_deletions.clear();
     m_bytes = 0;
     m_isFilled = true;
     m_completeFrom = begin.offset;
@@ -54,11 +57,15 @@
         }
         m_changes.erase(before);
     }
+    if (record.value.empty() && !m_settings.keepsVersions) {
+        m_deletions.push_back(record.position.offset);
+    }
     m_bytes += record.value.size();
     m_changes[record.position.offset] = std::move(change);
     m_lastChange[record.key] = record.position.offset;
     setEnd(record.position.offset + 1);
     forgetOldVersions();
+    forgetOldDeletions();
 }
 
 void TopicCache::setEnd(LogOffset end)
@@ -81,6 +88,20 @@
     }
 }
 
+/// Versions are kept by their size, and so need the deletion of their key.
+void TopicCache::forgetOldDeletions()
+{
+    while (m_deletions.size() > keptDeletions) {
+        const auto oldest = m_changes.find(m_deletions.front());
+        m_deletions.pop_front();
+        if (oldest != m_changes.end() && oldest->second.record.value.empty()) {
+            m_completeFrom = std::max(m_completeFrom, oldest->first + 1);
+            m_lastChange.erase(oldest->second.record.key);
+            m_changes.erase(oldest);
+        }
+    }
+}
+
 bool TopicCache::hasChangesSince(const TopicPosition &from) const
 {
     const auto next = m_changes.lower_bound(from.offset);
--- a/control/topiccache.h
+++ b/control/topiccache.h
@@ -3,6 +3,7 @@
 // Load pattern: forty routers of a data centre ask twice a second what has changed, while the heartbeats of thousands
 // of replicas add hundreds of records a second that mean the same as those before. Such a record replaces the one
 // before and is told to nobody. A router that was away for longer than the kept history gets all records once.
+// Thousands of replicas leave in a day, for good: their deletions are told for a while only.
 //
 // A listing of several pages is no snapshot: it holds records that were written after it began, while others from then
 // are missing. Such a record is told as a change only once the topic is known beyond it.
@@ -10,6 +11,7 @@
 
 #include "control/topicconsumer.h"
 
+#include <deque>
 #include <map>
 
 namespace galenafold
@@ -61,10 +63,12 @@
     };
 
     void forgetOldVersions();
+    void forgetOldDeletions();
 
     TopicCacheSettings m_settings;
     std::map<LogOffset, Change> m_changes;         // by the offset at which the record's meaning came up
     std::map<std::string, LogOffset> m_lastChange; // of each key
+    std::deque<LogOffset> m_deletions;             // in the order in which they came; some keys are back since
     std::size_t m_bytes = 0;                       // of values, while versions are kept
     LogOffset m_completeFrom = 0;                  // all changes from here on are known
     TopicPosition m_end;
--- a/tests/topicfollowing.cpp
+++ b/tests/topicfollowing.cpp
@@ -83,6 +83,23 @@
     CHECK(cache.hasChangesSince({49}));
 }
 
+/// The deletion of each replica that was ever replaced was kept until the next listing, which may be never.
+TEST(FollowedRecords, DeletionsAreForgottenInTheEnd)
+{
+    cache.setListing({{"live", entry(1), 0}}, {1});
+    for (int i = 0; i < 5000; ++i) {
+        const std::string id = "gone" + std::to_string(i);
+        cache.add({id, entry(1), 2 * i + 1});
+        cache.add({id, "", 2 * i + 2});
+    }
+    LONGS_EQUAL(1, cache.all().size());
+    CHECK(!cache.changesSince({1}).has_value()); // who was away since then gets all
+    const auto lately = cache.changesSince({2 * 4500 + 1});
+    LONGS_EQUAL(2 * 500, lately->size()); // each with the record before it
+    cache.add({"gone4999", entry(2), 10001});
+    LONGS_EQUAL(2, cache.all().size());
+}
+
 /// A listing of several pages holds records from after its beginning, though not all of them. Told as changes they
 /// moved the end of those who were told beyond records that they did not know, and told others in their turn.
 TEST(FollowedRecords, ARecordBeyondTheEndIsToldOnceAllBeforeItAreKnown)
