Make a save conditional on what is known completely

What callers would have seen: some prompts prefilled again, where a router's save replaced a place that it had not read. Cause: found at the reading of the whole change, the same as with records that were told beyond the known end: a listing of several pages names records that were written after it began, and lacks others. The end on which a save is conditional went up with them. Change: after a listing that end is where the listing began.

--- a/runtime/sharedstate.cpp
+++ b/runtime/sharedstate.cpp
@@ -108,10 +108,10 @@
     hooks.topic.onListed = [this](const std::vector<KeyedRecord> &records, const TopicPosition &begin) {
         m_places.clear();
         m_blocks.clear();
-        m_end = begin;
         for (const KeyedRecord &record : records) {
             applyRecord(record);
         }
+        m_end = begin; // some records are from after it, while others from then are not listed
     };
     hooks.topic.onCaughtUp = [this](Instant) {
         m_hasRead = true;
--- a/runtime/topicknowledge.cpp
+++ b/runtime/topicknowledge.cpp
@@ -61,12 +61,7 @@
     }
 }
 
-void TopicKnowledge::onStoreRegained(Instant now)
-{
-    regain(now);
-}
-
-void TopicKnowledge::regain(Instant returnedAt)
+void TopicKnowledge::onStoreRegained(Instant returnedAt)
 {
     m_outage.onRegained(returnedAt);
     m_hooks.onRegained(returnedAt);
@@ -114,7 +109,7 @@
     const bool isSound = isTold && isNews && !answer.isStoreLost;
     const bool isUseful = isSound && now < proof + m_reading.maxSourceAge;
     if (m_outage.isLost() && isUseful) {
-        regain(returnedAt);
+        onStoreRegained(returnedAt);
     }
     return isUseful
         || (isSound && answer.isListing && !m_outage.isLost()); // a large listing takes long; its proof ages
--- a/runtime/topicknowledge.h
+++ b/runtime/topicknowledge.h
@@ -48,7 +48,7 @@
     bool onStoreEra(Instant now, const std::optional<StoreEra> &era);
 
     void onStoreLost(Instant now);
-    void onStoreRegained(Instant now);
+    void onStoreRegained(Instant returnedAt);
 
     // Other routers
 
@@ -67,7 +67,6 @@
 
 private:
     TopicHooks tellingHooks();
-    void regain(Instant returnedAt);
 
     TopicSettings m_reading;
     TopicKnowledgeHooks m_hooks;
--- a/tests/latewrites.cpp
+++ b/tests/latewrites.cpp
@@ -111,6 +111,7 @@
     EventLog log{withoutOutput()};
     SharedState state{io, fixture.store.address(), 0, log, 1};
     std::size_t known = 99; // places, as told last
+    bool hasSaved = false;
 };
 
 /// A late write of a router is conditional on what it had read: nothing written since is replaced by it.
@@ -123,6 +124,32 @@
     LONGS_EQUAL(0, fixture.store.carryOutLateWrites());
 }
 
+/// A listing of several pages names records that were written after it began, and lacks others. A save was conditional
+/// on the end of the former, so that it could replace one that had not been read.
+TEST(LateSaves, ASaveIsConditionalOnWhatIsKnownCompletely)
+{
+    const std::string place = "{\"service\":\"llm\",\"replica\":\"e1\"}";
+    fixture.store.put("keyed.places", "07", place);
+    fixture.store.put("keyed.places", "08", place);
+    fixture.store.setPageSize(1);
+    fixture.store.setRate(1 << 30); // counts what it serves
+    state.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
+                          const TopicPosition &) {
+        known = places.size();
+        if (!hasSaved) {
+            hasSaved = true;
+            state.savePlaces({{{"llm"}, 7, {"e7"}}});
+        }
+    };
+    state.start();
+    CHECK(runUntil([this] { return fixture.store.requestCount() == 1; }));
+    CHECK(waitFor([this] { return fixture.store.bytesServed() > 0; })); // the first page, which is not read yet
+    fixture.store.put("keyed.places", "07", place);
+    fixture.store.put("keyed.places", "08", place);
+    CHECK(runUntil([this] { return hasSaved && fixture.store.requestCount() >= 5; })); // two pages, the save, two reads
+    LONGS_EQUAL(4, fixture.store.put("keyed.places", "09", place));                    // nothing was saved
+}
+
 /// Between a restore and the listing that follows it, the end from before would be a condition on another topic.
 TEST(LateSaves, NothingIsSavedBetweenARestoreAndItsListing)
 {
