Split the model of a restored store from that of the routers, and simplify it

Change: tests/restoredstore.h is the clock and the store; the way of an answer between routers is written once.

--- a/tests/restoremodel.h
+++ b/tests/restoremodel.h
@@ -1,104 +1,21 @@
-// Model of a store that is restored from copies while routers list it, read it and tell each other, in a clock of its
-// own. Schedules are drawn at random from a seed: drills in series, pages of a listing and answers of another router on
-// their way meanwhile, routers that are turned away, and routers that change whom they ask.
+// Model of routers that list a topic, read it and tell each other of it while the store is restored from copies: pages
+// of a listing and answers of another router are on their way meanwhile, some routers are turned away, and they change
+// whom they ask. All times and choices are drawn from a seed.
 #pragma once
 
 #include "control/evacuations.h"
 #include "control/replicadirectory.h"
 #include "platform/documents.h"
 #include "runtime/topicknowledge.h"
+#include "tests/restoredstore.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
-#include <functional>
 #include <list>
 
 namespace galenafold
 {
 
-/// Runs functions at their times, those of one time in the order in which they were asked for.
-class ModelTime
-{
-public:
-    Instant now() const { return m_now; }
-    void at(Instant when, std::function<void()> function) { m_due.emplace(std::max(when, m_now), std::move(function)); }
-    void after(Duration delay, std::function<void()> function) { at(m_now + delay, std::move(function)); }
-    void runUntil(Instant end)
-    {
-        while (!m_due.empty() && m_due.begin()->first <= end) {
-            const auto next = m_due.begin();
-            m_now = next->first;
-            const auto function = std::move(next->second);
-            m_due.erase(next);
-            function();
-        }
-        m_now = end;
-    }
-
-private:
-    Instant m_now{std::chrono::seconds(1000)};
-    std::multimap<Instant, std::function<void()>> m_due;
-};
-
-struct ModelRecord {
-    std::string key;
-    std::string value; // empty: a tombstone
-    Instant writtenAt{};
-};
-
-/// The store from one restore to the next.
-struct ModelLife {
-    Instant begin{};
-    Instant end = Instant::max();
-    std::vector<ModelRecord> log;
-
-    /// @return end of the topic at that time
-    LogOffset endAt(Instant when) const
-    {
-        return std::count_if(log.begin(), log.end(), [when](const auto &record) { return record.writtenAt <= when; });
-    }
-    /// @return true if there is a record of that key from an offset on: a listing may name it already
-    bool isWrittenFrom(LogOffset from, const std::string &key) const
-    {
-        return std::any_of(log.begin() + std::min<LogOffset>(from, static_cast<LogOffset>(log.size())), log.end(),
-                           [&key](const auto &record) { return record.key == key && !record.value.empty(); });
-    }
-    /// @return the newest record of each key before an offset
-    std::map<std::string, std::string> newest(LogOffset end) const
-    {
-        std::map<std::string, std::string> records;
-        for (LogOffset i = 0; i < std::min<LogOffset>(end, static_cast<LogOffset>(log.size())); ++i) {
-            records[log[static_cast<std::size_t>(i)].key] = log[static_cast<std::size_t>(i)].value;
-        }
-        return records;
-    }
-};
-
-/// One topic of the store.
-struct ModelStore {
-    explicit ModelStore(ModelTime &theTime)
-        : time(theTime)
-    {
-        lives[era].begin = time.now();
-    }
-    void put(const std::string &key, const std::string &value) { life().log.push_back({key, value, time.now()}); }
-    void backUp() { copy = life().log; }
-    void restore(int eras)
-    {
-        life().end = time.now();
-        era += eras;
-        lives[era].begin = time.now();
-        lives[era].log = copy;
-    }
-    ModelLife &life() { return lives[era]; }
-
-    ModelTime &time;
-    StoreEra era = 1;
-    std::map<StoreEra, ModelLife> lives;
-    std::vector<ModelRecord> copy;
-    bool isAway = false;
-};
-
 /// What a router makes of the topic's records, as `RouterNode` does.
 struct ModelView {
     void apply(const KeyedRecord &record, Instant now)
@@ -275,7 +192,6 @@
 
     void scheduleCall(Router &router)
     {
-        router.view.directory.expire(Instant{});
         const Instant now = time.now();
         const bool asksStore = router.mustAskStore || isReader(router) || draw(3) == 0;
         const Instant when = asksStore ? router.knowledge->consumer().next(now).notBefore
@@ -403,15 +319,14 @@
             router.mustAskStore = !isUsable || !router.knowledge->applyAnswer(sentAt, time.now(), answer);
             finish(router);
         };
-        time.after(drawMillis(40), [this, &other, question, onAnswer] {
+        const auto send = [this, onAnswer](const TopicAnswer &answer) {
+            time.after(drawMillis(40), [onAnswer, answer] { onAnswer(answer); });
+        };
+        time.after(drawMillis(40), [this, &other, question, send] {
             const Instant arrivedAt = time.now();
-            const auto waiting = other.waiting.insert(
-                other.waiting.end(), {question, arrivedAt, [this, onAnswer](const TopicAnswer &answer) {
-                                          time.after(drawMillis(40), [onAnswer, answer] { onAnswer(answer); });
-                                      }});
+            other.waiting.push_back({question, arrivedAt, send});
             answerWaiting(other);
             time.after(question.wait, [this, &other, arrivedAt] { answerWaiting(other, arrivedAt); });
-            (void)waiting;
         });
     }
     /// @param arrivedUntil questions that arrived by then are answered whether there is news or not
