Use one fixture for what routers share in the store, and see that schedules pack answers

Cause: the groups RestoredPlaces and LateSaves each held the same loop, log and state; and nothing showed that the schedules of restores ever use packed answers, which they are to cover. Change: tests/sharedstatefixture.h serves both; a check counts packed answers of each topic's schedules.

--- a/tests/latewrites.cpp
+++ b/tests/latewrites.cpp
@@ -1,7 +1,6 @@
 // Tests of writes that the store does not answer and carries out seconds later: by replicas, and by the routers
 // themselves.
-#include "runtime/sharedstate.h"
-#include "tests/nodefixture.h"
+#include "tests/sharedstatefixture.h"
 
 using namespace galenafold;
 
@@ -71,45 +70,28 @@
     {
         const auto record = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
                                    const TopicPosition &) { known = places.size(); };
-        state.onRead = record;
-        state.onRestored = record;
+        shared.state.onRead = record;
+        shared.state.onRestored = record;
     }
     /// Saves until that has been read, as the leader of the routers does.
     bool saveUntilKnown(const PlaceRecord &place, std::size_t count)
     {
-        return runUntil([&] {
-            state.savePlaces({place});
+        return shared.runUntil([&] {
+            shared.state.savePlaces({place});
             return known == count;
         });
     }
-    bool runUntil(const std::function<bool()> &condition)
-    {
-        const Instant deadline = clockNow() + eventTimeout;
-        while (!condition() && clockNow() < deadline) {
-            io.run_one_for(std::chrono::milliseconds(20));
-        }
-        return condition();
-    }
-    static EventLogSettings withoutOutput()
-    {
-        EventLogSettings settings;
-        settings.fd = -1;
-        return settings;
-    }
     /// Sends a save whose answer is lost, which the store may carry out later.
     void loseSave()
     {
-        fixture.store.setFault(StoreFault::LateWrites);
-        state.savePlaces({{{"llm"}, 7, {"e7"}}});
-        CHECK(runUntil([this] { return fixture.store.lateWrites() == 1; }));
-        fixture.store.setFault(StoreFault::None);
-        CHECK(runUntil([this] { return state.stats().failures > 0; }));
+        shared.store.setFault(StoreFault::LateWrites);
+        shared.state.savePlaces({{{"llm"}, 7, {"e7"}}});
+        CHECK(shared.runUntil([this] { return shared.store.lateWrites() == 1; }));
+        shared.store.setFault(StoreFault::None);
+        CHECK(shared.runUntil([this] { return shared.state.stats().failures > 0; }));
     }
 
-    NodeFixture fixture;
-    asio::io_context io;
-    EventLog log{withoutOutput()};
-    SharedState state{io, fixture.store.address(), 0, log, 1};
+    SharedStateFixture shared;
     std::size_t known = 99; // places, as told last
     bool hasSaved = false;
 };
@@ -117,11 +99,11 @@
 /// A late write of a router is conditional on what it had read: nothing written since is replaced by it.
 TEST(LateSaves, ALateSaveDoesNotReplaceWhatWasWrittenSince)
 {
-    state.start();
-    CHECK(runUntil([this] { return known == 0; }));
+    shared.state.start();
+    CHECK(shared.runUntil([this] { return known == 0; }));
     loseSave();
     CHECK(saveUntilKnown({{"llm"}, 7, {"e8"}}, 1));
-    LONGS_EQUAL(0, fixture.store.carryOutLateWrites());
+    LONGS_EQUAL(0, shared.store.carryOutLateWrites());
 }
 
 /// A listing of several pages names records that were written after it began, and lacks others. A save was conditional
@@ -129,55 +111,56 @@
 TEST(LateSaves, ASaveIsConditionalOnWhatIsKnownCompletely)
 {
     const std::string place = "{\"service\":\"llm\",\"replica\":\"e1\"}";
-    fixture.store.put("keyed.places", "07", place);
-    fixture.store.put("keyed.places", "08", place);
-    fixture.store.setPageSize(1);
-    fixture.store.setRate(1 << 30); // counts what it serves
-    state.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
-                          const TopicPosition &) {
+    shared.store.put("keyed.places", "07", place);
+    shared.store.put("keyed.places", "08", place);
+    shared.store.setPageSize(1);
+    shared.store.setRate(1 << 30); // counts what it serves
+    shared.state.onRead = [this](const std::vector<PlaceRecord> &places, const std::vector<SuspectBlock> &,
+                                 const TopicPosition &) {
         known = places.size();
         if (!hasSaved) {
             hasSaved = true;
-            state.savePlaces({{{"llm"}, 7, {"e7"}}});
+            shared.state.savePlaces({{{"llm"}, 7, {"e7"}}});
         }
     };
-    state.start();
-    CHECK(runUntil([this] { return fixture.store.requestCount() == 1; }));
-    CHECK(waitFor([this] { return fixture.store.bytesServed() > 0; })); // the first page, which is not read yet
-    fixture.store.put("keyed.places", "07", place);
-    fixture.store.put("keyed.places", "08", place);
-    CHECK(runUntil([this] { return hasSaved && fixture.store.requestCount() >= 5; })); // two pages, the save, two reads
-    LONGS_EQUAL(4, fixture.store.put("keyed.places", "09", place));                    // nothing was saved
+    shared.state.start();
+    CHECK(shared.runUntil([this] { return shared.store.requestCount() == 1; }));
+    CHECK(waitFor([this] { return shared.store.bytesServed() > 0; })); // the first page, which is not read yet
+    shared.store.put("keyed.places", "07", place);
+    shared.store.put("keyed.places", "08", place);
+    CHECK(shared.runUntil(
+        [this] { return hasSaved && shared.store.requestCount() >= 5; })); // two pages, the save, two reads
+    LONGS_EQUAL(4, shared.store.put("keyed.places", "09", place));         // nothing was saved
 }
 
 /// Between a restore and the listing that follows it, the end from before would be a condition on another topic.
 TEST(LateSaves, NothingIsSavedBetweenARestoreAndItsListing)
 {
-    state.start();
-    CHECK(runUntil([this] { return known == 0; }));
-    fixture.store.backUp();
-    state.savePlaces({{{"llm"}, 7, {"e7"}}});
-    CHECK(runUntil([this] { return known == 1; }));
-    fixture.store.restore({{"keyed.places", "other", "x"}}); // ends where the router would go on
-    state.readNow();
-    CHECK(runUntil([this] { return state.topic().era() == std::optional<StoreEra>(2); }));
-    const std::int64_t before = state.stats().calls;
-    state.savePlaces({{{"llm"}, 8, {"e8"}}});
-    LONGS_EQUAL(before, state.stats().calls);
-    CHECK(runUntil([this] { return known == 0; })); // as the copy tells
+    shared.state.start();
+    CHECK(shared.runUntil([this] { return known == 0; }));
+    shared.store.backUp();
+    shared.state.savePlaces({{{"llm"}, 7, {"e7"}}});
+    CHECK(shared.runUntil([this] { return known == 1; }));
+    shared.store.restore({{"keyed.places", "other", "x"}}); // ends where the router would go on
+    shared.state.readNow();
+    CHECK(shared.runUntil([this] { return shared.state.topic().era() == std::optional<StoreEra>(2); }));
+    const std::int64_t before = shared.state.stats().calls;
+    shared.state.savePlaces({{{"llm"}, 8, {"e8"}}});
+    LONGS_EQUAL(before, shared.state.stats().calls);
+    CHECK(shared.runUntil([this] { return known == 0; })); // as the copy tells
     CHECK(saveUntilKnown({{"llm"}, 8, {"e8"}}, 1));
 }
 
 /// A save that reaches the restored store at an end that happens to be the same says nothing of what is there.
 TEST(LateSaves, AnAnswerOfTheRestoredStoreToAnOlderSaveIsReadAnew)
 {
-    state.start();
-    CHECK(runUntil([this] { return known == 0; }));
-    fixture.store.backUp();
-    state.savePlaces({{{"llm"}, 7, {"e7"}}});
-    CHECK(runUntil([this] { return known == 1; }));
-    fixture.store.restore({{"keyed.places", "other", "x"}});
-    state.savePlaces({{{"llm"}, 8, {"e8"}}}); // this router has not read since
-    CHECK(runUntil([this] { return state.topic().era() == std::optional<StoreEra>(2); }));
+    shared.state.start();
+    CHECK(shared.runUntil([this] { return known == 0; }));
+    shared.store.backUp();
+    shared.state.savePlaces({{{"llm"}, 7, {"e7"}}});
+    CHECK(shared.runUntil([this] { return known == 1; }));
+    shared.store.restore({{"keyed.places", "other", "x"}});
+    shared.state.savePlaces({{{"llm"}, 8, {"e8"}}}); // this router has not read since
+    CHECK(shared.runUntil([this] { return shared.state.topic().era() == std::optional<StoreEra>(2); }));
     CHECK(saveUntilKnown({{"llm"}, 9, {"e9"}}, 2)); // 8 and 9; 7 is lost
 }
--- a/tests/restoremodel.h
+++ b/tests/restoremodel.h
@@ -101,6 +101,7 @@
     ModelStore store{time};
     std::string failure; // of the first check that failed
     int listings = 0;    // taken over from other routers
+    int packed = 0;      // answers of other routers that were packed
     int caughtUp = 0;    // proofs that were checked
 
 private:
@@ -343,6 +344,7 @@
             entry = router.waiting.erase(entry);
             const TopicAnswer answer = router.knowledge->answer(due.question, due.arrivedAt, time.now());
             const bool isPacked = !answer.packedRecords.empty();
+            packed += isPacked ? 1 : 0;
             const auto sent = isPacked ? decodeTopicAnswer(encodeTopicAnswer(answer), true) : std::optional(answer);
             checkAnswer(*sent, due.arrivedAt);
             due.send(*sent);
--- a/tests/restoreschedules.cpp
+++ b/tests/restoreschedules.cpp
@@ -213,15 +213,18 @@
         const char *wanted = std::getenv("GALENAFOLD_TRIALS");
         const std::uint64_t schedules = wanted ? std::strtoull(wanted, nullptr, 10) : usualSchedules;
         int listings = 0;
+        int packed = 0;
         int caughtUp = 0;
         for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
             RestoreSchedule schedule(seed, reading, told);
             const std::string failure = schedule.run();
             CHECK_TEXT(failure.empty(), ("seed " + std::to_string(seed) + ": " + failure).c_str());
             listings += schedule.fleet.listings;
+            packed += schedule.fleet.packed;
             caughtUp += schedule.fleet.caughtUp;
         }
         CHECK(listings > static_cast<int>(schedules)); // routers were told all records by others, after a drill or two
+        CHECK(packed > 0);
         CHECK(caughtUp > 100 * static_cast<int>(schedules));
     }
     static constexpr std::uint64_t usualSchedules = 400; // of each topic
--- a/tests/storerestore.cpp
+++ b/tests/storerestore.cpp
@@ -3,8 +3,8 @@
 #include "control/gossip.h"
 #include "control/newestversion.h"
 #include "control/replicadirectory.h"
-#include "runtime/sharedstate.h"
 #include "tests/routerfleet.h"
+#include "tests/sharedstatefixture.h"
 
 using namespace galenafold;
 
@@ -115,8 +115,8 @@
 {
     void setup() override
     {
-        state.onRead = record("read ");
-        state.onRestored = record("restored ");
+        shared.state.onRead = record("read ");
+        shared.state.onRestored = record("restored ");
     }
     StoredStateHook record(const char *name)
     {
@@ -126,23 +126,10 @@
     void runUntil(const std::string &event)
     {
         events.clear();
-        const Instant deadline = clockNow() + eventTimeout;
-        while ((events.empty() || events.back() != event) && clockNow() < deadline) {
-            io.run_one_for(std::chrono::milliseconds(20));
-        }
-        CHECK_TEXT(!events.empty() && events.back() == event, event.c_str());
-    }
-    static EventLogSettings withoutOutput()
-    {
-        EventLogSettings settings;
-        settings.fd = -1;
-        return settings;
+        CHECK_TEXT(shared.runUntil([&] { return !events.empty() && events.back() == event; }), event.c_str());
     }
 
-    NodeFixture fixture;
-    asio::io_context io;
-    EventLog log{withoutOutput()};
-    SharedState state{io, fixture.store.address(), 0, log, 1};
+    SharedStateFixture shared;
     std::vector<std::string> events;
 };
 
@@ -150,19 +137,19 @@
 TEST(RestoredPlaces, PlacesInUseStayUntilARouterHasWrittenAgain)
 {
     const std::vector<PlaceRecord> places = {{{"llm"}, 7, {"e7"}}};
-    state.start();
+    shared.state.start();
     runUntil("read 0");
     runUntil("read 0"); // the listing is followed by a read, whose answer could tell of the write before its own does
-    fixture.store.backUp();
-    state.savePlaces(places);
+    shared.store.backUp();
+    shared.state.savePlaces(places);
     runUntil("read 1");
-    fixture.store.restore();
+    shared.store.restore();
     for (int i = 0; i < 2; ++i) { // the second time since a peer that knows nothing yet claims to have read further
-        state.readNow();
+        shared.state.readNow();
         runUntil("restored 0");
         LONGS_EQUAL(1, events.size());
     }
-    state.savePlaces(places);
+    shared.state.savePlaces(places);
     runUntil("read 1");
 }
 
@@ -170,21 +157,18 @@
 TEST(RestoredPlaces, AnAnswerFromBeforeTheRestoreDoesNotEndIt)
 {
     const std::vector<PlaceRecord> places = {{{"llm"}, 7, {"e7"}}};
-    state.start();
+    shared.state.start();
     runUntil("read 0");
     runUntil("read 0");
-    fixture.store.backUp();
-    fixture.store.holdAppendAnswers(true);
-    state.savePlaces(places);
-    const Instant deadline = clockNow() + eventTimeout;
-    while (fixture.store.heldAnswers() == 0 && clockNow() < deadline) {
-        io.run_one_for(std::chrono::milliseconds(20));
-    }
-    fixture.store.restore();
-    state.readNow();
+    shared.store.backUp();
+    shared.store.holdAppendAnswers(true);
+    shared.state.savePlaces(places);
+    CHECK(shared.runUntil([this] { return shared.store.heldAnswers() > 0; }));
+    shared.store.restore();
+    shared.state.readNow();
     runUntil("restored 0"); // the listing
     runUntil("restored 0"); // and the read that follows it
-    fixture.store.holdAppendAnswers(false);
+    shared.store.holdAppendAnswers(false);
     runUntil("restored 0");
     LONGS_EQUAL(1, events.size());
 }
