--- a/review/bed-3.cpp
+++ b/review/bed-3.cpp
@@ -95,7 +95,7 @@
 }
 
 RouterProcess::RouterProcess(const std::string &folder, int host, const RouterPorts &ports, const std::string &store,
-                             const std::string &seeds)
+                             const std::string &seeds, const std::string &zone)
     : m_ip(loopback(host))
     , m_ports(ports)
     , m_settingsFile(folder + "/router-" + std::to_string(host) + ".ini")
@@ -103,8 +103,8 @@
 {
     std::ofstream out(m_settingsFile);
     const auto listener = [this](int port) { return m_ip + ':' + std::to_string(port); };
-    out << "[router]\nname = front-" << host << "\ndata_centre = kl-a\nmemory_mb = 182\ndescriptors = 2870\n"
-        << "[regions]\nkl-a = kl\n[listen]\ncallers = " << listener(ports.callers)
+    out << "[router]\nname = front-" << host << "\ndata_centre = " << zone << "\nmemory_mb = 182\ndescriptors = 2870\n"
+        << "[regions]\nkl-a = kl\nkl-b = kl\n[listen]\ncallers = " << listener(ports.callers)
         << "\nadmin = " << listener(ports.admin) << "\npeers = " << listener(ports.peers) << "\nlink_mbps = 700.0\n"
         << "[peers]\nseeds = " << seeds << "\n[store]\naddress = " << store << "\npartitions = " << partitions << '\n'
         << "[promises]\nrevoke_within_ms = 5000\nleave_within_ms = 2000\nsettle_within_ms = 3000\n"
--- a/review/bed-3.h
+++ b/review/bed-3.h
@@ -55,8 +55,9 @@
 {
 public:
     /// @param host last number of its address 127.0.0.N @param seeds addresses IP:PORT, separated by commas
+    /// @param zone kl-a or kl-b
     RouterProcess(const std::string &folder, int host, const RouterPorts &ports, const std::string &store,
-                  const std::string &seeds);
+                  const std::string &seeds, const std::string &zone = "kl-a");
     ~RouterProcess();
     RouterProcess(const RouterProcess &) = delete;
     RouterProcess &operator=(const RouterProcess &) = delete;
