--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,17 +1,25 @@
 #!/usr/bin/env bash
-# Builds the programs that the scripts of the third review start, after the build of the deploy file. No network.
+# Builds the programs that the scripts of the third review start into target/review-3, after the build of the deploy file.
+# Uses its library, and the project's stand-ins of the store and of replicas. No network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
-flags="-std=c++17 -O1 -Wall -Wextra -DASIO_STANDALONE -DGALENAFOLD_VERSION=\"review\" -I."
-libraries="target/libgalenafold.a $(pkg-config --libs capnp-rpc cpp-httplib inih libglog libxxhash) -lcrypto -lssl -lz"
+flags=(-std=c++17 -O1 -Wall -Wextra -Wno-psabi -pthread -DASIO_STANDALONE -DGALENAFOLD_VERSION='"review"' -I.)
+mapfile -t libraries < <(pkg-config --cflags --libs capnp-rpc cpp-httplib inih libglog libxxhash zlib | xargs -n 1)
+objects=()
 for source in review/bed-3.cpp fakes/replica.cpp fakes/topicstore.cpp; do
-  g++ $flags -c "$source" -o "$out/$(basename "$source" .cpp).o" &
+  object="$out/$(basename "$source" .cpp).o"
+  g++ "${flags[@]}" -c "$source" -o "$object"
+  objects+=("$object")
 done
-wait
-for case in review/1[1-5]/*.cpp; do
-  [ -e "$case" ] || continue
-  number=$(basename "$(dirname "$case")")
-  g++ $flags "$case" "$out"/bed-3.o "$out"/replica.o "$out"/topicstore.o $libraries -lpthread -o "$out/case-$number"
+for source in review/1[1-5]/*.cpp; do
+  number=$(basename "$(dirname "$source")")
+  g++ "${flags[@]}" "$source" "${objects[@]}" target/libgalenafold.a "${libraries[@]}" -lssl -lcrypto \
+    -o "$out/case-$number" &
 done
+status=0
+for job in $(jobs -p); do
+  wait "$job" || status=1
+done
+exit "$status"
